--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; none of them runs in CI but for its correctness."""
--- /dev/null
+++ b/src/geraniumlink/_schema/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from ``schema/geraniumlink.proto``; see its comments."""
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,186 @@
+"""Stand-in for a model engine.
+
+The answer is a pure function of model, adapter and prompt, so every chunk
+can be checked. Fault switches: ``token_ms``, ``stall_after`` (tokens),
+``cut_after`` (tokens, then the connection closes), ``crash_on`` (a prompt
+with this text ends the process), ``duplicate``, ``reorder``, ``foreign``
+(chunks), ``leaving``, ``refuse`` (a reason), ``report_lag_ms``,
+``bad_report``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import os
+import time
+import typing
+import uuid
+from collections.abc import AsyncIterator
+
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from standins import _base
+
+DEFAULT_TOKEN_MS = 5
+
+
+def expected_tokens(
+    model: str, adapter: str, prompt: str, count: int
+) -> list[str]:
+    """Return the whole answer, for a test to compare with."""
+    seed = f"{model}\0{adapter}\0{prompt}".encode()
+    tokens = []
+    for index in range(count):
+        digest = hashlib.blake2b(seed + str(index).encode(), digest_size=3)
+        tokens.append(f" {digest.hexdigest()}")
+    return tokens
+
+
+class Engine(_base.StandIn):
+    """Holds models, batches without limit of speed, keeps a record."""
+
+    def __init__(self, resident: dict[str, str], max_in_flight: int) -> None:
+        super().__init__()
+        self._boot_id = uuid.uuid4().hex
+        self._resident = resident
+        self._max_in_flight = max_in_flight
+        self._in_flight = 0
+        self._runs: list[dict] = []
+        self._reports: list[tuple[float, dict]] = []
+
+    def routes(self) -> list[routing.Route]:
+        return [
+            routing.Route("/generate", self._generate, methods=["POST"]),
+            routing.Route("/report", self._report),
+        ]
+
+    def record(self) -> typing.Any:
+        return {"boot_id": self._boot_id, "runs": self._runs}
+
+    async def _generate(self, request: requests.Request) -> responses.Response:
+        asked = json.loads(await request.body())
+        reason = self._reason_to_refuse(asked)
+        if reason:
+            return responses.JSONResponse({"refused": reason}, 503)
+        crash_on = self.faults.crash_on
+        if crash_on and crash_on in asked["prompt"]:
+            os._exit(1)
+        run = {
+            "request_id": asked["request_id"],
+            "model": asked["model"],
+            "offset": asked["offset"],
+            "time": time.time(),
+            "ended": False,
+        }
+        self._runs.append(run)
+        return responses.StreamingResponse(
+            self._stream(asked, run), media_type="application/x-ndjson"
+        )
+
+    def _reason_to_refuse(self, asked: dict) -> str:
+        if self.faults.refuse:
+            return self.faults.refuse
+        if self.faults.leaving:
+            return "leaving"
+        if asked["model"] not in self._resident:
+            return "not_resident"
+        if self._in_flight >= self._max_in_flight:
+            return "full"
+        return ""
+
+    async def _stream(self, asked: dict, run: dict) -> AsyncIterator[bytes]:
+        self._in_flight += 1
+        try:
+            async for line in self._with_faults(asked):
+                yield line
+            run["ended"] = True
+        finally:
+            self._in_flight -= 1
+
+    async def _with_faults(self, asked: dict) -> AsyncIterator[bytes]:
+        held: bytes | None = None
+        async for number, line in self._chunks(asked):
+            if self.faults.foreign:
+                yield _line({**json.loads(line), "request_id": "another"})
+            if self.faults.reorder and number % 2 == 0 and held is None:
+                held = line
+                continue
+            yield line
+            if self.faults.duplicate:
+                yield line
+            if held is not None:
+                yield held
+                held = None
+        if held is not None:
+            yield held
+        yield _line(
+            {
+                "request_id": asked["request_id"],
+                "end": True,
+                "token_count": asked["max_tokens"],
+            }
+        )
+
+    async def _chunks(self, asked: dict) -> AsyncIterator[tuple[int, bytes]]:
+        tokens = expected_tokens(
+            asked["model"],
+            asked["adapter"],
+            asked["prompt"],
+            asked["max_tokens"],
+        )
+        for index in range(asked["offset"], len(tokens)):
+            token_ms = self.faults.token_ms
+            if token_ms is None:
+                token_ms = DEFAULT_TOKEN_MS
+            await asyncio.sleep(token_ms / 1000)
+            await self._meet_cuts(index)
+            yield (
+                index,
+                _line(
+                    {
+                        "request_id": asked["request_id"],
+                        "offset": index,
+                        "tokens": [tokens[index]],
+                    }
+                ),
+            )
+
+    async def _meet_cuts(self, index: int) -> None:
+        never = index + 1
+        if index >= self.faults.get("cut_after", never):
+            raise ConnectionAbortedError("the cut_after switch is set")
+        if index >= self.faults.get("stall_after", never):
+            await asyncio.sleep(3600)
+
+    async def _report(self, _: requests.Request) -> responses.Response:
+        if self.faults.bad_report:
+            return responses.JSONResponse({"in_flight": -7})
+        now = time.monotonic()
+        report = {
+            "boot_id": self._boot_id,
+            "in_flight": self._in_flight,
+            "leaving": bool(self.faults.leaving),
+            "resident": self._resident,
+        }
+        self._reports.append((now, report))
+        lag = (self.faults.report_lag_ms or 0) / 1000
+        while len(self._reports) > 1 and self._reports[1][0] <= now - lag:
+            self._reports.pop(0)
+        return responses.JSONResponse(self._reports[0][1])
+
+
+def _line(message: dict) -> bytes:
+    return json.dumps(message).encode() + b"\n"
+
+
+if __name__ == "__main__":
+    made = _base.parser(__doc__)
+    made.add_argument("--resident", action="append", default=[])
+    made.add_argument("--max-in-flight", type=int, default=64)
+    options = made.parse_args()
+    resident = dict(entry.split("=") for entry in options.resident)
+    _base.run(Engine(resident, options.max_in_flight), options.port)
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,103 @@
+"""Builders of the data that tests work on."""
+
+from __future__ import annotations
+
+import itertools
+
+from standins import fleet as fleets
+
+_numbers = itertools.count(1)
+
+
+def change_id() -> str:
+    return f"change-{next(_numbers):08d}"
+
+
+def replica(process: fleets.Process | str, index: int = 0, **fields) -> dict:
+    """Return a replica's declaration at a process or an address."""
+    address = process if isinstance(process, str) else process.address
+    return {
+        "name": f"r{index}",
+        "address": address,
+        "data_centre": "debark",
+        "memory_mb": 1000,
+        "kv_cache_mb": 100,
+        "max_in_flight": 64,
+    } | fields
+
+
+def engines(
+    processes, models=("notes",), name="assistant", size_mb=100, **fields
+) -> dict:
+    """Return a deployment of model engines."""
+    return {
+        "name": name,
+        "kind": "MODEL_ENGINE",
+        "replicas": [
+            replica(process, index) for index, process in enumerate(processes)
+        ],
+        "models": [
+            {"name": model, "version": "1", "size_mb": size_mb}
+            for model in models
+        ],
+        "load_limits": {
+            "loads_per_second": 10,
+            "concurrent_loads": 4,
+            "adapters_in_transit": 32,
+        },
+        "order_rules": {"engines_check_fencing": True},
+    } | fields
+
+
+def plain(processes, name="booking") -> dict:
+    """Return a deployment of a plain service."""
+    return {
+        "name": name,
+        "kind": "PLAIN_SERVICE",
+        "replicas": [
+            replica(process, index, memory_mb=0, kv_cache_mb=0)
+            for index, process in enumerate(processes)
+        ],
+    }
+
+
+async def declare(fleet, instance, deployment, expected_version=0) -> int:
+    """Apply a deployment and wait until it is in force everywhere."""
+    answer = await fleet.call(
+        instance,
+        "Operator/Apply",
+        deployment=deployment,
+        expected_version=expected_version,
+        change_id=change_id(),
+        author="tests",
+    )
+    assert answer.status == 200, answer
+    version = int(answer.body["version"])
+    await in_force(fleet, version)
+    return version
+
+
+async def in_force(fleet, version: int) -> None:
+    """Wait until every running instance has a version in force."""
+
+    async def reached() -> bool:
+        for process in fleet.instances:
+            if not process.running:
+                continue
+            status = await fleet.call(process, "Operator/Status")
+            if int(status.body.get("version", 0)) < version:
+                return False
+        return True
+
+    await fleet.until(reached, f"version {version} is in force")
+
+
+async def serving(fleet, instance, count: int) -> None:
+    """Wait until an instance has a report of this many replicas."""
+
+    async def reached() -> bool:
+        status = await fleet.call(instance, "Operator/Status")
+        replicas = status.body.get("replicas", ())
+        return sum(1 for entry in replicas if entry.get("models")) >= count
+
+    await fleet.until(reached, f"{count} replicas hold models")
