--- a/src/geraniumlink/_peers.py
+++ b/src/geraniumlink/_peers.py
@@ -4,7 +4,7 @@
 
 import json
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from aioprometheus import renderer
 from starlette import applications
@@ -31,7 +31,11 @@
 
 
 class PeerServer:
-    """Answers peers; ``ready`` is asked at each readiness check."""
+    """Answers peers; ``ready`` is asked at each readiness check.
+
+    ``more_routes`` are the peer messages of other modules, each of which
+    reads its own.
+    """
 
     def __init__(
         self,
@@ -39,6 +43,7 @@
         membership: _membership.Membership,
         metrics: _metrics.Metrics,
         ready: Callable[[], bool],
+        more_routes: Sequence[routing.Route] = (),
     ) -> None:
         self._configuration = configuration
         self._membership = membership
@@ -51,12 +56,13 @@
                 routing.Route("/health", self._health),
                 routing.Route("/ready", self._readiness),
                 routing.Route("/metrics", self._render_metrics),
+                *more_routes,
             ]
         )
 
     async def _exchange(self, request: requests.Request) -> responses.Response:
         try:
-            message = json.loads(await _bounded_body(request))
+            message = json.loads(await bounded_body(request))
             entries = _membership.from_json(message["entries"])
         except (ValueError, KeyError, TypeError) as error:
             _logs.event("bad_exchange", error=str(error))
@@ -143,7 +149,11 @@
         return None
 
 
-async def _bounded_body(request: requests.Request) -> bytes:
+async def bounded_body(request: requests.Request) -> bytes:
+    """Return a message's body.
+
+    :raises ValueError: if it has more than 64 KiB.
+    """
     body = bytearray()
     async for part in request.stream():
         body += part
