Load declared models under leases and memory ledgers

Engines had to start with their models resident; a declared model that no engine held was never reachable. The holder of a deployment's lease now claims the ledger of each replica by a conditional update, writes the intent of each load or unload there before the order is sent, and retires it on the engine's report. The stand-in engine takes orders, with faults, and records its memory.

Seen to fail first: tests/test_controller.py without the controller wired into the instance times out waiting for replicas that hold models.

--- /dev/null
+++ b/src/geraniumlink/_budgets.py
@@ -0,0 +1,71 @@
+"""What the weight store and the engines allow over a whole deployment.
+
+Loads in progress are counted from the ledgers, so a new holder counts those
+of the last one. The rate is kept in memory: a new holder starts with no
+allowance, so a takeover never begins loads faster than the rate.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from geraniumlink import _ledger
+from geraniumlink._schema import geraniumlink_pb2 as pb
+
+
+class Budget:
+    """Grants loads within the limits of a deployment."""
+
+    def __init__(self, now: int) -> None:
+        self._allowance = 0.0
+        self._updated_at = now
+        self._models_loading = 0
+        self._adapters_loading = 0
+        self._limits = pb.LoadLimits()
+
+    def update(
+        self,
+        limits: pb.LoadLimits,
+        ledgers: Iterable[_ledger.Ledger],
+        now: int,
+    ) -> None:
+        """Count what is in transit, and add the allowance since then."""
+        self._limits = limits
+        elapsed_s = (now - self._updated_at) / 1000
+        self._updated_at = now
+        self._allowance += elapsed_s * limits.loads_per_second
+        self._allowance = min(1.0, self._allowance)
+        loading = [
+            entry
+            for ledger in ledgers
+            for entry in ledger.entries
+            if entry.state is _ledger.State.LOADING
+        ]
+        self._adapters_loading = sum(
+            1 for entry in loading if entry.copy.adapter
+        )
+        self._models_loading = len(loading) - self._adapters_loading
+
+    def grant(self, copy: _ledger.Copy) -> bool:
+        """Return whether a load may begin now, and count it if so."""
+        if copy.adapter:
+            if self._adapters_loading >= self._limits.adapters_in_transit:
+                return False
+            self._adapters_loading += 1
+            return True
+        if self._models_loading >= self._limits.concurrent_loads:
+            return False
+        if not self._within_rate():
+            return False
+        self._models_loading += 1
+        return True
+
+    def grant_again(self, copy: _ledger.Copy) -> bool:
+        """As ``grant`` for a load that is counted as in transit already."""
+        return bool(copy.adapter) or self._within_rate()
+
+    def _within_rate(self) -> bool:
+        if self._allowance < 1:
+            return False
+        self._allowance -= 1
+        return True
--- /dev/null
+++ b/src/geraniumlink/_controller.py
@@ -0,0 +1,168 @@
+"""Takes shards under leases and works on those that it holds.
+
+Each deployment of engines is a shard. Any instance may hold any shard; only
+the few that rendezvous hashing names look at its lease, so the calls to the
+object API grow with the shards and not with the instances.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+
+import anyio
+import anyio.abc
+
+from geraniumlink import _clock
+from geraniumlink import _configuration
+from geraniumlink import _held_replica
+from geraniumlink import _http
+from geraniumlink import _leases
+from geraniumlink import _ledger_store
+from geraniumlink import _logs
+from geraniumlink import _objects
+from geraniumlink import _settings
+from geraniumlink import _shard
+from geraniumlink._schema import geraniumlink_pb2 as pb
+
+_RELEASE_MS = 1000
+
+
+class Controller:
+    """The control work of one instance."""
+
+    def __init__(
+        self,
+        settings: _settings.Settings,
+        configuration: _configuration.Configuration,
+        objects: _objects.ObjectApi,
+        live_instances: Callable[[], Iterable[str]],
+        client: _http.Client,
+        clock: _clock.Clock,
+        random_source: random.Random,
+    ) -> None:
+        self._name = settings.name
+        self._clock = clock
+        self._live_instances = live_instances
+        self._configuration = configuration
+        self._leases = _leases.Leases(
+            objects, settings.name, settings.lease_ms, clock, random_source
+        )
+        self._random = random_source
+        self._parts = _shard.Parts(
+            configuration,
+            objects,
+            client,
+            clock,
+            random_source,
+            settings.report_ms,
+        )
+        self._campaigns: set[str] = set()
+        self._held: dict[str, anyio.CancelScope] = {}
+        self._stopping = False
+
+    async def run(self) -> None:
+        """Look for shards until ``stop`` is called."""
+        self._campaigns.clear()
+        async with anyio.create_task_group() as group:
+            while not self._stopping:
+                for shard in self._shards():
+                    if shard not in self._campaigns:
+                        self._campaigns.add(shard)
+                        group.start_soon(self._campaign, shard)
+                await self._clock.sleep(self._parts.report_ms)
+
+    def stop(self) -> None:
+        """Release every lease and take none again."""
+        self._stopping = True
+        for scope in self._held.values():
+            scope.cancel()
+
+    def _shards(self) -> list[str]:
+        """Return the shards whose leases this instance looks at."""
+        instances = [*self._live_instances(), self._name]
+        return [
+            deployment.name
+            for deployment in self._configuration.deployments()
+            if deployment.kind == pb.Kind.MODEL_ENGINE
+            and self._name in _leases.candidates(deployment.name, instances)
+        ]
+
+    async def _campaign(self, shard: str) -> None:
+        """Look at one lease, and work whenever it is held."""
+        try:
+            while not self._stopping and shard in self._shards():
+                held = await self._try_take(shard)
+                if held is not None:
+                    await self._hold(held)
+                spread = self._random.uniform(0.4, 0.6)
+                await self._clock.sleep(self._leases.duration_ms * spread)
+        finally:
+            self._campaigns.discard(shard)
+
+    async def _try_take(self, shard: str) -> _leases.Held | None:
+        try:
+            return await self._leases.try_take(shard)
+        except _objects.UnavailableError:
+            return None
+
+    async def _hold(self, held: _leases.Held) -> None:
+        """Work on a shard until the lease is lost or this instance stops."""
+        tenure = _Tenure(self._leases, held, self._clock)
+        names = _held_replica.Names(held.shard, self._name, held.lease.epoch)
+        shard = _shard.Shard(self._parts, names)
+        try:
+            async with anyio.create_task_group() as group:
+                self._held[held.shard] = group.cancel_scope
+                if self._stopping:
+                    group.cancel_scope.cancel()
+                group.start_soon(tenure.renew, group.cancel_scope)
+                await shard.run()
+                group.cancel_scope.cancel()
+        except* _ledger_store.LostShardError as lost:
+            _logs.event("shard_lost", deployment=held.shard, error=str(lost))
+        finally:
+            del self._held[held.shard]
+            with anyio.move_on_after(_RELEASE_MS / 1000, shield=True):
+                await tenure.release()
+
+
+class _Tenure:
+    """Keeps one lease renewed."""
+
+    def __init__(
+        self,
+        leases: _leases.Leases,
+        held: _leases.Held,
+        clock: _clock.Clock,
+    ) -> None:
+        self._leases = leases
+        self._held = held
+        self._clock = clock
+        self._lost = False
+
+    async def renew(self, work: anyio.CancelScope) -> None:
+        """Renew at a third of the duration; cancel the work on a loss."""
+        renewed_at = self._clock.now()
+        while True:
+            await self._clock.sleep(self._leases.duration_ms / 3)
+            began_at = self._clock.now()
+            try:
+                self._held = await self._leases.renew(self._held)
+                renewed_at = began_at
+            except _leases.LostError:
+                self._lost = True
+                break
+            except _objects.UnavailableError:
+                if self._clock.now() - renewed_at > self._leases.duration_ms:
+                    break
+        _logs.event(
+            "lease_lost",
+            deployment=self._held.shard,
+            epoch=self._held.lease.epoch,
+        )
+        work.cancel()
+
+    async def release(self) -> None:
+        if not self._lost:
+            await self._leases.release(self._held)
--- /dev/null
+++ b/src/geraniumlink/_engine_reports.py
@@ -0,0 +1,88 @@
+"""What an engine says of its memory, with a lag.
+
+The report that routing uses is read in ``_engines.py``; this one holds each
+version of each copy, and the highest fencing number that was accepted.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from geraniumlink import _http
+from geraniumlink import _ledger
+from geraniumlink import _settings
+
+_TIMEOUT_MS = 1000
+
+
+class ReportedCopy(typing.NamedTuple):
+    """A copy that takes memory at the engine."""
+
+    size_mb: int
+    # False while it is being loaded.
+    resident: bool
+
+
+class MemoryReport(typing.NamedTuple):
+    """The memory of an engine as it was a while ago."""
+
+    boot_id: str
+    # The highest that the engine accepted; 0 from one that does not check.
+    fencing_number: int
+    copies: dict[_ledger.Copy, ReportedCopy]
+    leaving: bool
+
+
+class BadReportError(Exception):
+    """A report that makes no sense; the last good one stays in use."""
+
+
+async def fetch(
+    client: _http.Client, address: _settings.Address
+) -> MemoryReport:
+    """Ask an engine for its report.
+
+    :raises BadReportError: if the answer makes no sense.
+    :raises _http.NotSentError: if the engine can't be reached.
+    :raises _http.BrokenError: if no whole answer came.
+    """
+    answer = await client.request(
+        "GET",
+        address,
+        "/report",
+        connect_ms=_TIMEOUT_MS,
+        read_ms=_TIMEOUT_MS,
+    )
+    if answer.status != 200:
+        raise BadReportError(f"status {answer.status}")
+    return read(answer.json())
+
+
+def read(message: typing.Any) -> MemoryReport:
+    """Check a report.
+
+    :raises BadReportError: if it makes no sense.
+    """
+    try:
+        copies = dict(_copy(entry) for entry in message["copies"])
+        report = MemoryReport(
+            str(message["boot_id"]),
+            int(message.get("fencing_number", 0)),
+            copies,
+            message.get("leaving") is True,
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise BadReportError(repr(error)) from error
+    if len(copies) > _ledger.MAX_ENTRIES or report.fencing_number < 0:
+        raise BadReportError("the counts are out of range")
+    return report
+
+
+def _copy(entry: typing.Any) -> tuple[_ledger.Copy, ReportedCopy]:
+    copy = _ledger.Copy(
+        str(entry["model"]), str(entry["adapter"]), str(entry["version"])
+    )
+    size_mb = int(entry["size_mb"])
+    if not copy.model or size_mb < 0:
+        raise ValueError(f"{copy} of {size_mb} MiB")
+    return copy, ReportedCopy(size_mb, entry["state"] == "resident")
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -10,6 +10,7 @@
     |- heartbeat     exchange with one peer              started again
     |- instance_list platform's list of instances        started again
     |- reports       reports of backend servers          started again
+    |- controller    shards under leases                 started again
     `- signals       SIGTERM and SIGINT begin shutdown   fails the instance
 """
 
@@ -25,6 +26,7 @@
 from geraniumlink import _changes
 from geraniumlink import _clock
 from geraniumlink import _configuration
+from geraniumlink import _controller
 from geraniumlink import _http
 from geraniumlink import _inference
 from geraniumlink import _logs
@@ -80,6 +82,15 @@
         self._peers = _peers.PeerServer(
             self._configuration, self._membership, self._metrics, self._ready
         )
+        self._controller = _controller.Controller(
+            settings,
+            self._configuration,
+            self._objects,
+            self._live_names,
+            self._client,
+            self._clock,
+            source,
+        )
         self._listener = _server.Listener(self._rpc, settings.address)
         self._peer_listener = _server.Listener(
             self._peers.application, settings.peer_address
@@ -136,6 +147,14 @@
             child("heartbeat", self._heartbeat),
             child("instance_list", self._follow_instance_list),
             child("reports", lambda: self._backends.poll(settings.report_ms)),
+            child("controller", self._controller.run),
+        ]
+
+    def _live_names(self) -> list[str]:
+        return [
+            member.name
+            for member in self._membership.members()
+            if member.state == "live"
         ]
 
     async def _heartbeat(self) -> None:
@@ -190,6 +209,7 @@
         """
         self._rpc.closing = True
         self._membership.leave()
+        self._controller.stop()
         await self._clock.sleep(self._settings.drain_lag_ms)
         self._listener.stop()
         while self._rpc.in_flight:
--- a/src/geraniumlink/_operator.py
+++ b/src/geraniumlink/_operator.py
@@ -8,6 +8,7 @@
 
 from geraniumlink import _backends
 from geraniumlink import _changes
+from geraniumlink import _charges
 from geraniumlink import _clock
 from geraniumlink import _configuration
 from geraniumlink import _declarations
@@ -39,6 +40,7 @@
         self._membership = membership
         self._backends = backends
         self._clock = clock
+        self._charges = _charges.Charges(objects, clock)
 
     async def apply(self, request: pb.ApplyRequest, _: str) -> Result:
         findings = self._check(request.deployment)
@@ -150,18 +152,23 @@
                 state=member.state,
                 age_ms=member.age_ms,
             )
+        charges = await self._charges.read()
         for backend in self._backends.all():
-            answer.replicas.append(self._replica_status(backend))
+            answer.replicas.append(self._replica_status(backend, charges))
         return expression.Ok(answer)
 
-    def _replica_status(self, backend: _backends.Backend) -> pb.ReplicaStatus:
+    def _replica_status(
+        self, backend: _backends.Backend, charges: dict[str, int]
+    ) -> pb.ReplicaStatus:
         report = backend.report
+        name = f"{backend.key.deployment}.{backend.key.replica}"
         return pb.ReplicaStatus(
             deployment=backend.key.deployment,
             name=backend.key.replica,
             state=backend.state(self._clock.now()),
             in_flight=report.in_flight if report else 0,
             models=sorted(report.resident) if report else (),
+            charged_mb=charges.get(name, 0),
             memory_mb=backend.declared.memory_mb,
         )
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -5,7 +5,7 @@
 ``cut_after`` (tokens, then the connection closes), ``crash_on`` (a prompt
 with this text ends the process), ``duplicate``, ``reorder``, ``foreign``
 (chunks), ``leaving``, ``refuse`` (a reason), ``report_lag_ms``,
-``bad_report``.
+``bad_report``. ``engine_orders.py`` has those of orders.
 """
 
 from __future__ import annotations
@@ -24,6 +24,7 @@
 from starlette import routing
 
 from standins import _base
+from standins import engine_orders
 
 DEFAULT_TOKEN_MS = 5
 
@@ -43,10 +44,14 @@
 class Engine(_base.StandIn):
     """Holds models, batches without limit of speed, keeps a record."""
 
-    def __init__(self, resident: dict[str, str], max_in_flight: int) -> None:
+    def __init__(
+        self, memory: engine_orders.Memory, max_in_flight: int
+    ) -> None:
         super().__init__()
         self._boot_id = uuid.uuid4().hex
-        self._resident = resident
+        self._memory = memory
+        self._resident = memory.resident
+        self._orders = engine_orders.Orders(memory, self.faults)
         self._max_in_flight = max_in_flight
         self._in_flight = 0
         self._runs: list[dict] = []
@@ -56,10 +61,15 @@
         return [
             routing.Route("/generate", self._generate, methods=["POST"]),
             routing.Route("/report", self._report),
+            *self._orders.routes(),
         ]
 
     def record(self) -> typing.Any:
-        return {"boot_id": self._boot_id, "runs": self._runs}
+        return {
+            "boot_id": self._boot_id,
+            "runs": self._runs,
+            **self._memory.record(),
+        }
 
     async def _generate(self, request: requests.Request) -> responses.Response:
         asked = json.loads(await request.body())
@@ -164,7 +174,8 @@
             "boot_id": self._boot_id,
             "in_flight": self._in_flight,
             "leaving": bool(self.faults.leaving),
-            "resident": self._resident,
+            "resident": dict(self._resident),
+            **self._orders.report(),
         }
         self._reports.append((now, report))
         lag = (self.faults.report_lag_ms or 0) / 1000
@@ -179,8 +190,8 @@
 
 if __name__ == "__main__":
     made = _base.parser(__doc__)
-    made.add_argument("--resident", action="append", default=[])
     made.add_argument("--max-in-flight", type=int, default=64)
+    engine_orders.add_arguments(made)
     options = made.parse_args()
-    resident = dict(entry.split("=") for entry in options.resident)
-    _base.run(Engine(resident, options.max_in_flight), options.port)
+    memory = engine_orders.from_arguments(options)
+    _base.run(Engine(memory, options.max_in_flight), options.port)
