--- a/src/geraniumlink/_declarations.py
+++ b/src/geraniumlink/_declarations.py
@@ -229,18 +229,14 @@
         if not replica.draining
     ]
     sizes = _copy_sizes(deployment)
-    needed = sum(sizes) + max(sizes, default=0)
-    available = sum(capacity)
+    sizes.append(max(sizes, default=0))
     findings.require(
-        needed <= available,
+        _packs(sizes, capacity),
         "models",
-        f"all copies and adapters, and the largest once more to roll a"
-        f" version, need {needed} MiB; the replicas have {available} MiB",
+        f"all copies with their adapters, and the largest once more to roll"
+        f" a version, need {sum(sizes)} MiB and must each fit into one"
+        f" replica; the replicas have {sum(capacity)} MiB",
     )
-    if not findings and not _packs(sizes, capacity):
-        findings.add(
-            "models", "the copies do not fit into the replicas one by one"
-        )
 
 
 def _copy_sizes(deployment: pb.Deployment) -> list[int]:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -112,7 +112,7 @@
 
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
-        self._processes: list[Process] = []
+        self.processes: list[Process] = []
         self.pool = httpcore.AsyncConnectionPool(max_connections=2000)
         self.object_api = self.stand_in("object_api")
         self.instance_list = self.stand_in("instance_list")
@@ -191,7 +191,7 @@
         log = self._folder / f"{name}.log"
         process = Process(name, command, port, log, peer_port)
         process.start()
-        self._processes.append(process)
+        self.processes.append(process)
         return process
 
     async def list_instance(self, process: Process, state: str) -> None:
@@ -203,7 +203,7 @@
 
     async def ready(self) -> None:
         """Wait until everything that runs answers."""
-        for process in self._processes:
+        for process in self.processes:
             if process.running and process not in self.instances:
                 await self.answers(process.port, "/record")
         for process in self.instances:
@@ -275,10 +275,10 @@
     async def close(self) -> None:
         """End every process of the fleet."""
         await self.pool.aclose()
-        for process in self._processes:
+        for process in self.processes:
             process.thaw()
             process.send(signal.SIGKILL)
-        for process in self._processes:
+        for process in self.processes:
             process.wait()
 
 
