Build one file, and give example settings at both users' sizes

Ruled out: PyInstaller's one file (its bootloader runs the program as a child) and its folder (not one file); see docs/design/binary.md.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -81,6 +81,7 @@
                 env={
                     **os.environ,
                     "PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}",
+                    "SHIV_ROOT": str(self.log.parent / "shiv"),
                 },
             )
 
@@ -137,16 +138,26 @@
         return self.stand_in("plain_service")
 
     def instance(
-        self, name: str = "", data_centre: str = "debark", **settings: object
+        self,
+        name: str = "",
+        data_centre: str = "debark",
+        binary: str = "",
+        **settings: object,
     ) -> Process:
-        """Start an instance; ``settings`` replace those of the sections."""
+        """Start an instance; ``settings`` replace those of the sections.
+
+        It runs from the source tree unless a ``binary`` is given.
+        """
         name = name or f"i{len(self.instances) + 1}"
         port, peer_port = free_port(), free_port()
         path = self._folder / f"{name}.ini"
         path.write_text(
             self._settings(name, data_centre, port, peer_port, settings)
         )
-        command = [sys.executable, "-m", "geraniumlink", "serve", str(path)]
+        program = [sys.executable, "-m", "geraniumlink"]
+        if binary:
+            program = [sys.executable, binary]
+        command = [*program, "serve", str(path)]
         process = self._start(name, command, port, peer_port)
         self.instances.append(process)
         return process
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,41 @@
+"""The example files are accepted as they stand."""
+
+import json
+
+import pytest
+from google.protobuf import json_format
+
+from geraniumlink import _declarations
+from geraniumlink import _findings
+from geraniumlink import _settings
+from geraniumlink._schema import geraniumlink_pb2 as pb
+from standins import fleet as fleets
+
+EXAMPLES = fleets.ROOT / "examples"
+SIZES = {
+    "assistant": (5, 18, 40),
+    "booking": (3, 0, 0),
+    "sommelier-llm": (9, 39, 95),
+    "custody-app": (4, 0, 0),
+}
+
+
+@pytest.mark.parametrize("path", sorted(EXAMPLES.glob("*/*.json")))
+def test_declarations_fit_and_have_the_stated_sizes(path):
+    deployment = json_format.ParseDict(
+        json.loads(path.read_text()), pb.Deployment()
+    )
+    findings = _findings.Findings()
+    _declarations.check(deployment, [], findings)
+    assert not findings.all()
+    counts = (
+        len(deployment.replicas),
+        len(deployment.models),
+        len(deployment.adapters),
+    )
+    assert counts == SIZES[deployment.name]
+
+
+@pytest.mark.parametrize("path", sorted(EXAMPLES.glob("*/*.ini")))
+def test_settings_are_good(path):
+    assert _settings.read(path).is_ok()
