Give requests connections of their own

Cause: 200 connections were shared by requests and control, so the 201st stream waited a second, was taken for an unreachable server and marked it so for all. Ruled out: the engine's limit (400) and the instance's (1000). Change: requests have a pool as large as max_requests; control has its own. Before: 250 streams at once, test failed. After: passes (pytest tests/test_whole_path.py: 2 passed).

--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -52,6 +52,9 @@
         source = random.Random()
         self._metrics = _metrics.Metrics()
         self._client = _http.Client()
+        # Requests have connections of their own, one for each that may be
+        # in flight, so that control never waits for a request to end.
+        self._request_client = _http.Client(settings.max_requests)
         self._configuration = _configuration.Configuration()
         self._objects = _objects.ObjectApi(self._client, settings.object_api)
         self._membership = _membership.Membership(
@@ -94,12 +97,15 @@
                 self._configuration,
                 self._backends,
                 router,
-                self._client,
+                self._request_client,
                 self._clock,
                 self._metrics,
             ),
             _calls.Calls(
-                self._configuration, router, self._client, self._clock
+                self._configuration,
+                router,
+                self._request_client,
+                self._clock,
             ),
             _operator.Operator(
                 self._configuration,
@@ -119,6 +125,7 @@
             group.start_soon(self._stop_on_signal, group.cancel_scope)
             await _supervisor.supervise(self._children(), self._clock)
         await self._client.close()
+        await self._request_client.close()
         _logs.event("stopped")
 
     def _children(self) -> list[_supervisor.Child]:
