--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -269,7 +269,7 @@
         return _answer(response.status, response.headers, response.content)
 
     async def call(
-        self, process: Process, method: str, **body: object
+        self, process: Process, method: str, /, **body: object
     ) -> Answer:
         """Call a method of the schema, such as ``Operator/Apply``."""
         return await self.post(process, f"/geraniumlink.v1.{method}", body)
