--- a/src/geraniumlink/_held_replica.py
+++ b/src/geraniumlink/_held_replica.py
@@ -13,7 +13,7 @@
 from geraniumlink import _logs
 from geraniumlink import _objects
 from geraniumlink import _orders
-from geraniumlink import _placement
+from geraniumlink import _placement_views
 from geraniumlink import _settings
 from geraniumlink import _settlement
 from geraniumlink._schema import geraniumlink_pb2 as pb
@@ -102,10 +102,10 @@
         seen = self._report.copies.get(copy)
         return seen is not None and seen.resident
 
-    def view(self) -> _placement.ReplicaView:
+    def view(self) -> _placement_views.ReplicaView:
         """Return what placement is shown."""
         views = tuple(
-            _placement.CopyView(
+            _placement_views.CopyView(
                 entry.copy,
                 entry.size_mb,
                 entry.state,
@@ -114,7 +114,7 @@
             )
             for entry in self.ledger.entries
         )
-        return _placement.ReplicaView(
+        return _placement_views.ReplicaView(
             self.declared.name,
             self.capacity_mb - self.ledger.charge_mb,
             self.usable(),
--- a/src/geraniumlink/_shard.py
+++ b/src/geraniumlink/_shard.py
@@ -24,6 +24,7 @@
 from geraniumlink import _objects
 from geraniumlink import _orders
 from geraniumlink import _placement
+from geraniumlink import _placement_views
 from geraniumlink import _settlement
 from geraniumlink._schema import geraniumlink_pb2 as pb
 
@@ -202,17 +203,17 @@
                 self._send(self._watched[name].replica, orders, group)
 
     async def _begin(
-        self, deployment: pb.Deployment, move: _placement.Move
+        self, deployment: pb.Deployment, move: _placement_views.Move
     ) -> _held_replica.PreparedOrder | None:
         replica = self._watched[move.replica].replica
         if replica.busy or not replica.claimed or not replica.up():
             return None
         match move.action:
-            case _placement.Action.LOAD:
+            case _placement_views.Action.LOAD:
                 if not self._budget.grant(move.copy):
                     return None
                 action = _orders.Action.LOAD
-            case _placement.Action.UNLOAD:
+            case _placement_views.Action.UNLOAD:
                 if self._is_last(deployment, move):
                     return None
                 action = _orders.Action.UNLOAD
@@ -223,7 +224,7 @@
             return None
 
     def _is_last(
-        self, deployment: pb.Deployment, move: _placement.Move
+        self, deployment: pb.Deployment, move: _placement_views.Move
     ) -> bool:
         """Whether nothing else that is confirmed holds what is declared."""
         if not _is_declared(deployment, move.copy):
--- /dev/null
+++ b/tests/test_balance.py
@@ -0,0 +1,117 @@
+"""Further copies follow demand, never beyond memory or the price of moves."""
+
+import hypothesis
+import pytest
+from google.protobuf import json_format
+from hypothesis import strategies as st
+
+from geraniumlink import _balance
+from geraniumlink import _demand
+from geraniumlink import _ledger
+from geraniumlink import _placement_views as views
+from geraniumlink._schema import geraniumlink_pb2 as pb
+from tests import builders
+
+MODELS = ["hot", "warm", "cold"]
+
+
+def deployment(weight, replicas=2):
+    declared = builders.engines(
+        [f"127.0.0.1:{9000 + index}" for index in range(replicas)],
+        MODELS,
+        attainment_weight=weight,
+    )
+    return json_format.ParseDict(declared, pb.Deployment())
+
+
+def view(name, models, free_mb=1000, state=_ledger.State.RESIDENT):
+    copies = tuple(
+        views.CopyView(_ledger.Copy(model, "", "1"), 100, state)
+        for model in models
+    )
+    return views.ReplicaView(name, free_mb, usable=True, copies=copies)
+
+
+def chosen(weight, replicas, demand):
+    return [
+        (move.action.value, move.replica, move.copy.model)
+        for move in _balance.further_copies(
+            deployment(weight, len(replicas)), replicas, demand
+        )
+    ]
+
+
+@pytest.mark.parametrize("weight", [0.0, 1.0])
+def test_a_busy_replica_is_relieved_of_its_heaviest_model(weight):
+    replicas = [view("r0", MODELS[:2]), view("r1", ["cold"])]
+    found = chosen(weight, replicas, {"hot": 120.0, "warm": 5.0})
+    assert found == [("load", "r1", "hot")]
+
+
+def test_a_low_weight_does_not_move_for_a_small_gain():
+    replicas = [view("r0", MODELS[:2]), view("r1", ["cold"])]
+    demand = {"hot": 54.0}
+    assert chosen(0.0, replicas, demand) == []
+    assert ("load", "r1", "hot") in chosen(1.0, replicas, demand)
+
+
+def test_a_copy_that_is_being_loaded_is_not_loaded_again():
+    replicas = [
+        view("r0", ["hot"]),
+        view("r1", ["hot"], state=_ledger.State.LOADING),
+    ]
+    assert chosen(1.0, replicas, {"hot": 200.0}) == []
+
+
+def test_room_is_made_only_by_copies_that_others_hold():
+    full = [
+        view("r0", ["hot", "warm"], free_mb=0),
+        view("r1", ["warm", "cold"], free_mb=0),
+    ]
+    found = chosen(1.0, full, {"hot": 120.0, "warm": 1.0})
+    assert found == [("unload", "r1", "warm")]
+    sole = [view("r0", ["hot", "warm"], 0), view("r1", ["cold"], 0)]
+    assert chosen(1.0, sole, {"hot": 120.0}) == []
+
+
+@hypothesis.given(
+    st.floats(0, 1),
+    st.lists(
+        st.tuples(st.sets(st.sampled_from(MODELS)), st.integers(0, 350)),
+        min_size=1,
+        max_size=4,
+    ),
+    st.dictionaries(st.sampled_from(MODELS), st.floats(0, 300)),
+)
+def test_no_move_passes_memory_or_unloads_a_last_copy(weight, held, demand):
+    replicas = [
+        view(f"r{index}", sorted(models), free_mb)
+        for index, (models, free_mb) in enumerate(held)
+    ]
+    moves = _balance.further_copies(
+        deployment(weight, len(held)), replicas, demand
+    )
+    free = {replica.name: replica.free_mb for replica in replicas}
+    holders = {
+        model: sum(model in models for models, _ in held) for model in MODELS
+    }
+    for move in moves:
+        if move.action is views.Action.LOAD:
+            free[move.replica] -= move.size_mb
+        else:
+            holders[move.copy.model] -= 1
+            assert holders[move.copy.model] >= 1
+    assert min(free.values()) >= 0
+
+
+def test_a_short_burst_hardly_moves_the_estimate():
+    estimate = _demand.DemandEstimate()
+    estimate.update({"hot": 10}, 0)
+    estimate.update({"hot": 100}, 3_000)
+    assert estimate.values()["hot"] < 20
+    for second in range(4, 200):
+        estimate.update({"hot": 100}, second * 1000)
+    assert estimate.values()["hot"] == pytest.approx(100, rel=0.01)
+    for second in range(200, 400):
+        estimate.update({}, second * 1000)
+    assert estimate.values()["hot"] < 1
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,31 @@
+"""Demand spreads over holders without loss, and evenly where it can."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from geraniumlink import _spread
+
+CAPACITY = {"a": 10.0, "b": 20.0, "c": 5.0}
+_HOLDERS = st.lists(st.sampled_from("abc"), min_size=1, unique=True)
+_MODELS = st.dictionaries(
+    st.sampled_from("klmn"), st.tuples(st.floats(0, 50), _HOLDERS)
+)
+
+
+@hypothesis.given(_MODELS)
+def test_all_demand_is_shared_out_and_none_is_made(models):
+    demand = {name: amount for name, (amount, _) in models.items()}
+    holders = {name: names for name, (_, names) in models.items()}
+    found = _spread.spread(demand, holders, CAPACITY)
+    assert sum(found.load.values()) == pytest.approx(sum(demand.values()))
+    for name, amount in demand.items():
+        shares = [found.share[name, holder] for holder in holders[name]]
+        assert sum(shares) == pytest.approx(amount)
+        assert min(shares) >= 0
+
+
+def test_holders_of_one_model_are_equally_busy():
+    found = _spread.spread({"k": 14.0}, {"k": ["a", "b", "c"]}, CAPACITY)
+    busy = [found.load[name] / CAPACITY[name] for name in "abc"]
+    assert busy == pytest.approx([0.4] * 3)
