Draft claims of idempotency keys

Non-idempotent calls were refused. A claim in the object API now goes before the dispatch, and its outcome after it.

--- /dev/null
+++ b/src/geraniumlink/_attempts.py
@@ -0,0 +1,126 @@
+"""One attempt to have a plain service answer a call."""
+
+from __future__ import annotations
+
+import json
+import typing
+from collections.abc import Sequence
+
+from geraniumlink import _answers
+from geraniumlink import _backends
+from geraniumlink import _clock
+from geraniumlink import _http
+from geraniumlink import _metrics
+from geraniumlink import _refusals
+from geraniumlink import _routing
+from geraniumlink._schema import geraniumlink_pb2 as pb
+
+MAX_ATTEMPTS = 3
+RETRY_AFTER_MS = 1000
+_MAX_REFUSAL_BYTES = 1024
+
+
+class NotBegun(typing.NamedTuple):
+    """No backend server has begun it because of this attempt."""
+
+
+class Broken(typing.NamedTuple):
+    """It was sent, and no whole answer came."""
+
+
+class Attempts:
+    """Chooses servers of plain services and sends calls to them."""
+
+    def __init__(
+        self,
+        router: _routing.Router,
+        clock: _clock.Clock,
+        metrics: _metrics.Metrics,
+    ) -> None:
+        self._router = router
+        self._clock = clock
+        self._metrics = metrics
+
+    def choose(
+        self, service: str, tried: Sequence[_backends.Key]
+    ) -> _routing.Choice:
+        wanted = _routing.Wanted(service)
+        return self._router.choose(wanted, tried, self._clock.now())
+
+    async def attempt(
+        self,
+        client: _http.Client,
+        backend: _backends.Backend,
+        request: pb.CallRequest,
+    ) -> _answers.Answer | NotBegun | Broken:
+        """Send a call to one server and return what came of it."""
+        backend.in_flight += 1
+        try:
+            response = await client.request(
+                request.method,
+                backend.address,
+                request.path,
+                headers=_headers(request),
+                body=request.body,
+            )
+        except _http.NotSentError:
+            backend.mark_unreachable(self._clock.now())
+            self._count(request, "not_sent")
+            return NotBegun()
+        except _http.BrokenError:
+            self._count(request, "broken")
+            return Broken()
+        finally:
+            backend.in_flight -= 1
+        reason = _reason_of_refusal(response)
+        if reason is not None:
+            backend.refused_as_leaving |= reason == "leaving"
+            self._count(request, "refused")
+            return NotBegun()
+        self._count(request, "ok")
+        return _answers.from_response(response)
+
+    def _count(self, request: pb.CallRequest, outcome: str) -> None:
+        labels = {"deployment": request.service, "outcome": outcome}
+        self._metrics.attempts.inc(labels)
+
+
+def no_server(
+    service: str,
+    choice: _routing.Choice,
+    execution: _refusals.Execution,
+) -> _refusals.Refusal:
+    """Return the refusal of a call that no server began."""
+    if choice.backend is None and choice.reachable:
+        return _refusals.Refusal(
+            _refusals.Code.RESOURCE_EXHAUSTED,
+            f"every server of {service!r} is full or refused the call",
+            execution,
+            RETRY_AFTER_MS,
+        )
+    return _refusals.Refusal(
+        _refusals.Code.UNAVAILABLE,
+        f"no server of {service!r} can be reached now",
+        execution,
+        RETRY_AFTER_MS,
+    )
+
+
+def _reason_of_refusal(response: _http.Response) -> str | None:
+    """Return why a server did not begin a call; None when it answered."""
+    if response.status != 503 or len(response.body) > _MAX_REFUSAL_BYTES:
+        return None
+    try:
+        message = json.loads(response.body)
+    except ValueError:
+        return None
+    if isinstance(message, dict) and message.keys() == {"refused"}:
+        return str(message["refused"])
+    return None
+
+
+def _headers(request: pb.CallRequest) -> _http.Headers:
+    return [
+        (header.name.encode(), header.value.encode())
+        for header in request.headers
+    ]
--- a/src/geraniumlink/_calls.py
+++ b/src/geraniumlink/_calls.py
@@ -7,32 +7,25 @@
 import anyio
 import expression
 
+from geraniumlink import _answers
+from geraniumlink import _attempts
 from geraniumlink import _backends
+from geraniumlink import _call_refusals
 from geraniumlink import _clock
 from geraniumlink import _configuration
 from geraniumlink import _findings
 from geraniumlink import _http
 from geraniumlink import _inference
+from geraniumlink import _keys
+from geraniumlink import _once
 from geraniumlink import _refusals
-from geraniumlink import _routing
+from geraniumlink import _runs
 from geraniumlink._schema import geraniumlink_pb2 as pb
 
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
-HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
+# Set for the connection to the backend server, not by the caller.
+_OWN_HEADERS = _answers.HOP_BY_HOP | {"content-length", "host"}
 MAX_BODY_BYTES = 2**20
-MAX_ATTEMPTS = 3
-RETRY_AFTER_MS = 1000
 Result = expression.Result[typing.Any, _refusals.Refusal]
 
 
@@ -42,88 +35,87 @@
     def __init__(
         self,
         configuration: _configuration.Configuration,
-        router: _routing.Router,
+        attempts: _attempts.Attempts,
         client: _http.Client,
         clock: _clock.Clock,
+        once: _once.Once,
     ) -> None:
         self._configuration = configuration
-        self._router = router
+        self._attempts = attempts
         self._client = client
         self._clock = clock
+        self._once = once
 
     async def call(self, request: pb.CallRequest, request_id: str) -> Result:
         findings = check(request)
+        key = None
+        if not request.idempotent:
+            key = _keys.parse(request.idempotency_key, findings)
         if findings:
             return expression.Error(_refusals.invalid(findings))
-        entry = self._configuration.get(request.service)
-        if entry is None:
-            return expression.Error(
-                _refusals.Refusal(
-                    _refusals.Code.NOT_FOUND,
-                    f"there is no service {request.service!r}",
-                )
-            )
         timeout_ms = request.timeout_ms or _inference.DEFAULT_TIMEOUT_MS
-        run = _Run(self, request, request_id)
+        if key is not None:
+            outcome = await self._once.call(
+                request, key, timeout_ms, self._knows(request.service)
+            )
+            return outcome.map(
+                lambda settled: _settled_response(settled, request_id)
+            )
+        if not self._knows(request.service):
+            refusal = _call_refusals.unknown_service(request.service)
+            return expression.Error(refusal)
+        run = _Repeatable(self._attempts, self._client, request)
         with anyio.move_on_after(timeout_ms / 1000):
-            return await run.attempts()
+            answered = await run.attempts()
+            return answered.map(lambda answer: _response(answer, request_id))
         return expression.Error(_refusals.deadline_passed(run.execution))
 
+    def _knows(self, service: str) -> bool:
+        entry = self._configuration.get(service)
+        return (
+            entry is not None
+            and entry.deployment is not None
+            and entry.deployment.kind == pb.Kind.PLAIN_SERVICE
+        )
 
-class _Run:
-    """One call on its way through one or more servers."""
+
+class _Repeatable:
+    """An idempotent call on its way through one or more servers."""
 
     def __init__(
-        self, calls: Calls, request: pb.CallRequest, request_id: str
+        self,
+        attempts: _attempts.Attempts,
+        client: _http.Client,
+        request: pb.CallRequest,
     ) -> None:
-        self._calls = calls
+        self._attempts = attempts
+        self._client = client
         self._request = request
-        self._request_id = request_id
+        # What is true to say when the call is given up now.
         self.execution = _refusals.Execution.NOT_RUN
 
     async def attempts(self) -> Result:
-        wanted = _routing.Wanted(self._request.service)
+        service = self._request.service
         tried: list[_backends.Key] = []
-        for _ in range(MAX_ATTEMPTS):
-            now = self._calls._clock.now()
-            choice = self._calls._router.choose(wanted, tried, now)
-            if choice.backend is None:
-                break
+        choice = self._attempts.choose(service, tried)
+        while choice.backend and len(tried) < _attempts.MAX_ATTEMPTS:
             tried.append(choice.backend.key)
-            answer = await self._attempt(choice.backend)
-            if answer is not None:
-                return expression.Ok(answer)
-        return expression.Error(
-            _refusals.Refusal(
-                _refusals.Code.UNAVAILABLE,
-                f"no server of {self._request.service!r} answered",
-                self.execution,
-                RETRY_AFTER_MS,
+            before = self.execution
+            # The deadline may pass while a server runs the call.
+            self.execution = _refusals.Execution.MAY_HAVE_RUN
+            result = await self._attempts.attempt(
+                self._client, choice.backend, self._request
             )
+            match result:
+                case _answers.Answer():
+                    return expression.Ok(result)
+                case _attempts.NotBegun():
+                    self.execution = before
+            choice = self._attempts.choose(service, tried)
+        return expression.Error(
+            _attempts.no_server(service, choice, self.execution)
         )
 
-    async def _attempt(
-        self, backend: _backends.Backend
-    ) -> pb.CallResponse | None:
-        backend.in_flight += 1
-        try:
-            answer = await self._calls._client.request(
-                self._request.method,
-                backend.address,
-                self._request.path,
-                headers=_headers(self._request),
-                body=self._request.body,
-            )
-        except _http.NotSentError:
-            backend.mark_unreachable(self._calls._clock.now())
-            return None
-        except _http.BrokenError:
-            self.execution = _refusals.Execution.MAY_HAVE_RUN
-            return None
-        finally:
-            backend.in_flight -= 1
-        return _response(answer, self._request_id)
-
 
 def check(request: pb.CallRequest) -> _findings.Findings:
     """Collect the faults of a call."""
@@ -137,7 +129,7 @@
         request.path.startswith("/")
         and request.path.isascii()
         and request.path.isprintable()
-        and " " not in request.path,
+        and not set(request.path) & {" ", "#"},
         "path",
         "write a path that begins with / and is percent-encoded",
     )
@@ -148,11 +140,6 @@
     )
     for index, header in enumerate(request.headers):
         _check_header(f"headers[{index}]", header, findings)
-    findings.require(
-        request.idempotent,
-        "idempotent",
-        "non-idempotent calls are not served by this version",
-    )
     _inference.check_common(request.priority, request.timeout_ms, findings)
     return findings
 
@@ -167,31 +154,34 @@
         "write letters, digits, - and _",
     )
     findings.require(
-        header.name.lower() not in HOP_BY_HOP,
+        header.name.lower() not in _OWN_HEADERS,
         f"{place}.name",
         f"{header.name} belongs to one connection and is not passed on",
     )
     findings.require(
-        header.value.isprintable() and header.value.isascii(),
+        header.value.isprintable()
+        and header.value.isascii()
+        and header.value == header.value.strip(),
         f"{place}.value",
-        "write printable ASCII characters",
+        "write printable ASCII characters, without spaces around them",
     )
 
 
-def _headers(request: pb.CallRequest) -> _http.Headers:
-    return [
-        (header.name.encode(), header.value.encode())
-        for header in request.headers
-    ]
+def _settled_response(
+    settled: _runs.Settled, request_id: str
+) -> pb.CallResponse:
+    match settled.outcome:
+        case _answers.Ran(_answers.Answer() as answer):
+            response = _response(answer, request_id)
+            response.replayed = settled.replayed
+            return response
+    raise AssertionError(f"not an answer: {settled!r}")
 
 
-def _response(answer: _http.Response, request_id: str) -> pb.CallResponse:
+def _response(answer: _answers.Answer, request_id: str) -> pb.CallResponse:
     response = pb.CallResponse(
         request_id=request_id, status=answer.status, body=answer.body
     )
     for name, value in answer.headers:
-        if name.decode("latin-1").lower() not in HOP_BY_HOP:
-            response.headers.add(
-                name=name.decode("latin-1"), value=value.decode("latin-1")
-            )
+        response.headers.add(name=name, value=value)
     return response
--- a/src/geraniumlink/_http.py
+++ b/src/geraniumlink/_http.py
@@ -51,10 +51,10 @@
 class Client:
     """Keeps connections to a few addresses."""
 
-    def __init__(self, max_connections: int = 200) -> None:
+    def __init__(self, max_connections: int = 200, max_idle: int = 50) -> None:
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=max_connections,
-            max_keepalive_connections=50,
+            max_keepalive_connections=max_idle,
             keepalive_expiry=20.0,
             # A connection that fails before the request is written may be
             # opened anew by us alone; a retry in here would be unseen.
@@ -89,10 +89,18 @@
             "read": read_ms / 1000,
             "write": read_ms / 1000,
         }
+        # Made of its parts: parsing a URL would lose what follows a ";" or
+        # an empty query.
+        url = httpcore.URL(
+            scheme=b"http",
+            host=address.host.encode(),
+            port=address.port,
+            target=path.encode(),
+        )
         with _translated_errors():
             async with self._pool.stream(
                 method,
-                f"http://{address}{path}",
+                url,
                 headers=sent_headers,
                 content=body,
                 extensions={"timeout": timeouts},
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -8,6 +8,8 @@
     |- watch_api     configuration from the object API   started again
     |- follow_peers  configuration from peers            started again
     |- heartbeat     exchange with one peer              started again
+    |- claims        non-idempotent calls under way      started again
+    |- claim_janitor removes old claims                  started again
     |- instance_list platform's list of instances        started again
     |- reports       reports of backend servers          started again
     `- signals       SIGTERM and SIGINT begin shutdown   fails the instance
@@ -20,9 +22,12 @@
 
 import anyio
 
+from geraniumlink import _attempts
 from geraniumlink import _backends
 from geraniumlink import _calls
 from geraniumlink import _changes
+from geraniumlink import _claim_janitor
+from geraniumlink import _claims
 from geraniumlink import _clock
 from geraniumlink import _configuration
 from geraniumlink import _http
@@ -31,6 +36,7 @@
 from geraniumlink import _membership
 from geraniumlink import _metrics
 from geraniumlink import _objects
+from geraniumlink import _once
 from geraniumlink import _operator
 from geraniumlink import _peers
 from geraniumlink import _platform
@@ -69,6 +75,19 @@
             self._backends.refresh,
         )
         router = _routing.Router(self._backends, source)
+        self._attempts = _attempts.Attempts(router, self._clock, self._metrics)
+        self._once = _once.Once(
+            self._attempts,
+            _claims.ClaimStore(self._objects),
+            self._client,
+            self._clock,
+            settings.name,
+            settings.peer_address,
+            self._membership.peers,
+        )
+        self._janitor = _claim_janitor.Janitor(
+            self._objects, self._clock, source
+        )
         self._rpc = _rpc.Server(
             self._methods(router),
             settings.name,
@@ -78,7 +97,11 @@
             self._metrics,
         )
         self._peers = _peers.PeerServer(
-            self._configuration, self._membership, self._metrics, self._ready
+            self._configuration,
+            self._membership,
+            self._metrics,
+            self._ready,
+            (self._once.answerer.route,),
         )
         self._listener = _server.Listener(self._rpc, settings.address)
         self._peer_listener = _server.Listener(
@@ -99,7 +122,11 @@
                 self._metrics,
             ),
             _calls.Calls(
-                self._configuration, router, self._client, self._clock
+                self._configuration,
+                self._attempts,
+                self._client,
+                self._clock,
+                self._once,
             ),
             _operator.Operator(
                 self._configuration,
@@ -134,6 +161,8 @@
                 lambda: self._sync.follow_peers(settings.heartbeat_ms),
             ),
             child("heartbeat", self._heartbeat),
+            child("claims", self._once.run),
+            child("claim_janitor", self._janitor.run),
             child("instance_list", self._follow_instance_list),
             child("reports", lambda: self._backends.poll(settings.report_ms)),
         ]
--- /dev/null
+++ b/src/geraniumlink/_once.py
@@ -0,0 +1,402 @@
+"""Runs non-idempotent calls at most once.
+
+docs/design/at-most-once.md gives the reasons; specs/claims.py is the model,
+whose steps are the names of the log lines here.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+import typing
+import uuid
+from collections.abc import Callable
+
+import anyio
+import expression
+from anyio import abc
+
+from geraniumlink import _answers
+from geraniumlink import _attempts
+from geraniumlink import _call_refusals
+from geraniumlink import _claim_peers
+from geraniumlink import _claims
+from geraniumlink import _clock
+from geraniumlink import _http
+from geraniumlink import _keys
+from geraniumlink import _logs
+from geraniumlink import _objects
+from geraniumlink import _refusals
+from geraniumlink import _runs
+from geraniumlink import _settings
+from geraniumlink._schema import geraniumlink_pb2 as pb
+
+# Runs that an instance works on, or whose outcomes it still has to write.
+MAX_LIVE = 500
+# Peers that are asked for a key while the object API is out.
+MAX_ASKED = 8
+RECORD_AGAIN_MS = 500
+Result = expression.Result[_runs.Settled, _refusals.Refusal]
+_MAY_HAVE_RUN = _refusals.Execution.MAY_HAVE_RUN
+
+
+class TakeOver(typing.NamedTuple):
+    """The claim's owner never sent the call and never will."""
+
+
+class Once:
+    """Claims a key, sends its call, and records what became of it."""
+
+    def __init__(
+        self,
+        attempts: _attempts.Attempts,
+        store: _claims.ClaimStore,
+        client: _http.Client,
+        clock: _clock.Clock,
+        name: str,
+        peer_address: _settings.Address,
+        peers: Callable[[], list[_settings.Address]],
+    ) -> None:
+        self._attempts = attempts
+        self._store = store
+        self._client = client
+        # An idle connection that the server closes as the call is written
+        # would leave its outcome unknown, so each call has a new one.
+        self._fresh_client = _http.Client(MAX_LIVE, max_idle=0)
+        self._clock = clock
+        self._owner = _claims.Owner(name, uuid.uuid4().hex, str(peer_address))
+        self._peers = peers
+        self._runs = _runs.Runs()
+        self._group: abc.TaskGroup | None = None
+        self.answerer = _claim_peers.Answerer(self._runs, self._owner.boot_id)
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that are being worked on or not yet recorded."""
+        return len(self._runs)
+
+    async def run(self) -> None:
+        """Carry out runs for ever; they outlive the callers who wait."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            try:
+                await anyio.sleep_forever()
+            finally:
+                self._group = None
+
+    async def call(
+        self,
+        request: pb.CallRequest,
+        key: _keys.Key,
+        timeout_ms: int,
+        known_service: bool,
+    ) -> Result:
+        """Return the answer of the one run under the key, or a refusal."""
+        refusal = _keys.check_age(key, self._clock.wall())
+        if refusal is not None:
+            return expression.Error(refusal)
+        deadline = self._clock.now() + timeout_ms
+        claim = self._new_claim(request, key)
+        run = self._runs.get(claim.name)
+        first = run is None
+        if run is None:
+            kept = self._runs.kept(claim.name)
+            if kept is not None:
+                return _as_result(_replay(kept, claim.digest))
+            if self._group is None or len(self._runs) >= MAX_LIVE:
+                return expression.Error(_call_refusals.full())
+            run = _runs.Run(claim, deadline)
+            self._runs.add(run)
+            self._group.start_soon(
+                self._carry_out, run, request, known_service
+            )
+        elif run.claim.digest != claim.digest:
+            return expression.Error(_call_refusals.another_request())
+        outcome = await self._wait(run, deadline)
+        if first:
+            return outcome
+        return outcome.map(lambda settled: settled._replace(replayed=True))
+
+    def _new_claim(
+        self, request: pb.CallRequest, key: _keys.Key
+    ) -> _claims.Claim:
+        return _claims.Claim(
+            request.service,
+            key,
+            digest_of(request),
+            self._owner,
+            uuid.uuid4().hex,
+        )
+
+    async def _wait(self, run: _runs.Run, deadline: int) -> Result:
+        run.waiters += 1
+        run.deadline = max(run.deadline, deadline)
+        left_ms = deadline - self._clock.now()
+        try:
+            with anyio.move_on_after(left_ms / 1000):
+                await run.done.wait()
+            if run.outcome is not None:
+                return _as_result(run.outcome)
+            # No await between this and leave(), which keeps the word.
+            return expression.Error(_refusals.deadline_passed(run.execution()))
+        finally:
+            run.leave()
+
+    async def _carry_out(
+        self, run: _runs.Run, request: pb.CallRequest, known_service: bool
+    ) -> None:
+        try:
+            run.finish(await self._settle(run, request, known_service))
+        except Exception as error:
+            _logs.event(
+                "internal_error", claim=run.claim.name, error=str(error)
+            )
+        finally:
+            if run.outcome is None:
+                self._fail(run)
+        if run.dispatched:
+            await self._record(run)
+            self._runs.remove(run)
+        else:
+            # Its absence from memory lets others claim the key even when
+            # this write fails.
+            self._runs.remove(run)
+            if run.held:
+                await self._store.record(run.claim, run.version)
+
+    def _fail(self, run: _runs.Run) -> None:
+        """Settle a run that met a fault of ours or was cancelled."""
+        if run.dispatched:
+            _end(run, _answers.Unknown())
+        else:
+            _end(run, _answers.NOT_SENT)
+            self._runs.remove(run)
+        refusal = _refusals.Refusal(
+            _refusals.Code.INTERNAL,
+            "this instance failed to carry out the call",
+            _MAY_HAVE_RUN,
+            _call_refusals.RETRY_AFTER_MS,
+        )
+        run.finish(_runs.Settled(refusal))
+
+    async def _settle(
+        self, run: _runs.Run, request: pb.CallRequest, known_service: bool
+    ) -> _runs.Settled:
+        version = _objects.ABSENT
+        while not self._over(run):
+            match await self._acquire(run, version, known_service):
+                case _claims.Held(version):
+                    run.held = True
+                    run.version = version
+                    return await self._dispatch(run, request)
+                case _claims.Found(found, version):
+                    settled = await self._resolve(run, found)
+                    if not isinstance(settled, TakeOver):
+                        return settled
+                    if not known_service:
+                        return _runs.Settled(
+                            _call_refusals.unknown_service(request.service)
+                        )
+                    _logs.event("claim_taken_over", claim=found.name)
+                case _claims.Free():
+                    return _runs.Settled(
+                        _call_refusals.unknown_service(request.service)
+                    )
+                case _claims.Unreadable(problem):
+                    return await self._without_api(run, problem)
+        return _runs.Settled(_refusals.deadline_passed(_MAY_HAVE_RUN))
+
+    async def _acquire(
+        self, run: _runs.Run, version: int, known_service: bool
+    ) -> _claims.Acquired | _claims.Free:
+        if not known_service:
+            return await self._store.look(run.claim)
+        return await self._store.acquire(run.claim, version)
+
+    def _over(self, run: _runs.Run) -> bool:
+        return run.abandoned or self._clock.now() >= run.deadline
+
+    async def _dispatch(
+        self, run: _runs.Run, request: pb.CallRequest
+    ) -> _runs.Settled:
+        """Send a call whose claim is held, until a server begins it."""
+        tried: list = []
+        choice = self._attempts.choose(request.service, tried)
+        while choice.backend and len(tried) < _attempts.MAX_ATTEMPTS:
+            # Checked after the claim is held and right before sending: the
+            # process may have been frozen meanwhile.
+            stop = self._reason_to_stop(run)
+            if stop is not None:
+                return _not_run(run, stop)
+            tried.append(choice.backend.key)
+            run.dispatched = True
+            _logs.event("call_dispatched", claim=run.claim.name)
+            result = await self._attempts.attempt(
+                self._fresh_client, choice.backend, request
+            )
+            match result:
+                case _answers.Answer():
+                    _end(run, _answers.bounded(_answers.Ran(result)))
+                    return _runs.Settled(_answers.Ran(result))
+                case _attempts.Broken():
+                    _end(run, _answers.Unknown())
+                    return _runs.Settled(_call_refusals.connection_broke())
+                case _attempts.NotBegun():
+                    run.dispatched = False
+            choice = self._attempts.choose(request.service, tried)
+        refusal = _attempts.no_server(
+            request.service, choice, _refusals.Execution.NOT_RUN
+        )
+        return _not_run(run, refusal)
+
+    def _reason_to_stop(self, run: _runs.Run) -> _refusals.Refusal | None:
+        if self._over(run):
+            return _refusals.deadline_passed(_refusals.Execution.NOT_RUN)
+        # The claim of an earlier run may have been removed before ours was
+        # written; then the key has expired by now.
+        return _keys.check_age(run.claim.key, self._clock.wall())
+
+    async def _record(self, run: _runs.Run) -> None:
+        """Write the outcome, for as long as the object API takes."""
+        version: int | None = run.version
+        while version is not None:
+            version = await self._store.record(run.claim, version)
+            if version is not None:
+                pause_ms = RECORD_AGAIN_MS * random.uniform(0.5, 1.5)
+                await self._clock.sleep(pause_ms)
+
+    async def _resolve(
+        self, run: _runs.Run, found: _claims.Claim
+    ) -> _runs.Settled | TakeOver:
+        """Learn from a claim, or from its owner, what became of the call."""
+        if found.digest != run.claim.digest:
+            return _runs.Settled(_call_refusals.another_request())
+        match found.outcome:
+            case _answers.NotRun():
+                return TakeOver()
+            case None:
+                return await self._ask_owner(run, found)
+        return _replay(found, run.claim.digest)
+
+    async def _ask_owner(
+        self, run: _runs.Run, found: _claims.Claim
+    ) -> _runs.Settled | TakeOver:
+        ask = _claim_peers.Ask(found.name, found.nonce, 0)
+        if found.owner.boot_id == self._owner.boot_id:
+            # A run of ours that is still live would have been joined.
+            reply: _claim_peers.Reply = self.answerer.now(ask)
+        else:
+            address = _settings.parse_address(found.owner.peer_address)
+            reply = await self._ask_until_ended(
+                run, address, ask, found.owner.boot_id
+            )
+        _logs.event(
+            "claim_asked", claim=found.name, reply=type(reply).__name__
+        )
+        return _from_reply(reply, run.claim.digest)
+
+    async def _ask_until_ended(
+        self,
+        run: _runs.Run,
+        address: _settings.Address,
+        ask: _claim_peers.Ask,
+        boot_id: str,
+    ) -> _claim_peers.Reply:
+        """Ask again while the peer says that the call is being run."""
+        reply: _claim_peers.Reply = _claim_peers.Running()
+        while isinstance(reply, _claim_peers.Running) and not self._over(run):
+            reply = await _claim_peers.ask_peer(
+                self._client, address, ask, boot_id
+            )
+            ask = ask._replace(wait_ms=_claim_peers.MAX_WAIT_MS)
+        return reply
+
+    async def _without_api(
+        self, run: _runs.Run, problem: str
+    ) -> _runs.Settled:
+        """Ask a few peers whether one of them runs or ran the call."""
+        peers = self._peers()
+        asked = random.sample(peers, min(MAX_ASKED, len(peers)))
+        found: list[_runs.Settled] = []
+        async with anyio.create_task_group() as group:
+            for address in asked:
+                group.start_soon(
+                    self._ask_one, run, address, found, group.cancel_scope
+                )
+        if found:
+            return found[0]
+        _logs.event("claim_unavailable", claim=run.claim.name, error=problem)
+        return _runs.Settled(_call_refusals.no_api(problem))
+
+    async def _ask_one(
+        self,
+        run: _runs.Run,
+        address: _settings.Address,
+        found: list[_runs.Settled],
+        scope: anyio.CancelScope,
+    ) -> None:
+        ask = _claim_peers.Ask(run.claim.name, "", 0)
+        reply = await self._ask_until_ended(run, address, ask, "")
+        if isinstance(reply, _claim_peers.Ended):
+            settled = _from_reply(reply, run.claim.digest)
+            if isinstance(settled, _runs.Settled):
+                found.append(settled)
+                scope.cancel()
+
+
+def digest_of(request: pb.CallRequest) -> str:
+    """Return what tells one request from another under the same key."""
+    digest = hashlib.blake2b(digest_size=20)
+    parts = [request.service, request.method, request.path]
+    for header in request.headers:
+        parts += [header.name.lower(), header.value]
+    for part in [*(part.encode() for part in parts), request.body]:
+        digest.update(len(part).to_bytes(8, "big") + part)
+    return digest.hexdigest()
+
+
+def _end(run: _runs.Run, outcome: _answers.Outcome) -> None:
+    run.claim = run.claim._replace(outcome=outcome)
+
+
+def _not_run(run: _runs.Run, refusal: _refusals.Refusal) -> _runs.Settled:
+    _end(run, _answers.NotRun(refusal))
+    return _runs.Settled(refusal)
+
+
+def _as_result(settled: _runs.Settled) -> Result:
+    match settled.outcome:
+        case _refusals.Refusal() as refusal:
+            return expression.Error(refusal)
+        case _answers.Ran(None):
+            return expression.Error(_call_refusals.answer_not_kept())
+    return expression.Ok(settled)
+
+
+def _replay(kept: _claims.Claim, digest: str) -> _runs.Settled:
+    if kept.digest != digest:
+        return _runs.Settled(_call_refusals.another_request())
+    match kept.outcome:
+        case _answers.Ran() as ran:
+            return _runs.Settled(ran, replayed=True)
+    return _runs.Settled(_call_refusals.connection_broke())
+
+
+def _from_reply(
+    reply: _claim_peers.Reply, digest: str
+) -> _runs.Settled | TakeOver:
+    match reply:
+        case _claim_peers.Absent():
+            return TakeOver()
+        case _claim_peers.Ended(of, _) if of != digest:
+            return _runs.Settled(_call_refusals.another_request())
+        case _claim_peers.Ended(_, _answers.Ran() as ran):
+            return _runs.Settled(ran, replayed=True)
+        case _claim_peers.Ended():
+            return _runs.Settled(_call_refusals.connection_broke())
+        case _claim_peers.Running():
+            refusal = _refusals.deadline_passed(_MAY_HAVE_RUN)
+            return _runs.Settled(refusal)
+        case _claim_peers.Restarted():
+            return _runs.Settled(_call_refusals.owner_gone())
+    return _runs.Settled(_call_refusals.owner_silent())
--- /dev/null
+++ b/src/geraniumlink/_runs.py
@@ -0,0 +1,118 @@
+"""The non-idempotent calls that this instance is working on.
+
+A call that may have been sent stays here until its claim holds the outcome.
+So a nonce that is not here, in a process that has not restarted since, was
+never used to send a call and never will be: no list of abandoned nonces has
+to be kept.
+"""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+import anyio
+
+from geraniumlink import _answers
+from geraniumlink import _claims
+from geraniumlink import _objects
+from geraniumlink import _refusals
+
+# Outcomes that are in their claims are kept this long too, to be answered
+# while the object API is out.
+MAX_KEPT = 2000
+MAX_KEPT_BYTES = 8 * 2**20
+_ENTRY_BYTES = 500
+_HEADER_BYTES = 100
+
+
+class Run:
+    """One call on its way; several callers may wait for it."""
+
+    def __init__(self, claim: _claims.Claim, deadline: int) -> None:
+        self.claim = claim
+        # Monotonic; nothing is sent to a backend server after it.
+        self.deadline = deadline
+        self.waiters = 0
+        # The claim is in the object API and is ours.
+        self.held = False
+        self.version = _objects.ABSENT
+        # A backend server may have it, or may have had it.
+        self.dispatched = False
+        # Nobody waits and nothing was sent: nothing will be.
+        self.abandoned = False
+        self.outcome: Settled | None = None
+        self.done = anyio.Event()
+
+    def finish(self, settled: Settled) -> None:
+        self.outcome = settled
+        self.done.set()
+
+    def leave(self) -> None:
+        """Take a waiter away; without any, nothing more is sent."""
+        self.waiters -= 1
+        if not self.waiters and not self.dispatched:
+            self.abandoned = True
+
+    def execution(self) -> _refusals.Execution:
+        """Return what is true to say to a waiter that leaves now.
+
+        Before the claim is held, an earlier run under the key may be there.
+        Others who wait may still have it sent.
+        """
+        alone = self.waiters <= 1
+        if self.held and alone and not self.dispatched:
+            return _refusals.Execution.NOT_RUN
+        return _refusals.Execution.MAY_HAVE_RUN
+
+
+class Settled(typing.NamedTuple):
+    """How a run ended: an outcome, perhaps an earlier run's, or a refusal."""
+
+    outcome: _answers.Ran | _refusals.Refusal
+    replayed: bool = False
+
+
+class Runs:
+    """Live runs by the name of their claim, and the latest outcomes."""
+
+    def __init__(self) -> None:
+        self._live: dict[str, Run] = {}
+        self._kept: collections.OrderedDict[str, _claims.Claim] = (
+            collections.OrderedDict()
+        )
+        self._kept_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._live)
+
+    def get(self, name: str) -> Run | None:
+        return self._live.get(name)
+
+    def add(self, run: Run) -> None:
+        self._live[run.claim.name] = run
+
+    def kept(self, name: str) -> _claims.Claim | None:
+        return self._kept.get(name)
+
+    def remove(self, run: Run) -> None:
+        """Forget a run that was never sent, or whose claim says how it is."""
+        if self._live.get(run.claim.name) is run:
+            del self._live[run.claim.name]
+        match run.claim.outcome:
+            case _answers.Ran() | _answers.Unknown():
+                self._keep(run.claim)
+
+    def _keep(self, claim: _claims.Claim) -> None:
+        self._kept[claim.name] = claim
+        self._kept_bytes += _size_bytes(claim)
+        while len(self._kept) > MAX_KEPT or self._kept_bytes > MAX_KEPT_BYTES:
+            _, oldest = self._kept.popitem(last=False)
+            self._kept_bytes -= _size_bytes(oldest)
+
+
+def _size_bytes(claim: _claims.Claim) -> int:
+    match claim.outcome:
+        case _answers.Ran(_answers.Answer(_, headers, body)):
+            return _ENTRY_BYTES + len(body) + _HEADER_BYTES * len(headers)
+    return _ENTRY_BYTES
