Make the object API stand-in's writes conditional for real

Ten keys sent at once to four instances (test_copies_at_once_at_all_instances) gave two runs under one key. Ruled out: the claim's take-over, which asks for the version that it read. Cause: the stand-in read the current version, then awaited the request's body, then compared, so two writes over the same version both took effect. It now compares and writes in one step under its lock. The new switch hold_answers keeps back the answers of writes that took effect.

--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -2,7 +2,9 @@
 
 Fault switches: ``outage`` (every call is answered 503), ``slow_ms`` (each
 answer is late), ``lose_answers`` (this many next writes take effect and the
-connection closes without an answer), ``forget`` (watches are answered 410).
+connection closes without an answer), ``hold_answers`` (writes of kinds that
+begin with this text take effect and are answered when it is off again),
+``forget`` (watches are answered 410).
 """
 
 from __future__ import annotations
@@ -19,6 +21,7 @@
 from standins import _base
 
 MAX_VALUE_BYTES = 2**20
+_HOLD_POLL_S = 0.01
 
 
 class Stored(typing.NamedTuple):
@@ -119,26 +122,32 @@
             return _out()
         kind = request.path_params["kind"]
         name = request.path_params["name"]
-        current = self._find(kind, name)
         body = await request.body()
         if len(body) > MAX_VALUE_BYTES:
             return responses.JSONResponse({}, 413)
-        if int(request.query_params["if_version"]) != current.version:
-            return responses.JSONResponse(current._asdict(), 409)
         value = json.loads(body) if request.method == "PUT" else None
-        written = await self._store(kind, name, value)
+        if_version = int(request.query_params["if_version"])
+        async with self._changed:
+            # Compared and written without another write between.
+            current = self._find(kind, name)
+            if if_version != current.version:
+                return responses.JSONResponse(current._asdict(), 409)
+            written = self._store(kind, name, value)
+            self._changed.notify_all()
+        while self.faults.hold_answers and kind.startswith(
+            self.faults.hold_answers
+        ):
+            await asyncio.sleep(_HOLD_POLL_S)
         if self.faults.lose_answers:
             self.faults["lose_answers"] -= 1
             return _lost()
         return responses.JSONResponse(written._asdict())
 
-    async def _store(self, kind: str, name: str, value: typing.Any) -> Stored:
-        async with self._changed:
-            self._revision += 1
-            written = Stored(kind, name, self._revision, value)
-            self._objects[(kind, name)] = written
-            self._history.append(written)
-            self._changed.notify_all()
+    def _store(self, kind: str, name: str, value: typing.Any) -> Stored:
+        self._revision += 1
+        written = Stored(kind, name, self._revision, value)
+        self._objects[(kind, name)] = written
+        self._history.append(written)
         return written
 
     def _listing(self, found: list[Stored]) -> responses.Response:
