--- a/src/geraniumlink/_rpc.py
+++ b/src/geraniumlink/_rpc.py
@@ -40,6 +40,9 @@
 
     request_type: type[Message]
     handle: Callable[[typing.Any, str], Awaitable[Result]]
+    # What is true of a request that is refused unread. One that is sent
+    # again under its key may have run before.
+    unread: _refusals.Execution = _refusals.Execution.NOT_RUN
 
 
 class Stream(typing.NamedTuple):
@@ -47,6 +50,7 @@
 
     request_type: type[Message]
     handle: Callable[[typing.Any, str, EmitMessage], Awaitable[Result]]
+    unread: _refusals.Execution = _refusals.Execution.NOT_RUN
 
 
 Methods = dict[str, Unary | Stream]
@@ -134,6 +138,7 @@
                 _refusals.Refusal(
                     _refusals.Code.RESOURCE_EXHAUSTED,
                     "this instance is full",
+                    method.unread,
                     retry_after_ms=RETRY_AFTER_FULL_MS,
                 )
             )
@@ -165,7 +170,7 @@
             found = self._server.lookup(request)
             if found.is_error():
                 return await self._refuse(found.error)
-            read = await self._read(request, found.ok.request_type)
+            read = await self._read(request, found.ok)
             if read.is_error():
                 return await self._refuse(read.error)
             return await self._until_caller_leaves(found.ok, read.ok)
@@ -182,7 +187,7 @@
             return await self._refuse(_internal())
 
     async def _read(
-        self, request: requests.Request, request_type: type[Message]
+        self, request: requests.Request, method: Unary | Stream
     ) -> Result:
         body = bytearray()
         with anyio.move_on_after(BODY_TIMEOUT_MS / 1000) as scope:
@@ -193,9 +198,9 @@
                         self._too_large(self._server._max_request_bytes)
                     )
         if scope.cancelled_caught:
-            refusal = _refusals.deadline_passed(_refusals.Execution.NOT_RUN)
+            refusal = _refusals.deadline_passed(method.unread)
             return expression.Error(refusal)
-        return parse(bytes(body), request_type)
+        return parse(bytes(body), method.request_type)
 
     def _too_large(self, limit: int) -> _refusals.Refusal:
         findings = _findings.Findings()
--- a/src/geraniumlink/_service_methods.py
+++ b/src/geraniumlink/_service_methods.py
@@ -6,6 +6,7 @@
 from geraniumlink import _inference
 from geraniumlink import _metrics
 from geraniumlink import _operator
+from geraniumlink import _refusals
 from geraniumlink import _rpc
 from geraniumlink import _streams
 from geraniumlink._schema import geraniumlink_pb2 as pb
@@ -28,7 +29,9 @@
         "Inference/GenerateStream": _rpc.Stream(
             pb.GenerateRequest, generation.generate_stream
         ),
-        "Calls/Call": _rpc.Unary(pb.CallRequest, calls.call),
+        "Calls/Call": _rpc.Unary(
+            pb.CallRequest, calls.call, _refusals.Execution.MAY_HAVE_RUN
+        ),
         "Operator/Apply": _rpc.Unary(pb.ApplyRequest, operator.apply),
         "Operator/Retire": _rpc.Unary(pb.RetireRequest, operator.retire),
         "Operator/Get": _rpc.Unary(pb.GetRequest, operator.get),
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -1,13 +1,19 @@
 """Stand-in for a plain service such as booking or custody.
 
-Every request is a run and is kept in the record, by its X-Run header where
-there is one. Fault switches: ``delay_ms``, ``lose_answers`` (this many next
-runs end without an answer), ``leaving``.
+Every request that it begins is a run and is kept in the record, with its
+X-Run header where there is one. The answer echoes the body, the method and
+each X-Echo header; an X-Status header sets the status.
+
+Fault switches: ``delay_ms``, ``hold`` (runs end only when it is off again),
+``lose_answers`` (this many next runs end without an answer), ``leaving`` and
+``refuse`` (a reason): refused before they run, ``answer_bytes`` (the size of
+the answer's body).
 """
 
 from __future__ import annotations
 
 import asyncio
+import time
 import typing
 import uuid
 
@@ -17,7 +23,8 @@
 
 from standins import _base
 
-_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+_HOLD_POLL_S = 0.01
 
 
 class PlainService(_base.StandIn):
@@ -49,26 +56,49 @@
 
     async def _run(self, request: requests.Request) -> responses.Response:
         body = await request.body()
-        if self.faults.leaving:
-            return responses.JSONResponse({"refused": "leaving"}, 503)
+        refused = self.faults.refuse or (self.faults.leaving and "leaving")
+        if refused:
+            return responses.JSONResponse({"refused": refused}, 503)
         self._runs.append(
             {
                 "run": request.headers.get("x-run", ""),
                 "method": request.method,
-                "path": request.url.path,
+                "path": request.scope["raw_path"].decode(),
+                "query": request.scope["query_string"].decode(),
+                "headers": request.headers.items(),
+                "time": time.time(),
             }
         )
         self._in_flight += 1
-        await asyncio.sleep((self.faults.delay_ms or 0) / 1000)
-        self._in_flight -= 1
+        try:
+            await self._work()
+        finally:
+            self._in_flight -= 1
         if self.faults.lose_answers:
             self.faults["lose_answers"] -= 1
             return _lost()
-        return responses.Response(
-            body or b"done",
-            201 if request.method == "POST" else 200,
-            {"x-served-by": self._boot_id, "x-method": request.method},
-        )
+        return self._answer(request, body)
+
+    async def _work(self) -> None:
+        await asyncio.sleep((self.faults.delay_ms or 0) / 1000)
+        while self.faults.hold:
+            await asyncio.sleep(_HOLD_POLL_S)
+
+    def _answer(
+        self, request: requests.Request, body: bytes
+    ) -> responses.Response:
+        usual = 201 if request.method == "POST" else 200
+        status = int(request.headers.get("x-status", usual))
+        if self.faults.answer_bytes:
+            body = b"a" * self.faults.answer_bytes
+        response = responses.Response(b"" if status == 204 else body, status)
+        if status == 204:
+            del response.headers["content-length"]
+        response.headers["x-served-by"] = self._boot_id
+        response.headers["x-method"] = request.method
+        for value in request.headers.getlist("x-echo"):
+            response.headers.append("x-echo", value)
+        return response
 
 
 def _lost() -> responses.Response:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import base64
 import itertools
+import time
 
 from standins import fleet as fleets
 
@@ -101,3 +103,22 @@
         return sum(1 for entry in replicas if entry.get("models")) >= count
 
     await fleet.until(reached, f"{count} replicas hold models")
+
+
+def key(wall_ms: int = 0) -> str:
+    """Return a new idempotency key, issued now or at the time given."""
+    issued_ms = wall_ms or time.time_ns() // 1_000_000
+    return f"{issued_ms}-key-{next(_numbers):08d}"
+
+
+def booking(idempotency_key: str, **fields) -> dict:
+    """Return a non-idempotent call that the service's record will show."""
+    return {
+        "service": "booking",
+        "method": "POST",
+        "path": "/reservations",
+        "headers": [{"name": "X-Run", "value": idempotency_key}],
+        "body": base64.b64encode(b"two pairs\xff").decode(),
+        "idempotency_key": idempotency_key,
+        "timeout_ms": 30_000,
+    } | fields
