--- a/src/geraniumlink/_attempts.py
+++ b/src/geraniumlink/_attempts.py
@@ -88,19 +88,28 @@
 def no_server(
     service: str,
     choice: _routing.Choice,
+    tried: Sequence[_backends.Key],
     execution: _refusals.Execution,
 ) -> _refusals.Refusal:
-    """Return the refusal of a call that no server began."""
-    if choice.backend is None and choice.reachable:
+    """Return the refusal of a call when there is no server left to try."""
+    if tried:
+        return _refusals.Refusal(
+            _refusals.Code.UNAVAILABLE,
+            f"the servers of {service!r} that were tried refused the call or"
+            " did not answer",
+            execution,
+            RETRY_AFTER_MS,
+        )
+    if choice.reachable:
         return _refusals.Refusal(
             _refusals.Code.RESOURCE_EXHAUSTED,
-            f"every server of {service!r} is full or refused the call",
+            f"every server of {service!r} is full",
             execution,
             RETRY_AFTER_MS,
         )
     return _refusals.Refusal(
         _refusals.Code.UNAVAILABLE,
-        f"no server of {service!r} can be reached now",
+        f"no server of {service!r} is in service now",
         execution,
         RETRY_AFTER_MS,
     )
--- a/src/geraniumlink/_calls.py
+++ b/src/geraniumlink/_calls.py
@@ -113,7 +113,7 @@
                     self.execution = before
             choice = self._attempts.choose(service, tried)
         return expression.Error(
-            _attempts.no_server(service, choice, self.execution)
+            _attempts.no_server(service, choice, tried, self.execution)
         )
 
 
--- a/src/geraniumlink/_once.py
+++ b/src/geraniumlink/_once.py
@@ -186,9 +186,8 @@
         while not self._over(run):
             match await self._acquire(run, version, known_service):
                 case _claims.Held(version):
-                    run.held = True
                     run.version = version
-                    return await self._dispatch(run, request)
+                    return await self._hold(run, request)
                 case _claims.Found(found, version):
                     settled = await self._resolve(run, found)
                     if not isinstance(settled, TakeOver):
@@ -216,6 +215,22 @@
     def _over(self, run: _runs.Run) -> bool:
         return run.abandoned or self._clock.now() >= run.deadline
 
+    async def _hold(
+        self, run: _runs.Run, request: pb.CallRequest
+    ) -> _runs.Settled:
+        """Check the key's age again, now that its claim is written.
+
+        This process may have been frozen while the claim of an earlier run
+        was removed. If the key is still good, none was, and what is said
+        from here on is of all attempts under it.
+        """
+        too_old = _keys.check_age(run.claim.key, self._clock.wall())
+        run.held = True
+        if too_old is not None:
+            return _not_run(run, too_old)
+        run.first_of_key = True
+        return await self._dispatch(run, request)
+
     async def _dispatch(
         self, run: _runs.Run, request: pb.CallRequest
     ) -> _runs.Settled:
@@ -223,11 +238,10 @@
         tried: list = []
         choice = self._attempts.choose(request.service, tried)
         while choice.backend and len(tried) < _attempts.MAX_ATTEMPTS:
-            # Checked after the claim is held and right before sending: the
-            # process may have been frozen meanwhile.
-            stop = self._reason_to_stop(run)
-            if stop is not None:
-                return _not_run(run, stop)
+            # Checked right before sending: the process may have been frozen.
+            if self._over(run):
+                not_run = _refusals.Execution.NOT_RUN
+                return _not_run(run, _refusals.deadline_passed(not_run))
             tried.append(choice.backend.key)
             run.dispatched = True
             _logs.event("call_dispatched", claim=run.claim.name)
@@ -245,17 +259,10 @@
                     run.dispatched = False
             choice = self._attempts.choose(request.service, tried)
         refusal = _attempts.no_server(
-            request.service, choice, _refusals.Execution.NOT_RUN
+            request.service, choice, tried, _refusals.Execution.NOT_RUN
         )
         return _not_run(run, refusal)
 
-    def _reason_to_stop(self, run: _runs.Run) -> _refusals.Refusal | None:
-        if self._over(run):
-            return _refusals.deadline_passed(_refusals.Execution.NOT_RUN)
-        # The claim of an earlier run may have been removed before ours was
-        # written; then the key has expired by now.
-        return _keys.check_age(run.claim.key, self._clock.wall())
-
     async def _record(self, run: _runs.Run) -> None:
         """Write the outcome, for as long as the object API takes."""
         version: int | None = run.version
--- a/src/geraniumlink/_runs.py
+++ b/src/geraniumlink/_runs.py
@@ -36,6 +36,8 @@
         self.waiters = 0
         # The claim is in the object API and is ours.
         self.held = False
+        # No attempt under the key can have been sent before this one.
+        self.first_of_key = False
         self.version = _objects.ABSENT
         # A backend server may have it, or may have had it.
         self.dispatched = False
@@ -57,11 +59,10 @@
     def execution(self) -> _refusals.Execution:
         """Return what is true to say to a waiter that leaves now.
 
-        Before the claim is held, an earlier run under the key may be there.
         Others who wait may still have it sent.
         """
         alone = self.waiters <= 1
-        if self.held and alone and not self.dispatched:
+        if self.first_of_key and alone and not self.dispatched:
             return _refusals.Execution.NOT_RUN
         return _refusals.Execution.MAY_HAVE_RUN
 
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,91 @@
+"""Idempotency keys: their form, their age, and the removal of claims."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from geraniumlink import _claim_janitor
+from geraniumlink import _claims
+from geraniumlink import _clock
+from geraniumlink import _findings
+from geraniumlink import _keys
+from geraniumlink import _objects
+from geraniumlink import _refusals
+
+NOW_MS = 1_700_000_000_000
+times = strategies.integers(0, 2 * NOW_MS)
+clock_errors = strategies.integers(
+    -_keys.CLOCK_MARGIN_MS // 2, _keys.CLOCK_MARGIN_MS // 2
+)
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "12345678", "1-short", "x-12345678", "1-1234567 ", "١-12345678"],
+)
+def test_a_text_that_is_no_key_is_a_finding(text):
+    findings = _findings.Findings()
+    assert _keys.parse(text, findings) is None
+    assert [found.place for found in findings.all()] == ["idempotency_key"]
+
+
+def test_a_key_carries_its_time_of_issue():
+    findings = _findings.Findings()
+    key = _keys.parse(f"{NOW_MS}-shop-1_A", findings)
+    assert key == _keys.Key(f"{NOW_MS}-shop-1_A", NOW_MS)
+    assert _keys.check_age(key, NOW_MS + _keys.KEY_LIFE_MS) is None
+    assert _keys.check_age(key, NOW_MS - _keys.FUTURE_MARGIN_MS) is None
+
+
+def test_an_old_key_is_refused_without_denying_a_run():
+    key = _keys.Key("old", NOW_MS)
+    refusal = _keys.check_age(key, NOW_MS + _keys.KEY_LIFE_MS + 1)
+    assert refusal.execution is _refusals.Execution.MAY_HAVE_RUN
+
+
+@hypothesis.given(times, times, clock_errors, clock_errors)
+def test_no_instance_accepts_what_another_says_is_not_run_yet(
+    issued_ms, now_ms, one_error, other_error
+):
+    key = _keys.Key("any", issued_ms)
+    refusal = _keys.check_age(key, now_ms + one_error)
+    if refusal and refusal.execution is _refusals.Execution.NOT_RUN:
+        assert _keys.check_age(key, now_ms + other_error) is not None
+
+
+@hypothesis.given(times, times, clock_errors, clock_errors)
+def test_a_claim_is_removed_only_when_every_instance_refuses_its_key(
+    issued_ms, age_ms, one_error, other_error
+):
+    key = _keys.Key("any", issued_ms)
+    now_ms = issued_ms + age_ms
+    if now_ms + one_error >= _claim_janitor.due(issued_ms):
+        assert _keys.check_age(key, now_ms + other_error) is not None
+
+
+@pytest.mark.anyio
+async def test_a_sweep_removes_what_is_left_and_survives_conflicts():
+    objects = Objects()
+    janitor = _claim_janitor.Janitor(objects, _clock.ManualClock(), None)
+    assert await janitor.sweep(_claims.kind_of(NOW_MS))
+    assert objects.removed == [("a", 3), ("b", 4)]
+
+
+class Objects:
+    """Holds two claims, of which the first is removed by another."""
+
+    def __init__(self):
+        self.removed = []
+
+    async def list(self, kind):
+        entries = [
+            _objects.Object(kind, "a", 3, {}),
+            _objects.Object(kind, "b", 4, {}),
+            _objects.Object(kind, "gone", 5, None),
+        ]
+        return _objects.Listing(5, entries)
+
+    async def delete(self, kind, name, if_version):
+        self.removed.append((name, if_version))
+        if name == "a":
+            raise _objects.ConflictError(_objects.Object(kind, name, 9, None))
