Move learning of outcomes into a module of its own

Log lines are now named as the steps of the model, and an unknown service is refused as NOT_RUN only while the key is good, since an expired key's claim may be gone.

--- a/src/geraniumlink/_call_refusals.py
+++ b/src/geraniumlink/_call_refusals.py
@@ -12,6 +12,16 @@
 _MAY_HAVE_RUN = _refusals.Execution.MAY_HAVE_RUN
 
 
+def deadline_passed(execution: _refusals.Execution) -> _refusals.Refusal:
+    """Return the refusal of a caller whose time is over."""
+    return _refusals.Refusal(
+        _refusals.Code.DEADLINE_EXCEEDED,
+        "the timeout of the call passed; send the same key again",
+        execution,
+        RETRY_AFTER_MS,
+    )
+
+
 def another_request() -> _refusals.Refusal:
     return _refusals.Refusal(
         _refusals.Code.ALREADY_EXISTS,
--- a/src/geraniumlink/_once.py
+++ b/src/geraniumlink/_once.py
@@ -8,7 +8,6 @@
 
 import hashlib
 import random
-import typing
 import uuid
 from collections.abc import Callable
 
@@ -27,23 +26,18 @@
 from geraniumlink import _logs
 from geraniumlink import _objects
 from geraniumlink import _refusals
+from geraniumlink import _resolution
 from geraniumlink import _runs
 from geraniumlink import _settings
 from geraniumlink._schema import geraniumlink_pb2 as pb
 
 # Runs that an instance works on, or whose outcomes it still has to write.
 MAX_LIVE = 500
-# Peers that are asked for a key while the object API is out.
-MAX_ASKED = 8
 RECORD_AGAIN_MS = 500
 Result = expression.Result[_runs.Settled, _refusals.Refusal]
 _MAY_HAVE_RUN = _refusals.Execution.MAY_HAVE_RUN
 
 
-class TakeOver(typing.NamedTuple):
-    """The claim's owner never sent the call and never will."""
-
-
 class Once:
     """Claims a key, sends its call, and records what became of it."""
 
@@ -59,16 +53,18 @@
     ) -> None:
         self._attempts = attempts
         self._store = store
-        self._client = client
         # An idle connection that the server closes as the call is written
         # would leave its outcome unknown, so each call has a new one.
         self._fresh_client = _http.Client(MAX_LIVE, max_idle=0)
         self._clock = clock
         self._owner = _claims.Owner(name, uuid.uuid4().hex, str(peer_address))
-        self._peers = peers
         self._runs = _runs.Runs()
         self._group: abc.TaskGroup | None = None
-        self.answerer = _claim_peers.Answerer(self._runs, self._owner.boot_id)
+        boot_id = self._owner.boot_id
+        self.answerer = _claim_peers.Answerer(self._runs, boot_id)
+        self._resolver = _resolution.Resolver(
+            self.answerer, client, clock, boot_id, peers
+        )
 
     @property
     def in_flight(self) -> int:
@@ -102,7 +98,7 @@
         if run is None:
             kept = self._runs.kept(claim.name)
             if kept is not None:
-                return _as_result(_replay(kept, claim.digest))
+                return _as_result(_resolution.replay(kept, claim.digest))
             if self._group is None or len(self._runs) >= MAX_LIVE:
                 return expression.Error(_call_refusals.full())
             run = _runs.Run(claim, deadline)
@@ -138,7 +134,9 @@
             if run.outcome is not None:
                 return _as_result(run.outcome)
             # No await between this and leave(), which keeps the word.
-            return expression.Error(_refusals.deadline_passed(run.execution()))
+            return expression.Error(
+                _call_refusals.deadline_passed(run.execution())
+            )
         finally:
             run.leave()
 
@@ -189,21 +187,16 @@
                     run.version = version
                     return await self._hold(run, request)
                 case _claims.Found(found, version):
-                    settled = await self._resolve(run, found)
-                    if not isinstance(settled, TakeOver):
+                    settled = await self._resolver.resolve(run, found)
+                    if not isinstance(settled, _resolution.TakeOver):
                         return settled
                     if not known_service:
-                        return _runs.Settled(
-                            _call_refusals.unknown_service(request.service)
-                        )
-                    _logs.event("claim_taken_over", claim=found.name)
+                        return self._no_service(run)
                 case _claims.Free():
-                    return _runs.Settled(
-                        _call_refusals.unknown_service(request.service)
-                    )
+                    return self._no_service(run)
                 case _claims.Unreadable(problem):
-                    return await self._without_api(run, problem)
-        return _runs.Settled(_refusals.deadline_passed(_MAY_HAVE_RUN))
+                    return await self._resolver.without_api(run, problem)
+        return _runs.Settled(_call_refusals.deadline_passed(_MAY_HAVE_RUN))
 
     async def _acquire(
         self, run: _runs.Run, version: int, known_service: bool
@@ -212,8 +205,18 @@
             return await self._store.look(run.claim)
         return await self._store.acquire(run.claim, version)
 
+    def _no_service(self, run: _runs.Run) -> _runs.Settled:
+        """Refuse a call of a service that is not in force here.
+
+        It may have been in force where an earlier attempt went; that one's
+        claim is there unless the key has expired since.
+        """
+        unknown = _call_refusals.unknown_service(run.claim.service)
+        too_old = _keys.check_age(run.claim.key, self._clock.wall())
+        return _runs.Settled(too_old or unknown)
+
     def _over(self, run: _runs.Run) -> bool:
-        return run.abandoned or self._clock.now() >= run.deadline
+        return run.over(self._clock.now())
 
     async def _hold(
         self, run: _runs.Run, request: pb.CallRequest
@@ -227,7 +230,9 @@
         too_old = _keys.check_age(run.claim.key, self._clock.wall())
         run.held = True
         if too_old is not None:
+            _resolution.log("key_expired", run)
             return _not_run(run, too_old)
+        _resolution.log("claim_held", run)
         run.first_of_key = True
         return await self._dispatch(run, request)
 
@@ -240,22 +245,26 @@
         while choice.backend and len(tried) < _attempts.MAX_ATTEMPTS:
             # Checked right before sending: the process may have been frozen.
             if self._over(run):
+                _resolution.log("deadline_abandoned", run)
                 not_run = _refusals.Execution.NOT_RUN
-                return _not_run(run, _refusals.deadline_passed(not_run))
+                return _not_run(run, _call_refusals.deadline_passed(not_run))
             tried.append(choice.backend.key)
             run.dispatched = True
-            _logs.event("call_dispatched", claim=run.claim.name)
+            _resolution.log("call_dispatched", run)
             result = await self._attempts.attempt(
                 self._fresh_client, choice.backend, request
             )
             match result:
                 case _answers.Answer():
+                    _resolution.log("server_answers", run)
                     _end(run, _answers.bounded(_answers.Ran(result)))
                     return _runs.Settled(_answers.Ran(result))
                 case _attempts.Broken():
+                    _resolution.log("connection_breaks", run)
                     _end(run, _answers.Unknown())
                     return _runs.Settled(_call_refusals.connection_broke())
                 case _attempts.NotBegun():
+                    _resolution.log("server_refuses", run)
                     run.dispatched = False
             choice = self._attempts.choose(request.service, tried)
         refusal = _attempts.no_server(
@@ -268,88 +277,12 @@
         version: int | None = run.version
         while version is not None:
             version = await self._store.record(run.claim, version)
-            if version is not None:
+            if version is None:
+                _resolution.log("record", run)
+            else:
                 pause_ms = RECORD_AGAIN_MS * random.uniform(0.5, 1.5)
                 await self._clock.sleep(pause_ms)
 
-    async def _resolve(
-        self, run: _runs.Run, found: _claims.Claim
-    ) -> _runs.Settled | TakeOver:
-        """Learn from a claim, or from its owner, what became of the call."""
-        if found.digest != run.claim.digest:
-            return _runs.Settled(_call_refusals.another_request())
-        match found.outcome:
-            case _answers.NotRun():
-                return TakeOver()
-            case None:
-                return await self._ask_owner(run, found)
-        return _replay(found, run.claim.digest)
-
-    async def _ask_owner(
-        self, run: _runs.Run, found: _claims.Claim
-    ) -> _runs.Settled | TakeOver:
-        ask = _claim_peers.Ask(found.name, found.nonce, 0)
-        if found.owner.boot_id == self._owner.boot_id:
-            # A run of ours that is still live would have been joined.
-            reply: _claim_peers.Reply = self.answerer.now(ask)
-        else:
-            address = _settings.parse_address(found.owner.peer_address)
-            reply = await self._ask_until_ended(
-                run, address, ask, found.owner.boot_id
-            )
-        _logs.event(
-            "claim_asked", claim=found.name, reply=type(reply).__name__
-        )
-        return _from_reply(reply, run.claim.digest)
-
-    async def _ask_until_ended(
-        self,
-        run: _runs.Run,
-        address: _settings.Address,
-        ask: _claim_peers.Ask,
-        boot_id: str,
-    ) -> _claim_peers.Reply:
-        """Ask again while the peer says that the call is being run."""
-        reply: _claim_peers.Reply = _claim_peers.Running()
-        while isinstance(reply, _claim_peers.Running) and not self._over(run):
-            reply = await _claim_peers.ask_peer(
-                self._client, address, ask, boot_id
-            )
-            ask = ask._replace(wait_ms=_claim_peers.MAX_WAIT_MS)
-        return reply
-
-    async def _without_api(
-        self, run: _runs.Run, problem: str
-    ) -> _runs.Settled:
-        """Ask a few peers whether one of them runs or ran the call."""
-        peers = self._peers()
-        asked = random.sample(peers, min(MAX_ASKED, len(peers)))
-        found: list[_runs.Settled] = []
-        async with anyio.create_task_group() as group:
-            for address in asked:
-                group.start_soon(
-                    self._ask_one, run, address, found, group.cancel_scope
-                )
-        if found:
-            return found[0]
-        _logs.event("claim_unavailable", claim=run.claim.name, error=problem)
-        return _runs.Settled(_call_refusals.no_api(problem))
-
-    async def _ask_one(
-        self,
-        run: _runs.Run,
-        address: _settings.Address,
-        found: list[_runs.Settled],
-        scope: anyio.CancelScope,
-    ) -> None:
-        ask = _claim_peers.Ask(run.claim.name, "", 0)
-        reply = await self._ask_until_ended(run, address, ask, "")
-        if isinstance(reply, _claim_peers.Ended):
-            settled = _from_reply(reply, run.claim.digest)
-            if isinstance(settled, _runs.Settled):
-                found.append(settled)
-                scope.cancel()
-
 
 def digest_of(request: pb.CallRequest) -> str:
     """Return what tells one request from another under the same key."""
@@ -378,32 +311,3 @@
         case _answers.Ran(None):
             return expression.Error(_call_refusals.answer_not_kept())
     return expression.Ok(settled)
-
-
-def _replay(kept: _claims.Claim, digest: str) -> _runs.Settled:
-    if kept.digest != digest:
-        return _runs.Settled(_call_refusals.another_request())
-    match kept.outcome:
-        case _answers.Ran() as ran:
-            return _runs.Settled(ran, replayed=True)
-    return _runs.Settled(_call_refusals.connection_broke())
-
-
-def _from_reply(
-    reply: _claim_peers.Reply, digest: str
-) -> _runs.Settled | TakeOver:
-    match reply:
-        case _claim_peers.Absent():
-            return TakeOver()
-        case _claim_peers.Ended(of, _) if of != digest:
-            return _runs.Settled(_call_refusals.another_request())
-        case _claim_peers.Ended(_, _answers.Ran() as ran):
-            return _runs.Settled(ran, replayed=True)
-        case _claim_peers.Ended():
-            return _runs.Settled(_call_refusals.connection_broke())
-        case _claim_peers.Running():
-            refusal = _refusals.deadline_passed(_MAY_HAVE_RUN)
-            return _runs.Settled(refusal)
-        case _claim_peers.Restarted():
-            return _runs.Settled(_call_refusals.owner_gone())
-    return _runs.Settled(_call_refusals.owner_silent())
--- /dev/null
+++ b/src/geraniumlink/_resolution.py
@@ -0,0 +1,176 @@
+"""Learns what became of a call that another attempt claimed.
+
+The claim says it, or its owner does; while the object API is out, a few
+peers are asked. What can't be learned is refused at once as MAY_HAVE_RUN.
+"""
+
+from __future__ import annotations
+
+import random
+import typing
+from collections.abc import Callable
+
+import anyio
+
+from geraniumlink import _answers
+from geraniumlink import _call_refusals
+from geraniumlink import _claim_peers
+from geraniumlink import _claims
+from geraniumlink import _clock
+from geraniumlink import _http
+from geraniumlink import _logs
+from geraniumlink import _refusals
+from geraniumlink import _runs
+from geraniumlink import _settings
+
+# Peers that are asked for a key while the object API is out.
+MAX_ASKED = 8
+_STEP_OF_REPLY = {
+    _claim_peers.Running: "deadline_unclaimed",
+    _claim_peers.Absent: "owner_says_absent",
+    _claim_peers.Ended: "owner_says_ended",
+    _claim_peers.Silent: "owner_silent",
+    _claim_peers.Restarted: "owner_silent",
+}
+
+
+class TakeOver(typing.NamedTuple):
+    """The claim's owner never sent the call and never will."""
+
+
+class Resolver:
+    """Asks claims and instances for the outcomes of calls."""
+
+    def __init__(
+        self,
+        answerer: _claim_peers.Answerer,
+        client: _http.Client,
+        clock: _clock.Clock,
+        boot_id: str,
+        peers: Callable[[], list[_settings.Address]],
+    ) -> None:
+        self._answerer = answerer
+        self._client = client
+        self._clock = clock
+        self._boot_id = boot_id
+        self._peers = peers
+
+    async def resolve(
+        self, run: _runs.Run, found: _claims.Claim
+    ) -> _runs.Settled | TakeOver:
+        """Learn from a claim, or from its owner, what became of the call."""
+        if found.digest != run.claim.digest:
+            log("another_request", run)
+            return _runs.Settled(_call_refusals.another_request())
+        match found.outcome:
+            case None:
+                log("claim_found", run)
+                return await self._ask_owner(run, found)
+            case _answers.NotRun():
+                log("claim_taken_over", run)
+                return TakeOver()
+            case _answers.Ran():
+                log("replay", run)
+            case _answers.Unknown():
+                log("replay_unknown", run)
+        return replay(found, run.claim.digest)
+
+    async def _ask_owner(
+        self, run: _runs.Run, found: _claims.Claim
+    ) -> _runs.Settled | TakeOver:
+        ask = _claim_peers.Ask(found.name, found.nonce, 0)
+        if found.owner.boot_id == self._boot_id:
+            # A run of ours that is still live would have been joined.
+            reply: _claim_peers.Reply = self._answerer.now(ask)
+        else:
+            address = _settings.parse_address(found.owner.peer_address)
+            reply = await self._ask_until_ended(
+                run, address, ask, found.owner.boot_id
+            )
+        log(_STEP_OF_REPLY[type(reply)], run)
+        return _from_reply(reply, run.claim.digest)
+
+    async def _ask_until_ended(
+        self,
+        run: _runs.Run,
+        address: _settings.Address,
+        ask: _claim_peers.Ask,
+        boot_id: str,
+    ) -> _claim_peers.Reply:
+        """Ask again while the peer says that the call is being run."""
+        reply: _claim_peers.Reply = _claim_peers.Running()
+        while isinstance(reply, _claim_peers.Running) and not self._over(run):
+            reply = await _claim_peers.ask_peer(
+                self._client, address, ask, boot_id
+            )
+            ask = ask._replace(wait_ms=_claim_peers.MAX_WAIT_MS)
+        return reply
+
+    async def without_api(self, run: _runs.Run, problem: str) -> _runs.Settled:
+        """Ask a few peers whether one of them runs or ran the call."""
+        peers = self._peers()
+        asked = random.sample(peers, min(MAX_ASKED, len(peers)))
+        found: list[_runs.Settled] = []
+        async with anyio.create_task_group() as group:
+            for address in asked:
+                group.start_soon(
+                    self._ask_one, run, address, found, group.cancel_scope
+                )
+        if found:
+            return found[0]
+        log("claim_unavailable", run, problem=problem)
+        return _runs.Settled(_call_refusals.no_api(problem))
+
+    async def _ask_one(
+        self,
+        run: _runs.Run,
+        address: _settings.Address,
+        found: list[_runs.Settled],
+        scope: anyio.CancelScope,
+    ) -> None:
+        ask = _claim_peers.Ask(run.claim.name, "", 0)
+        reply = await self._ask_until_ended(run, address, ask, "")
+        if isinstance(reply, _claim_peers.Ended):
+            settled = _from_reply(reply, run.claim.digest)
+            if isinstance(settled, _runs.Settled):
+                found.append(settled)
+                scope.cancel()
+
+    def _over(self, run: _runs.Run) -> bool:
+        return run.over(self._clock.now())
+
+
+def log(step: str, run: _runs.Run, **fields: str) -> None:
+    """Write a log line named as the step in specs/claims.py."""
+    _logs.event(step, claim=run.claim.name, nonce=run.claim.nonce, **fields)
+
+
+def replay(kept: _claims.Claim, digest: str) -> _runs.Settled:
+    if kept.digest != digest:
+        return _runs.Settled(_call_refusals.another_request())
+    match kept.outcome:
+        case _answers.Ran() as ran:
+            return _runs.Settled(ran, replayed=True)
+    return _runs.Settled(_call_refusals.connection_broke())
+
+
+def _from_reply(
+    reply: _claim_peers.Reply, digest: str
+) -> _runs.Settled | TakeOver:
+    match reply:
+        case _claim_peers.Absent():
+            return TakeOver()
+        case _claim_peers.Ended(of, _) if of != digest:
+            return _runs.Settled(_call_refusals.another_request())
+        case _claim_peers.Ended(_, _answers.Ran() as ran):
+            return _runs.Settled(ran, replayed=True)
+        case _claim_peers.Ended():
+            return _runs.Settled(_call_refusals.connection_broke())
+        case _claim_peers.Running():
+            refusal = _call_refusals.deadline_passed(
+                _refusals.Execution.MAY_HAVE_RUN
+            )
+            return _runs.Settled(refusal)
+        case _claim_peers.Restarted():
+            return _runs.Settled(_call_refusals.owner_gone())
+    return _runs.Settled(_call_refusals.owner_silent())
--- a/src/geraniumlink/_runs.py
+++ b/src/geraniumlink/_runs.py
@@ -56,6 +56,10 @@
         if not self.waiters and not self.dispatched:
             self.abandoned = True
 
+    def over(self, now: int) -> bool:
+        """Whether nobody waits any more, so that nothing may be sent."""
+        return self.abandoned or now >= self.deadline
+
     def execution(self) -> _refusals.Execution:
         """Return what is true to say to a waiter that leaves now.
 
