Accept recorded traces of claims by their model

The log lines of a fault run's instances are steps of specs/claims.py by name; each key's lines, in the order of their times, must be a path of the model.

--- a/benches/claims.py
+++ b/benches/claims.py
@@ -46,6 +46,15 @@
     first = fleet.instances[0]
     await builders.declare(fleet, first, builders.plain(services))
 
+    async def acquainted() -> bool:
+        for process in fleet.instances:
+            status = await fleet.call(process, "Operator/Status")
+            if len(status.body["instances"]) < instances:
+                return False
+        return True
+
+    await fleet.until(acquainted, "instances know each other")
+
 
 async def _call(
     fleet: fleets.Fleet, instance: fleets.Process, key: str, repeatable: bool
--- a/specs/claims.py
+++ b/specs/claims.py
@@ -45,7 +45,9 @@
     ABANDONED = "abandoned"
     # Ended without a dispatch; nothing is left to write.
     GONE = "gone"
-    DONE = "done"
+    # The outcome is recorded; it may still be in memory.
+    RAN_RECORDED = "ran_recorded"
+    UNKNOWN_RECORDED = "unknown_recorded"
     DEAD = "dead"
 
 
@@ -129,6 +131,29 @@
 
 
 Step = tuple[str, State]
+# Steps that the program writes a log line for, by the same name.
+LOGGED = frozenset(
+    (
+        "another_request",
+        "call_dispatched",
+        "claim_found",
+        "claim_held",
+        "claim_taken_over",
+        "claim_unavailable",
+        "connection_breaks",
+        "call_abandoned",
+        "owner_says_absent",
+        "owner_says_ran",
+        "owner_says_unknown",
+        "owner_silent",
+        "peer_says_ran",
+        "record",
+        "replay",
+        "replay_unknown",
+        "server_answers",
+        "server_refuses",
+    )
+)
 _DEFAULT_BOUNDS = Bounds()
 _DEFAULT_RULES = Rules()
 
@@ -197,6 +222,15 @@
     def __init__(self, bounds: Bounds, rules: Rules) -> None:
         self._bounds = bounds
         self._rules = rules
+        # What is recorded may have been dropped from memory.
+        self._absent = {
+            Pc.GONE,
+            Pc.ABANDONED,
+            Pc.RAN_RECORDED,
+            Pc.UNKNOWN_RECORDED,
+        }
+        if not rules.remember_sent:
+            self._absent.add(Pc.SENT)
         self._by_pc = {
             Pc.IDLE: self._receive,
             Pc.CLAIMING: self._claim,
@@ -278,19 +312,22 @@
             after = state._replace(late=state.late | {Late(wanted)})
         if process.pc is Pc.CLAIMING:
             yield "claim_unanswered", _move(after, index, pc=Pc.UNSURE)
-        elif self._rules.abandon_unreadable:
-            after = _answer(after, index, self._rules.outage_says)
-            yield "claim_unavailable", _move(after, index, pc=Pc.GONE)
-        else:
-            after = _answer(after, index, self._rules.outage_says)
-            yield "claim_unavailable", _move(after, index, pc=Pc.HELD)
+        pc = Pc.GONE if self._rules.abandon_unreadable else Pc.HELD
+        for peer, other in enumerate(state.processes):
+            ran = other.pc in (Pc.RAN, Pc.RAN_RECORDED)
+            if ran and self._same_request(peer, index):
+                said = _answer(after, index, peer)
+                yield "peer_says_ran", _move(said, index, pc=pc)
+        after = _answer(after, index, self._rules.outage_says)
+        yield "claim_unavailable", _move(after, index, pc=pc)
+
+    def _same_request(self, one: int, other: int) -> bool:
+        digests = self._bounds.digests
+        same = digests[one] == digests[other]
+        return same or not self._rules.compare_digest
 
     def _found(self, state: State, index: int, claim: Claim) -> Iterator[Step]:
-        digests = self._bounds.digests
-        if (
-            self._rules.compare_digest
-            and digests[claim.owner] != digests[index]
-        ):
+        if not self._same_request(claim.owner, index):
             after = _answer(state, index, "another_request")
             yield "another_request", _move(after, index, pc=Pc.GONE)
             return
@@ -326,18 +363,15 @@
         else:
             after = _answer(state, index, "may_have_run")
             yield "owner_silent", _move(after, index, pc=Pc.GONE)
-        match state.processes[process.owner].pc:
-            case Pc.RAN:
-                after = _answer(state, index, process.owner)
-                yield "owner_says_ran", _move(after, index, pc=Pc.GONE)
-            case Pc.UNKNOWN:
-                after = _answer(state, index, "may_have_run")
-                yield "owner_says_unknown", _move(after, index, pc=Pc.GONE)
-            case Pc.GONE | Pc.ABANDONED | Pc.DONE:
-                # Recorded outcomes may have been dropped from memory.
-                yield "owner_says_absent", _move(state, index, pc=Pc.CLAIMING)
-            case Pc.SENT if not self._rules.remember_sent:
-                yield "owner_says_absent", _move(state, index, pc=Pc.CLAIMING)
+        owner = state.processes[process.owner].pc
+        if owner in (Pc.RAN, Pc.RAN_RECORDED):
+            after = _answer(state, index, process.owner)
+            yield "owner_says_ran", _move(after, index, pc=Pc.GONE)
+        if owner in (Pc.UNKNOWN, Pc.UNKNOWN_RECORDED):
+            after = _answer(state, index, "may_have_run")
+            yield "owner_says_unknown", _move(after, index, pc=Pc.GONE)
+        if owner in self._absent:
+            yield "owner_says_absent", _move(state, index, pc=Pc.CLAIMING)
 
     def _give_up(self, state: State, index: int) -> Iterator[Step]:
         """The caller's deadline passes, or it leaves, before the claim."""
@@ -360,7 +394,7 @@
         yield "checks_passed", _move(state, index, pc=Pc.READY)
         after = _answer(state, index, "not_run")
         pc = Pc.ABANDONED if self._rules.abandon_for_good else Pc.HELD
-        yield "deadline_abandoned", _move(after, index, pc=pc)
+        yield "call_abandoned", _move(after, index, pc=pc)
 
     def _dispatch(self, state: State, index: int) -> Iterator[Step]:
         after = state._replace(travelling=state.travelling | {index})
@@ -388,26 +422,28 @@
         if state.processes[index].pc is Pc.SENT:
             yield "server_refuses", _move(after, index, pc=Pc.HELD)
         else:
-            yield "server_refuses", after
+            yield "server_refuses_nobody", after
 
     def _record(self, state: State, index: int) -> Iterator[Step]:
         process = state.processes[index]
         outcome, end = {
-            Pc.RAN: ("ran", Pc.DONE),
-            Pc.UNKNOWN: ("unknown", Pc.DONE),
+            Pc.RAN: ("ran", Pc.RAN_RECORDED),
+            Pc.UNKNOWN: ("unknown", Pc.UNKNOWN_RECORDED),
             Pc.ABANDONED: ("not_run", Pc.GONE),
         }[process.pc]
         claim = Claim(index, outcome)
+        abandoned = process.pc is Pc.ABANDONED
+        label = "record_abandoned" if abandoned else "record"
         if process.current:
             after = _write(state, claim, index)
-            yield "record", _move(after, index, pc=end)
+            yield label, _move(after, index, pc=end)
             unanswered = state._replace(late=state.late | {Late(claim)})
-            if process.pc is Pc.ABANDONED:
+            if abandoned:
                 unanswered = _move(unanswered, index, pc=end)
             yield "record_unanswered", unanswered
         else:
             # Its own late write, or the claim is no longer its own.
-            yield "record_conflict", _move(state, index, pc=end)
+            yield label, _move(state, index, pc=end)
 
 
 def _write(state: State, claim: Claim | None, writer: int | None) -> State:
@@ -438,3 +474,38 @@
     ready = any(process.pc is Pc.READY for process in state.processes)
     denied = state.denied or (answer == "not_run" and (may_run or ready))
     return state._replace(answers=tuple(answers), denied=denied)
+
+
+def accepts(
+    bounds: Bounds, trace: list[tuple[str, int]]
+) -> tuple[str, int] | None:
+    """Replay the recorded steps of a real run; return the first that can't be.
+
+    A step is a log line's name and the process that wrote it. Steps that no
+    process logs may happen between any two of the trace.
+    """
+    steps = _Steps(bounds, _DEFAULT_RULES)
+    reached = _closure({protocol(bounds).initial}, steps)
+    for step in trace:
+        label = f"{step[0]}({step[1]})"
+        reached = {
+            after
+            for state in reached
+            for name, after in steps.all(state)
+            if name == label
+        }
+        if not reached:
+            return step
+        reached = _closure(reached, steps)
+    return None
+
+
+def _closure(reached: set[State], steps: _Steps) -> set[State]:
+    """Add all states that steps without a log line lead to."""
+    pending = list(reached)
+    while pending:
+        for name, after in steps.all(pending.pop()):
+            if name.split("(")[0] not in LOGGED and after not in reached:
+                reached.add(after)
+                pending.append(after)
+    return reached
--- a/src/geraniumlink/_claims.py
+++ b/src/geraniumlink/_claims.py
@@ -106,7 +106,9 @@
         never be used to send the call.
         """
         problem = ""
-        for _ in range(_WRITE_ATTEMPTS):
+        # When the API is known not to answer, once is enough.
+        attempts = _WRITE_ATTEMPTS if self._objects.reachable else 1
+        for _ in range(attempts):
             try:
                 written = await self._put(claim, if_version)
                 return Held(written.version)
--- a/src/geraniumlink/_once.py
+++ b/src/geraniumlink/_once.py
@@ -245,7 +245,7 @@
         while choice.backend and len(tried) < _attempts.MAX_ATTEMPTS:
             # Checked right before sending: the process may have been frozen.
             if self._over(run):
-                _resolution.log("deadline_abandoned", run)
+                _resolution.log("call_abandoned", run)
                 not_run = _refusals.Execution.NOT_RUN
                 return _not_run(run, _call_refusals.deadline_passed(not_run))
             tried.append(choice.backend.key)
@@ -267,6 +267,7 @@
                     _resolution.log("server_refuses", run)
                     run.dispatched = False
             choice = self._attempts.choose(request.service, tried)
+        _resolution.log("call_abandoned", run)
         refusal = _attempts.no_server(
             request.service, choice, tried, _refusals.Execution.NOT_RUN
         )
--- a/src/geraniumlink/_resolution.py
+++ b/src/geraniumlink/_resolution.py
@@ -25,13 +25,6 @@
 
 # Peers that are asked for a key while the object API is out.
 MAX_ASKED = 8
-_STEP_OF_REPLY = {
-    _claim_peers.Running: "deadline_unclaimed",
-    _claim_peers.Absent: "owner_says_absent",
-    _claim_peers.Ended: "owner_says_ended",
-    _claim_peers.Silent: "owner_silent",
-    _claim_peers.Restarted: "owner_silent",
-}
 
 
 class TakeOver(typing.NamedTuple):
@@ -87,7 +80,7 @@
             reply = await self._ask_until_ended(
                 run, address, ask, found.owner.boot_id
             )
-        log(_STEP_OF_REPLY[type(reply)], run)
+        log(_step_of(reply), run)
         return _from_reply(reply, run.claim.digest)
 
     async def _ask_until_ended(
@@ -117,6 +110,10 @@
                     self._ask_one, run, address, found, group.cancel_scope
                 )
         if found:
+            if isinstance(found[0].outcome, _answers.Ran):
+                log("peer_says_ran", run)
+            else:
+                log("claim_unavailable", run, problem=problem)
             return found[0]
         log("claim_unavailable", run, problem=problem)
         return _runs.Settled(_call_refusals.no_api(problem))
@@ -145,6 +142,19 @@
     _logs.event(step, claim=run.claim.name, nonce=run.claim.nonce, **fields)
 
 
+def _step_of(reply: _claim_peers.Reply) -> str:
+    match reply:
+        case _claim_peers.Running():
+            return "deadline_unclaimed"
+        case _claim_peers.Absent():
+            return "owner_says_absent"
+        case _claim_peers.Ended(_, _answers.Ran()):
+            return "owner_says_ran"
+        case _claim_peers.Ended():
+            return "owner_says_unknown"
+    return "owner_silent"
+
+
 def replay(kept: _claims.Claim, digest: str) -> _runs.Settled:
     if kept.digest != digest:
         return _runs.Settled(_call_refusals.another_request())
--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -1,11 +1,15 @@
 """Every refusal of a fault run agrees with the backend servers' records.
 
+The instances' own log lines are steps that the model of claims accepts.
+
 Callers send calls, and send them again, while instances are frozen, thawed,
 killed and started, the object API is out or loses answers, and servers
 refuse or lose answers. The faults are drawn from a seed.
 """
 
 import base64
+import contextlib
+import json
 import random
 import time
 import typing
@@ -14,6 +18,7 @@
 import httpcore
 import pytest
 
+from specs import claims
 from tests import builders
 
 pytestmark = pytest.mark.anyio
@@ -25,6 +30,8 @@
 TIMEOUT_MS = 1500
 # A caller that waited this long takes its attempt for lost.
 LOST_S = 2.5
+# Attempts under one key that the model is asked to accept.
+MAX_MODELLED = 3
 
 
 class Attempt(typing.NamedTuple):
@@ -208,6 +215,22 @@
     return found
 
 
+def traces(fleet):
+    """Return, by claim, the steps that were logged and by which attempt."""
+    lines = []
+    for instance in fleet.instances:
+        for line in instance.log.read_text().splitlines():
+            with contextlib.suppress(ValueError):
+                lines.append(json.loads(line))
+    found = {}
+    for line in sorted(lines, key=lambda line: line["timestamp"]):
+        if line["message_type"] in claims.LOGGED:
+            attempts, steps = found.setdefault(line["claim"], ({}, []))
+            number = attempts.setdefault(line["nonce"], len(attempts))
+            steps.append((line["message_type"], number))
+    return list(found.values())
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 async def test_no_call_runs_twice_and_no_refusal_is_false(fleet, seed):
     fault_run = FaultRun(fleet, seed)
@@ -219,6 +242,13 @@
     assert [key for key in once if len(runs[key]) > 1] == []
     for key, attempts in by_key.items():
         assert falsehoods(attempts, runs[key]) == []
+    accepted = 0
+    for nonces, steps in traces(fleet):
+        if len(nonces) <= MAX_MODELLED:
+            bounds = claims.Bounds((0,) * len(nonces), kills=len(nonces))
+            assert claims.accepts(bounds, steps) is None, steps
+            accepted += 1
+    assert accepted > len(once) / 2
     # The run met what it is meant to judge.
     said = {attempt.execution for attempt in fault_run.attempts}
     assert {"NOT_RUN", "MAY_HAVE_RUN"} <= said
--- a/tests/test_specs_claims.py
+++ b/tests/test_specs_claims.py
@@ -63,3 +63,15 @@
     # A counterexample is one however little else was explored.
     result = minicheck.check_safety(model, MUTANT_STATES)
     assert result["properties"][broken]["holds"] is False
+
+
+def test_a_recorded_trace_is_accepted_only_if_the_model_has_it():
+    dispatched = [("claim_held", 0), ("call_dispatched", 0)]
+    silent = [("claim_found", 1), ("owner_silent", 1)]
+    overtaken = [("claim_held", 1), ("call_dispatched", 1)]
+    assert claims.accepts(PLAIN, dispatched + silent) is None
+    rejected = claims.accepts(PLAIN, dispatched + overtaken)
+    assert rejected == ("claim_held", 1)
+    again = [("call_abandoned", 0), ("call_dispatched", 0)]
+    rejected = claims.accepts(PLAIN, dispatched[:1] + again)
+    assert rejected == ("call_dispatched", 0)
