--- a/src/geraniumlink/_call_refusals.py
+++ b/src/geraniumlink/_call_refusals.py
@@ -45,13 +45,13 @@
     )
 
 
-def no_api(problem: str) -> _refusals.Refusal:
+def no_claim(problem: str) -> _refusals.Refusal:
     # The call was not sent from here; whether it was sent earlier from
     # elsewhere is in the claim, which can't be read.
     return _refusals.Refusal(
         _refusals.Code.UNAVAILABLE,
-        f"the object API does not answer ({problem}): this attempt was not"
-        " sent, and whether an earlier one under the key ran is not known;"
+        f"the key's claim can't be had from the object API ({problem}): this"
+        " attempt was not sent, and whether an earlier one ran is not known;"
         " send the same key again",
         _MAY_HAVE_RUN,
         RETRY_AFTER_MS,
--- a/src/geraniumlink/_resolution.py
+++ b/src/geraniumlink/_resolution.py
@@ -116,7 +116,7 @@
                 log("claim_unavailable", run, problem=problem)
             return found[0]
         log("claim_unavailable", run, problem=problem)
-        return _runs.Settled(_call_refusals.no_api(problem))
+        return _runs.Settled(_call_refusals.no_claim(problem))
 
     async def _ask_one(
         self,
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -10,6 +10,11 @@
 import httpcore
 import pytest
 
+from geraniumlink import _claims
+from geraniumlink import _keys
+from geraniumlink import _once
+from geraniumlink._schema import geraniumlink_pb2 as pb
+from standins import fleet as fleets
 from tests import builders
 
 pytestmark = pytest.mark.anyio
@@ -326,6 +331,36 @@
     assert await site.runs(old) == 0
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        pytest.param({}, id="owner cut off from its peers"),
+        pytest.param({"outcome": "a newer word"}, id="newer schema"),
+        pytest.param({"owner": None}, id="corrupt"),
+        pytest.param({"owner": {"name": "i9"}}, id="part of an owner"),
+    ],
+)
+async def test_a_claim_that_tells_nothing_is_not_overtaken(fleet, change):
+    site = await Site(fleet, instances=2).start()
+    text = builders.key()
+    key = _keys.Key(text, int(text.split("-")[0]))
+    request = pb.CallRequest(**builders.booking(text) | {"body": b""})
+    owner = _claims.Owner("i9", "boot", f"127.0.0.1:{fleets.free_port()}")
+    digest = _once.digest_of(request)
+    claim = _claims.Claim("booking", key, digest, owner, "nonce")
+    await fleet.post(
+        site.api,
+        f"/objects/{claim.kind}/{claim.name}?if_version=0",
+        _claims.to_json(claim) | change,
+        "PUT",
+    )
+    for instance in fleet.instances:
+        refused = await site.call(instance, text, body="")
+        assert execution(refused) == "MAY_HAVE_RUN"
+        assert int(refused.body["retry_after_ms"]) > 0
+    assert await site.runs(text) == 0
+
+
 async def test_a_connection_that_broke_after_sending_is_final(fleet):
     site = await Site(fleet, servers=2).start()
     key = builders.key()
