--- a/src/geraniumlink/_once.py
+++ b/src/geraniumlink/_once.py
@@ -152,6 +152,8 @@
         finally:
             if run.outcome is None:
                 self._fail(run)
+        # It may be large, and recording may take as long as an outage.
+        del request
         if run.dispatched:
             await self._record(run)
             self._runs.remove(run)
