--- a/src/geraniumlink/_http.py
+++ b/src/geraniumlink/_http.py
@@ -23,6 +23,14 @@
     """The request did not leave this process."""
 
 
+class GoneError(NotSentError):
+    """Nobody listens at the address: the connection was refused."""
+
+
+class NoConnectionError(NotSentError):
+    """This process has no connection free; it says nothing of the server."""
+
+
 class BrokenError(Exception):
     """The request left this process and no whole answer came back."""
 
@@ -159,10 +167,28 @@
         httpcore.ConnectTimeout,
         httpcore.PoolTimeout,
     ) as error:
-        raise NotSentError(str(error) or type(error).__name__) from error
+        raise _not_sent(error) from error
     except (
         httpcore.TimeoutException,
         httpcore.NetworkError,
         httpcore.ProtocolError,
     ) as error:
         raise BrokenError(str(error) or type(error).__name__) from error
+
+
+def _not_sent(error: Exception) -> NotSentError:
+    text = str(error) or type(error).__name__
+    if isinstance(error, httpcore.PoolTimeout):
+        return NoConnectionError(text)
+    if _was_refused(error):
+        return GoneError(text)
+    return NotSentError(text)
+
+
+def _was_refused(error: BaseException | None) -> bool:
+    """Look for the refusal under what the libraries wrapped round it."""
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__ or error.__context__
+    return False
--- a/src/geraniumlink/_inference.py
+++ b/src/geraniumlink/_inference.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import contextlib
+import hashlib
+import random
 import typing
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
 
 import anyio
 import expression
@@ -19,6 +21,8 @@
 from geraniumlink import _refusals
 from geraniumlink import _routing
 from geraniumlink import _streams
+from geraniumlink import _suspects
+from geraniumlink import _suspicions
 from geraniumlink._schema import geraniumlink_pb2 as pb
 
 DEFAULT_TIMEOUT_MS = 60_000
@@ -27,9 +31,24 @@
 MAX_MAX_TOKENS = 8192
 MAX_PROMPT_BYTES = 256 * 1024
 MAX_ATTEMPTS = 4
-# An engine that is silent for this long between tokens has stalled.
-STALL_MS = 10_000
+# An engine that is silent for this long has stalled: before the first token,
+# where a request may wait its turn, and between tokens.
+FIRST_TOKEN_MS = 10_000
+STALL_MS = 3000
+# How long an engine may take to close a stream that has its explicit end.
+# The connection can then be used again.
+CLOSE_MS = 50
 RETRY_AFTER_MS = 1000
+# A request that could bring a server down may run on these servers only,
+# until one like it has completed.
+HOMES = 2
+# Homes that have this much more than the mean of own requests are left by
+# requests that are known to complete. Source: V. Mirrokni et al.,
+# "Consistent Hashing with Bounded Loads", SODA 2018.
+HOME_LOAD_BOUND = 1.25
+# Waiting for a server that a suspect has to itself: first and longest pause.
+_FIRST_PAUSE_MS = 50
+_LONGEST_PAUSE_MS = 800
 
 
 class Tokens(typing.NamedTuple):
@@ -54,6 +73,7 @@
         client: _http.Client,
         clock: _clock.Clock,
         metrics: _metrics.Metrics,
+        suspects: _suspects.Suspects,
     ) -> None:
         self._configuration = configuration
         self._backends = backends
@@ -61,6 +81,7 @@
         self._client = client
         self._clock = clock
         self._metrics = metrics
+        self._suspects = suspects
 
     async def serve(
         self, request: pb.GenerateRequest, request_id: str, emit: Emit
@@ -98,21 +119,125 @@
         self._request_id = request_id
         self._emit = emit
         self._reassembly = _streams.Reassembly(request_id)
+        self._suspects = inference._suspects
+        # Not of the request id: a request sent again is recognised.
+        self._fingerprint = _suspicions.fingerprint(
+            request.model, request.adapter, request.prompt
+        )
         self.execution = _refusals.Execution.NOT_RUN
 
     async def attempts(self) -> Outcome:
         tried: list[_backends.Key] = []
         for _ in range(MAX_ATTEMPTS):
-            choice = self._choose(tried)
+            choice = await self._admit(tried)
+            if self._is_refused():
+                return expression.Error(self._refused_finally())
             if choice.backend is None:
                 return expression.Error(self._no_server(choice, tried))
             tried.append(choice.backend.key)
             if await self._attempt(choice.backend):
                 end = _streams.End(self._request_id, self._reassembly.offset)
                 return expression.Ok(end)
+        if self._is_refused():
+            return expression.Error(self._refused_finally())
         return expression.Error(self._gave_up())
 
+    def _is_refused(self) -> bool:
+        standing = self._suspects.standing(self._fingerprint)
+        return standing is _suspects.Standing.CONFIRMED
+
+    def _refused_finally(self) -> _refusals.Refusal:
+        self.execution = _refusals.Execution.MAY_HAVE_RUN
+        return _suspects.refusal()
+
+    async def _admit(self, tried: list[_backends.Key]) -> _routing.Choice:
+        """Choose a server; a suspect waits until it has one to itself."""
+        pause_ms = _FIRST_PAUSE_MS
+        while True:
+            match self._suspects.standing(self._fingerprint):
+                case _suspects.Standing.CLEAR:
+                    return self._choose(tried)
+                case _suspects.Standing.CONFIRMED:
+                    return _routing.Choice(None, True)
+            choice = self._choose_apart(tried)
+            if choice.backend is None and not self._occupied():
+                return choice
+            if choice.backend is not None and await self._suspects.reserve(
+                self._fingerprint, choice.backend.declared.address
+            ):
+                return choice
+            await self._inference._clock.sleep(
+                pause_ms * random.uniform(0.5, 1)
+            )
+            pause_ms = min(2 * pause_ms, _LONGEST_PAUSE_MS)
+
     def _choose(self, tried: list[_backends.Key]) -> _routing.Choice:
+        """Choose for a request that is not a suspect.
+
+        It keeps away from servers that run a suspect, and at first it keeps
+        to its homes, while other servers than those are not needed.
+        """
+        occupied = self._occupied()
+        for avoided in (occupied + self._away(tried), occupied):
+            choice = self._route(tried + avoided)
+            if choice.backend is not None:
+                return choice
+        return self._route(tried)
+
+    def _choose_apart(self, tried: list[_backends.Key]) -> _routing.Choice:
+        """Choose an idle server if there is one, else one without suspect."""
+        occupied = self._occupied()
+        busy = [
+            backend.key
+            for backend in self._servers()
+            if backend.in_flight
+            or (backend.report is not None and backend.report.in_flight)
+        ]
+        choice = self._route(tried + occupied + busy)
+        if choice.backend is not None:
+            return choice
+        return self._route(tried + occupied)
+
+    def _servers(self) -> list[_backends.Backend]:
+        return self._inference._backends.of(self._deployment.name)
+
+    def _occupied(self) -> list[_backends.Key]:
+        addresses = self._suspects.occupied()
+        if not addresses:
+            return []
+        return [
+            backend.key
+            for backend in self._servers()
+            if backend.declared.address in addresses
+        ]
+
+    def _away(self, tried: list[_backends.Key]) -> list[_backends.Key]:
+        """Return the servers that are not homes of this request.
+
+        The same request sent through several instances at once so meets
+        two servers at most. The homes hold also while they are down.
+        """
+        holders = [
+            backend
+            for backend in self._servers()
+            if backend.holds(self._request.model, self._request.adapter)
+        ]
+        if tried or self._request.session or len(holders) <= HOMES:
+            return []
+        ranked = sorted(holders, key=self._weight)
+        homes, others = ranked[:HOMES], ranked[HOMES:]
+        if self._suspects.is_proven(self._fingerprint):
+            mean = sum(backend.in_flight for backend in holders) / len(holders)
+            least = min(backend.in_flight for backend in homes)
+            if least + 1 > HOME_LOAD_BOUND * (mean + 1):
+                return []
+        return [backend.key for backend in others]
+
+    def _weight(self, backend: _backends.Backend) -> bytes:
+        text = f"{self._fingerprint}\0{backend.key.replica}"
+        return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+    def _route(self, avoided: list[_backends.Key]) -> _routing.Choice:
         wanted = _routing.Wanted(
             self._deployment.name,
             self._request.model,
@@ -120,25 +245,17 @@
             self._request.session,
         )
         now = self._inference._clock.now()
-        return self._inference._router.choose(wanted, tried, now)
+        return self._inference._router.choose(wanted, avoided, now)
 
     async def _attempt(self, backend: _backends.Backend) -> bool:
         """Run or resume on one server; return whether the answer is whole."""
-        outcome = "ok"
         backend.in_flight += 1
+        run = self._suspects.admit(self._fingerprint, backend)
+        outcome = "cancelled"
         try:
-            await self._relay(backend)
-        except _engines.RefusedError as refused:
-            outcome = "refused"
-            if refused.reason == "leaving":
-                backend.refused_as_leaving = True
-        except _http.NotSentError:
-            outcome = "not_sent"
-            backend.mark_unreachable(self._inference._clock.now())
-        except (_http.BrokenError, _streams.BrokenStreamError):
-            outcome = "broken"
-            self.execution = _refusals.Execution.MAY_HAVE_RUN
+            outcome = await self._run(run)
         finally:
+            self._suspects.leave(run)
             backend.in_flight -= 1
             labels = {
                 "deployment": self._deployment.name,
@@ -147,7 +264,39 @@
             self._inference._metrics.attempts.inc(labels)
         return self._reassembly.ended
 
+    async def _run(self, run: _suspects.Run) -> str:
+        """Relay from one server; return the outcome for the metrics."""
+        before = self.execution
+        # Also when the deadline passes before anything came back.
+        self.execution = _refusals.Execution.MAY_HAVE_RUN
+        try:
+            await self._relay(run.backend)
+        except _engines.RefusedError as refused:
+            self.execution = before
+            if refused.reason == "leaving":
+                self._inference._backends.take_refusal(run.backend)
+            return "refused"
+        except _http.NoConnectionError:
+            self.execution = before
+            return "not_sent"
+        except _http.NotSentError:
+            self.execution = before
+            now = self._inference._clock.now()
+            run.backend.mark_unreachable(now)
+            return "not_sent"
+        except _streams.BrokenStreamError:
+            return "broken"
+        except _http.BrokenError:
+            crashed = await self._suspects.crashed(run)
+            return "crashed" if crashed else "broken"
+        if not self._reassembly.ended:
+            # The engine closed the stream without its explicit end.
+            return "cut"
+        self._suspects.completed(run)
+        return "ok"
+
     async def _relay(self, backend: _backends.Backend) -> None:
+        self._reassembly.resume()
         generation = _engines.Generation(
             self._request_id,
             self._request.model,
@@ -158,17 +307,24 @@
             self._reassembly.offset,
         )
         messages = _engines.generate(
-            self._inference._client, backend.address, generation, STALL_MS
+            self._inference._client,
+            backend.address,
+            generation,
+            FIRST_TOKEN_MS,
         )
         async with contextlib.aclosing(messages):
-            async for message in messages:
-                self.execution = _refusals.Execution.MAY_HAVE_RUN
+            silence_ms = FIRST_TOKEN_MS
+            while not self._reassembly.ended:
+                message = await _next(messages, silence_ms)
+                if message is None:
+                    return
+                silence_ms = STALL_MS
                 offset = self._reassembly.offset
                 tokens = self._reassembly.take(message)
                 if tokens:
                     await self._emit(Tokens(offset, tokens))
-                if self._reassembly.ended:
-                    return
+            with contextlib.suppress(_http.BrokenError):
+                await _next(messages, CLOSE_MS)
 
     def _no_server(
         self, choice: _routing.Choice, tried: list[_backends.Key]
@@ -199,6 +355,21 @@
         )
 
 
+async def _next(
+    messages: AsyncGenerator[_streams.Chunk | _streams.End, None],
+    silence_ms: int,
+) -> _streams.Chunk | _streams.End | None:
+    """Return the next message, or None at the end of the stream.
+
+    :raises _http.BrokenError: if none comes within ``silence_ms``.
+    """
+    try:
+        with anyio.fail_after(silence_ms / 1000):
+            return await anext(messages, None)
+    except TimeoutError as error:
+        raise _http.BrokenError(f"silent for {silence_ms} ms") from error
+
+
 def check(request: pb.GenerateRequest) -> _findings.Findings:
     """Collect the faults of a request."""
     findings = _findings.Findings()
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -10,6 +10,8 @@
     |- heartbeat     exchange with one peer              started again
     |- instance_list platform's list of instances        started again
     |- reports       reports of backend servers          started again
+    |- suspects      news of crashes to and from peers   started again
+    |- leaving       news of leaving servers to peers    started again
     `- signals       SIGTERM and SIGINT begin shutdown   fails the instance
 """
 
@@ -27,6 +29,7 @@
 from geraniumlink import _configuration
 from geraniumlink import _http
 from geraniumlink import _inference
+from geraniumlink import _leaving
 from geraniumlink import _logs
 from geraniumlink import _membership
 from geraniumlink import _metrics
@@ -40,7 +43,13 @@
 from geraniumlink import _service_methods
 from geraniumlink import _settings
 from geraniumlink import _supervisor
+from geraniumlink import _suspects
 from geraniumlink import _sync
+from geraniumlink import _telling
+
+
+# How long a peer's message in progress is waited for at the very end.
+_PEERS_STOP_MS = 2000
 
 
 class Instance:
@@ -52,6 +61,9 @@
         source = random.Random()
         self._metrics = _metrics.Metrics()
         self._client = _http.Client()
+        # Of its own, so that many requests can't keep control waiting; large
+        # enough that a request never waits for a connection.
+        self._requests_client = _http.Client(settings.max_requests + 64)
         self._configuration = _configuration.Configuration()
         self._objects = _objects.ObjectApi(self._client, settings.object_api)
         self._membership = _membership.Membership(
@@ -68,6 +80,11 @@
             self._clock,
             self._backends.refresh,
         )
+        teller = _telling.Teller(self._membership, self._client, source)
+        self._suspects = _suspects.Suspects(
+            self._client, self._clock, teller, self._metrics
+        )
+        self._leaving = _leaving.Leaving(self._backends, teller)
         router = _routing.Router(self._backends, source)
         self._rpc = _rpc.Server(
             self._methods(router),
@@ -78,11 +95,17 @@
             self._metrics,
         )
         self._peers = _peers.PeerServer(
-            self._configuration, self._membership, self._metrics, self._ready
+            self._configuration,
+            self._membership,
+            self._metrics,
+            self._ready,
+            [*self._suspects.routes, *self._leaving.routes],
+        )
+        self._listener = _server.Listener(
+            self._rpc, settings.address, self._clock
         )
-        self._listener = _server.Listener(self._rpc, settings.address)
         self._peer_listener = _server.Listener(
-            self._peers.application, settings.peer_address
+            self._peers.application, settings.peer_address, self._clock
         )
 
     def _methods(self, router: _routing.Router) -> _rpc.Methods:
@@ -94,9 +117,10 @@
                 self._configuration,
                 self._backends,
                 router,
-                self._client,
+                self._requests_client,
                 self._clock,
                 self._metrics,
+                self._suspects,
             ),
             _calls.Calls(
                 self._configuration, router, self._client, self._clock
@@ -118,6 +142,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._stop_on_signal, group.cancel_scope)
             await _supervisor.supervise(self._children(), self._clock)
+        await self._requests_client.close()
         await self._client.close()
         _logs.event("stopped")
 
@@ -136,6 +161,11 @@
             child("heartbeat", self._heartbeat),
             child("instance_list", self._follow_instance_list),
             child("reports", lambda: self._backends.poll(settings.report_ms)),
+            child(
+                "suspects",
+                lambda: self._suspects.keep_told(settings.heartbeat_ms),
+            ),
+            child("leaving", self._leaving.keep_told),
         ]
 
     async def _heartbeat(self) -> None:
@@ -153,19 +183,29 @@
         self._metrics.api_reachable.set({}, int(self._objects.reachable))
 
     async def _follow_instance_list(self) -> None:
+        listed: list[_platform.Listed] = []
         while True:
-            listed = await _platform.list_instances(
+            answer = await _platform.list_instances(
                 self._client, self._settings.instance_list
             )
-            if listed is not None:
-                self._membership.take_list(
-                    {
-                        entry.name: entry.peer_address
-                        for entry in listed
-                        if entry.state == "live"
-                    }
-                )
-            await self._clock.sleep(5 * self._settings.heartbeat_ms)
+            # While the list is down its last word is judged anew all the
+            # same: the servers that stood in may have gone.
+            listed = listed if answer is None else answer
+            self._take_list(listed)
+            await self._clock.sleep(2 * self._settings.heartbeat_ms)
+
+    def _take_list(self, listed: list[_platform.Listed]) -> None:
+        self._backends.take_list(
+            entry.address for entry in listed if entry.state == "leaving"
+        )
+        self._membership.take_list(
+            {
+                entry.name: entry.address
+                for entry in listed
+                if entry.state == "live"
+                and not self._backends.find(entry.address)
+            }
+        )
 
     def _ready(self) -> bool:
         return self._sync.loaded and not self._rpc.closing
@@ -192,7 +232,31 @@
         self._membership.leave()
         await self._clock.sleep(self._settings.drain_lag_ms)
         self._listener.stop()
-        while self._rpc.in_flight:
-            await self._clock.sleep(50)
+        await self._finish_answers()
         self._peer_listener.stop()
-        await self._clock.sleep(200)
+        with anyio.move_on_after(_PEERS_STOP_MS / 1000):
+            await self._peer_listener.stopped()
+
+    async def _finish_answers(self) -> None:
+        """Wait until callers have every answer; each has its deadline.
+
+        An answer that was made is in a buffer of this process until its
+        caller has read enough; a caller that reads nothing is not waited
+        for beyond a bound.
+        """
+        idle_since = self._clock.now()
+        with anyio.CancelScope() as scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._cancel_when_stopped, scope)
+                while True:
+                    await self._clock.sleep(50)
+                    now = self._clock.now()
+                    if self._rpc.in_flight:
+                        idle_since = now
+                    elif now - idle_since > _server.FLUSH_MS:
+                        _logs.event("answers_not_read")
+                        scope.cancel()
+
+    async def _cancel_when_stopped(self, scope: anyio.CancelScope) -> None:
+        await self._listener.stopped()
+        scope.cancel()
--- /dev/null
+++ b/src/geraniumlink/_leaving.py
@@ -0,0 +1,108 @@
+"""Tells peers which backend servers said that they are leaving.
+
+A message is a bounded list of processes, sent once at the first sign. Those
+for whom it is news pass it on to a few more, so that it reaches all of a
+fleet that is larger than one message's receivers.
+Source: A. Demers et al., "Epidemic Algorithms for Replicated Database
+Maintenance", PODC 1987.
+"""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import anyio
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from geraniumlink import _backends
+from geraniumlink import _logs
+from geraniumlink import _peers
+from geraniumlink import _suspicions
+from geraniumlink import _telling
+
+PATH = "/leaving"
+MAX_SERVERS = 64
+_PASSED_ON_TO = 3
+
+
+class Server(typing.NamedTuple):
+    """One process of a backend server."""
+
+    address: str
+    boot_id: str
+
+
+class Message(typing.TypedDict):
+    """What one instance tells the others."""
+
+    servers: list[list[str]]
+
+
+class Leaving:
+    """Passes the word on, and takes it from peers."""
+
+    def __init__(
+        self, backends: _backends.Backends, teller: _telling.Teller
+    ) -> None:
+        self._backends = backends
+        self._teller = teller
+        self._own: list[Server] = []
+        self._heard: list[Server] = []
+        self._wake = anyio.Event()
+        backends.on_leaving = self._notice
+
+    @property
+    def routes(self) -> list[routing.Route]:
+        return [routing.Route(PATH, self._receive, methods=["POST"])]
+
+    async def keep_told(self) -> None:
+        """Send what is new, for ever."""
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            await self._send(self._own, _telling.MAX_TOLD)
+            await self._send(self._heard, _PASSED_ON_TO)
+
+    async def _send(self, servers: list[Server], count: int) -> None:
+        while servers:
+            batch = servers[:MAX_SERVERS]
+            del servers[: len(batch)]
+            message = Message(servers=[list(server) for server in batch])
+            await self._teller.tell(PATH, message, count)
+
+    def _notice(self, backend: _backends.Backend) -> None:
+        if backend.report is None:
+            return
+        self._own.append(
+            Server(backend.declared.address, backend.report.boot_id)
+        )
+        self._wake.set()
+
+    async def _receive(self, request: requests.Request) -> responses.Response:
+        try:
+            message = json.loads(await _peers.bounded_body(request))
+            servers = _read(message["servers"])
+        except (ValueError, KeyError, TypeError) as error:
+            _logs.event("bad_leaving", error=str(error))
+            return responses.JSONResponse({"error": str(error)}, 400)
+        news = [
+            server for server in servers if self._backends.take_word(*server)
+        ]
+        if news:
+            self._heard += news
+            self._wake.set()
+        return responses.JSONResponse({})
+
+
+def _read(fields: typing.Any) -> list[Server]:
+    if not isinstance(fields, list) or len(fields) > MAX_SERVERS:
+        raise ValueError(f"not a list of at most {MAX_SERVERS} servers")
+    servers = []
+    for pair in fields:
+        if not isinstance(pair, list) or len(pair) != 2:
+            raise ValueError("not an address and a boot id")
+        servers.append(Server(*map(_suspicions.check_text, pair)))
+    return servers
--- a/src/geraniumlink/_platform.py
+++ b/src/geraniumlink/_platform.py
@@ -15,7 +15,8 @@
     """One entry: an instance of the system or a backend server."""
 
     name: str
-    peer_address: str
+    # Of an instance its address for peers.
+    address: str
     # live or leaving.
     state: str
 
@@ -35,12 +36,12 @@
         return [_read(entry) for entry in answer.json()["instances"]]
     except (_http.NotSentError, _http.BrokenError) as error:
         _logs.event("instance_list_unavailable", error=str(error))
-    except (KeyError, TypeError, ValueError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
         _logs.event("bad_instance_list", error=repr(error))
     return None
 
 
 def _read(entry: typing.Any) -> Listed:
     listed = Listed(entry["name"], entry["address"], entry["state"])
-    _settings.parse_address(listed.peer_address)
+    _settings.parse_address(listed.address)
     return listed
--- a/src/geraniumlink/_streams.py
+++ b/src/geraniumlink/_streams.py
@@ -1,12 +1,17 @@
-"""Puts the chunks of one answer in order, and tells whole from cut."""
+"""Puts the chunks of one answer in order, and tells whole from cut.
+
+What is handed out is always a prefix of the answer. Nothing is handed out
+from a stream that contradicts itself: there is no telling which side of the
+contradiction is true.
+"""
 
 from __future__ import annotations
 
 import typing
 
-# An engine that leaves a longer gap open has lost chunks; the answer is then
-# resumed at the gap.
-MAX_WAITING_CHUNKS = 64
+# An engine that leaves more tokens than this behind a gap has lost chunks;
+# the answer is then resumed at the gap.
+MAX_WAITING_TOKENS = 1024
 
 
 class Chunk(typing.NamedTuple):
@@ -36,10 +41,11 @@
     is missing.
     """
 
-    def __init__(self, request_id: str, offset: int = 0) -> None:
+    def __init__(self, request_id: str) -> None:
         self._request_id = request_id
-        self._offset = offset
-        self._waiting: dict[int, tuple[str, ...]] = {}
+        self._offset = 0
+        # Tokens behind a gap, by their place in the answer.
+        self._waiting: dict[int, str] = {}
         self._end: int | None = None
         self._foreign = 0
 
@@ -57,10 +63,20 @@
         """Chunks dropped because they belong to another request."""
         return self._foreign
 
+    def resume(self) -> None:
+        """Begin with another stream of the same answer at ``offset``.
+
+        What the former stream left behind a gap, and its end, are dropped:
+        that stream broke, so its word is not held against the next one.
+        """
+        self._waiting.clear()
+        self._end = None
+
     def take(self, message: Chunk | End) -> tuple[str, ...]:
         """Return the tokens that are now in order, perhaps none.
 
-        :raises BrokenStreamError: if the answer can't become whole.
+        :raises BrokenStreamError: if the answer can't become whole; no
+            token of this message has then been counted in ``offset``.
         """
         if message.request_id != self._request_id:
             self._foreign += 1
@@ -73,37 +89,36 @@
         return self._release()
 
     def _keep(self, chunk: Chunk) -> None:
-        if chunk.offset + len(chunk.tokens) <= self._offset:
-            return
-        known = self._waiting.get(chunk.offset, ())
-        if len(chunk.tokens) > len(known):
-            self._waiting[chunk.offset] = chunk.tokens
-        if len(self._waiting) > MAX_WAITING_CHUNKS:
-            raise BrokenStreamError(
-                f"tokens from {self._offset} on never arrived"
-            )
+        if chunk.offset < 0:
+            raise BrokenStreamError(f"a chunk lies at {chunk.offset}")
+        last = chunk.offset + len(chunk.tokens)
+        if self._end is not None and last > self._end:
+            raise BrokenStreamError("tokens lie after the end")
+        for place, token in enumerate(chunk.tokens, start=chunk.offset):
+            # A resumed engine may repeat tokens that were handed out.
+            if place < self._offset:
+                continue
+            if self._waiting.setdefault(place, token) != token:
+                raise BrokenStreamError(f"two tokens at {place} disagree")
 
     def _take_end(self, end: End) -> None:
         if self._end not in (None, end.token_count):
             raise BrokenStreamError("two ends disagree")
         if end.token_count < self._offset:
             raise BrokenStreamError("the end lies before tokens received")
+        if any(place >= end.token_count for place in self._waiting):
+            raise BrokenStreamError("tokens lie after the end")
         self._end = end.token_count
 
     def _release(self) -> tuple[str, ...]:
         released: list[str] = []
-        while (found := self._next_waiting()) is not None:
-            tokens = self._waiting.pop(found)
-            # A resumed engine may repeat tokens that were handed out.
-            fresh = tokens[self._offset - found :]
-            released += fresh
-            self._offset += len(fresh)
-        if self._end is not None and self._offset > self._end:
-            raise BrokenStreamError("tokens lie after the end")
+        while (token := self._waiting.pop(self._offset, None)) is not None:
+            released.append(token)
+            self._offset += 1
+        if len(self._waiting) > MAX_WAITING_TOKENS:
+            # The tokens released just now are lost with the exception.
+            self._offset -= len(released)
+            raise BrokenStreamError(
+                f"tokens from {self._offset} on never arrived"
+            )
         return tuple(released)
-
-    def _next_waiting(self) -> int | None:
-        for offset in sorted(self._waiting):
-            if offset <= self._offset:
-                return offset
-        return None
--- /dev/null
+++ b/src/geraniumlink/_suspects.py
@@ -0,0 +1,465 @@
+"""Finds and confines the requests that crash backend servers.
+
+When a backend server goes while requests of this instance are in flight
+there, each of them is a suspect. A suspect runs once at a time in the whole
+fleet and as the only suspect on its server, so that a second crash has one
+request in common with the first and not many. After the second crash it is
+refused. docs/design/crash-suspicion.md states the rules and their limits.
+
+Who may run a suspect is agreed among the instances that can reach each
+other, without the object API: an instance asks all others and goes ahead
+when none objects; of two that ask at once the lower name wins.
+Source: G. Ricart, A. Agrawala, "An Optimal Algorithm for Mutual Exclusion in
+Computer Networks", CACM 1981.
+"""
+
+from __future__ import annotations
+
+import collections
+import json
+import typing
+
+import anyio
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from geraniumlink import _backends
+from geraniumlink import _clock
+from geraniumlink import _engines
+from geraniumlink import _http
+from geraniumlink import _logs
+from geraniumlink import _metrics
+from geraniumlink import _peers
+from geraniumlink import _refusals
+from geraniumlink import _suspicions
+from geraniumlink import _telling
+
+PATH = "/suspicions"
+# A trial counts for no longer, should its end never be heard of.
+TRIAL_MS = 60_000
+MAX_PROVEN = 4096
+MAX_ENDED = 64
+_PROBES = 3
+_PROBE_PAUSE_MS = 50
+_MAX_KNOWN_CRASHES = 256
+Standing = _suspicions.Standing
+
+
+class Run(typing.NamedTuple):
+    """A request in flight on one process of a backend server."""
+
+    number: int
+    fingerprint: str
+    backend: _backends.Backend
+    # The crash that it would be.
+    process: _suspicions.Crash
+
+
+class Trial(typing.NamedTuple):
+    """A suspect that runs, or is about to, on a server of its own."""
+
+    fingerprint: str
+    address: str
+    holder: str
+    # Tells the holder's trials apart, so that a late end does no harm.
+    number: int
+    until: int
+    # False while peers are still being asked.
+    running: bool
+
+
+class Message(typing.TypedDict):
+    """What one instance tells or asks the others."""
+
+    sender: str
+    suspicions: list[list]
+    # The trial that is asked for: one, or none.
+    trials: list[list]
+    # The sender's trials that are over.
+    ended: list[list]
+    # Whether the answer is to have all that the receiver knows.
+    compare: bool
+
+
+class Asked(typing.NamedTuple):
+    """A trial that is asked for or over, as it is sent."""
+
+    fingerprint: str
+    address: str
+    number: int
+
+
+class Answer(typing.TypedDict):
+    """What the receiver knows, and whether the trial may go ahead."""
+
+    suspicions: list[list]
+    granted: bool
+
+
+class Suspects:
+    """Admits requests, and learns from crashes here and elsewhere."""
+
+    def __init__(
+        self,
+        client: _http.Client,
+        clock: _clock.Clock,
+        teller: _telling.Teller,
+        metrics: _metrics.Metrics,
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._teller = teller
+        self._metrics = metrics
+        self._suspicions = _suspicions.Suspicions(clock)
+        self._runs: dict[int, Run] = {}
+        self._number = 0
+        self._trials: dict[str, Trial] = {}
+        self._crashed: collections.deque[_suspicions.Crash] = (
+            collections.deque(maxlen=_MAX_KNOWN_CRASHES)
+        )
+        self._probing = anyio.Lock()
+        self._proven: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self._unsent: list[str] = []
+        self._ended: list[Asked] = []
+        self._wake = anyio.Event()
+
+    @property
+    def routes(self) -> list[routing.Route]:
+        return [routing.Route(PATH, self._receive, methods=["POST"])]
+
+    def standing(self, fingerprint: str) -> Standing:
+        return self._suspicions.standing(fingerprint)
+
+    def is_proven(self, fingerprint: str) -> bool:
+        """Whether such a request completed through this instance lately."""
+        return fingerprint in self._proven
+
+    def occupied(self) -> set[str]:
+        """Return the addresses of servers that run a suspect now."""
+        return {trial.address for trial in self._live_trials()}
+
+    def admit(self, fingerprint: str, backend: _backends.Backend) -> Run:
+        """Note that a request is in flight; ``leave`` takes it back."""
+        self._number += 1
+        boot_id = backend.report.boot_id if backend.report else ""
+        process = _suspicions.Crash(backend.declared.address, boot_id)
+        run = Run(self._number, fingerprint, backend, process)
+        self._runs[run.number] = run
+        return run
+
+    def leave(self, run: Run) -> None:
+        """Note that a request is no longer in flight on this server."""
+        del self._runs[run.number]
+        trial = self._trials.get(run.fingerprint)
+        if trial is not None and self._is_own(trial) and trial.running:
+            self._end_trial(run.fingerprint)
+
+    def completed(self, run: Run) -> None:
+        """Take a request that ran to its end off suspicion."""
+        self._proven[run.fingerprint] = None
+        self._proven.move_to_end(run.fingerprint)
+        if len(self._proven) > MAX_PROVEN:
+            self._proven.popitem(last=False)
+        if self.standing(run.fingerprint) is Standing.CLEAR:
+            return
+        self._suspicions.clear(run.fingerprint)
+        _logs.event("suspect_cleared", fingerprint=run.fingerprint)
+        self._unsent.append(run.fingerprint)
+        self._wake.set()
+
+    async def crashed(self, run: Run) -> bool:
+        """Find out whether a broken connection was a crash.
+
+        When it was, every request of this instance that was in flight on
+        that process becomes a suspect, and peers have been told, as far as
+        they can be reached, before this returns.
+        """
+        if run.backend.is_ending(self._clock.now()):
+            # It was going to stop, so no request need have stopped it.
+            return False
+        async with self._probing:
+            if run.process not in self._crashed:
+                if not await self._has_gone(run):
+                    return False
+                self._crashed.append(run.process)
+            return await self._suspect(run.process)
+
+    async def reserve(self, fingerprint: str, address: str) -> bool:
+        """Ask for the only run of a suspect, and of its server.
+
+        ``leave`` ends what was granted; ``release`` does without a run.
+        """
+        if self._objection(fingerprint, address) or self._runs_now(
+            fingerprint
+        ):
+            return False
+        self._number += 1
+        trial = Trial(
+            fingerprint,
+            address,
+            self._teller.own_name,
+            self._number,
+            self._clock.now() + TRIAL_MS,
+            False,
+        )
+        self._trials[fingerprint] = trial
+        granted = await self._ask(trial)
+        if self._trials.get(fingerprint) is not trial:
+            # A peer with a lower name asked meanwhile.
+            return False
+        if not granted or self.standing(fingerprint) is Standing.CONFIRMED:
+            self._end_trial(fingerprint)
+            return False
+        self._trials[fingerprint] = trial._replace(running=True)
+        return True
+
+    def release(self, fingerprint: str) -> None:
+        """Give back a reservation that was not used."""
+        trial = self._trials.get(fingerprint)
+        if trial is not None and self._is_own(trial):
+            self._end_trial(fingerprint)
+
+    async def keep_told(self, interval_ms: int) -> None:
+        """Send what is over, and compare tables with one peer, for ever.
+
+        Comparing reaches peers that were cut off or not yet started when
+        the news was told. Nothing is sent while nothing is suspected.
+        """
+        while True:
+            with anyio.move_on_after(interval_ms / 1000):
+                await self._wake.wait()
+            self._wake = anyio.Event()
+            await self._send_pending()
+            latest = self._suspicions.latest()
+            if latest:
+                message = self._message(latest, compare=True)
+                self._take_answers(
+                    await self._teller.tell(PATH, message, count=1)
+                )
+
+    async def _send_pending(self) -> None:
+        while self._unsent or self._ended:
+            cleared = self._unsent[: _suspicions.MAX_SENT]
+            ended = self._ended[:MAX_ENDED]
+            del self._unsent[: len(cleared)]
+            del self._ended[: len(ended)]
+            entries = self._entries(cleared)
+            message = self._message(entries, ended=ended)
+            self._take_answers(await self._teller.tell(PATH, message))
+
+    async def _suspect(self, process: _suspicions.Crash) -> bool:
+        found = {
+            run.fingerprint
+            for run in self._runs.values()
+            if run.process == process
+        }
+        fresh = sorted(
+            fingerprint
+            for fingerprint in found
+            if not self._was_present(fingerprint, process)
+        )
+        for fingerprint in fresh:
+            self._suspicions.add(fingerprint, process)
+            self._metrics.suspicions.inc({})
+            _logs.event(
+                "suspected",
+                fingerprint=fingerprint,
+                server=process.address,
+                standing=self.standing(fingerprint).name,
+            )
+        while fresh:
+            entries = self._entries(fresh[: _suspicions.MAX_SENT])
+            del fresh[: _suspicions.MAX_SENT]
+            message = self._message(entries)
+            self._take_answers(await self._teller.tell(PATH, message))
+        return True
+
+    def _was_present(
+        self, fingerprint: str, process: _suspicions.Crash
+    ) -> bool:
+        entry = self._suspicions.get(fingerprint)
+        return entry is not None and process in entry.crashes
+
+    async def _has_gone(self, run: Run) -> bool:
+        """Whether nobody listens there now, or another process does."""
+        backend = run.backend
+        for _ in range(_PROBES):
+            try:
+                report = await _engines.report(self._client, backend.address)
+            except _http.GoneError:
+                backend.mark_unreachable(self._clock.now())
+                return True
+            except _http.BrokenError:
+                # A process may be going: ask again.
+                await self._clock.sleep(_PROBE_PAUSE_MS)
+            except (_http.NotSentError, _engines.BadReportError):
+                return False
+            else:
+                backend.take_report(report, self._clock.now())
+                return report.boot_id != run.process.boot_id
+        return False
+
+    async def _ask(self, trial: Trial) -> bool:
+        message = self._message(
+            self._entries([trial.fingerprint]),
+            trials=[Asked(trial.fingerprint, trial.address, trial.number)],
+        )
+        answers = await self._teller.tell(PATH, message)
+        return self._take_answers(answers)
+
+    def _objection(self, fingerprint: str, address: str) -> Trial | None:
+        """Return the trial that stands against one of these, if any."""
+        for trial in self._live_trials():
+            if fingerprint == trial.fingerprint or address == trial.address:
+                return trial
+        return None
+
+    def _live_trials(self) -> list[Trial]:
+        now = self._clock.now()
+        self._trials = {
+            fingerprint: trial
+            for fingerprint, trial in self._trials.items()
+            if trial.until > now
+            and (self._is_own(trial) or self._teller.is_alive(trial.holder))
+        }
+        return list(self._trials.values())
+
+    def _is_own(self, trial: Trial) -> bool:
+        return trial.holder == self._teller.own_name
+
+    def _end_trial(self, fingerprint: str) -> None:
+        trial = self._trials.pop(fingerprint)
+        self._ended.append(Asked(fingerprint, trial.address, trial.number))
+        self._wake.set()
+
+    def _runs_now(self, fingerprint: str) -> bool:
+        return any(
+            run.fingerprint == fingerprint for run in self._runs.values()
+        )
+
+    def _grant(self, sender: str, asked: Asked) -> bool:
+        fingerprint, address, number = asked
+        if self.standing(fingerprint) is Standing.CONFIRMED:
+            return False
+        if self._runs_now(fingerprint):
+            return False
+        objection = self._objection(fingerprint, address)
+        while objection is not None and objection.holder != sender:
+            yields = self._is_own(objection) and not objection.running
+            if not yields or sender > objection.holder:
+                return False
+            self._end_trial(objection.fingerprint)
+            objection = self._objection(fingerprint, address)
+        until = self._clock.now() + TRIAL_MS
+        self._trials[fingerprint] = Trial(
+            fingerprint, address, sender, number, until, True
+        )
+        return True
+
+    def _entries(self, fingerprints: list[str]) -> list[_suspicions.Suspicion]:
+        found = [self._suspicions.get(name) for name in fingerprints]
+        return [entry for entry in found if entry is not None]
+
+    def _message(
+        self,
+        entries: list[_suspicions.Suspicion],
+        *,
+        trials: list[Asked] | None = None,
+        ended: list[Asked] | None = None,
+        compare: bool = False,
+    ) -> Message:
+        return Message(
+            sender=self._teller.own_name,
+            suspicions=_suspicions.to_json(entries),
+            trials=[list(asked) for asked in trials or ()],
+            ended=[list(asked) for asked in ended or ()],
+            compare=compare,
+        )
+
+    def _take_answers(self, answers: list[typing.Any]) -> bool:
+        """Merge what peers know; return whether all of them granted."""
+        granted = True
+        for answer in answers:
+            try:
+                entries = _suspicions.from_json(answer["suspicions"])
+                granted = granted and answer["granted"] is True
+            except (ValueError, KeyError, TypeError) as error:
+                _logs.event("bad_suspicions", error=str(error))
+            else:
+                self._suspicions.merge(entries)
+        return granted
+
+    async def _receive(self, request: requests.Request) -> responses.Response:
+        try:
+            message = json.loads(await _peers.bounded_body(request))
+            answer = self._answer(_check(message))
+        except (ValueError, KeyError, TypeError) as error:
+            _logs.event("bad_suspicions", error=str(error))
+            return responses.JSONResponse({"error": str(error)}, 400)
+        return responses.JSONResponse(answer)
+
+    def _answer(self, message: Message) -> Answer:
+        sender = message["sender"]
+        received = _suspicions.from_json(message["suspicions"])
+        self._suspicions.merge(received)
+        for over in _read_asked(message["ended"], MAX_ENDED):
+            self._take_end(sender, over)
+        granted = all(
+            self._grant(sender, asked)
+            for asked in _read_asked(message["trials"], 1)
+        )
+        if message["compare"]:
+            known = self._suspicions.latest()
+        else:
+            known = self._entries([entry.fingerprint for entry in received])
+        return Answer(suspicions=_suspicions.to_json(known), granted=granted)
+
+    def _take_end(self, sender: str, over: Asked) -> None:
+        trial = self._trials.get(over.fingerprint)
+        if (
+            trial is not None
+            and trial.holder == sender
+            and trial.number <= over.number
+        ):
+            del self._trials[over.fingerprint]
+
+
+def refusal() -> _refusals.Refusal:
+    """Return the final answer to a request that crashed two servers."""
+    return _refusals.Refusal(
+        _refusals.Code.FAILED_PRECONDITION,
+        "backend servers crashed twice while they ran this request; it is"
+        " not run again",
+        _refusals.Execution.MAY_HAVE_RUN,
+    )
+
+
+def _check(message: typing.Any) -> Message:
+    """Return a peer's message with its plain fields checked.
+
+    :raises ValueError: if one is not of its type.
+    """
+    return Message(
+        sender=_suspicions.check_text(message["sender"]),
+        suspicions=message["suspicions"],
+        trials=message["trials"],
+        ended=message["ended"],
+        compare=message["compare"] is True,
+    )
+
+
+def _read_asked(fields: typing.Any, most: int) -> list[Asked]:
+    if not isinstance(fields, list) or len(fields) > most:
+        raise ValueError(f"not a list of at most {most} trials")
+    found = []
+    for entry in fields:
+        if not isinstance(entry, list) or len(entry) != 3:
+            raise ValueError("not a trial")
+        if type(entry[2]) is not int:
+            raise ValueError(f"number is {entry[2]!r}")
+        texts = [_suspicions.check_text(text) for text in entry[:2]]
+        found.append(Asked(texts[0], texts[1], entry[2]))
+    return found
--- /dev/null
+++ b/src/geraniumlink/_telling.py
@@ -0,0 +1,67 @@
+"""Tells peers something at once, outside the heartbeat."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+import anyio
+
+from geraniumlink import _http
+from geraniumlink import _membership
+from geraniumlink import _settings
+
+# Peers told at once; the others learn by exchange with those.
+MAX_TOLD = 64
+# A peer that has not answered by then is taken to be unreachable.
+TELL_MS = 400
+
+
+class Teller:
+    """Sends one message to many peers."""
+
+    def __init__(
+        self,
+        membership: _membership.Membership,
+        client: _http.Client,
+        random_source: random.Random,
+    ) -> None:
+        self._membership = membership
+        self._client = client
+        self._random = random_source
+
+    @property
+    def own_name(self) -> str:
+        return self._membership.own_name
+
+    def is_alive(self, name: str) -> bool:
+        """Whether an instance has been heard of lately."""
+        return any(
+            member.name == name and member.state != "suspect"
+            for member in self._membership.members()
+        )
+
+    async def tell(
+        self, path: str, message: typing.Any, count: int = MAX_TOLD
+    ) -> list[typing.Any]:
+        """Send to up to ``count`` peers; return the answers that came."""
+        peers = self._membership.peers()
+        if len(peers) > count:
+            peers = self._random.sample(peers, count)
+        answers: list[typing.Any] = []
+
+        async def send(peer: _settings.Address) -> None:
+            with anyio.move_on_after(TELL_MS / 1000):
+                try:
+                    answer = await self._client.post_json(
+                        peer, path, message, timeout_ms=TELL_MS
+                    )
+                    if answer.status == 200:
+                        answers.append(answer.json())
+                except (_http.NotSentError, _http.BrokenError):
+                    return
+
+        async with anyio.create_task_group() as group:
+            for peer in peers:
+                group.start_soon(send, peer)
+        return answers
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,166 @@
+"""Answers are put in order whole, whatever order their chunks come in."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from geraniumlink import _streams
+
+_OWN = "request-1"
+
+
+def _tokens(count):
+    return tuple(f" t{index}" for index in range(count))
+
+
+@st.composite
+def _true_chunks(draw, count):
+    """Chunks of the true answer: overlapping, repeated, perhaps with gaps."""
+    answer = _tokens(count)
+    spans = draw(
+        st.lists(
+            st.tuples(st.integers(0, count), st.integers(0, count)),
+            max_size=20,
+        )
+    )
+    return [
+        _streams.Chunk(_OWN, min(span), answer[min(span) : max(span)])
+        for span in spans
+    ]
+
+
+@st.composite
+def _disturbances(draw, count):
+    """Messages that a faulty engine might mix in."""
+    false = st.builds(
+        _streams.Chunk,
+        st.just("request-2"),
+        st.integers(-3, count + 3),
+        st.lists(st.just(" foreign"), max_size=4).map(tuple),
+    )
+    foreign_end = st.builds(
+        _streams.End, st.just("request-2"), st.integers(0, count)
+    )
+    return draw(st.lists(false | foreign_end, max_size=6))
+
+
+def _emit(reassembly, messages):
+    """Return what was handed out, and whether the stream broke."""
+    emitted = []
+    for message in messages:
+        try:
+            emitted += reassembly.take(message)
+        except _streams.BrokenStreamError:
+            return emitted, True
+        assert reassembly.offset == len(emitted)
+    return emitted, False
+
+
+@hypothesis.given(st.data())
+def test_what_is_emitted_is_a_prefix_and_ended_means_whole(data):
+    count = data.draw(st.integers(0, 12))
+    ends = data.draw(st.lists(st.just(_streams.End(_OWN, count)), max_size=2))
+    messages = data.draw(
+        st.permutations(
+            data.draw(_true_chunks(count))
+            + data.draw(_disturbances(count))
+            + ends
+        )
+    )
+    reassembly = _streams.Reassembly(_OWN)
+    emitted, broke = _emit(reassembly, messages)
+    assert not broke
+    assert tuple(emitted) == _tokens(count)[: len(emitted)]
+    assert reassembly.ended == (bool(ends) and len(emitted) == count)
+
+
+@hypothesis.given(st.data())
+def test_every_order_of_all_chunks_makes_the_answer_whole(data):
+    count = data.draw(st.integers(1, 12))
+    answer = _tokens(count)
+    chunks = [
+        _streams.Chunk(_OWN, index, (token,))
+        for index, token in enumerate(answer)
+    ]
+    chunks += data.draw(_true_chunks(count))
+    chunks += data.draw(_disturbances(count))
+    messages = data.draw(st.permutations([*chunks, _streams.End(_OWN, count)]))
+    reassembly = _streams.Reassembly(_OWN)
+    emitted, broke = _emit(reassembly, messages)
+    assert not broke
+    assert tuple(emitted) == answer
+    assert reassembly.ended
+
+
+@hypothesis.given(st.data())
+def test_a_stream_that_contradicts_itself_is_never_whole_with_a_hole(data):
+    """False tokens or ends: ``offset`` counts what was handed out."""
+    count = data.draw(st.integers(1, 8))
+    ends = st.builds(_streams.End, st.just(_OWN), st.integers(-2, count + 3))
+    wild = st.builds(
+        _streams.Chunk,
+        st.just(_OWN),
+        st.integers(-3, count + 3),
+        st.lists(st.sampled_from((" x", " y")), max_size=4).map(tuple),
+    )
+    messages = data.draw(st.lists(ends | wild, max_size=12))
+    reassembly = _streams.Reassembly(_OWN)
+    emitted, broke = _emit(reassembly, messages)
+    assert reassembly.offset == len(emitted)
+    seen = {m.token_count for m in messages if isinstance(m, _streams.End)}
+    if not broke and reassembly.ended:
+        assert seen == {len(emitted)}
+
+
+@hypothesis.given(st.data())
+def test_a_resumed_answer_goes_on_where_the_broken_stream_stopped(data):
+    count = data.draw(st.integers(1, 12))
+    answer = _tokens(count)
+    reassembly = _streams.Reassembly(_OWN)
+    first = data.draw(_true_chunks(count))
+    false_end = _streams.End(_OWN, data.draw(st.integers(0, count + 3)))
+    emitted, _ = _emit(reassembly, [*first, false_end])
+    hypothesis.assume(not reassembly.ended)
+    reassembly.resume()
+    start = reassembly.offset
+    rest, broke = [], False
+    try:
+        rest += reassembly.take(_streams.Chunk(_OWN, start, answer[start:]))
+        rest += reassembly.take(_streams.End(_OWN, count))
+    except _streams.BrokenStreamError:
+        broke = True
+    assert not broke
+    assert tuple(emitted + rest) == answer
+    assert reassembly.ended
+
+
+@pytest.mark.parametrize(
+    "messages",
+    (
+        [_streams.End(_OWN, 3), _streams.End(_OWN, 4)],
+        [_streams.Chunk(_OWN, 0, (" a", " b")), _streams.End(_OWN, 1)],
+        [_streams.Chunk(_OWN, 5, (" a",)), _streams.End(_OWN, 5)],
+        [_streams.End(_OWN, 1), _streams.Chunk(_OWN, 0, (" a", " b"))],
+        [
+            _streams.Chunk(_OWN, 2, (" a", " b")),
+            _streams.Chunk(_OWN, 3, (" c",)),
+        ],
+        [_streams.Chunk(_OWN, -1, (" a", " b"))],
+        [_streams.Chunk(_OWN, 1, (" a",) * 2000)],
+    ),
+    ids=(
+        "ends disagree",
+        "end before tokens handed out",
+        "end before tokens waiting",
+        "tokens after the end",
+        "overlap disagrees",
+        "negative offset",
+        "gap too long",
+    ),
+)
+def test_a_contradiction_breaks_the_stream(messages):
+    reassembly = _streams.Reassembly(_OWN)
+    emitted, broke = _emit(reassembly, messages)
+    assert broke
+    # A resumed stream must not leave a hole where this one broke.
+    assert reassembly.offset == len(emitted)
