--- a/src/geraniumlink/_backends.py
+++ b/src/geraniumlink/_backends.py
@@ -30,6 +30,8 @@
 # A refusal, or a peer's word, counts for this long; then the server's own
 # reports, which lag by less, have said the same or the opposite.
 SIGN_MS = 10_000
+# Until the first servers have been asked, new ones are looked for this often.
+_FIRST_PAUSE_MS = 50
 # An older report does not show that the server still serves.
 FRESH_REPORT_MS = 5000
 
@@ -50,6 +52,8 @@
         self.address = _settings.parse_address(declared.address)
         self.report: _engines.Report | None = None
         self.polling = False
+        # Whether it was asked for a report, with or without an answer.
+        self.asked = False
         # Requests of this instance that are running there.
         self.in_flight = 0
         # Set where the instance list's word is believed.
@@ -129,9 +133,20 @@
         self._client = client
         self._clock = clock
         self._backends: dict[Key, Backend] = {}
+        self._surveyed = False
         # Called at the first sign that a server itself gives.
         self.on_leaving: Callable[[Backend], None] = _ignore
 
+    @property
+    def surveyed(self) -> bool:
+        """Whether every server of a first configuration has been asked.
+
+        Before that a request could be refused for want of a report alone.
+        """
+        if not self._surveyed:
+            self._surveyed = all(backend.asked for backend in self.all())
+        return self._surveyed
+
     def refresh(self) -> None:
         """Follow the configuration; knowledge of kept servers stays."""
         kept: dict[Key, Backend] = {}
@@ -263,12 +278,14 @@
                 for backend in backends:
                     if not backend.polling:
                         group.start_soon(self._poll_one, backend)
+                    if not backend.asked:
+                        continue
                     # Spread, so that instances don't ask in step.
                     await self._clock.sleep(
                         pause_ms * random.uniform(0.5, 1.5)
                     )
-                if not backends:
-                    await self._clock.sleep(interval_ms)
+                if not any(backend.asked for backend in backends):
+                    await self._clock.sleep(_FIRST_PAUSE_MS)
 
     async def _poll_one(self, backend: Backend) -> None:
         backend.polling = True
@@ -290,6 +307,7 @@
             self.take_report(backend, report)
         finally:
             backend.polling = False
+            backend.asked = True
 
 
 def _split(resident: str) -> tuple[str, str]:
--- a/src/geraniumlink/_inference.py
+++ b/src/geraniumlink/_inference.py
@@ -58,6 +58,14 @@
     tokens: tuple[str, ...]
 
 
+class _Choice(typing.NamedTuple):
+    """A server, and what must be reserved before it is used."""
+
+    choice: _routing.Choice
+    # An address, or NO_SERVER; None: nothing.
+    address: str | None
+
+
 Emit = Callable[[Tokens], Awaitable[None]]
 Outcome = expression.Result[_streams.End, _refusals.Refusal]
 
@@ -156,14 +164,17 @@
         while True:
             match self._suspects.standing(self._fingerprint):
                 case _suspects.Standing.CLEAR:
-                    return self._choose(tried)
-                case _suspects.Standing.CONFIRMED:
+                    choice, address = self._choose(tried)
+                    if address is None:
+                        return choice
+                case _suspects.Standing.SUSPECT:
+                    choice, address = self._choose_apart(tried)
+                    if choice.backend is None and not self._occupied():
+                        return choice
+                case _:
                     return _routing.Choice(None, True)
-            choice = self._choose_apart(tried)
-            if choice.backend is None and not self._occupied():
-                return choice
-            if choice.backend is not None and await self._suspects.reserve(
-                self._fingerprint, choice.backend.declared.address
+            if choice.backend is not None and await self._reserve(
+                address or _suspects.NO_SERVER
             ):
                 return choice
             await self._inference._clock.sleep(
@@ -171,20 +182,44 @@
             )
             pause_ms = min(2 * pause_ms, _LONGEST_PAUSE_MS)
 
-    def _choose(self, tried: list[_backends.Key]) -> _routing.Choice:
+    async def _reserve(self, address: str) -> bool:
+        """Reserve the only run, unless its standing changed meanwhile."""
+        before = self._suspects.standing(self._fingerprint)
+        if not await self._suspects.reserve(self._fingerprint, address):
+            return False
+        if self._suspects.standing(self._fingerprint) is before:
+            return True
+        self._suspects.release(self._fingerprint)
+        return False
+
+    def _choose(self, tried: list[_backends.Key]) -> _Choice:
         """Choose for a request that is not a suspect.
 
         It keeps away from servers that run a suspect, and at first it keeps
-        to its homes, while other servers than those are not needed.
+        to its homes, while other servers than those are not needed. Where a
+        home has gone, a request like this one may be the cause, and peers
+        are asked before it runs elsewhere.
         """
         occupied = self._occupied()
-        for avoided in (occupied + self._away(tried), occupied):
+        homes = self._homes()
+        away = [
+            backend.key
+            for backend in self._servers()
+            if homes and backend not in homes
+        ]
+        for avoided in (occupied + away, away):
             choice = self._route(tried + avoided)
             if choice.backend is not None:
-                return choice
-        return self._route(tried)
-
-    def _choose_apart(self, tried: list[_backends.Key]) -> _routing.Choice:
+                return _Choice(choice, None)
+        now = self._inference._clock.now()
+        gone = any(home.state(now) == "unreachable" for home in homes)
+        address = _suspects.NO_SERVER if gone else None
+        choice = self._route(tried + occupied)
+        if choice.backend is None:
+            choice = self._route(tried)
+        return _Choice(choice, address if choice.backend else None)
+
+    def _choose_apart(self, tried: list[_backends.Key]) -> _Choice:
         """Choose an idle server if there is one, else one without suspect."""
         occupied = self._occupied()
         busy = [
@@ -194,9 +229,10 @@
             or (backend.report is not None and backend.report.in_flight)
         ]
         choice = self._route(tried + occupied + busy)
-        if choice.backend is not None:
-            return choice
-        return self._route(tried + occupied)
+        if choice.backend is None:
+            choice = self._route(tried + occupied)
+        address = choice.backend.declared.address if choice.backend else ""
+        return _Choice(choice, address)
 
     def _servers(self) -> list[_backends.Backend]:
         return self._inference._backends.of(self._deployment.name)
@@ -211,8 +247,8 @@
             if backend.declared.address in addresses
         ]
 
-    def _away(self, tried: list[_backends.Key]) -> list[_backends.Key]:
-        """Return the servers that are not homes of this request.
+    def _homes(self) -> list[_backends.Backend]:
+        """Return the servers to keep to; none when all will do.
 
         The same request sent through several instances at once so meets
         two servers at most. The homes hold also while they are down.
@@ -222,16 +258,15 @@
             for backend in self._servers()
             if backend.holds(self._request.model, self._request.adapter)
         ]
-        if tried or self._request.session or len(holders) <= HOMES:
+        if self._request.session or len(holders) <= HOMES:
             return []
-        ranked = sorted(holders, key=self._weight)
-        homes, others = ranked[:HOMES], ranked[HOMES:]
+        homes = sorted(holders, key=self._weight)[:HOMES]
         if self._suspects.is_proven(self._fingerprint):
             mean = sum(backend.in_flight for backend in holders) / len(holders)
             least = min(backend.in_flight for backend in homes)
             if least + 1 > HOME_LOAD_BOUND * (mean + 1):
                 return []
-        return [backend.key for backend in others]
+        return homes
 
     def _weight(self, backend: _backends.Backend) -> bytes:
         text = f"{self._fingerprint}\0{backend.key.replica}"
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -208,7 +208,8 @@
         )
 
     def _ready(self) -> bool:
-        return self._sync.loaded and not self._rpc.closing
+        known = self._sync.loaded and self._backends.surveyed
+        return known and not self._rpc.closing
 
     async def _stop_on_signal(self, scope: anyio.CancelScope) -> None:
         with anyio.open_signal_receiver(
--- a/src/geraniumlink/_suspects.py
+++ b/src/geraniumlink/_suspects.py
@@ -38,9 +38,12 @@
 PATH = "/suspicions"
 # A trial counts for no longer, should its end never be heard of.
 TRIAL_MS = 60_000
+# In place of an address: the run is to be the only one, not on its server.
+NO_SERVER = ""
 MAX_PROVEN = 4096
 MAX_ENDED = 64
-_PROBES = 3
+# A server that is gone refuses at once; one that is silent is not gone.
+_PROBE_MS = 500
 _PROBE_PAUSE_MS = 50
 _MAX_KNOWN_CRASHES = 256
 Standing = _suspicions.Standing
@@ -139,7 +142,8 @@
 
     def occupied(self) -> set[str]:
         """Return the addresses of servers that run a suspect now."""
-        return {trial.address for trial in self._live_trials()}
+        addresses = {trial.address for trial in self._live_trials()}
+        return addresses - {NO_SERVER}
 
     def admit(self, fingerprint: str, backend: _backends.Backend) -> Run:
         """Note that a request is in flight; ``leave`` takes it back."""
@@ -188,9 +192,11 @@
             return await self._suspect(run.process)
 
     async def reserve(self, fingerprint: str, address: str) -> bool:
-        """Ask for the only run of a suspect, and of its server.
+        """Ask for the only run of a request, and of a suspect on a server.
 
-        ``leave`` ends what was granted; ``release`` does without a run.
+        Peers' answers bring what they hold against it, so its standing may
+        have changed. ``leave`` ends what was granted; ``release`` does
+        without a run.
         """
         if self._objection(fingerprint, address) or self._runs_now(
             fingerprint
@@ -285,23 +291,27 @@
 
     async def _has_gone(self, run: Run) -> bool:
         """Whether nobody listens there now, or another process does."""
-        backend = run.backend
-        for _ in range(_PROBES):
-            try:
-                report = await _engines.report(self._client, backend.address)
-            except _http.GoneError:
-                backend.mark_unreachable(self._clock.now())
-                return True
-            except _http.BrokenError:
-                # A process may be going: ask again.
-                await self._clock.sleep(_PROBE_PAUSE_MS)
-            except (_http.NotSentError, _engines.BadReportError):
-                return False
-            else:
-                backend.take_report(report, self._clock.now())
-                return report.boot_id != run.process.boot_id
+        with anyio.move_on_after(_PROBE_MS / 1000):
+            while True:
+                try:
+                    return await self._probe(run)
+                except _http.BrokenError:
+                    # A process may be going: ask again.
+                    await self._clock.sleep(_PROBE_PAUSE_MS)
         return False
 
+    async def _probe(self, run: Run) -> bool:
+        backend = run.backend
+        try:
+            report = await _engines.report(self._client, backend.address)
+        except _http.GoneError:
+            backend.mark_unreachable(self._clock.now())
+            return True
+        except (_http.NotSentError, _engines.BadReportError):
+            return False
+        backend.take_report(report, self._clock.now())
+        return report.boot_id != run.process.boot_id
+
     async def _ask(self, trial: Trial) -> bool:
         message = self._message(
             self._entries([trial.fingerprint]),
@@ -313,7 +323,8 @@
     def _objection(self, fingerprint: str, address: str) -> Trial | None:
         """Return the trial that stands against one of these, if any."""
         for trial in self._live_trials():
-            if fingerprint == trial.fingerprint or address == trial.address:
+            same_server = address == trial.address != NO_SERVER
+            if fingerprint == trial.fingerprint or same_server:
                 return trial
         return None
 
@@ -389,9 +400,21 @@
             except (ValueError, KeyError, TypeError) as error:
                 _logs.event("bad_suspicions", error=str(error))
             else:
-                self._suspicions.merge(entries)
+                self._merge(entries)
         return granted
 
+    def _merge(self, entries: list[_suspicions.Suspicion]) -> None:
+        for entry in entries:
+            before = self.standing(entry.fingerprint)
+            self._suspicions.merge([entry])
+            standing = self.standing(entry.fingerprint)
+            if standing is not before:
+                _logs.event(
+                    "suspicion_learned",
+                    fingerprint=entry.fingerprint,
+                    standing=standing.name,
+                )
+
     async def _receive(self, request: requests.Request) -> responses.Response:
         try:
             message = json.loads(await _peers.bounded_body(request))
@@ -404,7 +427,7 @@
     def _answer(self, message: Message) -> Answer:
         sender = message["sender"]
         received = _suspicions.from_json(message["suspicions"])
-        self._suspicions.merge(received)
+        self._merge(received)
         for over in _read_asked(message["ended"], MAX_ENDED):
             self._take_end(sender, over)
         granted = all(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -2,10 +2,11 @@
 
 The answer is a pure function of model, adapter and prompt, so every chunk
 can be checked. Fault switches: ``token_ms``, ``stall_after`` (tokens),
-``cut_after`` (tokens, then the connection closes), ``crash_on`` (a prompt
-with this text ends the process), ``duplicate``, ``reorder``, ``foreign``
-(chunks), ``leaving``, ``refuse`` (a reason), ``report_lag_ms``,
-``bad_report``.
+``cut_after`` (tokens, then the connection closes), ``close_after`` (tokens,
+then the answer is closed in good order without its end), ``crash_on`` (a
+prompt with this text ends the process), ``duplicate``, ``reorder``,
+``foreign`` (chunks), ``leaving``, ``report_leaving`` (in reports alone),
+``refuse`` (a reason), ``report_lag_ms``, ``bad_report``.
 """
 
 from __future__ import annotations
@@ -50,6 +51,7 @@
         self._max_in_flight = max_in_flight
         self._in_flight = 0
         self._runs: list[dict] = []
+        self._refusals: list[float] = []
         self._reports: list[tuple[float, dict]] = []
 
     def routes(self) -> list[routing.Route]:
@@ -59,12 +61,17 @@
         ]
 
     def record(self) -> typing.Any:
-        return {"boot_id": self._boot_id, "runs": self._runs}
+        return {
+            "boot_id": self._boot_id,
+            "runs": self._runs,
+            "refusals": self._refusals,
+        }
 
     async def _generate(self, request: requests.Request) -> responses.Response:
         asked = json.loads(await request.body())
         reason = self._reason_to_refuse(asked)
         if reason:
+            self._refusals.append(time.time())
             return responses.JSONResponse({"refused": reason}, 503)
         crash_on = self.faults.crash_on
         if crash_on and crash_on in asked["prompt"]:
@@ -104,6 +111,8 @@
     async def _with_faults(self, asked: dict) -> AsyncIterator[bytes]:
         held: bytes | None = None
         async for number, line in self._chunks(asked):
+            if number >= self.faults.get("close_after", number + 1):
+                return
             if self.faults.foreign:
                 yield _line({**json.loads(line), "request_id": "another"})
             if self.faults.reorder and number % 2 == 0 and held is None:
@@ -163,7 +172,7 @@
         report = {
             "boot_id": self._boot_id,
             "in_flight": self._in_flight,
-            "leaving": bool(self.faults.leaving),
+            "leaving": bool(self.faults.leaving or self.faults.report_leaving),
             "resident": self._resident,
         }
         self._reports.append((now, report))
