Split suspects and inference; agree on trials by messages

Trials, their messages, homes and the finding of models become modules of their own. A reservation is given back when its caller leaves while peers are asked.

--- a/src/geraniumlink/_engines.py
+++ b/src/geraniumlink/_engines.py
@@ -6,6 +6,8 @@
 import typing
 from collections.abc import AsyncGenerator, AsyncIterator
 
+import anyio
+
 from geraniumlink import _http
 from geraniumlink import _settings
 from geraniumlink import _streams
@@ -72,6 +74,21 @@
             yield _message(line)
 
 
+async def next_message(
+    messages: AsyncGenerator[_streams.Chunk | _streams.End, None],
+    silence_ms: int,
+) -> _streams.Chunk | _streams.End | None:
+    """Return the next message, or None at the end of the stream.
+
+    :raises _http.BrokenError: if none comes within ``silence_ms``.
+    """
+    try:
+        with anyio.fail_after(silence_ms / 1000):
+            return await anext(messages, None)
+    except TimeoutError as error:
+        raise _http.BrokenError(f"silent for {silence_ms} ms") from error
+
+
 async def report(client: _http.Client, address: _settings.Address) -> Report:
     """Ask an engine or plain service for its report.
 
--- a/src/geraniumlink/_inference.py
+++ b/src/geraniumlink/_inference.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import contextlib
-import hashlib
 import random
 import typing
-from collections.abc import AsyncGenerator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 import expression
@@ -16,8 +15,10 @@
 from geraniumlink import _configuration
 from geraniumlink import _engines
 from geraniumlink import _findings
+from geraniumlink import _homes
 from geraniumlink import _http
 from geraniumlink import _metrics
+from geraniumlink import _models
 from geraniumlink import _refusals
 from geraniumlink import _routing
 from geraniumlink import _streams
@@ -39,13 +40,6 @@
 # The connection can then be used again.
 CLOSE_MS = 50
 RETRY_AFTER_MS = 1000
-# A request that could bring a server down may run on these servers only,
-# until one like it has completed.
-HOMES = 2
-# Homes that have this much more than the mean of own requests are left by
-# requests that are known to complete. Source: V. Mirrokni et al.,
-# "Consistent Hashing with Bounded Loads", SODA 2018.
-HOME_LOAD_BOUND = 1.25
 # Waiting for a server that a suspect has to itself: first and longest pause.
 _FIRST_PAUSE_MS = 50
 _LONGEST_PAUSE_MS = 800
@@ -98,13 +92,11 @@
         findings = check(request)
         if findings:
             return expression.Error(_refusals.invalid(findings))
-        deployment = self._configuration.owner_of_model(request.model)
-        if deployment is None:
-            return expression.Error(_unknown_model(request.model))
-        if not _has_adapter(deployment, request):
-            return expression.Error(_unknown_adapter(request))
+        found = _models.find(self._configuration, request)
+        if found.is_error():
+            return expression.Error(found.error)
         timeout_ms = request.timeout_ms or DEFAULT_TIMEOUT_MS
-        run = _Run(self, deployment, request, request_id, emit)
+        run = _Run(self, found.ok, request, request_id, emit)
         with anyio.move_on_after(timeout_ms / 1000):
             return await run.attempts()
         return expression.Error(_refusals.deadline_passed(run.execution))
@@ -138,26 +130,14 @@
         tried: list[_backends.Key] = []
         for _ in range(MAX_ATTEMPTS):
             choice = await self._admit(tried)
-            if self._is_refused():
-                return expression.Error(self._refused_finally())
             if choice.backend is None:
                 return expression.Error(self._no_server(choice, tried))
             tried.append(choice.backend.key)
             if await self._attempt(choice.backend):
                 end = _streams.End(self._request_id, self._reassembly.offset)
                 return expression.Ok(end)
-        if self._is_refused():
-            return expression.Error(self._refused_finally())
         return expression.Error(self._gave_up())
 
-    def _is_refused(self) -> bool:
-        standing = self._suspects.standing(self._fingerprint)
-        return standing is _suspects.Standing.CONFIRMED
-
-    def _refused_finally(self) -> _refusals.Refusal:
-        self.execution = _refusals.Execution.MAY_HAVE_RUN
-        return _suspects.refusal()
-
     async def _admit(self, tried: list[_backends.Key]) -> _routing.Choice:
         """Choose a server; a suspect waits until it has one to itself."""
         pause_ms = _FIRST_PAUSE_MS
@@ -169,22 +149,25 @@
                         return choice
                 case _suspects.Standing.SUSPECT:
                     choice, address = self._choose_apart(tried)
-                    if choice.backend is None and not self._occupied():
+                    if choice.backend is None and not self._may_wait(tried):
                         return choice
                 case _:
                     return _routing.Choice(None, True)
-            if choice.backend is not None and await self._reserve(
-                address or _suspects.NO_SERVER
-            ):
+            if choice.backend is not None and await self._reserve(address):
                 return choice
             await self._inference._clock.sleep(
                 pause_ms * random.uniform(0.5, 1)
             )
             pause_ms = min(2 * pause_ms, _LONGEST_PAUSE_MS)
 
-    async def _reserve(self, address: str) -> bool:
+    def _may_wait(self, tried: list[_backends.Key]) -> bool:
+        """Whether a server would do, were it not for a suspect there."""
+        return self._route(tried).backend is not None
+
+    async def _reserve(self, address: str | None) -> bool:
         """Reserve the only run, unless its standing changed meanwhile."""
         before = self._suspects.standing(self._fingerprint)
+        address = address or _suspects.NO_SERVER
         if not await self._suspects.reserve(self._fingerprint, address):
             return False
         if self._suspects.standing(self._fingerprint) is before:
@@ -225,8 +208,7 @@
         busy = [
             backend.key
             for backend in self._servers()
-            if backend.in_flight
-            or (backend.report is not None and backend.report.in_flight)
+            if _homes.is_busy(backend)
         ]
         choice = self._route(tried + occupied + busy)
         if choice.backend is None:
@@ -248,29 +230,16 @@
         ]
 
     def _homes(self) -> list[_backends.Backend]:
-        """Return the servers to keep to; none when all will do.
-
-        The same request sent through several instances at once so meets
-        two servers at most. The homes hold also while they are down.
-        """
+        """Return the servers to keep to; none when all will do."""
         holders = [
             backend
             for backend in self._servers()
             if backend.holds(self._request.model, self._request.adapter)
         ]
-        if self._request.session or len(holders) <= HOMES:
+        if self._request.session:
             return []
-        homes = sorted(holders, key=self._weight)[:HOMES]
-        if self._suspects.is_proven(self._fingerprint):
-            mean = sum(backend.in_flight for backend in holders) / len(holders)
-            least = min(backend.in_flight for backend in homes)
-            if least + 1 > HOME_LOAD_BOUND * (mean + 1):
-                return []
-        return homes
-
-    def _weight(self, backend: _backends.Backend) -> bytes:
-        text = f"{self._fingerprint}\0{backend.key.replica}"
-        return hashlib.blake2b(text.encode(), digest_size=8).digest()
+        is_proven = self._suspects.is_proven(self._fingerprint)
+        return _homes.choose(self._fingerprint, holders, is_proven)
 
     def _route(self, avoided: list[_backends.Key]) -> _routing.Choice:
         wanted = _routing.Wanted(
@@ -350,7 +319,7 @@
         async with contextlib.aclosing(messages):
             silence_ms = FIRST_TOKEN_MS
             while not self._reassembly.ended:
-                message = await _next(messages, silence_ms)
+                message = await _engines.next_message(messages, silence_ms)
                 if message is None:
                     return
                 silence_ms = STALL_MS
@@ -359,12 +328,12 @@
                 if tokens:
                     await self._emit(Tokens(offset, tokens))
             with contextlib.suppress(_http.BrokenError):
-                await _next(messages, CLOSE_MS)
+                await _engines.next_message(messages, CLOSE_MS)
 
     def _no_server(
         self, choice: _routing.Choice, tried: list[_backends.Key]
     ) -> _refusals.Refusal:
-        if tried:
+        if tried or self._crashes_servers():
             return self._gave_up()
         if choice.reachable:
             return _refusals.Refusal(
@@ -378,7 +347,13 @@
             retry_after_ms=RETRY_AFTER_MS,
         )
 
+    def _crashes_servers(self) -> bool:
+        standing = self._suspects.standing(self._fingerprint)
+        return standing is _suspects.Standing.CONFIRMED
+
     def _gave_up(self) -> _refusals.Refusal:
+        if self._crashes_servers():
+            return _suspects.refusal()
         code = _refusals.Code.UNAVAILABLE
         if self._reassembly.offset:
             code = _refusals.Code.DATA_LOSS
@@ -390,21 +365,6 @@
         )
 
 
-async def _next(
-    messages: AsyncGenerator[_streams.Chunk | _streams.End, None],
-    silence_ms: int,
-) -> _streams.Chunk | _streams.End | None:
-    """Return the next message, or None at the end of the stream.
-
-    :raises _http.BrokenError: if none comes within ``silence_ms``.
-    """
-    try:
-        with anyio.fail_after(silence_ms / 1000):
-            return await anext(messages, None)
-    except TimeoutError as error:
-        raise _http.BrokenError(f"silent for {silence_ms} ms") from error
-
-
 def check(request: pb.GenerateRequest) -> _findings.Findings:
     """Collect the faults of a request."""
     findings = _findings.Findings()
@@ -433,26 +393,3 @@
         "timeout_ms",
         f"write 1 to {MAX_TIMEOUT_MS} milliseconds",
     )
-
-
-def _has_adapter(
-    deployment: pb.Deployment, request: pb.GenerateRequest
-) -> bool:
-    return not request.adapter or any(
-        adapter.model == request.model and adapter.name == request.adapter
-        for adapter in deployment.adapters
-    )
-
-
-def _unknown_model(model: str) -> _refusals.Refusal:
-    return _refusals.Refusal(
-        _refusals.Code.NOT_FOUND,
-        f"no deployment has a model {model!r}; Operator.List shows them",
-    )
-
-
-def _unknown_adapter(request: pb.GenerateRequest) -> _refusals.Refusal:
-    return _refusals.Refusal(
-        _refusals.Code.NOT_FOUND,
-        f"model {request.model!r} has no adapter {request.adapter!r}",
-    )
--- a/src/geraniumlink/_suspects.py
+++ b/src/geraniumlink/_suspects.py
@@ -7,10 +7,7 @@
 refused. docs/design/crash-suspicion.md states the rules and their limits.
 
 Who may run a suspect is agreed among the instances that can reach each
-other, without the object API: an instance asks all others and goes ahead
-when none objects; of two that ask at once the lower name wins.
-Source: G. Ricart, A. Agrawala, "An Optimal Algorithm for Mutual Exclusion in
-Computer Networks", CACM 1981.
+other, without the object API; ``_trials.py`` says how.
 """
 
 from __future__ import annotations
@@ -32,21 +29,22 @@
 from geraniumlink import _metrics
 from geraniumlink import _peers
 from geraniumlink import _refusals
+from geraniumlink import _suspect_messages
 from geraniumlink import _suspicions
 from geraniumlink import _telling
+from geraniumlink import _trials
 
-PATH = "/suspicions"
-# A trial counts for no longer, should its end never be heard of.
-TRIAL_MS = 60_000
-# In place of an address: the run is to be the only one, not on its server.
-NO_SERVER = ""
 MAX_PROVEN = 4096
-MAX_ENDED = 64
 # A server that is gone refuses at once; one that is silent is not gone.
 _PROBE_MS = 500
 _PROBE_PAUSE_MS = 50
 _MAX_KNOWN_CRASHES = 256
+NO_SERVER = _trials.NO_SERVER
 Standing = _suspicions.Standing
+Asked = _suspect_messages.Asked
+Message = _suspect_messages.Message
+Answer = _suspect_messages.Answer
+_PATH = _suspect_messages.PATH
 
 
 class Run(typing.NamedTuple):
@@ -59,47 +57,6 @@
     process: _suspicions.Crash
 
 
-class Trial(typing.NamedTuple):
-    """A suspect that runs, or is about to, on a server of its own."""
-
-    fingerprint: str
-    address: str
-    holder: str
-    # Tells the holder's trials apart, so that a late end does no harm.
-    number: int
-    until: int
-    # False while peers are still being asked.
-    running: bool
-
-
-class Message(typing.TypedDict):
-    """What one instance tells or asks the others."""
-
-    sender: str
-    suspicions: list[list]
-    # The trial that is asked for: one, or none.
-    trials: list[list]
-    # The sender's trials that are over.
-    ended: list[list]
-    # Whether the answer is to have all that the receiver knows.
-    compare: bool
-
-
-class Asked(typing.NamedTuple):
-    """A trial that is asked for or over, as it is sent."""
-
-    fingerprint: str
-    address: str
-    number: int
-
-
-class Answer(typing.TypedDict):
-    """What the receiver knows, and whether the trial may go ahead."""
-
-    suspicions: list[list]
-    granted: bool
-
-
 class Suspects:
     """Admits requests, and learns from crashes here and elsewhere."""
 
@@ -117,7 +74,7 @@
         self._suspicions = _suspicions.Suspicions(clock)
         self._runs: dict[int, Run] = {}
         self._number = 0
-        self._trials: dict[str, Trial] = {}
+        self._trials = _trials.Trials(clock, teller.own_name, teller.is_alive)
         self._crashed: collections.deque[_suspicions.Crash] = (
             collections.deque(maxlen=_MAX_KNOWN_CRASHES)
         )
@@ -131,7 +88,7 @@
 
     @property
     def routes(self) -> list[routing.Route]:
-        return [routing.Route(PATH, self._receive, methods=["POST"])]
+        return [routing.Route(_PATH, self._receive, methods=["POST"])]
 
     def standing(self, fingerprint: str) -> Standing:
         return self._suspicions.standing(fingerprint)
@@ -142,8 +99,7 @@
 
     def occupied(self) -> set[str]:
         """Return the addresses of servers that run a suspect now."""
-        addresses = {trial.address for trial in self._live_trials()}
-        return addresses - {NO_SERVER}
+        return self._trials.addresses()
 
     def admit(self, fingerprint: str, backend: _backends.Backend) -> Run:
         """Note that a request is in flight; ``leave`` takes it back."""
@@ -157,9 +113,8 @@
     def leave(self, run: Run) -> None:
         """Note that a request is no longer in flight on this server."""
         del self._runs[run.number]
-        trial = self._trials.get(run.fingerprint)
-        if trial is not None and self._is_own(trial) and trial.running:
-            self._end_trial(run.fingerprint)
+        if self._trials.runs(run.fingerprint):
+            self.release(run.fingerprint)
 
     def completed(self, run: Run) -> None:
         """Take a request that ran to its end off suspicion."""
@@ -198,35 +153,35 @@
         have changed. ``leave`` ends what was granted; ``release`` does
         without a run.
         """
-        if self._objection(fingerprint, address) or self._runs_now(
-            fingerprint
-        ):
+        if self._trials.objection(fingerprint, address):
             return False
-        self._number += 1
-        trial = Trial(
-            fingerprint,
-            address,
-            self._teller.own_name,
-            self._number,
-            self._clock.now() + TRIAL_MS,
-            False,
-        )
-        self._trials[fingerprint] = trial
-        granted = await self._ask(trial)
-        if self._trials.get(fingerprint) is not trial:
-            # A peer with a lower name asked meanwhile.
+        if self._runs_now(fingerprint):
+            return False
+        trial = self._trials.begin(fingerprint, address)
+        try:
+            granted = await self._ask(trial)
+        except BaseException:
+            # The caller left, or its deadline passed.
+            if self._trials.stands(trial):
+                self.release(fingerprint)
+            raise
+        if not self._trials.stands(trial):
             return False
         if not granted or self.standing(fingerprint) is Standing.CONFIRMED:
-            self._end_trial(fingerprint)
+            self.release(fingerprint)
             return False
-        self._trials[fingerprint] = trial._replace(running=True)
+        self._trials.run(trial)
         return True
 
     def release(self, fingerprint: str) -> None:
-        """Give back a reservation that was not used."""
-        trial = self._trials.get(fingerprint)
-        if trial is not None and self._is_own(trial):
-            self._end_trial(fingerprint)
+        """Give back a reservation."""
+        ended = self._trials.end(fingerprint)
+        if ended is not None:
+            self._tell_ended([ended])
+
+    def _tell_ended(self, ended: list[Asked]) -> None:
+        self._ended += ended
+        self._wake.set()
 
     async def keep_told(self, interval_ms: int) -> None:
         """Send what is over, and compare tables with one peer, for ever.
@@ -243,18 +198,18 @@
             if latest:
                 message = self._message(latest, compare=True)
                 self._take_answers(
-                    await self._teller.tell(PATH, message, count=1)
+                    await self._teller.tell(_PATH, message, count=1)
                 )
 
     async def _send_pending(self) -> None:
         while self._unsent or self._ended:
             cleared = self._unsent[: _suspicions.MAX_SENT]
-            ended = self._ended[:MAX_ENDED]
+            ended = self._ended[: _suspect_messages.MAX_ENDED]
             del self._unsent[: len(cleared)]
             del self._ended[: len(ended)]
             entries = self._entries(cleared)
             message = self._message(entries, ended=ended)
-            self._take_answers(await self._teller.tell(PATH, message))
+            self._take_answers(await self._teller.tell(_PATH, message))
 
     async def _suspect(self, process: _suspicions.Crash) -> bool:
         found = {
@@ -280,7 +235,7 @@
             entries = self._entries(fresh[: _suspicions.MAX_SENT])
             del fresh[: _suspicions.MAX_SENT]
             message = self._message(entries)
-            self._take_answers(await self._teller.tell(PATH, message))
+            self._take_answers(await self._teller.tell(_PATH, message))
         return True
 
     def _was_present(
@@ -312,63 +267,27 @@
         backend.take_report(report, self._clock.now())
         return report.boot_id != run.process.boot_id
 
-    async def _ask(self, trial: Trial) -> bool:
+    async def _ask(self, trial: _trials.Trial) -> bool:
         message = self._message(
             self._entries([trial.fingerprint]),
             trials=[Asked(trial.fingerprint, trial.address, trial.number)],
         )
-        answers = await self._teller.tell(PATH, message)
+        answers = await self._teller.tell(_PATH, message)
         return self._take_answers(answers)
 
-    def _objection(self, fingerprint: str, address: str) -> Trial | None:
-        """Return the trial that stands against one of these, if any."""
-        for trial in self._live_trials():
-            same_server = address == trial.address != NO_SERVER
-            if fingerprint == trial.fingerprint or same_server:
-                return trial
-        return None
-
-    def _live_trials(self) -> list[Trial]:
-        now = self._clock.now()
-        self._trials = {
-            fingerprint: trial
-            for fingerprint, trial in self._trials.items()
-            if trial.until > now
-            and (self._is_own(trial) or self._teller.is_alive(trial.holder))
-        }
-        return list(self._trials.values())
-
-    def _is_own(self, trial: Trial) -> bool:
-        return trial.holder == self._teller.own_name
-
-    def _end_trial(self, fingerprint: str) -> None:
-        trial = self._trials.pop(fingerprint)
-        self._ended.append(Asked(fingerprint, trial.address, trial.number))
-        self._wake.set()
-
     def _runs_now(self, fingerprint: str) -> bool:
         return any(
             run.fingerprint == fingerprint for run in self._runs.values()
         )
 
     def _grant(self, sender: str, asked: Asked) -> bool:
-        fingerprint, address, number = asked
-        if self.standing(fingerprint) is Standing.CONFIRMED:
+        if self.standing(asked.fingerprint) is Standing.CONFIRMED:
             return False
-        if self._runs_now(fingerprint):
+        if self._runs_now(asked.fingerprint):
             return False
-        objection = self._objection(fingerprint, address)
-        while objection is not None and objection.holder != sender:
-            yields = self._is_own(objection) and not objection.running
-            if not yields or sender > objection.holder:
-                return False
-            self._end_trial(objection.fingerprint)
-            objection = self._objection(fingerprint, address)
-        until = self._clock.now() + TRIAL_MS
-        self._trials[fingerprint] = Trial(
-            fingerprint, address, sender, number, until, True
-        )
-        return True
+        given_up = self._trials.grant(sender, asked)
+        self._tell_ended(given_up or [])
+        return given_up is not None
 
     def _entries(self, fingerprints: list[str]) -> list[_suspicions.Suspicion]:
         found = [self._suspicions.get(name) for name in fingerprints]
@@ -418,7 +337,7 @@
     async def _receive(self, request: requests.Request) -> responses.Response:
         try:
             message = json.loads(await _peers.bounded_body(request))
-            answer = self._answer(_check(message))
+            answer = self._answer(_suspect_messages.check(message))
         except (ValueError, KeyError, TypeError) as error:
             _logs.event("bad_suspicions", error=str(error))
             return responses.JSONResponse({"error": str(error)}, 400)
@@ -428,11 +347,13 @@
         sender = message["sender"]
         received = _suspicions.from_json(message["suspicions"])
         self._merge(received)
-        for over in _read_asked(message["ended"], MAX_ENDED):
-            self._take_end(sender, over)
+        for over in _suspect_messages.read_asked(
+            message["ended"], _suspect_messages.MAX_ENDED
+        ):
+            self._trials.take_end(sender, over)
         granted = all(
             self._grant(sender, asked)
-            for asked in _read_asked(message["trials"], 1)
+            for asked in _suspect_messages.read_asked(message["trials"], 1)
         )
         if message["compare"]:
             known = self._suspicions.latest()
@@ -440,15 +361,6 @@
             known = self._entries([entry.fingerprint for entry in received])
         return Answer(suspicions=_suspicions.to_json(known), granted=granted)
 
-    def _take_end(self, sender: str, over: Asked) -> None:
-        trial = self._trials.get(over.fingerprint)
-        if (
-            trial is not None
-            and trial.holder == sender
-            and trial.number <= over.number
-        ):
-            del self._trials[over.fingerprint]
-
 
 def refusal() -> _refusals.Refusal:
     """Return the final answer to a request that crashed two servers."""
@@ -458,31 +370,3 @@
         " not run again",
         _refusals.Execution.MAY_HAVE_RUN,
     )
-
-
-def _check(message: typing.Any) -> Message:
-    """Return a peer's message with its plain fields checked.
-
-    :raises ValueError: if one is not of its type.
-    """
-    return Message(
-        sender=_suspicions.check_text(message["sender"]),
-        suspicions=message["suspicions"],
-        trials=message["trials"],
-        ended=message["ended"],
-        compare=message["compare"] is True,
-    )
-
-
-def _read_asked(fields: typing.Any, most: int) -> list[Asked]:
-    if not isinstance(fields, list) or len(fields) > most:
-        raise ValueError(f"not a list of at most {most} trials")
-    found = []
-    for entry in fields:
-        if not isinstance(entry, list) or len(entry) != 3:
-            raise ValueError("not a trial")
-        if type(entry[2]) is not int:
-            raise ValueError(f"number is {entry[2]!r}")
-        texts = [_suspicions.check_text(text) for text in entry[:2]]
-        found.append(Asked(texts[0], texts[1], entry[2]))
-    return found
