--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -61,9 +61,9 @@
         source = random.Random()
         self._metrics = _metrics.Metrics()
         self._client = _http.Client()
-        # Of its own, so that many requests can't keep control waiting; large
-        # enough that a request never waits for a connection.
-        self._requests_client = _http.Client(settings.max_requests + 64)
+        # Requests have connections of their own, one for each that may be
+        # in flight, so that control never waits for a request to end.
+        self._request_client = _http.Client(settings.max_requests)
         self._configuration = _configuration.Configuration()
         self._objects = _objects.ObjectApi(self._client, settings.object_api)
         self._membership = _membership.Membership(
@@ -117,13 +117,16 @@
                 self._configuration,
                 self._backends,
                 router,
-                self._requests_client,
+                self._request_client,
                 self._clock,
                 self._metrics,
                 self._suspects,
             ),
             _calls.Calls(
-                self._configuration, router, self._client, self._clock
+                self._configuration,
+                router,
+                self._request_client,
+                self._clock,
             ),
             _operator.Operator(
                 self._configuration,
@@ -142,8 +145,8 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._stop_on_signal, group.cancel_scope)
             await _supervisor.supervise(self._children(), self._clock)
-        await self._requests_client.close()
         await self._client.close()
+        await self._request_client.close()
         _logs.event("stopped")
 
     def _children(self) -> list[_supervisor.Child]:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -81,6 +81,7 @@
                 env={
                     **os.environ,
                     "PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}",
+                    "SHIV_ROOT": str(self.log.parent / "shiv"),
                 },
             )
 
@@ -112,7 +113,7 @@
 
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
-        self._processes: list[Process] = []
+        self.processes: list[Process] = []
         self.pool = httpcore.AsyncConnectionPool(max_connections=2000)
         self.object_api = self.stand_in("object_api")
         self.instance_list = self.stand_in("instance_list")
@@ -137,16 +138,26 @@
         return self.stand_in("plain_service")
 
     def instance(
-        self, name: str = "", data_centre: str = "debark", **settings: object
+        self,
+        name: str = "",
+        data_centre: str = "debark",
+        binary: str = "",
+        **settings: object,
     ) -> Process:
-        """Start an instance; ``settings`` replace those of the sections."""
+        """Start an instance; ``settings`` replace those of the sections.
+
+        It runs from the source tree unless a ``binary`` is given.
+        """
         name = name or f"i{len(self.instances) + 1}"
         port, peer_port = free_port(), free_port()
         path = self._folder / f"{name}.ini"
         path.write_text(
             self._settings(name, data_centre, port, peer_port, settings)
         )
-        command = [sys.executable, "-m", "geraniumlink", "serve", str(path)]
+        program = [sys.executable, "-m", "geraniumlink"]
+        if binary:
+            program = [sys.executable, binary]
+        command = [*program, "serve", str(path)]
         process = self._start(name, command, port, peer_port)
         self.instances.append(process)
         return process
@@ -191,7 +202,7 @@
         log = self._folder / f"{name}.log"
         process = Process(name, command, port, log, peer_port)
         process.start()
-        self._processes.append(process)
+        self.processes.append(process)
         return process
 
     async def list_instance(self, process: Process, state: str) -> None:
@@ -203,7 +214,7 @@
 
     async def ready(self) -> None:
         """Wait until everything that runs answers."""
-        for process in self._processes:
+        for process in self.processes:
             if process.running and process not in self.instances:
                 await self.answers(process.port, "/record")
         for process in self.instances:
@@ -258,7 +269,7 @@
         return _answer(response.status, response.headers, response.content)
 
     async def call(
-        self, process: Process, method: str, **body: object
+        self, process: Process, method: str, /, **body: object
     ) -> Answer:
         """Call a method of the schema, such as ``Operator/Apply``."""
         return await self.post(process, f"/geraniumlink.v1.{method}", body)
@@ -275,10 +286,10 @@
     async def close(self) -> None:
         """End every process of the fleet."""
         await self.pool.aclose()
-        for process in self._processes:
+        for process in self.processes:
             process.thaw()
             process.send(signal.SIGKILL)
-        for process in self._processes:
+        for process in self.processes:
             process.wait()
 
 
