Let suspects have a server one after another, not one answer long

Cause: with one suspect a server until its end, the streams of a crashed server waited for each other: many would have met their deadline. Change: a suspect that went four tokens past the place of the crash frees its server for the next; a later crash there counts against the one on trial. docs/design/crash-suspicion.md states what this costs.

--- a/src/geraniumlink/_inference.py
+++ b/src/geraniumlink/_inference.py
@@ -40,6 +40,8 @@
 # The connection can then be used again.
 CLOSE_MS = 50
 RETRY_AFTER_MS = 1000
+# A suspect that got on by so much has passed the place of the crash.
+SURVIVED_TOKENS = 4
 # Waiting for a server that a suspect has to itself: first and longest pause.
 _FIRST_PAUSE_MS = 50
 _LONGEST_PAUSE_MS = 800
@@ -167,8 +169,9 @@
     async def _reserve(self, address: str | None) -> bool:
         """Reserve the only run, unless its standing changed meanwhile."""
         before = self._suspects.standing(self._fingerprint)
-        address = address or _suspects.NO_SERVER
-        if not await self._suspects.reserve(self._fingerprint, address):
+        if not await self._suspects.reserve(
+            self._fingerprint, address or _suspects.NO_SERVER
+        ):
             return False
         if self._suspects.standing(self._fingerprint) is before:
             return True
@@ -274,7 +277,7 @@
         # Also when the deadline passes before anything came back.
         self.execution = _refusals.Execution.MAY_HAVE_RUN
         try:
-            await self._relay(run.backend)
+            await self._relay(run)
         except _engines.RefusedError as refused:
             self.execution = before
             if refused.reason == "leaving":
@@ -285,8 +288,7 @@
             return "not_sent"
         except _http.NotSentError:
             self.execution = before
-            now = self._inference._clock.now()
-            run.backend.mark_unreachable(now)
+            run.backend.mark_unreachable(self._inference._clock.now())
             return "not_sent"
         except _streams.BrokenStreamError:
             return "broken"
@@ -299,8 +301,9 @@
         self._suspects.completed(run)
         return "ok"
 
-    async def _relay(self, backend: _backends.Backend) -> None:
+    async def _relay(self, run: _suspects.Run) -> None:
         self._reassembly.resume()
+        survived_at = self._reassembly.offset + SURVIVED_TOKENS
         generation = _engines.Generation(
             self._request_id,
             self._request.model,
@@ -312,7 +315,7 @@
         )
         messages = _engines.generate(
             self._inference._client,
-            backend.address,
+            run.backend.address,
             generation,
             FIRST_TOKEN_MS,
         )
@@ -325,6 +328,8 @@
                 silence_ms = STALL_MS
                 offset = self._reassembly.offset
                 tokens = self._reassembly.take(message)
+                if self._reassembly.offset >= survived_at:
+                    self._suspects.survived(run)
                 if tokens:
                     await self._emit(Tokens(offset, tokens))
             with contextlib.suppress(_http.BrokenError):
--- a/src/geraniumlink/_suspects.py
+++ b/src/geraniumlink/_suspects.py
@@ -113,8 +113,7 @@
     def leave(self, run: Run) -> None:
         """Note that a request is no longer in flight on this server."""
         del self._runs[run.number]
-        if self._trials.runs(run.fingerprint):
-            self.release(run.fingerprint)
+        self.survived(run)
 
     def completed(self, run: Run) -> None:
         """Take a request that ran to its end off suspicion."""
@@ -139,12 +138,24 @@
         if run.backend.is_ending(self._clock.now()):
             # It was going to stop, so no request need have stopped it.
             return False
+        trial = self._trials.on_server(run.process.address)
         async with self._probing:
-            if run.process not in self._crashed:
-                if not await self._has_gone(run):
-                    return False
-                self._crashed.append(run.process)
-            return await self._suspect(run.process)
+            if run.process in self._crashed:
+                return True
+            if not await self._has_gone(run):
+                return False
+            self._crashed.append(run.process)
+            await self._suspect(run.process, trial)
+        return True
+
+    def survived(self, run: Run) -> None:
+        """Let the next suspect have the server of one that got on there.
+
+        It went past the place where the server crashed. It stays a suspect
+        until it completes.
+        """
+        if self._trials.runs(run.fingerprint):
+            self.release(run.fingerprint)
 
     async def reserve(self, fingerprint: str, address: str) -> bool:
         """Ask for the only run of a request, and of a suspect on a server.
@@ -211,7 +222,9 @@
             message = self._message(entries, ended=ended)
             self._take_answers(await self._teller.tell(_PATH, message))
 
-    async def _suspect(self, process: _suspicions.Crash) -> bool:
+    async def _suspect(
+        self, process: _suspicions.Crash, trial: _trials.Trial | None
+    ) -> None:
         found = {
             run.fingerprint
             for run in self._runs.values()
@@ -220,7 +233,7 @@
         fresh = sorted(
             fingerprint
             for fingerprint in found
-            if not self._was_present(fingerprint, process)
+            if self._counts(fingerprint, trial)
         )
         for fingerprint in fresh:
             self._suspicions.add(fingerprint, process)
@@ -236,13 +249,16 @@
             del fresh[: _suspicions.MAX_SENT]
             message = self._message(entries)
             self._take_answers(await self._teller.tell(_PATH, message))
-        return True
 
-    def _was_present(
-        self, fingerprint: str, process: _suspicions.Crash
-    ) -> bool:
-        entry = self._suspicions.get(fingerprint)
-        return entry is not None and process in entry.crashes
+    def _counts(self, fingerprint: str, trial: _trials.Trial | None) -> bool:
+        """Whether a crash counts against a request that was present.
+
+        Where a suspect was on trial, the crash is its own, and not that of
+        suspects which had got on there before.
+        """
+        if trial is None or trial.fingerprint == fingerprint:
+            return True
+        return self.standing(fingerprint) is Standing.CLEAR
 
     async def _has_gone(self, run: Run) -> bool:
         """Whether nobody listens there now, or another process does."""
--- a/src/geraniumlink/_trials.py
+++ b/src/geraniumlink/_trials.py
@@ -55,6 +55,13 @@
         """Return the addresses of servers that run a suspect now."""
         return {trial.address for trial in self._live()} - {NO_SERVER}
 
+    def on_server(self, address: str) -> Trial | None:
+        """Return the trial on a server, if there is one."""
+        for trial in self._live():
+            if address == trial.address != NO_SERVER:
+                return trial
+        return None
+
     def objection(self, fingerprint: str, address: str) -> Trial | None:
         """Return the trial that stands against one of these, if any."""
         for trial in self._live():
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -82,6 +82,7 @@
             "offset": asked["offset"],
             "time": time.time(),
             "ended": False,
+            "connection": request.client.port if request.client else 0,
         }
         self._runs.append(run)
         return responses.StreamingResponse(
--- a/tests/test_resume.py
+++ b/tests/test_resume.py
@@ -129,6 +129,7 @@
         await streaming.generate(fleet, instance, f"Boots {number}?", 5)
     runs = (await fleet.record(served[0]))["runs"]
     assert [run["ended"] for run in runs] == [True] * 5
+    assert len({run["connection"] for run in runs}) == 1
 
 
 async def test_three_hundred_streams_at_once_do_not_mix(fleet):
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -147,6 +147,30 @@
         await builders.serving(fleet, instance, 3)
 
 
+async def test_many_suspects_do_not_wait_for_each_others_ends(fleet):
+    """Each is on trial for some tokens, not for its whole answer."""
+    served, (instance,) = await _start(fleet, engines=3, instances=1)
+    streams = {}
+
+    async def ask(number):
+        prompt = f"innocent {number}"
+        streams[prompt] = await streaming.generate(
+            fleet, instance, prompt, 300, timeout_ms=25_000
+        )
+
+    async def running() -> bool:
+        report = await fleet.get(served[0].port, "/report")
+        return report.body["in_flight"] >= 7
+
+    async with anyio.create_task_group() as group:
+        for number in range(30):
+            group.start_soon(ask, number)
+        await fleet.until(running, "the first engine has its share")
+        served[0].kill()
+    for prompt, lines in streams.items():
+        streaming.assert_whole(lines, prompt, 300)
+
+
 async def _running_on(fleet, served):
     for process in served:
         report = await fleet.get(process.port, "/report")
