--- a/src/geraniumlink/_inference.py
+++ b/src/geraniumlink/_inference.py
@@ -151,7 +151,8 @@
                         return choice
                 case _suspects.Standing.SUSPECT:
                     choice, address = self._choose_apart(tried)
-                    if choice.backend is None and not self._may_wait(tried):
+                    # Would a server do, were it not for a suspect there?
+                    if not choice.backend and not self._route(tried).backend:
                         return choice
                 case _:
                     return _routing.Choice(None, True)
@@ -162,10 +163,6 @@
             )
             pause_ms = min(2 * pause_ms, _LONGEST_PAUSE_MS)
 
-    def _may_wait(self, tried: list[_backends.Key]) -> bool:
-        """Whether a server would do, were it not for a suspect there."""
-        return self._route(tried).backend is not None
-
     async def _reserve(self, address: str | None) -> bool:
         """Reserve the only run, unless its standing changed meanwhile."""
         before = self._suspects.standing(self._fingerprint)
