--- a/src/geraniumlink/_charges.py
+++ b/src/geraniumlink/_charges.py
@@ -23,7 +23,7 @@
         self._read_at = -MAX_AGE_MS
 
     async def read(self) -> dict[str, int]:
-        """Return MiB by ``deployment.replica``, in an outage the last known."""
+        """Return MiB by ``deployment.name``; the last known in an outage."""
         now = self._clock.now()
         if now - self._read_at < MAX_AGE_MS:
             return self._charges
