--- a/src/geraniumlink/_held_replica.py
+++ b/src/geraniumlink/_held_replica.py
@@ -209,7 +209,12 @@
         written = await self._store.write(wanted, self.capacity_mb)
         self._ages.update(self.ledger, self._clock.now())
         order = _orders.Order(wanted.fencing_number, action, copy, size_mb)
-        self._log_order("intent_written", order, charge_mb=wanted.charge_mb)
+        self._log_order(
+            "intent_written",
+            order,
+            charge_mb=wanted.charge_mb,
+            capacity_mb=self.capacity_mb,
+        )
         return PreparedOrder(order, written.started_at)
 
     async def send(self, prepared: list[PreparedOrder]) -> None:
--- a/standins/engine_orders.py
+++ b/standins/engine_orders.py
@@ -219,6 +219,7 @@
 def from_arguments(options: argparse.Namespace) -> Memory:
     """Return a memory that holds the ``--resident`` copies."""
     memory = Memory(options.memory_mb, options.journal, options.ignore_fencing)
+    memory.note("started", Copy("", "", ""))
     for entry in options.resident:
         key, version = entry.split("=")
         model, _, adapter = key.partition("/")
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -1,8 +1,10 @@
 """Stand-in for the platform's object API.
 
 Fault switches: ``outage`` (every call is answered 503), ``slow_ms`` (each
-answer is late), ``lose_answers`` (this many next writes take effect and the
-connection closes without an answer), ``forget`` (watches are answered 410).
+answer is late), ``slow_answers`` (a kind to milliseconds: writes of that
+kind take effect at once and are answered late), ``lose_answers`` (this many
+next writes take effect and the connection closes without an answer),
+``forget`` (watches are answered 410).
 """
 
 from __future__ import annotations
@@ -127,6 +129,8 @@
             return responses.JSONResponse(current._asdict(), 409)
         value = json.loads(body) if request.method == "PUT" else None
         written = await self._store(kind, name, value)
+        late_ms = (self.faults.slow_answers or {}).get(kind, 0)
+        await asyncio.sleep(late_ms / 1000)
         if self.faults.lose_answers:
             self.faults["lose_answers"] -= 1
             return _lost()
