--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -14,6 +14,7 @@
     |- reports       reports of backend servers          started again
     |- suspects      news of crashes to and from peers   started again
     |- leaving       news of leaving servers to peers    started again
+    |- controller    shards under leases                 started again
     `- signals       SIGTERM and SIGINT begin shutdown   fails the instance
 """
 
@@ -32,6 +33,7 @@
 from geraniumlink import _claims
 from geraniumlink import _clock
 from geraniumlink import _configuration
+from geraniumlink import _controller
 from geraniumlink import _http
 from geraniumlink import _inference
 from geraniumlink import _leaving
@@ -127,6 +129,15 @@
         self._listener = _server.Listener(
             self._rpc, settings.address, self._clock
         )
+        self._controller = _controller.Controller(
+            settings,
+            self._configuration,
+            self._objects,
+            self._live_names,
+            self._client,
+            self._clock,
+            source,
+        )
         self._peer_listener = _server.Listener(
             self._peers.application, settings.peer_address, self._clock
         )
@@ -195,6 +206,14 @@
                 lambda: self._suspects.keep_told(settings.heartbeat_ms),
             ),
             child("leaving", self._leaving.keep_told),
+            child("controller", self._controller.run),
+        ]
+
+    def _live_names(self) -> list[str]:
+        return [
+            member.name
+            for member in self._membership.members()
+            if member.state == "live"
         ]
 
     async def _heartbeat(self) -> None:
@@ -260,6 +279,7 @@
         """
         self._rpc.closing = True
         self._membership.leave()
+        self._controller.stop()
         await self._clock.sleep(self._settings.drain_lag_ms)
         self._listener.stop()
         await self._finish_answers()
