Tell of a plain service that refuses because it leaves

Cause: calls noted a refusal on the server alone, where streams now counts refusals for a while and tells peers. Change: attempts hand the refusal to Backends, as inference does.

--- a/src/geraniumlink/_attempts.py
+++ b/src/geraniumlink/_attempts.py
@@ -34,10 +34,12 @@
     def __init__(
         self,
         router: _routing.Router,
+        backends: _backends.Backends,
         clock: _clock.Clock,
         metrics: _metrics.Metrics,
     ) -> None:
         self._router = router
+        self._backends = backends
         self._clock = clock
         self._metrics = metrics
 
@@ -74,7 +76,8 @@
             backend.in_flight -= 1
         reason = _reason_of_refusal(response)
         if reason is not None:
-            backend.refused_as_leaving |= reason == "leaving"
+            if reason == "leaving":
+                self._backends.take_refusal(backend)
             self._count(request, "refused")
             return NotBegun()
         self._count(request, "ok")
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -94,7 +94,9 @@
         )
         self._leaving = _leaving.Leaving(self._backends, teller)
         router = _routing.Router(self._backends, source)
-        self._attempts = _attempts.Attempts(router, self._clock, self._metrics)
+        self._attempts = _attempts.Attempts(
+            router, self._backends, self._clock, self._metrics
+        )
         self._once = _once.Once(
             self._attempts,
             _claims.ClaimStore(self._objects),
