--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -1,5 +1,7 @@
 """Idempotency keys: their form, their age, and the removal of claims."""
 
+import time
+
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -71,6 +73,28 @@
     assert objects.removed == [("a", 3), ("b", 4)]
 
 
+@pytest.mark.anyio
+async def test_an_instance_removes_expired_claims_and_no_others(fleet):
+    await fleet.ready()
+    wall_ms = time.time_ns() // 1_000_000
+    kept_ms = _keys.CLAIM_LIFE_MS + _claim_janitor.LOOK_BACK_MS
+    # It begins with the oldest minute, at whichever of these it starts.
+    expired = [wall_ms - kept_ms + n * _claims.KIND_SPAN_MS for n in range(3)]
+    for issued_ms in [*expired, wall_ms]:
+        path = f"/objects/{_claims.kind_of(issued_ms)}/c?if_version=0"
+        await fleet.post(fleet.object_api, path, {}, "PUT")
+    fleet.instance()
+
+    async def removed():
+        record = await fleet.record(fleet.object_api)
+        history = record["history"]
+        return [one["kind"] for one in history if one["value"] is None]
+
+    await fleet.until(removed, "a claim is removed")
+    kinds = {_claims.kind_of(issued_ms) for issued_ms in expired}
+    assert set(await removed()) <= kinds
+
+
 class Objects:
     """Holds two claims, of which the first is removed by another."""
 
