Ask longer whether a server has gone, and not after mere silence

Change: the question may take 2 s; silence on a connection that stands is no longer followed by it, so a frozen server's answers resume sooner.

--- a/src/geraniumlink/_engines.py
+++ b/src/geraniumlink/_engines.py
@@ -47,6 +47,10 @@
         self.reason = reason
 
 
+class SilentError(_http.BrokenError):
+    """The connection stands and nothing came on it for too long."""
+
+
 class BadReportError(Exception):
     """A report that makes no sense; the last good one stays in use."""
 
@@ -80,13 +84,13 @@
 ) -> _streams.Chunk | _streams.End | None:
     """Return the next message, or None at the end of the stream.
 
-    :raises _http.BrokenError: if none comes within ``silence_ms``.
+    :raises SilentError: if none comes within ``silence_ms``.
     """
     try:
         with anyio.fail_after(silence_ms / 1000):
             return await anext(messages, None)
     except TimeoutError as error:
-        raise _http.BrokenError(f"silent for {silence_ms} ms") from error
+        raise SilentError(f"silent for {silence_ms} ms") from error
 
 
 async def report(client: _http.Client, address: _settings.Address) -> Report:
--- a/src/geraniumlink/_inference.py
+++ b/src/geraniumlink/_inference.py
@@ -287,7 +287,7 @@
             self.execution = before
             run.backend.mark_unreachable(self._inference._clock.now())
             return "not_sent"
-        except _streams.BrokenStreamError:
+        except (_engines.SilentError, _streams.BrokenStreamError):
             return "broken"
         except _http.BrokenError:
             crashed = await self._suspects.crashed(run)
@@ -314,7 +314,8 @@
             self._inference._client,
             run.backend.address,
             generation,
-            FIRST_TOKEN_MS,
+            # ``next_message`` is the one to find a server silent.
+            2 * FIRST_TOKEN_MS,
         )
         async with contextlib.aclosing(messages):
             silence_ms = FIRST_TOKEN_MS
--- a/src/geraniumlink/_suspects.py
+++ b/src/geraniumlink/_suspects.py
@@ -35,8 +35,9 @@
 from geraniumlink import _trials
 
 MAX_PROVEN = 4096
-# A server that is gone refuses at once; one that is silent is not gone.
-_PROBE_MS = 500
+# A server that is gone refuses at once. The bound is for one that froze; it
+# is long, because a crash that is missed may cost a third server.
+_PROBE_MS = 2000
 _PROBE_PAUSE_MS = 50
 _MAX_KNOWN_CRASHES = 256
 NO_SERVER = _trials.NO_SERVER
@@ -143,6 +144,7 @@
             if run.process in self._crashed:
                 return True
             if not await self._has_gone(run):
+                _logs.event("no_crash", server=run.process.address)
                 return False
             self._crashed.append(run.process)
             await self._suspect(run.process, trial)
