--- a/src/geraniumlink/_backends.py
+++ b/src/geraniumlink/_backends.py
@@ -181,6 +181,11 @@
             if backend.declared.address == address
         ]
 
+    def say_leaving(self) -> list[Backend]:
+        """Return the servers that told this instance that they leave."""
+        now = self._clock.now()
+        return [backend for backend in self.all() if backend.says_leaving(now)]
+
     def take_list(self, leaving: Iterable[str]) -> None:
         """Take the addresses that the instance list says are leaving.
 
@@ -242,12 +247,16 @@
             report = backend.report
             if report is None or report.boot_id != boot_id:
                 continue
-            if backend.is_leaving(now) or self._is_needed(
-                backend, {address}, now
-            ):
+            if self._is_needed(backend, {address}, now):
                 continue
+            if not backend.is_leaving(now):
+                news = True
+                _logs.event(
+                    "told_leaving",
+                    deployment=backend.key.deployment,
+                    replica=backend.key.replica,
+                )
             backend.mark_told(now)
-            news = True
         return news
 
     def _is_needed(self, backend: Backend, named: set[str], now: int) -> bool:
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -168,7 +168,10 @@
                 "suspects",
                 lambda: self._suspects.keep_told(settings.heartbeat_ms),
             ),
-            child("leaving", self._leaving.keep_told),
+            child(
+                "leaving",
+                lambda: self._leaving.keep_told(settings.heartbeat_ms),
+            ),
         ]
 
     async def _heartbeat(self) -> None:
--- a/src/geraniumlink/_leaving.py
+++ b/src/geraniumlink/_leaving.py
@@ -1,8 +1,9 @@
 """Tells peers which backend servers said that they are leaving.
 
-A message is a bounded list of processes, sent once at the first sign. Those
-for whom it is news pass it on to a few more, so that it reaches all of a
-fleet that is larger than one message's receivers.
+A message is a bounded list of processes. At the first sign it goes to many
+peers at once, and those for whom it is news pass it on to a few more. While
+the sign stands it goes to one peer at each heartbeat, for those that were
+not yet known or could not be reached.
 Source: A. Demers et al., "Epidemic Algorithms for Replicated Database
 Maintenance", PODC 1987.
 """
@@ -58,13 +59,18 @@
     def routes(self) -> list[routing.Route]:
         return [routing.Route(PATH, self._receive, methods=["POST"])]
 
-    async def keep_told(self) -> None:
-        """Send what is new, for ever."""
+    async def keep_told(self, interval_ms: int) -> None:
+        """Send what is new, and again what still stands, for ever."""
         while True:
-            await self._wake.wait()
+            with anyio.move_on_after(interval_ms / 1000):
+                await self._wake.wait()
             self._wake = anyio.Event()
             await self._send(self._own, _telling.MAX_TOLD)
             await self._send(self._heard, _PASSED_ON_TO)
+            standing = [
+                _process(backend) for backend in self._backends.say_leaving()
+            ]
+            await self._send(standing[:MAX_SERVERS], 1)
 
     async def _send(self, servers: list[Server], count: int) -> None:
         while servers:
@@ -74,11 +80,7 @@
             await self._teller.tell(PATH, message, count)
 
     def _notice(self, backend: _backends.Backend) -> None:
-        if backend.report is None:
-            return
-        self._own.append(
-            Server(backend.declared.address, backend.report.boot_id)
-        )
+        self._own.append(_process(backend))
         self._wake.set()
 
     async def _receive(self, request: requests.Request) -> responses.Response:
@@ -97,6 +99,11 @@
         return responses.JSONResponse({})
 
 
+def _process(backend: _backends.Backend) -> Server:
+    boot_id = backend.report.boot_id if backend.report else ""
+    return Server(backend.declared.address, boot_id)
+
+
 def _read(fields: typing.Any) -> list[Server]:
     if not isinstance(fields, list) or len(fields) > MAX_SERVERS:
         raise ValueError(f"not a list of at most {MAX_SERVERS} servers")
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -82,22 +82,17 @@
 
 
 async def test_a_peers_word_is_enough(fleet):
-    """The second instance asks for no reports while the test runs."""
-    served, instances = await _start(fleet)
-    blind = fleet.instance(report_ms=60_000)
-    await fleet.ready()
-    await builders.in_force(fleet, 1)
-    await fleet.faults(served[0], report_leaving=True)
+    """The second instance asks the last server again after 20 s at least."""
+    served, (_, blind) = await _start(fleet, report_ms=60_000)
+    await fleet.faults(served[-1], report_leaving=True)
 
-    async def known() -> bool:
-        status = await fleet.call(blind, "Operator/Status")
-        return any(
-            replica["state"] == "leaving"
-            for replica in status.body.get("replicas", ())
-        )
+    def told() -> bool:
+        return "told_leaving" in blind.log.read_text()
 
-    await builders.serving(fleet, blind, 1)
-    await fleet.until(known, "the blind instance knows")
+    await fleet.until(told, "the blind instance was told")
+    status = await fleet.call(blind, "Operator/Status")
+    states = [replica["state"] for replica in status.body["replicas"]]
+    assert sorted(states) == ["leaving", "serving", "serving"]
 
 
 async def test_work_in_flight_goes_on_to_its_end(fleet):
