--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import json
 import os
 import pathlib
-import random
 import signal
 import socket
 import subprocess
@@ -26,6 +26,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 WAIT_S = 60.0
 _POLL_S = 0.03
+_FIRST_PORT = 10_000
+_PORTS = 22_000
+_port_numbers = itertools.count(os.getpid() * 211)
 
 
 class Answer(typing.NamedTuple):
@@ -297,11 +300,12 @@
 def free_port() -> int:
     """Return a port that nobody has.
 
-    It lies below those that the kernel gives to outgoing connections, one of
-    which could otherwise take it before the process listens.
+    Ports lie below those that the kernel gives to outgoing connections, one
+    of which could otherwise take it before the process listens. Each program
+    that starts fleets counts on from a place of its own for the same reason.
     """
     while True:
-        port = random.randrange(10_000, 32_000)
+        port = _FIRST_PORT + next(_port_numbers) % _PORTS
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             return port
