--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -207,7 +207,10 @@
                 "suspects",
                 lambda: self._suspects.keep_told(settings.heartbeat_ms),
             ),
-            child("leaving", self._leaving.keep_told),
+            child(
+                "leaving",
+                lambda: self._leaving.keep_told(settings.heartbeat_ms),
+            ),
             child("controller", self._controller.run),
         ]
 
