Roll all versions at once without filling the memory; test the parts

The placement of both users' sizes (18 models and 40 adapters on 5 replicas, 39 and 95 on 9, three quarters full) stalled when every version was rolled at once: new copies took the room that their adapters needed, so no old copy could go. A new version now waits for room with its adapters, and prefers the replica where they are already.

Also: a holder that was paused waits for new reports before it moves anything, loads on an engine that is down hold no place in the limits, and the wait for late orders counts the sending itself.

--- a/src/geraniumlink/_controller.py
+++ b/src/geraniumlink/_controller.py
@@ -20,6 +20,7 @@
 from geraniumlink import _leases
 from geraniumlink import _ledger_store
 from geraniumlink import _logs
+from geraniumlink import _metrics
 from geraniumlink import _objects
 from geraniumlink import _settings
 from geraniumlink import _shard
@@ -40,6 +41,7 @@
         client: _http.Client,
         clock: _clock.Clock,
         random_source: random.Random,
+        metrics: _metrics.Metrics,
     ) -> None:
         self._name = settings.name
         self._clock = clock
@@ -55,6 +57,7 @@
             client,
             clock,
             random_source,
+            metrics,
             settings.report_ms,
         )
         self._campaigns: set[str] = set()
--- a/src/geraniumlink/_held_replica.py
+++ b/src/geraniumlink/_held_replica.py
@@ -11,6 +11,7 @@
 from geraniumlink import _ledger
 from geraniumlink import _ledger_store
 from geraniumlink import _logs
+from geraniumlink import _metrics
 from geraniumlink import _objects
 from geraniumlink import _orders
 from geraniumlink import _placement
@@ -41,6 +42,7 @@
         client: _http.Client,
         clock: _clock.Clock,
         random_source: random.Random,
+        metrics: _metrics.Metrics,
     ) -> None:
         self._names = names
         self.declared = declared
@@ -48,6 +50,7 @@
         self._client = client
         self._clock = clock
         self._random = random_source
+        self._metrics = metrics
         self._store = _ledger_store.LedgerStore(
             objects,
             f"{names.deployment}.{declared.name}",
@@ -139,6 +142,7 @@
                 )
             except _engine_reports.BadReportError as error:
                 self._log("bad_memory_report", error=str(error))
+                self._metrics.control_faults.inc({"kind": "report"})
             except (_http.NotSentError, _http.BrokenError):
                 # The age of the last report shows that it is down.
                 pass
@@ -173,6 +177,10 @@
         for note in settled.notes:
             self._log_note(note.step, note)
 
+    def forget_report(self) -> None:
+        """Drop the report, so that the replica counts again after the next."""
+        self._report = None
+
     def due(self, rules: _settlement.Rules) -> list[_ledger.Entry]:
         """Return the entries whose orders show no effect."""
         if self._report is None or not self.up() or self._sending:
@@ -215,6 +223,13 @@
             charge_mb=wanted.charge_mb,
             capacity_mb=self.capacity_mb,
         )
+        self._metrics.moves.inc(
+            {
+                "deployment": self._names.deployment,
+                "action": action.value,
+                "what": "adapter" if copy.adapter else "model",
+            }
+        )
         return PreparedOrder(order, written.started_at)
 
     async def send(self, prepared: list[PreparedOrder]) -> None:
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -90,6 +90,7 @@
             self._client,
             self._clock,
             source,
+            self._metrics,
         )
         self._listener = _server.Listener(self._rpc, settings.address)
         self._peer_listener = _server.Listener(
--- a/src/geraniumlink/_metrics.py
+++ b/src/geraniumlink/_metrics.py
@@ -25,6 +25,15 @@
             "geraniumlink_crash_suspicions_total",
             "Requests in flight on a backend server when it crashed",
         )
+        self.moves = self._counter(
+            "geraniumlink_moves_total",
+            "Intents to load or unload by deployment, action and model or"
+            " adapter; repeated orders count again",
+        )
+        self.control_faults = self._counter(
+            "geraniumlink_control_faults_total",
+            "Ledgers and reports that made no sense, by kind",
+        )
         self.in_flight = self._gauge(
             "geraniumlink_requests_in_flight", "Requests being served"
         )
--- a/src/geraniumlink/_orders.py
+++ b/src/geraniumlink/_orders.py
@@ -10,11 +10,14 @@
 import enum
 import typing
 
+import anyio
+
 from geraniumlink import _http
 from geraniumlink import _ledger
 from geraniumlink import _settings
 
-_TIMEOUT_MS = 1000
+# Nothing of an order leaves this process later than this after ``send``.
+TIMEOUT_MS = 1000
 
 
 class Action(enum.Enum):
@@ -55,13 +58,19 @@
         "version": order.copy.version,
         "size_mb": order.size_mb,
     }
-    try:
-        answer = await client.post_json(
-            address, "/orders", message, timeout_ms=_TIMEOUT_MS
-        )
-    except (_http.NotSentError, _http.BrokenError):
-        return Reply.UNKNOWN
-    match answer.status:
+    with anyio.move_on_after(TIMEOUT_MS / 1000):
+        try:
+            answer = await client.post_json(
+                address, "/orders", message, timeout_ms=TIMEOUT_MS
+            )
+        except (_http.NotSentError, _http.BrokenError):
+            return Reply.UNKNOWN
+        return _reply(answer.status)
+    return Reply.UNKNOWN
+
+
+def _reply(status: int) -> Reply:
+    match status:
         case 200:
             return Reply.ACCEPTED
         case 409:
--- a/src/geraniumlink/_placement.py
+++ b/src/geraniumlink/_placement.py
@@ -74,8 +74,9 @@
     """
     state = _State(deployment, replicas)
     return [
-        *state.missing_models(),
-        *state.missing_adapters(),
+        *state.load_models(held=False),
+        *state.load_adapters(),
+        *state.load_models(held=True),
         *state.surplus(),
     ]
 
@@ -96,30 +97,34 @@
         for adapter in deployment.adapters:
             self._adapters.setdefault(adapter.model, []).append(adapter)
 
-    def missing_models(self) -> list[Move]:
+    def load_models(self, held: bool) -> list[Move]:
+        """Load missing copies, of models that are held somewhere or not.
+
+        A held model waits for room for its adapters as well: a new version
+        without them can't replace the old one, and many at once would leave
+        no room to finish any.
+        """
         moves: list[Move] = []
-        for model in sorted(self._deployment.models, key=self._urgency):
-            copy = model_copy(model)
+        for model in sorted(self._deployment.models, key=_urgency):
+            if self._is_held(model) != held:
+                continue
             for _ in range(self._missing(model)):
-                room_mb = model.size_mb + self._adapters_mb(model.name)
-                move = self._load(copy, model.size_mb, room_mb)
+                move = self._load_model(model)
+                if move is None and not held:
+                    move = self._load_model(model, with_adapters=False)
                 if move is None:
                     moves += self._make_room(model)
                     break
                 moves.append(move)
         return moves
 
-    def _urgency(self, model: pb.Model) -> tuple[bool, int, int, str]:
-        """Models that nobody holds first, then by priority and size."""
-        held = any(
-            view.copy.model == model.name
-            and not view.copy.adapter
-            and view.state is _ledger.State.RESIDENT
+    def _is_held(self, model: pb.Model) -> bool:
+        return any(
+            _is_model(view, model) and view.state is _ledger.State.RESIDENT
             for replica in self._replicas
             if replica.usable
             for view in replica.copies
         )
-        return held, -model.priority, -model.size_mb, model.name
 
     def _missing(self, model: pb.Model) -> int:
         holders = self._holders(model_copy(model), _HELD)
@@ -136,48 +141,48 @@
             if view.copy == copy and view.state in states
         ]
 
-    def _adapters_mb(self, model: str) -> int:
-        return sum(
-            adapter.size_mb for adapter in self._adapters.get(model, ())
-        )
-
-    def _load(
-        self, copy: _ledger.Copy, size_mb: int, room_mb: int
+    def _load_model(
+        self, model: pb.Model, with_adapters: bool = True
     ) -> Move | None:
-        """Return a load where there is ``room_mb``, else where it fits."""
-        for wanted_mb in (room_mb, size_mb):
-            fitting = [
-                replica
-                for replica in self._replicas
-                if self._fits(replica, copy, size_mb, wanted_mb)
-            ]
-            if fitting:
-                # Spread first; among equals the tightest fit.
-                best = min(
-                    fitting,
-                    key=lambda replica: (
-                        self._model_count(replica),
-                        self._free[replica.name],
-                        replica.name,
-                    ),
-                )
-                return self._take(best, copy, size_mb)
-        return None
-
-    def _fits(
-        self,
-        replica: ReplicaView,
-        copy: _ledger.Copy,
-        size_mb: int,
-        wanted_mb: int,
-    ) -> bool:
+        copy = model_copy(model)
+        best: tuple[tuple, ReplicaView, int] | None = None
+        for replica in self._replicas:
+            if not self._may_load(replica, copy):
+                continue
+            room_mb = 0 if replica.find(copy) else model.size_mb
+            if with_adapters:
+                room_mb += self._missing_adapters_mb(replica, model)
+            if room_mb > self._free[replica.name]:
+                continue
+            # Where an old version has its adapters, then spread over the
+            # replicas, then the tightest fit.
+            rank = (
+                not any(_is_model(view, model) for view in replica.copies),
+                self._model_count(replica),
+                self._free[replica.name],
+                replica.name,
+            )
+            if best is None or rank < best[0]:
+                best = (rank, replica, room_mb)
+        if best is None:
+            return None
+        _, replica, room_mb = best
+        return self._take(replica, copy, model.size_mb, room_mb)
+
+    def _may_load(self, replica: ReplicaView, copy: _ledger.Copy) -> bool:
         if not replica.usable or copy in self._planned[replica.name]:
             return False
         view = replica.find(copy)
-        if view is not None and not view.reloadable:
-            return False
-        charged_mb = size_mb if view else 0
-        return wanted_mb - charged_mb <= self._free[replica.name]
+        return view is None or view.reloadable
+
+    def _missing_adapters_mb(
+        self, replica: ReplicaView, model: pb.Model
+    ) -> int:
+        return sum(
+            adapter.size_mb
+            for adapter in self._adapters.get(model.name, ())
+            if replica.find(adapter_copy(adapter)) is None
+        )
 
     def _model_count(self, replica: ReplicaView) -> int:
         charged = {view.copy for view in replica.copies}
@@ -188,10 +193,13 @@
         )
 
     def _take(
-        self, replica: ReplicaView, copy: _ledger.Copy, size_mb: int
+        self,
+        replica: ReplicaView,
+        copy: _ledger.Copy,
+        size_mb: int,
+        room_mb: int,
     ) -> Move:
-        if replica.find(copy) is None:
-            self._free[replica.name] -= size_mb
+        self._free[replica.name] -= room_mb
         self._planned[replica.name].add(copy)
         return Move(Action.LOAD, replica.name, copy, size_mb)
 
@@ -211,21 +219,36 @@
         holders = self._resident(model_copy(model))
         return holders[wanted_copies(model) :]
 
-    def missing_adapters(self) -> list[Move]:
-        """Load adapters beside the copies of their models."""
-        moves = []
+    def load_adapters(self) -> list[Move]:
+        """Load adapters beside the copies of their models.
+
+        Beside a copy that is still being loaded their room is kept free.
+        """
+        moves: list[Move] = []
         for model in self._deployment.models:
-            holders = self._resident(model_copy(model))
-            beside = holders[: wanted_copies(model)]
-            for adapter in self._adapters.get(model.name, ()):
-                copy = adapter_copy(adapter)
-                for replica in beside:
-                    if self._fits(
-                        replica, copy, adapter.size_mb, adapter.size_mb
-                    ):
-                        moves.append(
-                            self._take(replica, copy, adapter.size_mb)
-                        )
+            holders = self._holders(model_copy(model), _HELD)
+            for replica in holders[: wanted_copies(model)]:
+                moves += self._load_adapters_at(replica, model)
+        return moves
+
+    def _load_adapters_at(
+        self, replica: ReplicaView, model: pb.Model
+    ) -> list[Move]:
+        view = replica.find(model_copy(model))
+        ready = view is not None and view.state is _ledger.State.RESIDENT
+        moves = []
+        for adapter in self._adapters.get(model.name, ()):
+            copy = adapter_copy(adapter)
+            if not self._may_load(replica, copy):
+                continue
+            room_mb = 0 if replica.find(copy) else adapter.size_mb
+            fits = room_mb <= self._free[replica.name]
+            if ready and fits:
+                moves.append(
+                    self._take(replica, copy, adapter.size_mb, room_mb)
+                )
+            else:
+                self._free[replica.name] -= room_mb
         return moves
 
     def surplus(self) -> list[Move]:
@@ -240,7 +263,7 @@
             for replica in self._replicas
             for view in replica.copies
             if view.state in _HELD
-            and view.copy not in current
+            and (view.copy not in current or _is_stray(replica, view))
             and self._replaced(view, declared)
         ]
 
@@ -271,6 +294,24 @@
         return self._holders(copy, (_ledger.State.RESIDENT,))
 
 
+def _urgency(model: pb.Model) -> tuple[int, int, str]:
+    """By priority, then the largest, which are the hardest to place."""
+    return -model.priority, -model.size_mb, model.name
+
+
+def _is_model(view: CopyView, model: pb.Model) -> bool:
+    """Whether it is a copy of the model, in any version."""
+    return view.copy.model == model.name and not view.copy.adapter
+
+
+def _is_stray(replica: ReplicaView, view: CopyView) -> bool:
+    """Whether it is an adapter with no copy of its model beside it."""
+    return bool(view.copy.adapter) and not any(
+        other.copy.model == view.copy.model and not other.copy.adapter
+        for other in replica.copies
+    )
+
+
 def model_copy(model: pb.Model) -> _ledger.Copy:
     """Return the copy that a declared model wants."""
     return _ledger.Copy(model.name, "", model.version)
--- a/src/geraniumlink/_settlement.py
+++ b/src/geraniumlink/_settlement.py
@@ -14,6 +14,7 @@
 
 from geraniumlink import _engine_reports
 from geraniumlink import _ledger
+from geraniumlink import _orders
 
 # An order leaves at most this long after the write of its intent began.
 SEND_WINDOW_MS = 2000
@@ -151,7 +152,8 @@
     """
     if rules.lateness_bound_ms == 0:
         return False
-    wait_ms = SEND_WINDOW_MS + rules.lateness_bound_ms + REPORT_LAG_MS
+    sent_after_ms = SEND_WINDOW_MS + _orders.TIMEOUT_MS
+    wait_ms = sent_after_ms + rules.lateness_bound_ms + REPORT_LAG_MS
     return age_ms >= wait_ms
 
 
--- a/src/geraniumlink/_shard.py
+++ b/src/geraniumlink/_shard.py
@@ -21,6 +21,7 @@
 from geraniumlink import _ledger
 from geraniumlink import _ledger_store
 from geraniumlink import _logs
+from geraniumlink import _metrics
 from geraniumlink import _objects
 from geraniumlink import _orders
 from geraniumlink import _placement
@@ -29,6 +30,8 @@
 
 # Moves wait this long for the first report of each replica.
 FIRST_REPORTS_MS = 3000
+# A step that comes this long after the last one follows a pause.
+PAUSE_MS = 2000
 _UNREADABLE_RETRY_MS = 10_000
 
 
@@ -40,6 +43,7 @@
     client: _http.Client
     clock: _clock.Clock
     random_source: random.Random
+    metrics: _metrics.Metrics
     report_ms: int
 
 
@@ -57,6 +61,7 @@
         self._watched: dict[str, _Watched] = {}
         self._budget = _budgets.Budget(parts.clock.now())
         self._started_at = parts.clock.now()
+        self._stepped_at = parts.clock.now()
         self._unreadable_until: dict[str, int] = {}
 
     async def run(self) -> None:
@@ -107,6 +112,7 @@
                 self._parts.client,
                 self._parts.clock,
                 self._parts.random_source,
+                self._parts.metrics,
             )
             scope = anyio.CancelScope()
             self._watched[name] = _Watched(held, scope)
@@ -121,6 +127,7 @@
     async def _step(
         self, deployment: pb.Deployment, group: anyio.abc.TaskGroup
     ) -> None:
+        self._notice_pause()
         rules = _settlement.Rules(
             deployment.order_rules.engines_check_fencing,
             deployment.order_rules.order_lateness_bound_ms,
@@ -133,12 +140,25 @@
             return
         self._budget.update(
             deployment.load_limits,
-            [replica.ledger for replica in self._replicas()],
+            # A load on an engine that is down would keep its place for ever.
+            [replica.ledger for replica in self._replicas() if replica.up()],
             self._parts.clock.now(),
         )
         await self._send_again(rules, group)
         await self._move(deployment, group)
 
+    def _notice_pause(self) -> None:
+        """Wait for new reports after this process was paused.
+
+        Until then each engine would seem to be down, for want of a report.
+        """
+        now = self._parts.clock.now()
+        if now - self._stepped_at > PAUSE_MS:
+            self._started_at = now
+            for replica in self._replicas():
+                replica.forget_report()
+        self._stepped_at = now
+
     def _replicas(self) -> list[_held_replica.HeldReplica]:
         return [watched.replica for watched in self._watched.values()]
 
@@ -151,6 +171,7 @@
             await replica.claim()
         except _ledger_store.UnreadableError:
             # Its charge is unknown, so no order is sent to it.
+            self._parts.metrics.control_faults.inc({"kind": "ledger"})
             self._unreadable_until[name] = now + _UNREADABLE_RETRY_MS
 
     def _complete(self) -> bool:
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,99 @@
+"""Leases: one holder's hint, taken by conditional update."""
+
+import random
+
+import pytest
+
+from geraniumlink import _clock
+from geraniumlink import _leases
+from tests import memory_api
+
+pytestmark = pytest.mark.anyio
+
+
+class Candidate:
+    """One instance, with a clock of its own."""
+
+    def __init__(self, api, name, seed):
+        self.clock = _clock.ManualClock(start=seed * 1000)
+        self.leases = _leases.Leases(
+            api, name, 1000, self.clock, random.Random(seed)
+        )
+
+
+@pytest.fixture
+def api():
+    return memory_api.MemoryApi()
+
+
+async def test_one_of_two_candidates_takes_a_free_lease(api):
+    first, second = Candidate(api, "i1", 1), Candidate(api, "i2", 2)
+    assert await first.leases.try_take("assistant") is not None
+    assert await second.leases.try_take("assistant") is None
+
+
+async def test_a_lease_that_is_renewed_does_not_lapse(api):
+    first, second = Candidate(api, "i1", 1), Candidate(api, "i2", 2)
+    held = await first.leases.try_take("assistant")
+    for _ in range(5):
+        assert await second.leases.try_take("assistant") is None
+        second.clock.advance(900)
+        held = await first.leases.renew(held)
+    assert await second.leases.try_take("assistant") is None
+
+
+async def test_a_lease_that_does_not_change_lapses_by_the_observers_clock(
+    api,
+):
+    first, second = Candidate(api, "i1", 1), Candidate(api, "i2", 2)
+    held = await first.leases.try_take("assistant")
+    assert await second.leases.try_take("assistant") is None
+    second.clock.advance(1000)
+    taken = await second.leases.try_take("assistant")
+    assert taken.lease.epoch == held.lease.epoch + 1
+    with pytest.raises(_leases.LostError):
+        await first.leases.renew(held)
+
+
+async def test_a_released_lease_is_taken_at_once(api):
+    first, second = Candidate(api, "i1", 1), Candidate(api, "i2", 2)
+    await first.leases.release(await first.leases.try_take("assistant"))
+    assert await second.leases.try_take("assistant") is not None
+
+
+async def test_a_lost_answer_does_not_cost_the_lease(api):
+    first = Candidate(api, "i1", 1)
+    api.lose_answers = 1
+    with pytest.raises(memory_api.UnavailableError):
+        await first.leases.try_take("assistant")
+    held = await first.leases.try_take("assistant")
+    api.lose_answers = 1
+    with pytest.raises(memory_api.UnavailableError):
+        await first.leases.renew(held)
+    assert await first.leases.renew(held)
+
+
+@pytest.mark.parametrize("value", [[], {"holder": 3}, {"epoch": "x"}, "text"])
+async def test_an_unreadable_lease_lapses_and_epochs_still_rise(api, value):
+    api.store("leases", "assistant", value)
+    first = Candidate(api, "i1", 1)
+    assert await first.leases.try_take("assistant") is None
+    first.clock.advance(1000)
+    assert (await first.leases.try_take("assistant")).lease.epoch > 1
+
+
+def test_few_instances_look_at_a_lease_however_many_there_are():
+    instances = [f"i{index}" for index in range(400)]
+    shards = [f"d{index}" for index in range(200)]
+    looked_at = [_leases.candidates(shard, instances) for shard in shards]
+    assert all(len(found) == _leases.CANDIDATES for found in looked_at)
+    assert len({found[0] for found in looked_at}) > 100
+
+
+def test_an_instance_that_leaves_moves_only_its_own_shards():
+    instances = [f"i{index}" for index in range(9)]
+    for shard in ("assistant", "sommelier-llm", "custody"):
+        before = _leases.candidates(shard, instances)
+        for left in set(instances) - set(before):
+            rest = [name for name in instances if name != left]
+            assert _leases.candidates(shard, rest) == before
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,188 @@
+"""The ledger's charge, its writes, and what a report confirms."""
+
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from geraniumlink import _clock
+from geraniumlink import _engine_reports
+from geraniumlink import _ledger
+from geraniumlink import _ledger_store
+from geraniumlink import _orders
+from geraniumlink import _settlement
+from tests import memory_api
+
+pytestmark = pytest.mark.anyio
+
+NOTES = _ledger.Copy("notes", "", "1")
+TRAILS = _ledger.Copy("trails", "", "1")
+CHECKS = _settlement.Rules(checks_fencing=True, lateness_bound_ms=0)
+BOUND = _settlement.Rules(checks_fencing=False, lateness_bound_ms=500)
+NO_BOUND = _settlement.Rules(checks_fencing=False, lateness_bound_ms=0)
+
+
+def store(api, seed=1):
+    return _ledger_store.LedgerStore(
+        api, "assistant.r0", _clock.ManualClock(), random.Random(seed)
+    )
+
+
+@pytest.fixture
+def api():
+    return memory_api.MemoryApi()
+
+
+async def test_a_charge_above_the_capacity_is_never_written(api):
+    first = store(api)
+    await first.claim("i1", 1)
+    await first.write(first.ledger.with_load(NOTES, 600), 900)
+    with pytest.raises(_ledger_store.OverchargeError):
+        await first.write(first.ledger.with_load(TRAILS, 301), 900)
+    assert first.ledger.charge_mb == 600
+
+
+async def test_a_holder_that_was_replaced_can_not_write(api):
+    first, second = store(api, 1), store(api, 2)
+    await first.claim("i1", 1)
+    await second.claim("i2", 2)
+    with pytest.raises(_ledger_store.LostShardError):
+        await first.write(first.ledger.with_load(NOTES, 100), 900)
+    with pytest.raises(_ledger_store.LostShardError):
+        await store(api, 3).claim("i1", 1)
+
+
+async def test_a_write_whose_answer_is_lost_is_recognised(api):
+    first = store(api)
+    await first.claim("i1", 1)
+    api.lose_answers = 1
+    written = await first.write(first.ledger.with_load(NOTES, 100), 900)
+    assert written.ledger.charge_mb == 100
+
+
+async def test_a_write_of_unknown_outcome_is_resolved_by_a_write(api):
+    first = store(api)
+    await first.claim("i1", 1)
+    wanted = first.ledger.with_load(NOTES, 100)
+    api.outage = True
+    with pytest.raises(memory_api.UnavailableError):
+        await first.write(wanted, 900)
+    assert first.uncertain
+    api.outage = False
+    await first.resolve()
+    assert not first.uncertain
+
+
+async def test_a_write_that_took_effect_late_is_taken_in(api):
+    first = store(api)
+    await first.claim("i1", 1)
+    await first.write(first.ledger.with_load(NOTES, 100), 900)
+    late = first.ledger.with_load(TRAILS, 100)
+    first._changes.append("late-change")
+    api.store(
+        "replicas",
+        "assistant.r0",
+        _ledger.to_json(late._replace(change_id="late-change")),
+    )
+    with pytest.raises(_ledger_store.MovedError):
+        await first.resolve()
+    assert first.ledger.charge_mb == 200
+
+
+BAD = [
+    [],
+    {"schema": 2},
+    {"schema": 1},
+    {"schema": 1, "entries": [3]},
+    _ledger.to_json(_ledger.Ledger()) | {"epoch": -1},
+    _ledger.to_json(_ledger.Ledger()) | {"entries": [{}] * 6000},
+    _ledger.to_json(_ledger.Ledger().with_load(NOTES, 5))
+    | {"fencing_number": 0},
+]
+
+
+@pytest.mark.parametrize("value", BAD)
+async def test_a_ledger_that_makes_no_sense_is_left_alone(api, value):
+    api.store("replicas", "assistant.r0", value)
+    with pytest.raises(_ledger_store.UnreadableError) as raised:
+        await store(api).claim("i1", 1)
+    assert raised.value.findings.all()
+    assert api.revision == 1
+
+
+names = strategies.text(max_size=5)
+entries = strategies.builds(
+    _ledger.Entry,
+    strategies.builds(_ledger.Copy, names, names, names),
+    strategies.integers(0, 10**6),
+    strategies.sampled_from(_ledger.State),
+    strategies.integers(0, 9),
+    strategies.booleans(),
+)
+
+
+@hypothesis.given(
+    strategies.lists(entries, unique_by=lambda entry: entry.copy)
+)
+def test_a_ledger_is_read_as_it_was_written(found):
+    ledger = _ledger.Ledger(3, "i1", 9, "boot", "change", tuple(found))
+    read = _ledger.from_json("place", _ledger.to_json(ledger))
+    assert read.ok == ledger
+
+
+def settle(ledger, number, *copies, rules=CHECKS, age_ms=0):
+    """Settle with a report of these resident copies at an age."""
+    ages = _settlement.Ages()
+    ages.update(ledger, 0)
+    report = _engine_reports.MemoryReport(
+        "boot",
+        number,
+        {copy: _engine_reports.ReportedCopy(100, True) for copy in copies},
+        False,
+    )
+    settled = _settlement.settle(ledger, report, rules, ages, age_ms)
+    return settled.ledger
+
+
+def loaded(rules=CHECKS):
+    return settle(_ledger.Ledger().with_load(NOTES, 100), 1, NOTES)
+
+
+def unloading():
+    return loaded().with_unload(loaded().find(NOTES))
+
+
+def test_a_load_is_confirmed_by_the_report_alone():
+    loading = _ledger.Ledger().with_load(NOTES, 100)
+    assert settle(loading, 0, NOTES) == loading._replace(boot_id="boot")
+    state = settle(loading, 1, NOTES).find(NOTES).state
+    assert state is _ledger.State.RESIDENT
+
+
+def test_an_unload_frees_the_charge_under_its_own_number_only():
+    assert settle(unloading(), 1).charge_mb == 100
+    assert settle(unloading(), 2, NOTES).charge_mb == 100
+    assert settle(unloading(), 2).charge_mb == 0
+
+
+def test_an_engine_that_does_not_check_keeps_the_charge_until_the_bound():
+    kept = settle(unloading(), 0, rules=BOUND)
+    assert kept.find(NOTES).state is _ledger.State.MAY_ARRIVE
+    sent_ms = _settlement.SEND_WINDOW_MS + _orders.TIMEOUT_MS
+    wait_ms = sent_ms + 500 + _settlement.REPORT_LAG_MS
+    for age_ms, charge_mb in ((wait_ms - 1, 100), (wait_ms, 0)):
+        settled = settle(kept, 0, rules=BOUND, age_ms=age_ms)
+        assert settled.charge_mb == charge_mb
+    forever = settle(kept, 0, rules=NO_BOUND, age_ms=10**9)
+    assert forever.charge_mb == 100
+
+
+def test_a_late_load_after_an_unload_is_unloaded_again():
+    kept = settle(unloading(), 0, rules=BOUND)
+    arrived = settle(kept, 0, NOTES, rules=BOUND)
+    assert arrived.find(NOTES).state is _ledger.State.UNLOADING
+
+
+def test_what_is_found_resident_is_charged():
+    assert settle(_ledger.Ledger(), 0, NOTES).charge_mb == 100
