Load a copy again where an engine forgot its fencing number

A replica whose engine restarted without its number, or was replaced under the same name, reported a number below its ledger's for ever: nothing was confirmed, the entry stayed resident, and its model was never loaded again. Seen to fail first: test_a_model_comes_back_after_its_engine_forgot_its_number timed out after 60 s. Such an entry is now loading: charged and due.

--- a/specs/last_copy.py
+++ b/specs/last_copy.py
@@ -252,6 +252,9 @@
         if entry is None:
             return
         if self._variant.checks_fencing and number < entry.number:
+            if entry.state == RESIDENT and not seen:
+                lost = entry._replace(state=LOADING)
+                yield self._written("copy_lost", holder, replica, lost)
             return
         if entry.state in (LOADING, MAY_ARRIVE) and seen:
             state = UNLOADING if entry.unload_sent else RESIDENT
--- a/specs/memory.py
+++ b/specs/memory.py
@@ -254,6 +254,9 @@
     ) -> Iterator[Step]:
         number = self._state.reported_number
         if number < entry.number and not self._variant.ignore_reported_number:
+            if entry.state == RESIDENT and not seen:
+                lost = entry._replace(state=LOADING)
+                yield self._settled("copy_lost", index, copy, lost)
             return
         if entry.state == LOADING and seen:
             resident = entry._replace(state=RESIDENT)
--- a/src/geraniumlink/_settlement.py
+++ b/src/geraniumlink/_settlement.py
@@ -112,7 +112,7 @@
     """Return the entry as it is now; None when its charge is over."""
     if rules.checks_fencing and report.fencing_number < entry.fencing_number:
         # The report is older than the order, or the order has not arrived.
-        return entry
+        return _unconfirmed(entry, seen)
     match entry.state:
         case _ledger.State.LOADING | _ledger.State.MAY_ARRIVE if seen:
             return _arrived(entry, seen)
@@ -132,6 +132,19 @@
             return None if over else entry
 
 
+def _unconfirmed(
+    entry: _ledger.Entry, seen: _engine_reports.ReportedCopy | None
+) -> _ledger.Entry:
+    """Keep the charge, and order a copy again that is not there.
+
+    It was resident, so another engine is in its place, or one that forgot
+    its number.
+    """
+    if entry.state is _ledger.State.RESIDENT and seen is None:
+        return entry._replace(state=_ledger.State.LOADING)
+    return entry
+
+
 def _arrived(
     entry: _ledger.Entry, seen: _engine_reports.ReportedCopy
 ) -> _ledger.Entry:
@@ -188,6 +201,8 @@
         step = "charge_kept"
     elif after.state is _ledger.State.RESIDENT:
         step = "intent_retired"
+    elif after.state is _ledger.State.LOADING:
+        step = "copy_lost"
     else:
         step = "arrived_late"
     return Note(step, before.copy, before.fencing_number, _seen_word(seen))
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -120,3 +120,16 @@
         return answer.status == 200
 
     await fleet.until(served, f"{request} is served")
+
+
+async def test_a_model_comes_back_after_its_engine_forgot_its_number(fleet):
+    """The assumption on restarts is broken, and the model still returns."""
+    engine = fleet.engine()
+    instance = fleet.instance()
+    await fleet.ready()
+    await builders.declare(fleet, instance, builders.engines([engine]))
+    await answers(fleet, instance, model="notes")
+    engine.kill()
+    engine.start()
+    await fleet.ready()
+    await answers(fleet, instance, model="notes")
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -186,3 +186,9 @@
 
 def test_what_is_found_resident_is_charged():
     assert settle(_ledger.Ledger(), 0, NOTES).charge_mb == 100
+
+
+def test_a_copy_that_another_engine_lacks_stays_charged_and_is_due():
+    lost = settle(loaded(), 0)
+    assert lost.charge_mb == 100
+    assert lost.find(NOTES).state is _ledger.State.LOADING
