--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -139,6 +139,7 @@
             self._client,
             self._clock,
             source,
+            self._metrics,
         )
         self._peer_listener = _server.Listener(
             self._peers.application, settings.peer_address, self._clock
