--- a/src/geraniumlink/_changes.py
+++ b/src/geraniumlink/_changes.py
@@ -1,59 +1,58 @@
 """Accepts operators' changes: conditional writes and their audit trail.
 
-The value of a deployment's object holds the deployment and the latest
-changes to it, so a change and its place in the audit trail are one write:
-two operators who were both told "accepted" are both in it. Older changes
-are archived before they are dropped from the object.
+A change is written only onto the version that it was made against, together
+with its entry in the audit trail (see ``_audit``), so two operators who were
+both told "accepted" are both in the history. A change id that was accepted
+before is recognised, however long ago, and is never applied twice.
 """
 
 from __future__ import annotations
 
-import contextlib
+import hashlib
+import json
 import typing
 
 import expression
 
+from geraniumlink import _audit
 from geraniumlink import _clock
 from geraniumlink import _configuration
 from geraniumlink import _logs
 from geraniumlink import _objects
 from geraniumlink import _refusals
 
-ARCHIVE_KIND = "history"
-MAX_RECENT_CHANGES = 50
-_ARCHIVED_AT_ONCE = 25
 _WRITE_ATTEMPTS = 3
 RETRY_AFTER_MS = 2000
 
 
-class Change(typing.TypedDict):
-    """One accepted change, as it is kept."""
+class Declare(typing.NamedTuple):
+    """Puts a deployment in place of what was there."""
 
-    # The version that it replaced; 0 for the first.
-    base_version: int
-    change_id: str
-    author: str
-    instance: str
-    time_ms: int
-    action: str
+    deployment: dict
+
+
+class Retire(typing.NamedTuple):
+    """Withdraws the deployment."""
+
+
+class Drain(typing.NamedTuple):
+    """Takes a replica out of service for new work, or puts it back."""
 
+    replica: str
+    undo: bool
 
-class Stored(typing.TypedDict):
-    """The value of a deployment's object; None when it is retired."""
 
-    deployment: dict | None
-    changes: list[Change]
+Edit = Declare | Retire | Drain
 
 
 class Request(typing.NamedTuple):
     """A change that was checked and is to be accepted."""
 
     name: str
-    deployment: dict | None
+    edit: Edit
     expected_version: int
     change_id: str
     author: str
-    action: str
 
 
 class Accepted(typing.NamedTuple):
@@ -63,14 +62,8 @@
     already: bool
 
 
-class VersionedChange(typing.NamedTuple):
-    """A change and the version that it made."""
-
-    version: int
-    change: Change
-
-
 Outcome = expression.Result[Accepted, _refusals.Refusal]
+Edited = expression.Result[dict | None, _refusals.Refusal]
 
 
 class Changes:
@@ -80,79 +73,72 @@
         self, objects: _objects.ObjectApi, instance: str, clock: _clock.Clock
     ) -> None:
         self._objects = objects
+        self._archive = _audit.Archive(objects)
         self._instance = instance
         self._clock = clock
 
     async def accept(self, request: Request) -> Outcome:
         """Write a change unless it is there already or the base has moved."""
         try:
-            current = await self._objects.get(
-                _configuration.KIND, request.name
-            )
+            outcome = await self._accept(request)
         except _objects.UnavailableError as error:
-            # Nothing was written by this call. An earlier call with the
-            # same change id may have been, and only the API knows.
-            return expression.Error(_unavailable(error))
-        outcome = await self._accept_onto(current, request)
+            # Even if this call wrote nothing, an earlier one with the same
+            # change id may have, and only the API knows.
+            outcome = expression.Error(_unavailable(error))
+        except _objects.TooLargeError as error:
+            outcome = expression.Error(_too_large(error))
+        except _audit.UnreadableError as error:
+            outcome = expression.Error(_unreadable(error))
         _logs.event(
             "change",
             deployment=request.name,
             change_id=request.change_id,
             author=request.author,
-            action=request.action,
+            action=action(request.edit),
             outcome="accepted" if outcome.is_ok() else outcome.error.code.word,
         )
         return outcome
 
-    async def _accept_onto(
-        self, current: _objects.Object, request: Request
-    ) -> Outcome:
-        found = find(current, request.change_id)
+    async def _accept(self, request: Request) -> Outcome:
+        current = await self._objects.get(_configuration.KIND, request.name)
+        stored = await self._read(current)
+        found = await self._find(current, stored, request)
         if found is not None:
-            return expression.Ok(Accepted(found.version, already=True))
-        if _visible_version(current) != request.expected_version:
-            return expression.Error(_conflict(current, request))
-        try:
-            value = await self._value(current, request)
-            return await self._write(value, current.version, request)
-        except _objects.UnavailableError as error:
-            return expression.Error(_unavailable(error))
-
-    async def _value(
-        self, current: _objects.Object, request: Request
-    ) -> Stored:
-        recent = list(_recent(current))
-        if len(recent) >= MAX_RECENT_CHANGES:
-            recent = await self._archive(request.name, recent)
-        change = Change(
-            base_version=current.version,
+            return _recognised(found, request, already=True)
+        if _visible_version(current, stored) != request.expected_version:
+            return expression.Error(_conflict(current, stored, request))
+        edited = apply_edit(request.edit, stored["deployment"])
+        if edited.is_error():
+            return expression.Error(edited.error)
+        room = await self._archive.make_room(request.name, stored)
+        value = self._value(current.version, room, edited.ok, request)
+        return await self._write(value, current.version, request)
+
+    def _value(
+        self,
+        base_version: int,
+        stored: _audit.Stored,
+        deployment: dict | None,
+        request: Request,
+    ) -> _audit.Stored:
+        change = _audit.Change(
+            base_version=base_version,
             change_id=request.change_id,
+            digest=digest(request),
             author=request.author,
             instance=self._instance,
             time_ms=self._clock.wall(),
-            action=request.action,
+            action=action(request.edit),
+        )
+        return _audit.Stored(
+            deployment=deployment,
+            models_since=_models_since(base_version, stored, deployment),
+            changes=[*stored["changes"], change],
+            archives=stored["archives"],
         )
-        return Stored(deployment=request.deployment, changes=[*recent, change])
-
-    async def _archive(self, name: str, recent: list[Change]) -> list[Change]:
-        """Store the oldest changes on their own; return the rest."""
-        oldest = recent[:_ARCHIVED_AT_ONCE]
-        rest = recent[_ARCHIVED_AT_ONCE:]
-        value = {
-            "deployment": name,
-            "changes": oldest,
-            "next_version": rest[0]["base_version"],
-        }
-        archive = f"{name}.{oldest[0]['base_version']}"
-        # On a conflict another instance archived the same; they never differ.
-        with contextlib.suppress(_objects.ConflictError):
-            await self._objects.put(
-                ARCHIVE_KIND, archive, value, _objects.ABSENT
-            )
-        return rest
 
     async def _write(
-        self, value: Stored, base_version: int, request: Request
+        self, value: _audit.Stored, base_version: int, request: Request
     ) -> Outcome:
         """Write, and write again after an unknown outcome.
 
@@ -166,83 +152,216 @@
                 )
                 return expression.Ok(Accepted(written.version, already=False))
             except _objects.ConflictError as conflict:
-                found = find(conflict.current, request.change_id)
-                if found is not None:
-                    return expression.Ok(
-                        Accepted(found.version, already=False)
-                    )
-                return expression.Error(_conflict(conflict.current, request))
+                return await self._settle(conflict.current, request)
             except _objects.UnavailableError:
                 if attempt == _WRITE_ATTEMPTS - 1:
                     raise
         raise AssertionError("unreachable")
 
-    async def history(self, name: str) -> list[VersionedChange]:
-        """Return all changes to a deployment, newest first.
+    async def _settle(
+        self, current: _objects.Object, request: Request
+    ) -> Outcome:
+        """Say after a conflict whether the write that won was ours."""
+        stored = await self._read(current)
+        found = await self._find(current, stored, request)
+        if found is not None:
+            return _recognised(found, request, already=False)
+        return expression.Error(_conflict(current, stored, request))
+
+    async def _find(
+        self,
+        current: _objects.Object,
+        stored: _audit.Stored,
+        request: Request,
+    ) -> _audit.VersionedChange | None:
+        """Return the accepted change with this id, if there is one."""
+        recent = _audit.versioned(stored["changes"], current.version)
+        found = _with_id(recent, request.change_id)
+        if found is not None:
+            return found
+        if current.version == request.expected_version > _objects.ABSENT:
+            # No change onto the current version was accepted yet.
+            return None
+        async for changes in self._archive.newest_first(
+            request.name, stored["archives"]
+        ):
+            found = _with_id(changes, request.change_id)
+            if found is not None:
+                return found
+            if changes and changes[0].version <= request.expected_version:
+                # Older archives have no change onto that version.
+                return None
+        return None
+
+    async def _read(self, current: _objects.Object) -> _audit.Stored:
+        """Return what is stored; a removed object has archives still."""
+        stored = _audit.read(current)
+        if current.version == _objects.ABSENT:
+            stored["archives"] = await self._archive.count(current.name)
+        return stored
+
+    async def history(
+        self, name: str, limit: int
+    ) -> list[_audit.VersionedChange]:
+        """Return the latest changes to a deployment, newest first.
 
         :raises _objects.UnavailableError: if the API does not answer.
+        :raises _audit.UnreadableError: if it holds something else.
         """
         current = await self._objects.get(_configuration.KIND, name)
-        changes = versioned(_recent(current), current.version)
-        archives = await self._objects.list(ARCHIVE_KIND)
-        for entry in archives.objects:
-            if entry.value and entry.value["deployment"] == name:
-                changes += versioned(
-                    entry.value["changes"], entry.value["next_version"]
-                )
+        stored = await self._read(current)
+        changes = _audit.versioned(stored["changes"], current.version)
         # Archived changes may also still be in the object.
         unique = {change.version: change for change in changes}
-        return [unique[version] for version in sorted(unique, reverse=True)]
+        async for archived in self._archive.newest_first(
+            name, stored["archives"]
+        ):
+            if len(unique) >= limit:
+                break
+            unique |= {change.version: change for change in archived}
+        newest = sorted(unique, reverse=True)[:limit]
+        return [unique[version] for version in newest]
+
+
+def action(edit: Edit) -> str:
+    """Return the word for the audit trail."""
+    match edit:
+        case Declare():
+            return "apply"
+        case Retire():
+            return "retire"
+        case Drain(undo=True):
+            return "undrain"
+        case Drain():
+            return "drain"
+
+
+def apply_edit(edit: Edit, before: dict | None) -> Edited:
+    """Return the deployment after an edit of what the API holds.
+
+    An edit of a part is made on the API's own copy, not on what is in force
+    at this instance, which may be older than the version it is written onto.
+    """
+    match edit:
+        case Declare(deployment):
+            return expression.Ok(deployment)
+        case Retire():
+            return expression.Ok(None)
+        case Drain(replica, undo):
+            return _drained(before or {}, replica, undo)
+
+
+def _drained(before: dict, name: str, undo: bool) -> Edited:
+    replicas = [dict(replica) for replica in before.get("replicas", ())]
+    for replica in replicas:
+        if replica.get("name") == name:
+            replica["draining"] = not undo
+            return expression.Ok({**before, "replicas": replicas})
+    return expression.Error(
+        _refusals.Refusal(
+            _refusals.Code.NOT_FOUND,
+            f"the deployment has no replica {name!r}; Operator.Get shows"
+            " its replicas",
+        )
+    )
+
+
+def digest(request: Request) -> str:
+    """Return a digest of what was asked for."""
+    asked = [
+        action(request.edit),
+        request.edit,
+        request.expected_version,
+        request.author,
+    ]
+    text = json.dumps(asked, sort_keys=True)
+    return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+
+
+def _models_since(
+    base_version: int, stored: _audit.Stored, deployment: dict | None
+) -> dict[str, int]:
+    """Say which version brought in each model that was there before."""
+    since = stored["models_since"]
+    before = model_names(stored["deployment"])
+    return {
+        name: since.get(name, base_version)
+        for name in model_names(deployment)
+        if name in before
+    }
 
 
-def find(current: _objects.Object, change_id: str) -> VersionedChange | None:
-    """Return the change with this id if it is among the latest."""
-    for found in versioned(_recent(current), current.version):
+def model_names(deployment: dict | None) -> list[str]:
+    models = (deployment or {}).get("models", ())
+    return [model["name"] for model in models]
+
+
+def _with_id(
+    changes: list[_audit.VersionedChange], change_id: str
+) -> _audit.VersionedChange | None:
+    for found in changes:
         if found.change["change_id"] == change_id:
             return found
     return None
 
 
-def versioned(
-    changes: list[Change], last_version: int
-) -> list[VersionedChange]:
-    """Give each change its version: the next one's base, or the last."""
-    versions = [change["base_version"] for change in changes[1:]]
-    versions.append(last_version)
-    return [
-        VersionedChange(version, change)
-        for version, change in zip(versions, changes, strict=False)
-    ]
-
-
-def _recent(current: _objects.Object) -> list[Change]:
-    if current.value is None:
-        return []
-    return current.value["changes"]
+def _recognised(
+    found: _audit.VersionedChange, request: Request, already: bool
+) -> Outcome:
+    if found.change["digest"] != digest(request):
+        return expression.Error(_id_used(found, request))
+    return expression.Ok(Accepted(found.version, already))
 
 
-def _visible_version(current: _objects.Object) -> int:
+def _visible_version(current: _objects.Object, stored: _audit.Stored) -> int:
     """A retired deployment counts as absent for ``expected_version``."""
-    if current.value is None or current.value["deployment"] is None:
+    if stored["deployment"] is None:
         return _objects.ABSENT
     return current.version
 
 
-def _conflict(current: _objects.Object, request: Request) -> _refusals.Refusal:
-    recent = _recent(current)
-    if not recent:
+def _conflict(
+    current: _objects.Object, stored: _audit.Stored, request: Request
+) -> _refusals.Refusal:
+    if not stored["changes"]:
         message = f"there is no deployment {request.name!r}; its version is 0"
     else:
-        last = recent[-1]
+        last = stored["changes"][-1]
         message = (
             f"deployment {request.name!r} is at version"
-            f" {_visible_version(current)}, changed by"
+            f" {_visible_version(current, stored)}, changed by"
             f" {last['author']!r} ({last['action']}, change"
             f" {last['change_id']}); get it and make the change again"
         )
     return _refusals.Refusal(_refusals.Code.ABORTED, message)
 
 
+def _id_used(
+    found: _audit.VersionedChange, request: Request
+) -> _refusals.Refusal:
+    return _refusals.Refusal(
+        _refusals.Code.ALREADY_EXISTS,
+        f"change_id {request.change_id} names another change, accepted from"
+        f" {found.change['author']!r} as version {found.version}; this one"
+        " is not accepted, write a new change_id",
+    )
+
+
+def _too_large(error: Exception) -> _refusals.Refusal:
+    return _refusals.Refusal(
+        _refusals.Code.INVALID_ARGUMENT,
+        f"{error}; declare several smaller deployments",
+    )
+
+
+def _unreadable(error: Exception) -> _refusals.Refusal:
+    return _refusals.Refusal(
+        _refusals.Code.FAILED_PRECONDITION,
+        f"{error}; what was in force before stays so, and the object must be"
+        " repaired in the object API before it can be changed",
+    )
+
+
 def _unavailable(error: Exception) -> _refusals.Refusal:
     return _refusals.Refusal(
         _refusals.Code.UNAVAILABLE,
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -41,6 +41,7 @@
 from geraniumlink import _settings
 from geraniumlink import _supervisor
 from geraniumlink import _sync
+from geraniumlink import _traffic
 
 
 class Instance:
@@ -67,6 +68,7 @@
             self._client,
             self._clock,
             self._backends.refresh,
+            settings.isolation_ms,
         )
         router = _routing.Router(self._backends, source)
         self._rpc = _rpc.Server(
@@ -77,8 +79,14 @@
             self._clock,
             self._metrics,
         )
+        self._rpc.loaded = lambda: self._sync.loaded
+        self._traffic = _traffic.Traffic()
         self._peers = _peers.PeerServer(
-            self._configuration, self._membership, self._metrics, self._ready
+            self._configuration,
+            self._membership,
+            self._metrics,
+            self._ready,
+            traffic=self._traffic,
         )
         self._listener = _server.Listener(self._rpc, settings.address)
         self._peer_listener = _server.Listener(
@@ -140,17 +148,26 @@
 
     async def _heartbeat(self) -> None:
         while True:
-            self._membership.beat(self._configuration.revision)
+            self._membership.renew(self._configuration.revision)
             self._set_gauges()
             peer = self._membership.draw_peer()
             if peer is not None:
-                await _peers.exchange(self._client, peer, self._membership)
+                await _peers.exchange(
+                    self._client, peer, self._membership, self._traffic
+                )
             await self._clock.sleep(self._settings.heartbeat_ms)
 
     def _set_gauges(self) -> None:
         self._metrics.revision.set({}, self._configuration.revision)
         self._metrics.api_calls.set({}, self._objects.calls)
         self._metrics.api_reachable.set({}, int(self._objects.reachable))
+        self._metrics.api_received.set({}, self._objects.received_bytes)
+        self._metrics.peer_sent.set({}, self._traffic.sent_bytes)
+        self._metrics.peer_received.set({}, self._traffic.received_bytes)
+        self._metrics.isolated.set({}, int(self._sync.isolated))
+        self._metrics.configuration_findings.set(
+            {}, len(self._configuration.findings)
+        )
 
     async def _follow_instance_list(self) -> None:
         while True:
@@ -168,7 +185,9 @@
             await self._clock.sleep(5 * self._settings.heartbeat_ms)
 
     def _ready(self) -> bool:
-        return self._sync.loaded and not self._rpc.closing
+        if self._rpc.closing or self._sync.isolated:
+            return False
+        return self._sync.loaded
 
     async def _stop_on_signal(self, scope: anyio.CancelScope) -> None:
         with anyio.open_signal_receiver(
--- a/src/geraniumlink/_membership.py
+++ b/src/geraniumlink/_membership.py
@@ -1,37 +1,42 @@
 """Which instances there are, and what each has in force.
 
-Every heartbeat an instance exchanges a bounded number of entries with one
-peer drawn at random, so the cost of a node stays flat as instances are
-added. An entry is replaced only by one of a later incarnation or beat.
-Source: R. van Renesse, Y. Minsky, M. Hayden, "A Gossip-Style Failure
-Detection Service", Middleware 1998.
+Every heartbeat an instance exchanges a message of bounded size with one
+peer, going round all of them in random order. The exchange is a probe: a
+peer that fails two in a row is suspected, and the suspicion is passed on
+until the peer denies it. What changed is passed on a few times by each
+instance, and what a peer still misses is found by comparing digests of the
+tables. So the cost of a node stays flat as instances are added.
+
+Sources: A. Das, I. Gupta, A. Motivala, "SWIM: Scalable Weakly-consistent
+Infection-style Process Group Membership Protocol", DSN 2002, for the probe
+and the passing on, without its indirect probes; A. Dadgar, J. Phillips,
+J. Currey, "Lifeguard: SWIM-ing with Situational Awareness", 2017, for the
+rule that an instance which hears nobody doubts itself; R. van Renesse,
+Y. Minsky, M. Hayden, "A Gossip-Style Failure Detection Service",
+Middleware 1998, for filling up with random entries.
 """
 
 from __future__ import annotations
 
+import math
 import random
 import typing
 
 from geraniumlink import _clock
+from geraniumlink import _logs
+from geraniumlink import _member_entries
 from geraniumlink import _settings
 
-# Entries in one message, whatever the number of instances.
-MAX_ENTRIES = 32
-SUSPECT_AFTER_BEATS = 5
+MAX_ENTRIES = _member_entries.MAX_ENTRIES
+# How often a change is passed on: this many times log2 of the instances.
+_SENDS_PER_DOUBLING = 1
+FAILURES_TO_SUSPECT = 2
 FORGET_AFTER_BEATS = 60
+_MAX_ANSWERED = 8
 
-
-class Entry(typing.NamedTuple):
-    """What an instance last said of itself, perhaps through others."""
-
-    name: str
-    peer_address: str
-    data_centre: str
-    # The wall time of its start; a later start replaces an earlier one.
-    incarnation: int
-    beat: int
-    revision: int
-    leaving: bool
+Entry = _member_entries.Entry
+to_json = _member_entries.to_json
+from_json = _member_entries.from_json
 
 
 class Member(typing.NamedTuple):
@@ -41,13 +46,28 @@
     peer_address: _settings.Address
     data_centre: str
     revision: int
+    # live, suspect or leaving.
     state: str
+    # Since this instance last heard from it, or something new of it.
     age_ms: int
 
 
-class _Heard(typing.NamedTuple):
-    entry: Entry
-    at: int
+class Peer(typing.NamedTuple):
+    """Whom to exchange with."""
+
+    name: str
+    address: _settings.Address
+
+
+class _Known:
+    """An instance that was heard of."""
+
+    def __init__(self, entry: Entry, now: int) -> None:
+        self.entry = entry
+        self.address = _settings.parse_address(entry.peer_address)
+        self.heard_at = now
+        # How often its entry is still to be passed on.
+        self.sends_left = 0
 
 
 class Membership:
@@ -61,141 +81,305 @@
     ) -> None:
         self._clock = clock
         self._random = random_source
-        self._heartbeat_ms = settings.heartbeat_ms
+        self._forget_ms = FORGET_AFTER_BEATS * settings.heartbeat_ms
         self._own = Entry(
             settings.name,
             str(settings.peer_address),
             settings.data_centre,
             clock.wall(),
-            0,
-            0,
-            False,
         )
-        self._heard: dict[str, _Heard] = {}
+        self._known: dict[str, _Known] = {}
+        self._digest = _member_entries.digest(self._own)
         self._listed: dict[str, str] = {}
+        self._round: list[str] = []
+        self._failures: dict[str, int] = {}
+        self._retry: str | None = None
+        # A few of those that answered, and those that do not answer now.
+        self._answered: set[str] = set()
+        self._unresponsive: set[str] = set()
+        self._heard_at = clock.now()
+        self._isolated = False
 
     @property
     def own_name(self) -> str:
         return self._own.name
 
-    def beat(self, revision: int) -> None:
-        """Renew this instance's own entry."""
-        self._own = self._own._replace(
-            beat=self._own.beat + 1, revision=revision
-        )
+    @property
+    def digest(self) -> str:
+        """Equal for two tables with the same entries."""
+        return f"{self._digest:016x}"
+
+    @property
+    def heard_at(self) -> int:
+        """When any peer was last heard; the start if none was."""
+        return self._heard_at
+
+    @property
+    def peers_heard(self) -> int:
+        """Different peers that answered since the start, up to 8."""
+        return len(self._answered)
+
+    @property
+    def peers_to_hear(self) -> int:
+        """How many peers are known and do not fail to answer."""
+        return len(self._addresses().keys() - self._unresponsive)
+
+    @property
+    def knows_others(self) -> bool:
+        """Whether any other instance is listed or was heard of lately."""
+        listed = self._listed.keys() - {self.own_name}
+        return bool(listed or self._known)
+
+    def renew(self, revision: int) -> None:
+        """Say in this instance's own entry what it has in force."""
+        if revision != self._own.revision:
+            self._set_own(self._own._replace(revision=revision))
 
     def leave(self) -> None:
-        self._own = self._own._replace(leaving=True)
+        self._set_own(self._own._replace(leaving=True))
+
+    def note_isolation(self, isolated: bool) -> None:
+        """Say whether this instance hears neither the API nor a peer."""
+        if isolated != self._isolated:
+            _logs.event("isolated" if isolated else "isolation_over")
+        self._isolated = isolated
+
+    def _set_own(self, entry: Entry) -> None:
+        renewed = entry._replace(sequence=entry.sequence + 1)
+        self._digest ^= _member_entries.digest(self._own)
+        self._digest ^= _member_entries.digest(renewed)
+        self._own = renewed
 
     def take_list(self, listed: dict[str, str]) -> None:
         """Take peer addresses by name from the platform's instance list.
 
-        The list only says whom to talk to; who is alive is said by beats.
+        The list only says whom to talk to; who is alive is seen by talking.
         """
         self._listed = dict(listed)
 
     def entries(self) -> list[Entry]:
-        """Return this instance's own entry and the most recently heard."""
-        recent = sorted(
-            self._heard.values(), key=lambda heard: heard.at, reverse=True
-        )
-        others = [heard.entry for heard in recent[: MAX_ENTRIES - 1]]
-        return [self._own, *others]
+        """Return this instance's own entry and what is to be passed on."""
+        return [self._own, *self._pending(MAX_ENTRIES - 1)]
+
+    def answer(self, asker: Entry, digest: str) -> list[Entry]:
+        """Return what to tell an instance whose table has that digest."""
+        found = {self.own_name: self._own}
+        known = self._known.get(asker.name)
+        if known is not None and known.entry.suspect:
+            # So that it can deny it.
+            found[asker.name] = known.entry
+        room = MAX_ENTRIES - len(found)
+        found |= {entry.name: entry for entry in self._pending(room)}
+        if digest != self.digest:
+            found |= self._fill(MAX_ENTRIES - len(found), found)
+        return list(found.values())
+
+    def _pending(self, count: int) -> list[Entry]:
+        """Return changes to pass on, those sent least often first."""
+        pending = [
+            known for known in self._known.values() if known.sends_left > 0
+        ]
+        pending.sort(key=lambda known: known.sends_left, reverse=True)
+        for known in pending[:count]:
+            known.sends_left -= 1
+        return [known.entry for known in pending[:count]]
+
+    def _fill(self, count: int, chosen: dict[str, Entry]) -> dict[str, Entry]:
+        """Choose others at random, so that each entry travels in time."""
+        others = [
+            known.entry
+            for known in self._known.values()
+            if not known.entry.suspect and known.entry.name not in chosen
+        ]
+        drawn = self._random.sample(others, min(count, len(others)))
+        return {entry.name: entry for entry in drawn}
 
     def merge(self, entries: list[Entry]) -> None:
-        """Take in what a peer sent; late and repeated entries do nothing."""
+        """Take in what a peer sent; late and repeated entries do nothing.
+
+        The first entry is the sender's own, so the sender was heard.
+        """
         now = self._clock.now()
+        self._heard_at = now
         for entry in entries[:MAX_ENTRIES]:
-            if entry.name == self._own.name:
-                continue
-            heard = self._heard.get(entry.name)
-            if heard is None or _age(heard.entry) < _age(entry):
-                self._heard[entry.name] = _Heard(entry, now)
+            if entry.name == self.own_name:
+                self._take_own(entry)
+            else:
+                self._take(entry, now)
+        sender = self._known.get(entries[0].name) if entries else None
+        if sender is not None:
+            sender.heard_at = now
+
+    def _take(self, entry: Entry, now: int) -> None:
+        known = self._known.get(entry.name)
+        if known is None:
+            if entry.suspect:
+                # Taking it would keep a dead instance in the tables for
+                # ever, as each that forgot it would hear of it again.
+                return
+            known = self._known[entry.name] = _Known(entry, now)
+        elif known.entry.age >= entry.age:
+            return
+        else:
+            self._digest ^= _member_entries.digest(known.entry)
+            known.entry = entry
+            known.address = _settings.parse_address(entry.peer_address)
+            known.heard_at = now if not entry.suspect else known.heard_at
+        self._digest ^= _member_entries.digest(entry)
+        known.sends_left = self._sends()
+
+    def _sends(self) -> int:
+        instances = len(self._known) + 1
+        return math.ceil(_SENDS_PER_DOUBLING * math.log2(instances + 1))
+
+    def _take_own(self, entry: Entry) -> None:
+        """Deny what others say of this instance if it outdates it."""
+        if entry.age <= self._own.age:
+            return
+        if entry.incarnation > self._own.incarnation:
+            # The wall clock stepped back between two starts, or another
+            # instance runs under this name.
+            _logs.event(
+                "name_in_use",
+                name=entry.name,
+                other_address=entry.peer_address,
+            )
+            self._set_own(
+                self._own._replace(incarnation=entry.incarnation + 1)
+            )
+            return
+        self._set_own(self._own._replace(sequence=entry.sequence))
 
     def members(self) -> list[Member]:
         """Return this instance and every one heard of, by name."""
         now = self._clock.now()
         self._forget(now)
-        found = [self._member(_Heard(self._own, now), now)]
-        found += [self._member(heard, now) for heard in self._heard.values()]
+        found = [self._own_member(now)]
+        found += [_member(known, now) for known in self._known.values()]
         return sorted(found)
 
+    def ahead_of(self, revision: int) -> list[Member]:
+        """Return members not suspected that have a newer one in force."""
+        now = self._clock.now()
+        return [
+            _member(known, now)
+            for known in self._known.values()
+            if known.entry.revision > revision and not known.entry.suspect
+        ]
+
+    def _own_member(self, now: int) -> Member:
+        own = _Known(self._own, now)
+        if self._isolated:
+            # As the others see it.
+            own.entry = self._own._replace(suspect=True)
+            own.heard_at = self._heard_at
+        return _member(own, now)
+
     def peers(self) -> list[_settings.Address]:
         """Return the addresses of other instances that may be alive."""
+        addresses = self._addresses()
+        return [_settings.parse_address(text) for text in addresses.values()]
+
+    def _addresses(self) -> dict[str, str]:
         known = {
-            member.name: str(member.peer_address)
-            for member in self.members()
-            if member.state != "suspect"
+            name: known.entry.peer_address
+            for name, known in self._known.items()
+            if not known.entry.suspect
         }
         addresses = {**self._listed, **known}
-        addresses.pop(self._own.name, None)
-        return [_settings.parse_address(text) for text in addresses.values()]
+        addresses.pop(self.own_name, None)
+        return addresses
+
+    def draw_peer(self) -> Peer | None:
+        """Return the next of a round of all peers in random order."""
+        addresses = self._addresses()
+        if self._retry in addresses:
+            return _peer(self._retry, addresses)
+        for _ in range(len(self._round) + 1):
+            if not self._round:
+                self._round = self._new_round(addresses)
+            if not self._round:
+                return None
+            name = self._round.pop()
+            if name in addresses:
+                return _peer(name, addresses)
+            known = self._known.get(name)
+            if known is not None:
+                return _peer(name, {name: known.entry.peer_address})
+        return None
+
+    def _new_round(self, addresses: dict[str, str]) -> list[str]:
+        """Shuffle all peers, and one suspect: it may have come back."""
+        names = list(addresses)
+        self._unresponsive &= self._known.keys() | addresses.keys()
+        self._failures = {}
+        suspects = [name for name in self._known if name not in addresses]
+        if suspects:
+            names.append(self._random.choice(suspects))
+        self._random.shuffle(names)
+        return names
+
+    def answered(self, name: str) -> None:
+        """Note that a peer answered an exchange."""
+        if len(self._answered) < _MAX_ANSWERED:
+            self._answered.add(name)
+        self._unresponsive.discard(name)
+        self._failures.pop(name, None)
+        if self._retry == name:
+            self._retry = None
+
+    def unanswered(self, name: str) -> None:
+        """Note that an exchange failed; suspect the peer at the second."""
+        failures = self._failures.get(name, 0) + 1
+        if failures < FAILURES_TO_SUSPECT:
+            self._failures[name] = failures
+            self._retry = name
+            return
+        self._failures.pop(name, None)
+        self._unresponsive.add(name)
+        self._retry = None
+        known = self._known.get(name)
+        if known is None or known.entry.suspect:
+            return
+        self._digest ^= _member_entries.digest(known.entry)
+        known.entry = known.entry._replace(suspect=True)
+        self._digest ^= _member_entries.digest(known.entry)
+        # An instance that heard nobody since may itself be cut off: it
+        # keeps the suspicion to itself.
+        silent_ms = self._clock.now() - self._heard_at
+        known.sends_left = self._sends() if silent_ms < self._doubt_ms else 0
+        _logs.event("suspected", member=name, passed_on=known.sends_left > 0)
 
-    def draw_peer(self) -> _settings.Address | None:
-        peers = self.peers()
-        return self._random.choice(peers) if peers else None
-
-    def _member(self, heard: _Heard, now: int) -> Member:
-        age_ms = now - heard.at
-        state = "live"
-        if age_ms > SUSPECT_AFTER_BEATS * self._heartbeat_ms:
-            state = "suspect"
-        elif heard.entry.leaving:
-            state = "leaving"
-        return Member(
-            heard.entry.name,
-            _settings.parse_address(heard.entry.peer_address),
-            heard.entry.data_centre,
-            heard.entry.revision,
-            state,
-            age_ms,
-        )
+    @property
+    def _doubt_ms(self) -> int:
+        return self._forget_ms // 10
 
     def _forget(self, now: int) -> None:
-        oldest = now - FORGET_AFTER_BEATS * self._heartbeat_ms
-        self._heard = {
-            name: heard
-            for name, heard in self._heard.items()
-            if heard.at >= oldest
-        }
-
-
-def to_json(entries: list[Entry]) -> list[list]:
-    return [list(entry) for entry in entries]
-
-
-def from_json(message: typing.Any) -> list[Entry]:
-    """Read a peer's entries.
-
-    :raises ValueError: if they make no sense.
-    """
-    if not isinstance(message, list) or len(message) > MAX_ENTRIES:
-        raise ValueError(f"not a list of at most {MAX_ENTRIES} entries")
-    return [_read_entry(fields) for fields in message]
-
-
-def _read_entry(fields: typing.Any) -> Entry:
-    try:
-        entry = Entry(*fields)
-    except TypeError as error:
-        raise ValueError(f"not an entry: {error}") from error
-    for field, expected in _ENTRY_TYPES.items():
-        if type(getattr(entry, field)) is not expected:
-            raise ValueError(f"{field} is {getattr(entry, field)!r}")
-    _settings.parse_address(entry.peer_address)
-    return entry
-
-
-_ENTRY_TYPES = {
-    "name": str,
-    "peer_address": str,
-    "data_centre": str,
-    "incarnation": int,
-    "beat": int,
-    "revision": int,
-    "leaving": bool,
-}
-
-
-def _age(entry: Entry) -> tuple[int, int]:
-    return entry.incarnation, entry.beat
+        """Drop suspects that were silent for long."""
+        oldest = now - self._forget_ms
+        for name, known in list(self._known.items()):
+            if known.entry.suspect and known.heard_at < oldest:
+                self._digest ^= _member_entries.digest(known.entry)
+                del self._known[name]
+
+
+def _state(entry: Entry) -> str:
+    if entry.suspect:
+        return "suspect"
+    return "leaving" if entry.leaving else "live"
+
+
+def _member(known: _Known, now: int) -> Member:
+    entry = known.entry
+    return Member(
+        entry.name,
+        known.address,
+        entry.data_centre,
+        entry.revision,
+        _state(entry),
+        now - known.heard_at,
+    )
+
+
+def _peer(name: str, addresses: dict[str, str]) -> Peer:
+    return Peer(name, _settings.parse_address(addresses[name]))
--- a/src/geraniumlink/_metrics.py
+++ b/src/geraniumlink/_metrics.py
@@ -41,6 +41,27 @@
             "1 when the last call to the object API was answered",
         )
 
+        self.api_received = self._gauge(
+            "geraniumlink_object_api_received_bytes_total",
+            "Bytes of the object API's answers",
+        )
+        self.peer_sent = self._gauge(
+            "geraniumlink_peer_sent_bytes_total",
+            "Bytes of membership and configuration sent to peers",
+        )
+        self.peer_received = self._gauge(
+            "geraniumlink_peer_received_bytes_total",
+            "Bytes of membership received from peers",
+        )
+        self.isolated = self._gauge(
+            "geraniumlink_isolated",
+            "1 when neither the object API nor a peer is heard",
+        )
+        self.configuration_findings = self._gauge(
+            "geraniumlink_configuration_findings",
+            "Faults of accepted deployments, see the log",
+        )
+
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, doc, registry=self.registry)
 
--- a/src/geraniumlink/_objects.py
+++ b/src/geraniumlink/_objects.py
@@ -39,6 +39,10 @@
     """The API did not answer; a write may have taken effect or not."""
 
 
+class TooLargeError(ValueError):
+    """The value is larger than the API holds; nothing was sent."""
+
+
 class ConflictError(Exception):
     """The object was not at the expected version; nothing was written."""
 
@@ -60,6 +64,7 @@
         self._client = client
         self._address = address
         self._calls = 0
+        self._received_bytes = 0
         self._reachable = False
 
     @property
@@ -67,6 +72,11 @@
         """Calls made so far; a waiting watch is one."""
         return self._calls
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes of the answers' bodies so far."""
+        return self._received_bytes
+
     @property
     def reachable(self) -> bool:
         """Whether the last call was answered."""
@@ -75,11 +85,11 @@
     async def get(self, kind: str, name: str) -> Object:
         """Return an object; version 0 and value None when there is none."""
         answer = await self._call("GET", _path(kind, name))
-        return _object(answer.json())
+        return _object(_json(answer))
 
     async def list(self, kind: str) -> Listing:
         answer = await self._call("GET", _path(kind))
-        return read_listing(answer.json())
+        return read_listing(_json(answer))
 
     async def put(
         self, kind: str, name: str, value: typing.Any, if_version: int
@@ -88,22 +98,23 @@
 
         :raises ConflictError: if it is at another version.
         :raises UnavailableError: if the outcome is unknown.
+        :raises TooLargeError: if it has more than a megabyte.
         """
         body = json.dumps(value).encode()
         if len(body) > MAX_VALUE_BYTES:
-            raise ValueError(
+            raise TooLargeError(
                 f"{kind}/{name} has {len(body)} bytes; the object API holds"
                 f" {MAX_VALUE_BYTES} at most"
             )
         path = f"{_path(kind, name)}?if_version={if_version}"
         answer = await self._call("PUT", path, body)
-        return _object(answer.json())
+        return _object(_json(answer))
 
     async def delete(self, kind: str, name: str, if_version: int) -> Object:
         """Remove under the same condition and errors as ``put``."""
         path = f"{_path(kind, name)}?if_version={if_version}"
         answer = await self._call("DELETE", path)
-        return _object(answer.json())
+        return _object(_json(answer))
 
     async def watch(
         self, kind: str, after: int, wait_ms: int = WATCH_WAIT_MS
@@ -114,7 +125,7 @@
         """
         path = f"{_path(kind)}?after={after}&wait_ms={wait_ms}"
         answer = await self._call("GET", path, extra_ms=wait_ms)
-        return read_listing(answer.json())
+        return read_listing(_json(answer))
 
     async def _call(
         self, method: str, path: str, body: bytes = b"", extra_ms: int = 0
@@ -129,6 +140,7 @@
                 connect_ms=_CALL_TIMEOUT_MS,
                 read_ms=_CALL_TIMEOUT_MS + extra_ms,
             )
+            self._received_bytes += len(answer.body)
             self._raise_for_status(answer)
         except (
             _http.NotSentError,
@@ -145,7 +157,7 @@
             case 200:
                 return
             case 409:
-                raise ConflictError(_object(answer.json()))
+                raise ConflictError(_object(_json(answer)))
             case 410:
                 raise GoneError
             case status:
@@ -159,6 +171,13 @@
     return path
 
 
+def _json(answer: _http.Response) -> typing.Any:
+    try:
+        return answer.json()
+    except _http.BrokenError as error:
+        raise UnavailableError(str(error)) from error
+
+
 def _object(message: typing.Any) -> Object:
     try:
         return Object(
--- a/src/geraniumlink/_operator.py
+++ b/src/geraniumlink/_operator.py
@@ -6,6 +6,7 @@
 
 import expression
 
+from geraniumlink import _audit
 from geraniumlink import _backends
 from geraniumlink import _changes
 from geraniumlink import _clock
@@ -15,6 +16,7 @@
 from geraniumlink import _membership
 from geraniumlink import _objects
 from geraniumlink import _refusals
+from geraniumlink import _retired
 from geraniumlink._schema import geraniumlink_pb2 as pb
 
 DEFAULT_HISTORY = 50
@@ -47,11 +49,10 @@
             findings,
             _changes.Request(
                 request.deployment.name,
-                _declarations.to_json(request.deployment),
+                _changes.Declare(_declarations.to_json(request.deployment)),
                 request.expected_version,
                 request.change_id,
                 request.author,
-                "apply",
             ),
         )
 
@@ -67,37 +68,24 @@
             findings,
             _changes.Request(
                 request.name,
-                None,
+                _changes.Retire(),
                 request.expected_version,
                 request.change_id,
                 request.author,
-                "retire",
             ),
         )
 
     async def drain(self, request: pb.DrainRequest, _: str) -> Result:
         findings = _findings.Findings()
         _declarations.check_change(request.change_id, request.author, findings)
-        entry = self._configuration.get(request.deployment)
-        if entry is None or entry.deployment is None:
-            return expression.Error(_not_found(request.deployment))
-        changed = pb.Deployment()
-        changed.CopyFrom(entry.deployment)
-        replica = _replica(changed, request.replica)
-        if replica is None:
-            return expression.Error(
-                _not_found(f"{request.deployment}/{request.replica}")
-            )
-        replica.draining = not request.undo
         return await self._accept(
             findings,
             _changes.Request(
                 request.deployment,
-                _declarations.to_json(changed),
+                _changes.Drain(request.replica, request.undo),
                 request.expected_version,
                 request.change_id,
                 request.author,
-                "undrain" if request.undo else "drain",
             ),
         )
 
@@ -167,7 +155,15 @@
 
     async def history(self, request: pb.HistoryRequest, _: str) -> Result:
         try:
-            changes = await self._changes.history(request.name)
+            changes = await self._changes.history(
+                request.name, request.limit or DEFAULT_HISTORY
+            )
+        except _audit.UnreadableError as error:
+            return expression.Error(
+                _refusals.Refusal(
+                    _refusals.Code.FAILED_PRECONDITION, str(error)
+                )
+            )
         except _objects.UnavailableError as error:
             return expression.Error(
                 _refusals.Refusal(
@@ -179,7 +175,7 @@
         if not changes:
             return expression.Error(_not_found(request.name))
         answer = pb.HistoryResponse()
-        for found in changes[: request.limit or DEFAULT_HISTORY]:
+        for found in changes:
             answer.changes.add(
                 version=found.version,
                 change_id=found.change["change_id"],
@@ -202,6 +198,8 @@
         if findings:
             return expression.Error(_refusals.invalid(findings))
         outcome = await self._changes.accept(request)
+        if outcome.is_ok() and isinstance(request.edit, _changes.Retire):
+            await _retired.after_retirement(self._objects, self._clock)
         return outcome.map(
             lambda accepted: pb.ApplyResponse(
                 version=accepted.version,
@@ -211,13 +209,6 @@
         )
 
 
-def _replica(deployment: pb.Deployment, name: str) -> pb.Replica | None:
-    for replica in deployment.replicas:
-        if replica.name == name:
-            return replica
-    return None
-
-
 def _not_found(name: str) -> _refusals.Refusal:
     return _refusals.Refusal(
         _refusals.Code.NOT_FOUND,
--- a/src/geraniumlink/_peers.py
+++ b/src/geraniumlink/_peers.py
@@ -19,15 +19,26 @@
 from geraniumlink import _metrics
 from geraniumlink import _objects
 from geraniumlink import _settings
+from geraniumlink import _traffic
 
 EXCHANGE_TIMEOUT_MS = 1000
 MAX_MESSAGE_BYTES = 64 * 1024
+# Of a configuration: 64 MB.
+MAX_PAGES = 256
 
 
 class Exchange(typing.TypedDict):
     """What two instances tell each other at a heartbeat."""
 
     entries: list[list]
+    # Of the sender's table, in the question only.
+    digest: str
+
+
+class Answer(typing.TypedDict):
+    """What the peer that was asked says."""
+
+    entries: list[list]
 
 
 class PeerServer:
@@ -44,15 +55,17 @@
         metrics: _metrics.Metrics,
         ready: Callable[[], bool],
         more_routes: Sequence[routing.Route] = (),
+        traffic: _traffic.Traffic | None = None,
     ) -> None:
         self._configuration = configuration
         self._membership = membership
         self._metrics = metrics
         self._ready = ready
+        self._traffic = traffic or _traffic.Traffic()
         self.application = applications.Starlette(
             routes=[
                 routing.Route("/exchange", self._exchange, methods=["POST"]),
-                routing.Route("/configuration", self._snapshot),
+                routing.Route("/configuration", self._page),
                 routing.Route("/health", self._health),
                 routing.Route("/ready", self._readiness),
                 routing.Route("/metrics", self._render_metrics),
@@ -62,30 +75,31 @@
 
     async def _exchange(self, request: requests.Request) -> responses.Response:
         try:
-            message = json.loads(await bounded_body(request))
+            body = await bounded_body(request)
+            message = json.loads(body)
             entries = _membership.from_json(message["entries"])
+            digest = str(message["digest"])
         except (ValueError, KeyError, TypeError) as error:
             _logs.event("bad_exchange", error=str(error))
             return responses.JSONResponse({"error": str(error)}, 400)
+        self._traffic.count_received(request.headers.raw, body)
         self._membership.merge(entries)
-        own = _membership.to_json(self._membership.entries())
-        return responses.JSONResponse(Exchange(entries=own))
+        told = self._membership.answer(entries[0], digest)
+        answer = _json(Answer(entries=_membership.to_json(told)))
+        self._traffic.count_sent(answer.raw_headers, bytes(answer.body))
+        return answer
 
-    async def _snapshot(self, request: requests.Request) -> responses.Response:
-        """Return the objects that are newer than ``after``."""
+    async def _page(self, request: requests.Request) -> responses.Response:
+        """Return a page of the objects that are newer than ``after``."""
         try:
             after = int(request.query_params.get("after", "0"))
         except ValueError:
             return responses.JSONResponse({"error": "after: a number"}, 400)
-        snapshot = self._configuration.snapshot()
-        newer = [
-            entry._asdict()
-            for entry in snapshot.objects
-            if entry.version > after
-        ]
-        return responses.JSONResponse(
-            {"revision": snapshot.revision, "objects": newer}
-        )
+        page = self._configuration.page(after)
+        objects = [entry._asdict() for entry in page.objects]
+        answer = _json({"more": page.more, "objects": objects})
+        self._traffic.count_sent(answer.raw_headers, bytes(answer.body))
+        return answer
 
     async def _health(self, _: requests.Request) -> responses.Response:
         return responses.PlainTextResponse("ok\n")
@@ -103,50 +117,99 @@
         return responses.Response(content, headers=headers)
 
 
+def _json(message: typing.Any) -> responses.Response:
+    body = json.dumps(message, separators=(",", ":")).encode()
+    return responses.Response(body, media_type="application/json")
+
+
 async def exchange(
     client: _http.Client,
-    address: _settings.Address,
+    peer: _membership.Peer,
     membership: _membership.Membership,
+    traffic: _traffic.Traffic,
 ) -> None:
-    """Exchange entries with a peer; an unreachable one is let be."""
-    own = _membership.to_json(membership.entries())
+    """Exchange entries with a peer, and note whether it answered."""
+    entries = _membership.to_json(membership.entries())
+    message = Exchange(entries=entries, digest=membership.digest)
+    body = json.dumps(message, separators=(",", ":")).encode()
+    traffic.count_sent([*_JSON, (b"host", b"255.255.255.255:65535")], body)
     try:
-        answer = await client.post_json(
-            address,
+        answer = await client.request(
+            "POST",
+            peer.address,
             "/exchange",
-            Exchange(entries=own),
-            timeout_ms=EXCHANGE_TIMEOUT_MS,
+            headers=_JSON,
+            body=body,
+            connect_ms=EXCHANGE_TIMEOUT_MS,
+            read_ms=EXCHANGE_TIMEOUT_MS,
         )
-        if answer.status == 200:
-            received = answer.json()["entries"]
-            membership.merge(_membership.from_json(received))
+        traffic.count_received(answer.headers, answer.body)
+        received = _membership.from_json(answer.json()["entries"])
     except (_http.NotSentError, _http.BrokenError):
+        membership.unanswered(peer.name)
         return
     except (ValueError, KeyError, TypeError) as error:
-        _logs.event("bad_exchange", peer=str(address), error=str(error))
+        _logs.event("bad_exchange", peer=str(peer.address), error=str(error))
+        membership.unanswered(peer.name)
+        return
+    membership.merge(received)
+    # Another instance may have come to the listed address.
+    if received[0].name == peer.name:
+        membership.answered(peer.name)
+    else:
+        membership.unanswered(peer.name)
+
+
+_JSON: _http.Headers = [(b"Content-Type", b"application/json")]
 
 
 async def fetch_configuration(
     client: _http.Client, address: _settings.Address, after: int
-) -> _objects.Listing | None:
-    """Ask a peer for what it has in force beyond a revision."""
+) -> list[_objects.Object] | None:
+    """Return all that a peer has in force beyond a revision.
+
+    None if it can't be had whole: pages are in the order of versions, and
+    an object that changes meanwhile comes again on a later page.
+    """
+    found: list[_objects.Object] = []
     try:
-        answer = await client.request(
-            "GET",
-            address,
-            f"/configuration?after={after}",
-            connect_ms=EXCHANGE_TIMEOUT_MS,
-            read_ms=EXCHANGE_TIMEOUT_MS,
-        )
-        if answer.status != 200:
-            return None
-        return _objects.read_listing(answer.json())
+        for _ in range(MAX_PAGES):
+            page = await _fetch_page(client, address, after)
+            found += page.objects
+            if not page.more:
+                return found
+            after = found[-1].version
     except (
         _http.NotSentError,
         _http.BrokenError,
         _objects.UnavailableError,
-    ):
-        return None
+        KeyError,
+        IndexError,
+        TypeError,
+    ) as error:
+        _logs.event(
+            "bad_configuration_page", peer=str(address), error=repr(error)
+        )
+    return None
+
+
+async def _fetch_page(
+    client: _http.Client, address: _settings.Address, after: int
+) -> _configuration.Page:
+    answer = await client.request(
+        "GET",
+        address,
+        f"/configuration?after={after}",
+        connect_ms=EXCHANGE_TIMEOUT_MS,
+        read_ms=EXCHANGE_TIMEOUT_MS,
+    )
+    if answer.status != 200:
+        raise _objects.UnavailableError(f"the peer answered {answer.status}")
+    message = answer.json()
+    listing = _objects.read_listing(
+        {"revision": 0, "objects": message["objects"]}
+    )
+    return _configuration.Page(listing.objects, bool(message["more"]))
 
 
 async def bounded_body(request: requests.Request) -> bytes:
--- a/src/geraniumlink/_rpc.py
+++ b/src/geraniumlink/_rpc.py
@@ -33,6 +33,9 @@
 # How long a caller may take to send its whole request.
 BODY_TIMEOUT_MS = 30_000
 RETRY_AFTER_FULL_MS = 1000
+RETRY_AFTER_NOT_LOADED_MS = 1000
+# Answered at all times.
+_STATUS = "Operator/Status"
 
 
 class Unary(typing.NamedTuple):
@@ -85,6 +88,8 @@
         self._metrics = metrics
         self._in_flight = 0
         self.closing = False
+        # Whether a whole configuration is known.
+        self.loaded: Callable[[], bool] = lambda: True
 
     @property
     def in_flight(self) -> int:
@@ -129,6 +134,8 @@
             )
         if request.method != "POST":
             return expression.Error(_not_post(request.method))
+        if not self.loaded() and not request.url.path.endswith(_STATUS):
+            return expression.Error(_not_loaded())
         if self._in_flight > self._max_requests:
             return expression.Error(
                 _refusals.Refusal(
@@ -140,6 +147,16 @@
         return expression.Ok(method)
 
 
+def _not_loaded() -> _refusals.Refusal:
+    """Nothing may be called unknown before everything is known."""
+    return _refusals.Refusal(
+        _refusals.Code.UNAVAILABLE,
+        "this instance has started and does not know the configuration yet;"
+        " send it through another one",
+        retry_after_ms=RETRY_AFTER_NOT_LOADED_MS,
+    )
+
+
 class _Exchange:
     """One HTTP request and its answer."""
 
--- a/src/geraniumlink/_settings.py
+++ b/src/geraniumlink/_settings.py
@@ -40,6 +40,7 @@
     lease_ms: int
     heartbeat_ms: int
     report_ms: int
+    isolation_ms: int
     replicas_per_service: int
     log_file: str
 
@@ -103,6 +104,7 @@
     _Option("timing", "drain_lag_ms", _between(0, 600_000), "5000"),
     _Option("timing", "lease_ms", _between(500, 600_000), "10000"),
     _Option("timing", "heartbeat_ms", _between(100, 60_000), "1000"),
+    _Option("timing", "isolation_ms", _between(0, 3_600_000), "30000"),
     _Option("timing", "report_ms", _between(50, 60_000), "1000"),
 )
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -136,15 +136,32 @@
     def plain_service(self) -> Process:
         return self.stand_in("plain_service")
 
+    def link(self, to: str) -> tuple[Process, str]:
+        """Start a link; return it and the address that it relays."""
+        relay_port = free_port()
+        process = self.stand_in(
+            "link", "--relay-port", str(relay_port), "--to", to
+        )
+        return process, f"127.0.0.1:{relay_port}"
+
     def instance(
-        self, name: str = "", data_centre: str = "debark", **settings: object
+        self,
+        name: str = "",
+        data_centre: str = "debark",
+        object_api: str = "",
+        **settings: object,
     ) -> Process:
-        """Start an instance; ``settings`` replace those of the sections."""
+        """Start an instance; ``settings`` replace those of the sections.
+
+        ``object_api`` is the address of a link to it, if one is used.
+        """
         name = name or f"i{len(self.instances) + 1}"
         port, peer_port = free_port(), free_port()
         path = self._folder / f"{name}.ini"
         path.write_text(
-            self._settings(name, data_centre, port, peer_port, settings)
+            self._settings(
+                name, data_centre, port, peer_port, object_api, settings
+            )
         )
         command = [sys.executable, "-m", "geraniumlink", "serve", str(path)]
         process = self._start(name, command, port, peer_port)
@@ -157,6 +174,7 @@
         data_centre: str,
         port: int,
         peer_port: int,
+        object_api: str,
         settings: dict[str, object],
     ) -> str:
         timing = {
@@ -176,7 +194,7 @@
             f"address = 127.0.0.1:{port}",
             f"peer_address = 127.0.0.1:{peer_port}",
             "[platform]",
-            f"object_api = {self.object_api.address}",
+            f"object_api = {object_api or self.object_api.address}",
             f"instance_list = {self.instance_list.address}",
             "[limits]",
             *(f"{key} = {value}" for key, value in limits.items()),
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -1,8 +1,12 @@
 """Stand-in for the platform's object API.
 
 Fault switches: ``outage`` (every call is answered 503), ``slow_ms`` (each
-answer is late), ``lose_answers`` (this many next writes take effect and the
-connection closes without an answer), ``forget`` (watches are answered 410).
+answer is late), ``stale_ms`` (each list and watch is late after it was
+made up, so older than what was written since), ``lose_answers`` (this many
+next writes take effect and the connection closes without an answer),
+``outage_after_writes`` (an outage begins after this many more writes),
+``forget`` (watches are answered 410), ``forget_before`` (watches after an
+older revision are). An object that was removed counts as absent.
 """
 
 from __future__ import annotations
@@ -67,9 +71,19 @@
             await asyncio.sleep(self.faults.slow_ms / 1000)
         return bool(self.faults.outage)
 
+    async def _set_faults(
+        self, request: requests.Request
+    ) -> responses.Response:
+        answer = await super()._set_faults(request)
+        async with self._changed:
+            # An outage ends the watches that wait.
+            self._changed.notify_all()
+        return answer
+
     def _find(self, kind: str, name: str) -> Stored:
         absent = Stored(kind, name, 0, None)
-        return self._objects.get((kind, name), absent)
+        found = self._objects.get((kind, name), absent)
+        return absent if found.value is None else found
 
     async def _get(self, request: requests.Request) -> responses.Response:
         if await self._meet_faults("get"):
@@ -84,15 +98,17 @@
         kind = request.path_params["kind"]
         if not watching:
             found = [
-                entry for entry in self._objects.values() if entry.kind == kind
+                entry
+                for entry in self._objects.values()
+                if entry.kind == kind and entry.value is not None
             ]
-            return self._listing(found)
-        if self.faults.forget:
-            return responses.JSONResponse({}, 410)
+            return await self._listing(found)
         after = int(request.query_params["after"])
+        if self.faults.forget or after < (self.faults.forget_before or 0):
+            return responses.JSONResponse({}, 410)
         wait_ms = int(request.query_params.get("wait_ms", "0"))
         found = await self._wait_for(kind, after, wait_ms)
-        return _out() if self.faults.outage else self._listing(found)
+        return _out() if self.faults.outage else await self._listing(found)
 
     async def _wait_for(
         self, kind: str, after: int, wait_ms: int
@@ -127,6 +143,7 @@
             return responses.JSONResponse(current._asdict(), 409)
         value = json.loads(body) if request.method == "PUT" else None
         written = await self._store(kind, name, value)
+        await self._begin_outage_after_writes()
         if self.faults.lose_answers:
             self.faults["lose_answers"] -= 1
             return _lost()
@@ -141,13 +158,25 @@
             self._changed.notify_all()
         return written
 
-    def _listing(self, found: list[Stored]) -> responses.Response:
-        return responses.JSONResponse(
+    async def _begin_outage_after_writes(self) -> None:
+        if not self.faults.outage_after_writes:
+            return
+        self.faults["outage_after_writes"] -= 1
+        if not self.faults.outage_after_writes:
+            async with self._changed:
+                self.faults["outage"] = True
+                self._changed.notify_all()
+
+    async def _listing(self, found: list[Stored]) -> responses.Response:
+        answer = responses.JSONResponse(
             {
                 "revision": self._revision,
                 "objects": [entry._asdict() for entry in found],
             }
         )
+        if self.faults.stale_ms:
+            await asyncio.sleep(self.faults.stale_ms / 1000)
+        return answer
 
 
 def _out() -> responses.Response:
