Test accepted changes and configuration under failure

Tests on real processes: kill, freeze, cut and stalled links to the object API, outage right after acceptance, restart in an outage, late watch answers, compaction, racing operators. The outage test was seen to fail first: no watch brought the change to anybody, so the instance that had it accepted now puts it in force itself and peers learn it from there. Its version is told apart from the revision up to which all is known.

--- a/src/geraniumlink/_changes.py
+++ b/src/geraniumlink/_changes.py
@@ -11,6 +11,7 @@
 import hashlib
 import json
 import typing
+from collections.abc import Callable
 
 import expression
 
@@ -70,12 +71,17 @@
     """Writes changes to the object API."""
 
     def __init__(
-        self, objects: _objects.ObjectApi, instance: str, clock: _clock.Clock
+        self,
+        objects: _objects.ObjectApi,
+        instance: str,
+        clock: _clock.Clock,
+        on_written: Callable[[_objects.Object], None] = lambda _: None,
     ) -> None:
         self._objects = objects
         self._archive = _audit.Archive(objects)
         self._instance = instance
         self._clock = clock
+        self._on_written = on_written
 
     async def accept(self, request: Request) -> Outcome:
         """Write a change unless it is there already or the base has moved."""
@@ -150,6 +156,7 @@
                 written = await self._objects.put(
                     _configuration.KIND, request.name, value, base_version
                 )
+                self._on_written(written._replace(value=value))
                 return expression.Ok(Accepted(written.version, already=False))
             except _objects.ConflictError as conflict:
                 return await self._settle(conflict.current, request)
@@ -163,6 +170,7 @@
     ) -> Outcome:
         """Say after a conflict whether the write that won was ours."""
         stored = await self._read(current)
+        self._on_written(current)
         found = await self._find(current, stored, request)
         if found is not None:
             return _recognised(found, request, already=False)
--- a/src/geraniumlink/_configuration.py
+++ b/src/geraniumlink/_configuration.py
@@ -44,6 +44,8 @@
     """Part of a configuration, in the order of versions."""
 
     objects: list[_objects.Object]
+    # Up to which the sender knows every change.
+    revision: int
     # Whether there are objects of higher versions.
     more: bool
 
@@ -64,12 +66,18 @@
 
     @property
     def revision(self) -> int:
-        """The highest version known.
+        """Every change accepted up to this version is in force here."""
+        return self._revision
+
+    @property
+    def newest(self) -> int:
+        """The highest version in force.
 
-        Every change accepted up to it is in force here. It grows by what
-        was received only, never by what a peer says of itself.
+        It is above ``revision`` while a change is known from whoever had
+        it accepted, and others before it may not be known yet.
         """
-        return self._revision
+        versions = [entry.version for entry in self._entries.values()]
+        return max(versions, default=0)
 
     @property
     def findings(self) -> tuple[_findings.Finding, ...]:
@@ -113,16 +121,16 @@
             value = self._entries[name].value
             size += len(value)
             if found and size > max_bytes:
-                return Page(found, more=True)
+                return Page(found, self._revision, more=True)
             found.append(
                 _objects.Object(KIND, name, version, json.loads(value))
             )
-        return Page(found, more=False)
+        return Page(found, self._revision, more=False)
 
     def advance(
         self, listing: _objects.Listing, complete: bool = False
     ) -> list[str]:
-        """Take newer objects in; return the names that changed.
+        """Take an answer of the object API in; return the names changed.
 
         ``complete`` says that the object API listed all there is, so what
         is not listed was removed. An object that can't be read is recorded
@@ -131,11 +139,33 @@
         received = list(listing.objects)
         if complete:
             received += self._removed(listing)
+        # Not the listing's own revision, which other kinds move too.
+        revision = max([entry.version for entry in received], default=0)
+        return self._take(received, revision)
+
+    def advance_by_peer(self, page: Page) -> list[str]:
+        """Take in all that a peer has above this ``revision``.
+
+        The revision moves to the peer's, but never above the versions that
+        are here: a peer that says more than it sends is not believed.
+        """
+        changed = self._take(page.objects, 0)
+        self._revision = max(self._revision, min(page.revision, self.newest))
+        return changed
+
+    def advance_by_write(self, written: _objects.Object) -> list[str]:
+        """Take in one object as it was accepted.
+
+        It says nothing of changes to other deployments before it.
+        """
+        return self._take([written], 0)
+
+    def _take(
+        self, received: list[_objects.Object], revision: int
+    ) -> list[str]:
         changed = [entry.name for entry in received if self._replace(entry)]
+        self._revision = max(self._revision, revision)
         if changed:
-            self._revision = max(
-                entry.version for entry in self._entries.values()
-            )
             self._drop_old_tombstones()
             self._assign_models()
         return changed
@@ -156,7 +186,12 @@
             return False
         try:
             entry = _read(received)
-        except (json_format.ParseError, KeyError, TypeError) as error:
+        except (
+            json_format.ParseError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as error:
             entry = _unreadable(received, current, error)
         self._entries[received.name] = entry
         return True
@@ -215,7 +250,7 @@
     deployment = _declarations.from_json(received.value["deployment"])
     if deployment.name != received.name:
         raise KeyError(f"it names itself {deployment.name!r}")
-    since = received.value["models_since"]
+    since = dict(received.value["models_since"])
     models_since = {
         model.name: int(since.get(model.name, received.version))
         for model in deployment.models
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -95,7 +95,10 @@
 
     def _methods(self, router: _routing.Router) -> _rpc.Methods:
         changes = _changes.Changes(
-            self._objects, self._settings.name, self._clock
+            self._objects,
+            self._settings.name,
+            self._clock,
+            self._sync.take_written,
         )
         return _service_methods.build(
             _inference.Inference(
@@ -148,7 +151,9 @@
 
     async def _heartbeat(self) -> None:
         while True:
-            self._membership.renew(self._configuration.revision)
+            self._membership.renew(
+                self._configuration.revision, self._configuration.newest
+            )
             self._set_gauges()
             peer = self._membership.draw_peer()
             if peer is not None:
--- a/src/geraniumlink/_member_entries.py
+++ b/src/geraniumlink/_member_entries.py
@@ -23,6 +23,7 @@
     # Grows when the instance changes its own entry.
     sequence: int = 0
     revision: int = 0
+    newest: int = 0
     leaving: bool = False
     # Said by others; the instance denies it with a higher sequence.
     suspect: bool = False
@@ -82,6 +83,7 @@
     "incarnation": int,
     "sequence": int,
     "revision": int,
+    "newest": int,
     "leaving": bool,
     "suspect": bool,
 }
--- a/src/geraniumlink/_membership.py
+++ b/src/geraniumlink/_membership.py
@@ -45,7 +45,10 @@
     name: str
     peer_address: _settings.Address
     data_centre: str
+    # All changes up to this version are in force there.
     revision: int
+    # The highest version in force there.
+    newest: int
     # live, suspect or leaving.
     state: str
     # Since this instance last heard from it, or something new of it.
@@ -130,10 +133,11 @@
         listed = self._listed.keys() - {self.own_name}
         return bool(listed or self._known)
 
-    def renew(self, revision: int) -> None:
+    def renew(self, revision: int, newest: int) -> None:
         """Say in this instance's own entry what it has in force."""
-        if revision != self._own.revision:
-            self._set_own(self._own._replace(revision=revision))
+        renewed = self._own._replace(revision=revision, newest=newest)
+        if renewed != self._own:
+            self._set_own(renewed)
 
     def leave(self) -> None:
         self._set_own(self._own._replace(leaving=True))
@@ -258,13 +262,16 @@
         found += [_member(known, now) for known in self._known.values()]
         return sorted(found)
 
-    def ahead_of(self, revision: int) -> list[Member]:
-        """Return members not suspected that have a newer one in force."""
+    def ahead_of(self, revision: int, newest: int) -> list[Member]:
+        """Return members not suspected that know more changes."""
         now = self._clock.now()
         return [
             _member(known, now)
             for known in self._known.values()
-            if known.entry.revision > revision and not known.entry.suspect
+            if not known.entry.suspect
+            and (
+                known.entry.revision > revision or known.entry.newest > newest
+            )
         ]
 
     def _own_member(self, now: int) -> Member:
@@ -376,6 +383,7 @@
         known.address,
         entry.data_centre,
         entry.revision,
+        entry.newest,
         _state(entry),
         now - known.heard_at,
     )
--- a/src/geraniumlink/_peers.py
+++ b/src/geraniumlink/_peers.py
@@ -97,7 +97,13 @@
             return responses.JSONResponse({"error": "after: a number"}, 400)
         page = self._configuration.page(after)
         objects = [entry._asdict() for entry in page.objects]
-        answer = _json({"more": page.more, "objects": objects})
+        answer = _json(
+            {
+                "objects": objects,
+                "revision": page.revision,
+                "more": page.more,
+            }
+        )
         self._traffic.count_sent(answer.raw_headers, bytes(answer.body))
         return answer
 
@@ -165,7 +171,7 @@
 
 async def fetch_configuration(
     client: _http.Client, address: _settings.Address, after: int
-) -> list[_objects.Object] | None:
+) -> _configuration.Page | None:
     """Return all that a peer has in force beyond a revision.
 
     None if it can't be had whole: pages are in the order of versions, and
@@ -177,7 +183,7 @@
             page = await _fetch_page(client, address, after)
             found += page.objects
             if not page.more:
-                return found
+                return _configuration.Page(found, page.revision, False)
             after = found[-1].version
     except (
         _http.NotSentError,
@@ -206,10 +212,10 @@
     if answer.status != 200:
         raise _objects.UnavailableError(f"the peer answered {answer.status}")
     message = answer.json()
-    listing = _objects.read_listing(
-        {"revision": 0, "objects": message["objects"]}
+    listing = _objects.read_listing(message)
+    return _configuration.Page(
+        listing.objects, listing.revision, bool(message["more"])
     )
-    return _configuration.Page(listing.objects, bool(message["more"]))
 
 
 async def bounded_body(request: requests.Request) -> bytes:
--- a/src/geraniumlink/_sync.py
+++ b/src/geraniumlink/_sync.py
@@ -100,11 +100,13 @@
         """Take the next answer; return where to watch on from."""
         if cursor is None:
             listing = await self._objects.list(_configuration.KIND)
-            self._take(listing, "object_api", complete=True)
+            changed = self._configuration.advance(listing, complete=True)
+            self._report(changed, "object_api")
             self._set_loaded("object_api")
         else:
             listing = await self._objects.watch(_configuration.KIND, cursor)
-            self._take(listing, "object_api")
+            changed = self._configuration.advance(listing)
+            self._report(changed, "object_api")
         self._api_lost_at = None
         return listing.revision
 
@@ -121,8 +123,9 @@
                 self._set_loaded("peers")
 
     def _members_ahead(self) -> list[_membership.Member]:
-        revision = self._configuration.revision
-        ahead = self._membership.ahead_of(revision)
+        ahead = self._membership.ahead_of(
+            self._configuration.revision, self._configuration.newest
+        )
         if not ahead:
             self._behind_since = None
         elif self._behind_since is None:
@@ -136,15 +139,25 @@
         return self._clock.now() - self._behind_since >= WATCH_LAG_MS
 
     async def _ask(self, member: _membership.Member) -> None:
-        objects = await _peers.fetch_configuration(
+        page = await _peers.fetch_configuration(
             self._client,
             member.peer_address,
             self._configuration.revision,
         )
-        if objects:
-            # All at once: a part of them would be a configuration that was
+        if page is not None:
+            # All at once: a part of it would be a configuration that was
             # never in force anywhere.
-            self._take(_objects.Listing(0, objects), member.name)
+            changed = self._configuration.advance_by_peer(page)
+            self._report(changed, member.name)
+
+    def take_written(self, written: _objects.Object) -> None:
+        """Put a change in force that this instance had accepted.
+
+        In an outage that begins now, no watch brings it to anybody: the
+        other instances learn it from this one.
+        """
+        changed = self._configuration.advance_by_write(written)
+        self._report(changed, "accepted")
 
     def _caught_up(self) -> bool:
         """Whether nothing newer is known to any peer that answers.
@@ -154,11 +167,13 @@
         """
         members = self._membership.members()
         revision = self._configuration.revision
+        newest = self._configuration.newest
         needed = min(PEERS_AT_START, max(1, self._membership.peers_to_hear))
         return (
             revision > 0
             and self._membership.peers_heard >= needed
             and all(member.revision <= revision for member in members)
+            and all(member.newest <= newest for member in members)
         )
 
     def _set_loaded(self, source: str) -> None:
@@ -170,10 +185,7 @@
                 source=source,
             )
 
-    def _take(
-        self, listing: _objects.Listing, source: str, complete: bool = False
-    ) -> None:
-        changed = self._configuration.advance(listing, complete)
+    def _report(self, changed: list[str], source: str) -> None:
         if not changed:
             return
         _logs.event(
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -25,6 +26,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 WAIT_S = 60.0
 _POLL_S = 0.03
+_PORTS = (12_000, 32_000)
 
 
 class Answer(typing.NamedTuple):
@@ -301,9 +303,16 @@
 
 
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that nobody listens on.
+
+    It is below those that the system gives to outgoing connections, which
+    could take it before the process that it is meant for has started.
+    """
+    while True:
+        port = random.randint(*_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 def _answer(
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -101,3 +101,29 @@
         return sum(1 for entry in replicas if entry.get("models")) >= count
 
     await fleet.until(reached, f"{count} replicas hold models")
+
+
+async def apply(
+    fleet, instance, deployment, expected_version=0, author="tests", **fields
+):
+    """Apply a deployment and return the answer, whatever it is."""
+    body = {"change_id": change_id(), "author": author} | fields
+    return await fleet.call(
+        instance,
+        "Operator/Apply",
+        deployment=deployment,
+        expected_version=expected_version,
+        **body,
+    )
+
+
+def services(count: int, name="booking") -> dict:
+    """Return a plain service with this many replicas that nobody serves."""
+    return plain(["127.0.0.1:9"], name) | {
+        "replicas": [
+            replica(
+                f"127.0.0.1:{index + 1}", index, memory_mb=0, kv_cache_mb=0
+            )
+            for index in range(count)
+        ]
+    }
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,485 @@
+"""What is in force moves only forward, whoever brings it."""
+
+import json
+
+import anyio
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from geraniumlink import _configuration
+from geraniumlink import _objects
+from standins import fleet as fleets
+from tests import builders
+
+pytestmark = pytest.mark.anyio
+KIND = _configuration.KIND
+
+
+def stored(version, name="a", models=("m",), since=None, deployment=True):
+    """Return an object as the object API holds it."""
+    value = builders.engines(["127.0.0.1:9"], models, name)
+    return _objects.Object(
+        KIND,
+        name,
+        version,
+        {
+            "deployment": value if deployment else None,
+            "models_since": since or {},
+            "changes": [],
+            "archives": 0,
+        },
+    )
+
+
+def retired(version, name="a"):
+    return stored(version, name, deployment=False)
+
+
+def listing(*objects, revision=0):
+    highest = max([entry.version for entry in objects], default=0)
+    return _objects.Listing(revision or highest, list(objects))
+
+
+def versions(configuration):
+    page = configuration.page(0, 2**30)
+    return {entry.name: entry.version for entry in page.objects}
+
+
+def state_at(writes, revision):
+    """Return the objects of an API in which these writes were made."""
+    latest = {}
+    for version, (name, kind) in enumerate(writes[:revision], start=1):
+        if kind == "remove":
+            latest[name] = _objects.Object(KIND, name, version, None)
+        else:
+            latest[name] = stored(version, name, deployment=kind == "declare")
+    return latest
+
+
+WRITES = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from("abc"),
+        strategies.sampled_from(["declare", "declare", "retire", "remove"]),
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+@hypothesis.given(
+    WRITES,
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(["list", "watch", "peer"]),
+            strategies.integers(0, 8),
+        ),
+        max_size=8,
+    ),
+)
+def test_late_answers_in_any_order_never_bring_back_an_older_state(
+    writes, deliveries
+):
+    """Each answer was true when it was made, and arrives at any time."""
+    configuration = _configuration.Configuration()
+    peer = _configuration.Configuration()
+    for source, made_at in deliveries:
+        before = versions(configuration)
+        at = min(made_at, len(writes))
+        objects = list(state_at(writes, at).values())
+        live = [entry for entry in objects if entry.value is not None]
+        match source:
+            case "list":
+                whole = _objects.Listing(at, live)
+                configuration.advance(whole, complete=True)
+            case "watch":
+                if at >= configuration.revision:
+                    configuration.advance(_objects.Listing(at, objects))
+            case "peer":
+                peer.advance(_objects.Listing(at, objects))
+                page = peer.page(configuration.revision)
+                configuration.advance_by_peer(page)
+        after = versions(configuration)
+        assert all(after[name] >= before[name] for name in before)
+        newest = state_at(writes, configuration.revision)
+        for name, entry in newest.items():
+            shown = configuration.get(name)
+            live_now = entry.value is not None and bool(
+                entry.value["deployment"]
+            )
+            assert (shown is not None) == live_now
+
+
+def test_a_peers_answer_moves_the_revision_only_by_what_it_brings():
+    configuration = _configuration.Configuration()
+    configuration.advance(listing(stored(3)))
+    configuration.advance_by_peer(_configuration.Page([], 99, more=False))
+    assert configuration.revision == 3
+    configuration.advance(listing(stored(7)))
+    assert versions(configuration) == {"a": 7}
+
+
+def test_a_written_change_does_not_hide_those_before_it():
+    """Accepted here as version 9, while version 8 was accepted elsewhere."""
+    writer = _configuration.Configuration()
+    writer.advance(listing(stored(3)))
+    writer.advance_by_write(stored(9))
+    assert (writer.revision, writer.newest) == (3, 9)
+    other = _configuration.Configuration()
+    other.advance(listing(stored(3), stored(8, "b", ["n"])))
+    writer.advance_by_peer(other.page(writer.revision))
+    assert versions(writer) == {"a": 9, "b": 8}
+    assert writer.revision == 8
+    other.advance_by_peer(writer.page(other.revision))
+    assert versions(other) == versions(writer)
+
+
+def test_pages_are_bounded_and_together_whole():
+    source = _configuration.Configuration()
+    objects = [stored(n, f"d{n}") for n in range(1, 30)]
+    source.advance(listing(*objects))
+    found, after = [], 0
+    while True:
+        page = source.page(after, max_bytes=2000)
+        assert len(page.objects) < 29
+        found += page.objects
+        if not page.more:
+            break
+        after = found[-1].version
+    assert found == objects
+
+
+def test_what_a_complete_list_leaves_out_was_removed():
+    configuration = _configuration.Configuration()
+    configuration.advance(listing(stored(1), stored(2, "b")))
+    kept = listing(stored(2, "b"), revision=9)
+    assert configuration.advance(kept, complete=True) == ["a"]
+    assert configuration.get("a") is None
+    assert configuration.advance(listing(stored(1))) == []
+
+
+def test_tombstones_of_removed_objects_are_bounded():
+    configuration = _configuration.Configuration()
+    for version in range(1, _configuration.MAX_REMOVED + 50):
+        gone = _objects.Object(KIND, f"d{version}", version, None)
+        configuration.advance(listing(gone))
+    assert len(versions(configuration)) == _configuration.MAX_REMOVED
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        17,
+        {},
+        {"deployment": {"name": "b"}, "models_since": {}},
+        {"deployment": {"name": "a", "models": 3}, "models_since": {}},
+        {"deployment": {"name": "a"}, "models_since": 4},
+    ],
+)
+def test_an_unreadable_object_is_a_finding_and_the_last_good_one_stays(value):
+    configuration = _configuration.Configuration()
+    configuration.advance(listing(stored(1)))
+    bad = _objects.Object(KIND, "a", 2, value)
+    configuration.advance(listing(bad))
+    assert configuration.get("a").deployment.models[0].name == "m"
+    (finding,) = configuration.findings
+    assert finding.place == "deployments[a]"
+    # A peer that can read it must not get the old one as the new.
+    assert configuration.page(1).objects == [bad]
+
+
+@hypothesis.given(strategies.permutations([5, 6, 7, 8]))
+def test_a_model_declared_twice_has_one_owner_in_any_order_of_arrival(order):
+    """Accepted: a at 5 with m, b at 6 with m, both changed afterwards."""
+    writes = {
+        5: stored(5, "a"),
+        6: stored(6, "b"),
+        7: stored(7, "b", since={"m": 6}),
+        8: stored(8, "a", since={"m": 5}),
+    }
+    configuration = _configuration.Configuration()
+    for upto in order:
+        latest = {}
+        for version in range(5, upto + 1):
+            latest[writes[version].name] = writes[version]
+        configuration.advance(listing(*latest.values()))
+        assert configuration.owner_of_model("m").name == "a"
+    (finding,) = configuration.findings
+    assert finding.place == "deployments[b].models[m]"
+    configuration.advance(listing(retired(9, "a")))
+    assert configuration.owner_of_model("m").name == "b"
+    assert configuration.findings == ()
+
+
+async def get_version(fleet, instance, name="booking"):
+    answer = await fleet.call(instance, "Operator/Get", name=name)
+    return int(answer.body["version"]) if answer.status == 200 else 0
+
+
+async def until_version(fleet, instance, version):
+    async def reached():
+        return await get_version(fleet, instance) >= version
+
+    await fleet.until(reached, f"{instance.name} has version {version}")
+
+
+async def is_ready(fleet, instance):
+    answer = await fleet.get(instance.peer_port, "/ready")
+    return answer is not None and answer.status == 200
+
+
+async def until_not_ready(fleet, instance):
+    async def reached():
+        answer = await fleet.get(instance.peer_port, "/ready")
+        return answer is not None and answer.status == 503
+
+    await fleet.until(reached, f"{instance.name} is not ready")
+
+
+async def three(fleet, **settings):
+    """Start three instances that know each other; declare a service."""
+    for number in range(3):
+        fleet.instance(f"i{number}", heartbeat_ms=100, **settings)
+    await fleet.ready()
+    await know_each_other(fleet, fleet.instances)
+    version = await builders.declare(
+        fleet, fleet.instances[0], builders.services(1)
+    )
+    return *fleet.instances, version
+
+
+async def know_each_other(fleet, instances):
+    async def reached():
+        for instance in instances:
+            status = await fleet.call(instance, "Operator/Status")
+            members = status.body.get("instances", ())
+            live = [entry for entry in members if entry["state"] == "live"]
+            if len(live) < len(instances):
+                return False
+        return True
+
+    await fleet.until(reached, "the instances know each other")
+
+
+async def accepted(fleet, instance, version, replicas=2):
+    answer = await builders.apply(
+        fleet, instance, builders.services(replicas), version
+    )
+    assert answer.status == 200, answer
+    return int(answer.body["version"])
+
+
+async def test_an_instance_frozen_through_an_acceptance_takes_it_when_thawed(
+    fleet,
+):
+    first, _, frozen, version = await three(fleet)
+    frozen.freeze()
+    version = await accepted(fleet, first, version)
+    frozen.thaw()
+    await until_version(fleet, frozen, version)
+
+
+@pytest.mark.parametrize("fault", ["cut", "stall"])
+async def test_an_instance_cut_off_from_the_api_learns_from_peers(
+    fleet, fault
+):
+    link, address = fleet.link(fleet.object_api.address)
+    first, _, _, version = await three(fleet)
+    cut = fleet.instance("cut", heartbeat_ms=100, object_api=address)
+    await fleet.ready()
+    await know_each_other(fleet, fleet.instances)
+    await fleet.faults(link, **{fault: True})
+    version = await accepted(fleet, first, version)
+    await until_version(fleet, cut, version)
+
+
+async def test_an_outage_right_after_acceptance_holds_nobody_back(fleet):
+    first, second, third, version = await three(fleet)
+    await fleet.faults(fleet.object_api, outage_after_writes=1)
+    version = await accepted(fleet, first, version)
+    for instance in (first, second, third):
+        await until_version(fleet, instance, version)
+
+
+async def test_a_restart_in_an_outage_takes_the_newest_that_peers_have(fleet):
+    first, lagging, restarted, version = await three(fleet)
+    lagging.freeze()
+    version = await accepted(fleet, first, version)
+    await until_version(fleet, restarted, version)
+    await fleet.faults(fleet.object_api, outage=True)
+    restarted.kill()
+    lagging.thaw()
+    restarted.start()
+    await fleet.answers(restarted.peer_port, "/ready")
+    assert await get_version(fleet, restarted) == version
+    await until_version(fleet, lagging, version)
+
+
+async def test_a_start_in_an_outage_without_peers_calls_nothing_unknown(fleet):
+    await fleet.ready()
+    await fleet.faults(fleet.object_api, outage=True)
+    alone = fleet.instance("alone", heartbeat_ms=100)
+    await until_not_ready(fleet, alone)
+    refused = await fleet.call(alone, "Inference/Generate", model="notes")
+    assert refused.body["code"] == "unavailable"
+    assert refused.body["execution"] == "NOT_RUN"
+    assert int(refused.body["retry_after_ms"]) > 0
+    await fleet.faults(fleet.object_api, outage=False)
+    await fleet.answers(alone.peer_port, "/ready")
+
+
+async def test_a_watch_that_is_answered_late_reverts_nothing(fleet):
+    first, second, third, version = await three(fleet)
+    await fleet.faults(fleet.object_api, stale_ms=700)
+    seen = {instance.name: 0 for instance in fleet.instances}
+    for number in range(5):
+        version = await accepted(fleet, first, version, 1 + number)
+        for instance in (first, second, third):
+            got = await get_version(fleet, instance)
+            assert got >= seen[instance.name]
+            seen[instance.name] = got
+    for instance in (first, second, third):
+        await until_version(fleet, instance, version)
+
+
+async def test_a_compacted_watch_learns_of_removals_too(fleet):
+    link, address = fleet.link(fleet.object_api.address)
+    first, _, _, version = await three(fleet)
+    cut = fleet.instance("cut", heartbeat_ms=100, object_api=address)
+    await fleet.ready()
+    for instance in fleet.instances[:3]:
+        instance.kill()
+    await fleet.faults(link, cut=True)
+    path = f"/objects/{KIND}/booking?if_version={version}"
+    await fleet.post(fleet.object_api, path, {}, "DELETE")
+    await fleet.faults(fleet.object_api, forget_before=version + 1)
+    await fleet.faults(link, cut=False)
+
+    async def gone():
+        return await get_version(fleet, cut) == 0
+
+    await fleet.until(gone, "the removed deployment is not in force")
+
+
+async def test_an_isolated_instance_says_so_and_serves_on(fleet):
+    engine = fleet.engine({"notes": "1"})
+    link, address = fleet.link(fleet.object_api.address)
+    other = fleet.instance("other", heartbeat_ms=100)
+    cut = fleet.instance(
+        "cut", heartbeat_ms=100, isolation_ms=1000, object_api=address
+    )
+    await fleet.ready()
+    await know_each_other(fleet, fleet.instances)
+    await builders.declare(fleet, other, builders.engines([engine]))
+    await builders.serving(fleet, cut, 1)
+    other.freeze()
+    await fleet.faults(link, cut=True)
+    await until_not_ready(fleet, cut)
+
+    async def says_so():
+        status = await fleet.call(cut, "Operator/Status")
+        states = {
+            entry["name"]: entry["state"] for entry in status.body["instances"]
+        }
+        return states["cut"] == "suspect"
+
+    await fleet.until(says_so, "it shows that it is isolated")
+    served = await fleet.call(
+        cut, "Inference/Generate", model="notes", prompt="Boots?"
+    )
+    assert served.status == 200
+    refused = await builders.apply(fleet, cut, builders.services(1))
+    assert refused.body["code"] == "unavailable"
+    other.thaw()
+    await fleet.answers(cut.peer_port, "/ready")
+
+
+async def test_racing_operators_are_each_in_the_history_once(fleet):
+    *instances, version = await three(fleet)
+    told: list[tuple[int, str]] = []
+
+    async def operate(number, instance):
+        base = version
+        for attempt in range(7):
+            change_id = f"change-by-{number}-{attempt}"
+            answer = await builders.apply(
+                fleet,
+                instance,
+                builders.services(1 + attempt),
+                base,
+                author=f"operator-{number}",
+                change_id=change_id,
+            )
+            if answer.status == 200:
+                base = int(answer.body["version"])
+                told.append((base, change_id))
+            else:
+                assert answer.body["code"] == "aborted", answer
+                assert "operator-" in answer.body["message"]
+                base = await newest(fleet)
+
+    async with anyio.create_task_group() as group:
+        for number, instance in enumerate(instances):
+            group.start_soon(operate, number, instance)
+    assert told
+    answer = await fleet.call(
+        instances[0], "Operator/History", name="booking", limit=1000
+    )
+    history = [
+        (int(change["version"]), change["change_id"])
+        for change in answer.body["changes"]
+    ]
+    assert history[:-1] == sorted(told, reverse=True)
+    for instance in instances:
+        await until_version(fleet, instance, max(told)[0])
+
+
+async def newest(fleet):
+    stored_now = await fleet.get(
+        fleet.object_api.port, f"/objects/{KIND}/booking"
+    )
+    return stored_now.body["version"]
+
+
+async def test_a_model_declared_twice_in_a_race_has_one_owner_everywhere(
+    fleet,
+):
+    engines = [fleet.engine({"notes": "1"}) for _ in range(2)]
+    for number in range(2):
+        fleet.instance(f"i{number}", heartbeat_ms=100)
+    await fleet.ready()
+    await fleet.faults(fleet.object_api, stale_ms=1500)
+    for number, instance in enumerate(fleet.instances):
+        answer = await builders.apply(
+            fleet,
+            instance,
+            builders.engines([engines[number]], name=f"assistant-{number}"),
+        )
+        assert answer.status == 200, answer
+    version = int(answer.body["version"])
+    await fleet.faults(fleet.object_api, stale_ms=0)
+    await builders.in_force(fleet, version)
+    for instance in fleet.instances:
+        await builders.serving(fleet, instance, 2)
+        answer = await fleet.call(
+            instance, "Inference/Generate", model="notes", prompt="Boots?"
+        )
+        assert answer.status == 200, answer
+        assert findings_logged(instance) == [
+            "deployments[assistant-1].models[notes]"
+        ]
+    assert len((await fleet.record(engines[0]))["runs"]) == 2
+    assert (await fleet.record(engines[1]))["runs"] == []
+
+
+def findings_logged(instance: fleets.Process) -> list[str]:
+    lines = [
+        json.loads(line)
+        for line in instance.log.read_text().split("\n")
+        if line.startswith("{")
+    ]
+    return [
+        line["place"]
+        for line in lines
+        if line.get("message_type") == "configuration_finding"
+    ]
