--- a/src/geraniumlink/_member_entries.py
+++ b/src/geraniumlink/_member_entries.py
@@ -33,6 +33,16 @@
         """Of two entries for one name, the greater replaces the other."""
         return self.incarnation, self.sequence, self.suspect
 
+    @property
+    def presence(self) -> tuple[int, str, bool, bool]:
+        """What is said of the instance, without what it has in force."""
+        return (
+            self.incarnation,
+            self.peer_address,
+            self.leaving,
+            self.suspect,
+        )
+
 
 def digest(entry: Entry) -> int:
     """Return 64 bits; those of a table are combined by exclusive or.
@@ -41,7 +51,7 @@
     """
     if entry.suspect:
         return 0
-    text = f"{entry.name} {entry.incarnation} {entry.sequence}"
+    text = f"{entry.name} {entry.incarnation} {entry.leaving}"
     hashed = hashlib.blake2b(text.encode(), digest_size=8)
     return int.from_bytes(hashed.digest(), "big")
 
--- a/src/geraniumlink/_membership.py
+++ b/src/geraniumlink/_membership.py
@@ -28,8 +28,11 @@
 from geraniumlink import _settings
 
 MAX_ENTRIES = _member_entries.MAX_ENTRIES
-# How often a change is passed on: this many times log2 of the instances.
+# How often news of who is there is passed on: this many times log2 of the
+# instances; and how often news of what one has in force, which each
+# instance also says itself.
 _SENDS_PER_DOUBLING = 1
+_REVISION_SENDS = 3
 FAILURES_TO_SUSPECT = 2
 FORGET_AFTER_BEATS = 60
 _MAX_ANSWERED = 8
@@ -69,6 +72,7 @@
         self.entry = entry
         self.address = _settings.parse_address(entry.peer_address)
         self.heard_at = now
+        self.suspected_at = now
         # How often its entry is still to be passed on.
         self.sends_left = 0
 
@@ -109,7 +113,7 @@
 
     @property
     def digest(self) -> str:
-        """Equal for two tables with the same entries."""
+        """Equal for two tables that see the same instances."""
         return f"{self._digest:016x}"
 
     @property
@@ -216,6 +220,7 @@
 
     def _take(self, entry: Entry, now: int) -> None:
         known = self._known.get(entry.name)
+        sends = self._sends()
         if known is None:
             if entry.suspect:
                 # Taking it would keep a dead instance in the tables for
@@ -226,11 +231,16 @@
             return
         else:
             self._digest ^= _member_entries.digest(known.entry)
+            if known.entry.presence == entry.presence:
+                sends = max(known.sends_left, _REVISION_SENDS)
             known.entry = entry
             known.address = _settings.parse_address(entry.peer_address)
-            known.heard_at = now if not entry.suspect else known.heard_at
+            if entry.suspect:
+                known.suspected_at = now
+            else:
+                known.heard_at = now
         self._digest ^= _member_entries.digest(entry)
-        known.sends_left = self._sends()
+        known.sends_left = sends
 
     def _sends(self) -> int:
         instances = len(self._known) + 1
@@ -350,6 +360,7 @@
             return
         self._digest ^= _member_entries.digest(known.entry)
         known.entry = known.entry._replace(suspect=True)
+        known.suspected_at = self._clock.now()
         self._digest ^= _member_entries.digest(known.entry)
         # An instance that heard nobody since may itself be cut off: it
         # keeps the suspicion to itself.
@@ -362,10 +373,10 @@
         return self._forget_ms // 10
 
     def _forget(self, now: int) -> None:
-        """Drop suspects that were silent for long."""
+        """Drop those that were suspected for long."""
         oldest = now - self._forget_ms
         for name, known in list(self._known.items()):
-            if known.entry.suspect and known.heard_at < oldest:
+            if known.entry.suspect and known.suspected_at < oldest:
                 self._digest ^= _member_entries.digest(known.entry)
                 del self._known[name]
 
--- a/src/geraniumlink/_sync.py
+++ b/src/geraniumlink/_sync.py
@@ -191,6 +191,7 @@
         _logs.event(
             "configuration_in_force",
             revision=self._configuration.revision,
+            newest=self._configuration.newest,
             deployments=changed,
             source=source,
         )
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,315 @@
+"""Instances learn of each other at a cost that does not grow."""
+
+import random
+import typing
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from geraniumlink import _clock
+from geraniumlink import _member_entries
+from geraniumlink import _membership
+from geraniumlink import _settings
+from tests import builders
+
+BEAT_MS = 1000
+
+
+class Own(typing.NamedTuple):
+    """The settings that membership reads."""
+
+    name: str
+    peer_address: _settings.Address
+    data_centre: str = "debark"
+    heartbeat_ms: int = BEAT_MS
+
+
+class Group:
+    """Instances that exchange in rounds of one heartbeat, in this process."""
+
+    def __init__(self, count: int, seed: int = 1) -> None:
+        self.clock = _clock.ManualClock()
+        self._seed = seed
+        self.tables: dict[str, _membership.Membership] = {}
+        # Instances that neither ask nor answer.
+        self.silent: set[str] = set()
+        for number in range(count):
+            self.start(f"i{number}")
+        self.list_all()
+
+    def start(self, name: str, port: int = 0) -> _membership.Membership:
+        port = port or 1000 + len(self.tables)
+        self.tables[name] = _membership.Membership(
+            Own(name, _settings.Address("127.0.0.1", port)),
+            self.clock,
+            random.Random(f"{self._seed} {name} {self.clock.wall()}"),
+        )
+        return self.tables[name]
+
+    def list_all(self) -> None:
+        listed = {
+            name: f"127.0.0.1:{1000 + number}"
+            for number, name in enumerate(self.tables)
+        }
+        for table in self.tables.values():
+            table.take_list(listed)
+
+    def run(self, beats: int) -> None:
+        for _ in range(beats):
+            self.clock.advance(BEAT_MS)
+            for name, table in self.tables.items():
+                if name not in self.silent:
+                    self._beat(table)
+
+    def _beat(self, table: _membership.Membership) -> None:
+        peer = table.draw_peer()
+        if peer is None:
+            return
+        if peer.name in self.silent or peer.name not in self.tables:
+            table.unanswered(peer.name)
+            return
+        other = self.tables[peer.name]
+        asked, digest = table.entries(), table.digest
+        other.merge(asked)
+        told = other.answer(asked[0], digest)
+        assert len(asked) <= _membership.MAX_ENTRIES
+        assert len(told) <= _membership.MAX_ENTRIES
+        table.merge(told)
+        table.answered(peer.name)
+
+    def states(self, name: str) -> list[str]:
+        """Return how the others that talk see one; "" if not at all."""
+        found = []
+        for other in sorted(self.tables.keys() - self.silent - {name}):
+            members = self.tables[other].members()
+            states = {member.name: member.state for member in members}
+            found.append(states.get(name, ""))
+        return found
+
+    def all_know(self, name: str, **fields: object) -> bool:
+        for other, table in self.tables.items():
+            if other in self.silent:
+                continue
+            known = {member.name: member for member in table.members()}
+            if name not in known or any(
+                getattr(known[name], field) != value
+                for field, value in fields.items()
+            ):
+                return False
+        return True
+
+
+def test_every_entry_reaches_every_instance_of_a_large_group():
+    group = Group(100)
+    group.run(40)
+    for name in group.tables:
+        assert group.all_know(name, state="live")
+
+
+def test_a_quiet_group_sends_only_its_own_entries():
+    group = Group(30)
+    group.run(120)
+    for table in group.tables.values():
+        assert len(table.entries()) == 1
+
+
+def test_a_new_revision_becomes_known_everywhere():
+    group = Group(50)
+    group.run(60)
+    group.tables["i3"].renew(revision=7, newest=8)
+    group.run(30)
+    assert group.all_know("i3", revision=7, newest=8)
+
+
+def test_a_silent_instance_is_suspected_everywhere_then_forgotten():
+    group = Group(30)
+    group.run(40)
+    group.silent.add("i3")
+    group.run(20)
+    assert set(group.states("i3")) == {"suspect"}
+    group.run(_membership.FORGET_AFTER_BEATS + 20)
+    for table in group.tables.values():
+        table.take_list({})
+    group.run(_membership.FORGET_AFTER_BEATS)
+    assert set(group.states("i3")) == {""}
+
+
+def test_an_instance_that_was_frozen_denies_the_suspicion():
+    group = Group(30)
+    group.run(40)
+    group.silent.add("i3")
+    group.run(20)
+    group.silent.clear()
+    group.run(20)
+    assert set(group.states("i3")) == {"live"}
+
+
+def test_nobody_is_suspected_while_all_answer():
+    group = Group(60)
+    group.run(100)
+    for name in group.tables:
+        assert "suspect" not in group.states(name)
+
+
+def test_an_instance_that_was_cut_off_spreads_no_suspicions():
+    group = Group(20)
+    group.run(40)
+    cut = group.tables["i3"]
+    for _ in range(200):
+        group.clock.advance(BEAT_MS)
+        peer = cut.draw_peer()
+        if peer is not None:
+            cut.unanswered(peer.name)
+        for table in group.tables.values():
+            if table is not cut:
+                table.merge([table.entries()[0]._replace(name="other")])
+    group.run(3)
+    for name in group.tables.keys() - {"i3"}:
+        assert "suspect" not in [
+            state
+            for other, state in zip(
+                sorted(group.tables.keys() - {name}),
+                group.states(name),
+                strict=True,
+            )
+            if other != "i3"
+        ]
+
+
+def test_leaving_is_known_everywhere_and_a_restart_replaces_it():
+    group = Group(20)
+    group.run(40)
+    group.tables["i3"].leave()
+    group.run(20)
+    assert set(group.states("i3")) == {"leaving"}
+    group.start("i3", port=1003)
+    group.run(20)
+    assert set(group.states("i3")) == {"live"}
+
+
+def test_a_restart_after_the_clock_stepped_back_is_still_heard():
+    group = Group(10)
+    group.run(30)
+    early = _clock.ManualClock(wall=1_600_000_000_000)
+    real, group.clock = group.clock, early
+    group.start("i3", port=1003)
+    group.clock = real
+    group.list_all()
+    group.tables["i3"].renew(revision=5, newest=5)
+    group.run(30)
+    assert group.all_know("i3", revision=5)
+
+
+def test_two_instances_under_one_name_are_logged(monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        _membership._logs,
+        "event",
+        lambda message, **fields: logged.append((message, fields)),
+    )
+    group = Group(3)
+    group.run(5)
+    others = Group(0)
+    others.clock = group.clock
+    twin = others.start("i1", port=2001)
+    for _ in range(3):
+        group.tables["i1"].merge(twin.entries())
+    assert [
+        fields["other_address"]
+        for message, fields in logged
+        if message == "name_in_use"
+    ] == ["127.0.0.1:2001"]
+
+
+def test_known_peers_are_kept_while_the_list_is_down_or_wrong():
+    group = Group(10)
+    group.run(30)
+    for table in group.tables.values():
+        table.take_list({"nobody": "127.0.0.1:9"})
+    group.run(60)
+    for name in group.tables:
+        assert set(group.states(name)) == {"live"}
+
+
+ENTRIES = strategies.builds(
+    _member_entries.Entry,
+    strategies.sampled_from(["own", "x", "y"]),
+    strategies.just("127.0.0.1:1"),
+    strategies.just("debark"),
+    strategies.integers(0, 2),
+    strategies.integers(0, 2),
+    strategies.integers(0, 2),
+    strategies.integers(0, 2),
+    strategies.booleans(),
+    strategies.booleans(),
+)
+
+
+@hypothesis.given(strategies.lists(ENTRIES, min_size=1), strategies.randoms())
+def test_order_and_repetition_of_messages_do_not_matter(entries, source):
+    """An entry's age names what it says, so equal ages say the same."""
+    unique = {(entry.name, entry.age): entry for entry in entries}
+    seen = [entry for entry in unique.values() if not entry.suspect]
+    hypothesis.assume(seen)
+
+    def final(order):
+        table = Group(0).start("own")
+        for entry in order:
+            table.merge([entry])
+        return {
+            member.name: member.revision
+            for member in table.members()
+            if member.name != "own"
+        }, table.digest if all(e.name != "own" for e in order) else ""
+
+    shuffled = seen * 2
+    source.shuffle(shuffled)
+    assert final(seen) == final(shuffled)
+
+
+@hypothesis.given(
+    strategies.recursive(
+        strategies.none()
+        | strategies.booleans()
+        | strategies.integers()
+        | strategies.text(max_size=5),
+        lambda inner: strategies.lists(inner, max_size=10),
+    )
+)
+def test_a_malformed_message_is_refused_whole(message):
+    with pytest.raises(ValueError):
+        _membership.from_json(message)
+
+
+@pytest.mark.anyio
+async def test_a_killed_instance_is_suspected_and_its_successor_is_live(
+    fleet,
+):
+    for number in range(4):
+        fleet.instance(f"i{number}", heartbeat_ms=100)
+    await fleet.ready()
+
+    async def seen_as(name, state):
+        for instance in fleet.instances:
+            if instance.name == name or not instance.running:
+                continue
+            status = await fleet.call(instance, "Operator/Status")
+            states = {
+                entry["name"]: entry["state"]
+                for entry in status.body["instances"]
+            }
+            if states.get(name) != state:
+                return False
+        return True
+
+    await fleet.until(lambda: seen_as("i3", "live"), "i3 is live")
+    fleet.instances[3].kill()
+    await fleet.until(lambda: seen_as("i3", "suspect"), "i3 is suspected")
+    fleet.instances[3].start()
+    await fleet.until(lambda: seen_as("i3", "live"), "i3 is live again")
+    version = await builders.declare(
+        fleet, fleet.instances[0], builders.services(1)
+    )
+    status = await fleet.call(fleet.instances[3], "Operator/Status")
+    assert int(status.body["version"]) >= version
