Keep the doubts of a cut-off instance to itself

A suspicion is passed on only if somebody was heard between the peer's two failures. With the time since the last message as the measure, the first suspicions of a cut-off instance spread when it came back: seen in the test test_an_instance_that_was_cut_off_spreads_no_suspicions, which failed first. The rounds of probes are a module of their own.

--- a/benches/_membership_tables.py
+++ b/benches/_membership_tables.py
@@ -58,7 +58,7 @@
         peer = table.draw_peer()
         if peer is None:
             return
-        asked = table.entries()
+        asked = table.entries(peer.name)
         self._count(asked)
         if peer.name in self.silent:
             table.unanswered(peer.name)
--- a/src/geraniumlink/_membership.py
+++ b/src/geraniumlink/_membership.py
@@ -25,6 +25,7 @@
 from geraniumlink import _clock
 from geraniumlink import _logs
 from geraniumlink import _member_entries
+from geraniumlink import _probes
 from geraniumlink import _settings
 
 MAX_ENTRIES = _member_entries.MAX_ENTRIES
@@ -33,9 +34,7 @@
 # instance also says itself.
 _SENDS_PER_DOUBLING = 1
 _REVISION_SENDS = 3
-FAILURES_TO_SUSPECT = 2
 FORGET_AFTER_BEATS = 60
-_MAX_ANSWERED = 8
 
 Entry = _member_entries.Entry
 to_json = _member_entries.to_json
@@ -98,12 +97,7 @@
         self._known: dict[str, _Known] = {}
         self._digest = _member_entries.digest(self._own)
         self._listed: dict[str, str] = {}
-        self._round: list[str] = []
-        self._failures: dict[str, int] = {}
-        self._retry: str | None = None
-        # A few of those that answered, and those that do not answer now.
-        self._answered: set[str] = set()
-        self._unresponsive: set[str] = set()
+        self._probes = _probes.Probes(clock, random_source)
         self._heard_at = clock.now()
         self._isolated = False
 
@@ -124,12 +118,12 @@
     @property
     def peers_heard(self) -> int:
         """Different peers that answered since the start, up to 8."""
-        return len(self._answered)
+        return self._probes.peers_heard
 
     @property
     def peers_to_hear(self) -> int:
         """How many peers are known and do not fail to answer."""
-        return len(self._addresses().keys() - self._unresponsive)
+        return len(self._probes.responsive(self._addresses()))
 
     @property
     def knows_others(self) -> bool:
@@ -165,19 +159,20 @@
         """
         self._listed = dict(listed)
 
-    def entries(self) -> list[Entry]:
-        """Return this instance's own entry and what is to be passed on."""
-        return [self._own, *self._pending(MAX_ENTRIES - 1)]
-
-    def answer(self, asker: Entry, digest: str) -> list[Entry]:
-        """Return what to tell an instance whose table has that digest."""
+    def entries(self, peer: str = "") -> list[Entry]:
+        """Return this instance's own entry and what to pass on to a peer."""
         found = {self.own_name: self._own}
-        known = self._known.get(asker.name)
+        known = self._known.get(peer)
         if known is not None and known.entry.suspect:
             # So that it can deny it.
-            found[asker.name] = known.entry
+            found[peer] = known.entry
         room = MAX_ENTRIES - len(found)
         found |= {entry.name: entry for entry in self._pending(room)}
+        return list(found.values())
+
+    def answer(self, asker: Entry, digest: str) -> list[Entry]:
+        """Return what to tell an instance whose table has that digest."""
+        found = {entry.name: entry for entry in self.entries(asker.name)}
         if digest != self.digest:
             found |= self._fill(MAX_ENTRIES - len(found), found)
         return list(found.values())
@@ -308,69 +303,44 @@
         return addresses
 
     def draw_peer(self) -> Peer | None:
-        """Return the next of a round of all peers in random order."""
+        """Return whom to exchange with at this heartbeat."""
         addresses = self._addresses()
-        if self._retry in addresses:
-            return _peer(self._retry, addresses)
-        for _ in range(len(self._round) + 1):
-            if not self._round:
-                self._round = self._new_round(addresses)
-            if not self._round:
-                return None
-            name = self._round.pop()
-            if name in addresses:
-                return _peer(name, addresses)
-            known = self._known.get(name)
-            if known is not None:
-                return _peer(name, {name: known.entry.peer_address})
-        return None
-
-    def _new_round(self, addresses: dict[str, str]) -> list[str]:
-        """Shuffle all peers, and one suspect: it may have come back."""
-        names = list(addresses)
-        self._unresponsive &= self._known.keys() | addresses.keys()
-        self._failures = {}
         suspects = [name for name in self._known if name not in addresses]
-        if suspects:
-            names.append(self._random.choice(suspects))
-        self._random.shuffle(names)
-        return names
+        name = self._probes.draw(addresses, suspects, self._heard_at)
+        if name is None:
+            return None
+        known = self._known.get(name)
+        address = addresses.get(name) or (known and known.entry.peer_address)
+        return Peer(name, _settings.parse_address(address or ""))
 
     def answered(self, name: str) -> None:
         """Note that a peer answered an exchange."""
-        if len(self._answered) < _MAX_ANSWERED:
-            self._answered.add(name)
-        self._unresponsive.discard(name)
-        self._failures.pop(name, None)
-        if self._retry == name:
-            self._retry = None
+        self._probes.answered(name)
 
     def unanswered(self, name: str) -> None:
-        """Note that an exchange failed; suspect the peer at the second."""
-        failures = self._failures.get(name, 0) + 1
-        if failures < FAILURES_TO_SUSPECT:
-            self._failures[name] = failures
-            self._retry = name
-            return
-        self._failures.pop(name, None)
-        self._unresponsive.add(name)
-        self._retry = None
+        """Note that an exchange failed; suspect the peer at the second.
+
+        An instance that heard nobody in between may itself be cut off. It
+        keeps the suspicion to itself.
+        """
+        failure = self._probes.unanswered(name, self._heard_at)
         known = self._known.get(name)
         if known is None or known.entry.suspect:
             return
+        match failure:
+            case _probes.Failure.FIRST:
+                pass
+            case _probes.Failure.DOUBTFUL:
+                self._suspect(known, sends=0)
+            case _probes.Failure.CERTAIN:
+                self._suspect(known, self._sends())
+
+    def _suspect(self, known: _Known, sends: int) -> None:
         self._digest ^= _member_entries.digest(known.entry)
         known.entry = known.entry._replace(suspect=True)
         known.suspected_at = self._clock.now()
-        self._digest ^= _member_entries.digest(known.entry)
-        # An instance that heard nobody since may itself be cut off: it
-        # keeps the suspicion to itself.
-        silent_ms = self._clock.now() - self._heard_at
-        known.sends_left = self._sends() if silent_ms < self._doubt_ms else 0
-        _logs.event("suspected", member=name, passed_on=known.sends_left > 0)
-
-    @property
-    def _doubt_ms(self) -> int:
-        return self._forget_ms // 10
+        known.sends_left = sends
+        _logs.event("suspected", member=known.entry.name, passed_on=sends > 0)
 
     def _forget(self, now: int) -> None:
         """Drop those that were suspected for long."""
@@ -398,7 +368,3 @@
         _state(entry),
         now - known.heard_at,
     )
-
-
-def _peer(name: str, addresses: dict[str, str]) -> Peer:
-    return Peer(name, _settings.parse_address(addresses[name]))
--- a/src/geraniumlink/_peers.py
+++ b/src/geraniumlink/_peers.py
@@ -135,7 +135,7 @@
     traffic: _traffic.Traffic,
 ) -> None:
     """Exchange entries with a peer, and note whether it answered."""
-    entries = _membership.to_json(membership.entries())
+    entries = _membership.to_json(membership.entries(peer.name))
     message = Exchange(entries=entries, digest=membership.digest)
     body = json.dumps(message, separators=(",", ":")).encode()
     traffic.count_sent([*_JSON, (b"host", b"255.255.255.255:65535")], body)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -70,7 +70,7 @@
             table.unanswered(peer.name)
             return
         other = self.tables[peer.name]
-        asked, digest = table.entries(), table.digest
+        asked, digest = table.entries(peer.name), table.digest
         other.merge(asked)
         told = other.answer(asked[0], digest)
         assert len(asked) <= _membership.MAX_ENTRIES
