--- a/benches/membership.py
+++ b/benches/membership.py
@@ -3,8 +3,8 @@
     python -m benches.membership --out membership.json
 
 Instances run as processes without backend servers. After all know each
-other, a quiet stretch is measured, then several changes are accepted, and
-for each the time from the operator's answer until it is in force at every
+other, a quiet stretch is measured, then a change a second is accepted, and
+for each the time from the operator's sending it until it is in force at every
 instance is read from the instances' logs. A second part runs the table code
 alone with up to 400 members in this process.
 """
@@ -24,6 +24,7 @@
 from benches import _slopes
 from standins import fleet as fleets
 
+CHANGES = 10
 _COUNTERS = (
     "geraniumlink_peer_sent_bytes_total",
     "geraniumlink_peer_received_bytes_total",
@@ -58,13 +59,10 @@
     return [await _sample(fleet, instance) for instance in fleet.instances]
 
 
-async def _stretch(
-    fleet: fleets.Fleet, seconds: float, prefix: str
+def _rates(
+    before: list[Sample], after: list[Sample], prefix: str
 ) -> dict[str, float]:
     """Return each rate per instance and second, as a mean of all."""
-    before = await _samples(fleet)
-    await anyio.sleep(seconds)
-    after = await _samples(fleet)
     rates: dict[str, list[float]] = collections.defaultdict(list)
     for first, last in zip(before, after, strict=True):
         elapsed_s = last.time_s - first.time_s
@@ -101,7 +99,7 @@
 async def _change(
     fleet: fleets.Fleet, instance: fleets.Process, version: int, number: int
 ) -> tuple[int, float]:
-    """Apply a change; return its version and when it was answered."""
+    """Apply a change; return its version and when it was sent."""
     replica = {
         "name": "r0",
         "address": f"127.0.0.1:{number + 1}",
@@ -109,6 +107,7 @@
         "max_in_flight": 8,
         "draining": True,
     }
+    sent = time.time()
     answer = await fleet.call(
         instance,
         "Operator/Apply",
@@ -123,12 +122,10 @@
     )
     if answer.status != 200:
         raise RuntimeError(f"the change was refused: {answer}")
-    return int(answer.body["version"]), time.time()
+    return int(answer.body["version"]), sent
 
 
-def _in_force_ms(
-    fleet: fleets.Fleet, answered: dict[int, float]
-) -> list[float]:
+def _in_force_ms(fleet: fleets.Fleet, sent: dict[int, float]) -> list[float]:
     """Return the delay of each change at each instance, from the logs."""
     delays = []
     for instance in fleet.instances:
@@ -137,14 +134,14 @@
             if "configuration_in_force" in line:
                 entry = json.loads(line)
                 seen[entry["newest"]] = entry["timestamp"]
-        for version, time_s in answered.items():
+        for version, time_s in sent.items():
             at = min(
                 (when for newest, when in seen.items() if newest >= version),
                 default=None,
             )
             if at is None:
                 raise RuntimeError(f"{version} never came to {instance.name}")
-            delays.append(max(0.0, 1000 * (at - time_s)))
+            delays.append(1000 * (at - time_s))
     return delays
 
 
@@ -157,15 +154,19 @@
         row: dict[str, float] = {"all_known_s": known_s}
         # Until what was said at the start has been passed on.
         await anyio.sleep(10 * heartbeat_ms / 1000)
-        row |= await _stretch(fleet, seconds, "quiet")
-        answered: dict[int, float] = {}
+        before = await _samples(fleet)
+        await anyio.sleep(seconds)
+        quiet = await _samples(fleet)
+        row |= _rates(before, quiet, "quiet")
+        sent: dict[int, float] = {}
         version = 0
-        for number in range(8):
+        for number in range(CHANGES):
             instance = fleet.instances[number % size]
             version, time_s = await _change(fleet, instance, version, number)
-            answered[version] = time_s
+            sent[version] = time_s
             await anyio.sleep(1)
-        delays = _in_force_ms(fleet, answered)
+        row |= _rates(quiet, await _samples(fleet), "changing")
+        delays = _in_force_ms(fleet, sent)
     row["in_force_p50_ms"] = round(statistics.median(delays), 1)
     row["in_force_max_ms"] = round(max(delays), 1)
     return row
