--- a/src/geraniumlink/_operator.py
+++ b/src/geraniumlink/_operator.py
@@ -20,6 +20,7 @@
 from geraniumlink._schema import geraniumlink_pb2 as pb
 
 DEFAULT_HISTORY = 50
+MAX_HISTORY = 1000
 Result = expression.Result[typing.Any, _refusals.Refusal]
 
 
@@ -156,7 +157,7 @@
     async def history(self, request: pb.HistoryRequest, _: str) -> Result:
         try:
             changes = await self._changes.history(
-                request.name, request.limit or DEFAULT_HISTORY
+                request.name, _history_limit(request.limit)
             )
         except _audit.UnreadableError as error:
             return expression.Error(
@@ -209,6 +210,12 @@
         )
 
 
+def _history_limit(asked: int) -> int:
+    if asked <= 0:
+        return DEFAULT_HISTORY
+    return min(asked, MAX_HISTORY)
+
+
 def _not_found(name: str) -> _refusals.Refusal:
     return _refusals.Refusal(
         _refusals.Code.NOT_FOUND,
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -220,3 +220,21 @@
     huge = builders.services(1) | {"name": "x" * _objects.MAX_VALUE_BYTES}
     refused = await operators.accept(declare(edit=_changes.Declare(huge)))
     assert refused.error.code is _refusals.Code.INVALID_ARGUMENT
+
+
+async def test_the_stand_in_takes_one_of_many_writes_onto_one_version(
+    operators,
+):
+    won = []
+
+    async def write(number):
+        try:
+            await operators.api.put("kind", "name", {"by": number}, 0)
+            won.append(number)
+        except _objects.ConflictError:
+            pass
+
+    async with anyio.create_task_group() as group:
+        for number in range(50):
+            group.start_soon(write, number)
+    assert len(won) == 1
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -342,6 +342,24 @@
         await until_version(fleet, instance, version)
 
 
+async def test_a_slow_api_delays_changes_and_loses_none(fleet):
+    first, second, third, version = await three(fleet)
+    await fleet.faults(fleet.object_api, slow_ms=800)
+    for replicas in (2, 3):
+        version = await accepted(fleet, first, version, replicas)
+    for instance in (first, second, third):
+        await until_version(fleet, instance, version)
+
+
+async def test_an_instance_that_joins_amid_changes_has_the_newest(fleet):
+    first, _, _, version = await three(fleet)
+    joining = fleet.instance("joining", heartbeat_ms=100)
+    for replicas in range(1, 9):
+        version = await accepted(fleet, first, version, replicas)
+    await fleet.ready()
+    await until_version(fleet, joining, version)
+
+
 async def test_a_compacted_watch_learns_of_removals_too(fleet):
     link, address = fleet.link(fleet.object_api.address)
     first, _, _, version = await three(fleet)
