--- a/benches/_membership_tables.py
+++ b/benches/_membership_tables.py
@@ -104,6 +104,25 @@
     def same_tables(self) -> bool:
         return len({table.digest for table in self.tables.values()}) == 1
 
+    def beats_to_adopt(self, newest: int) -> int:
+        """Let one have something newer; others take it when they hear.
+
+        This is how a change spreads that only one instance knows, as in an
+        outage right after it was accepted.
+        """
+        self.tables[self.names[0]].renew(newest, newest)
+        having = {self.names[0]}
+        for beats in range(_MOST_BEATS):
+            if len(having) == len(self.names):
+                return beats
+            self.beat()
+            for name in self.names:
+                table = self.tables[name]
+                if name not in having and table.ahead_of(newest - 1, newest):
+                    table.renew(newest, newest)
+                    having.add(name)
+        raise RuntimeError(f"not within {_MOST_BEATS} heartbeats")
+
     def share_knowing(self, revision: int) -> float:
         """Return how much of what all have in force is known to all."""
         nothing_newer = 2**62
@@ -148,6 +167,7 @@
     one_beats = group.beats_until(
         lambda: group.all_see(group.names[0], "revision", 2)
     )
+    adopt_beats = group.beats_to_adopt(3)
     for _ in range(100):
         group.beat()
     quiet_bytes = group.bytes_per_node(30)
@@ -163,6 +183,7 @@
     return {
         "start_beats": start_beats,
         "one_revision_beats": one_beats,
+        "adopted_everywhere_beats": adopt_beats,
         "revisions_95_percent_beats": change_beats,
         "revisions_sent_bytes_per_s": round(
             change_bytes / max(1, change_beats), 1
