--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -27,6 +27,7 @@
 WAIT_S = 60.0
 _POLL_S = 0.03
 _PORTS = (12_000, 32_000)
+_given_ports: set[int] = set()
 
 
 class Answer(typing.NamedTuple):
@@ -303,15 +304,19 @@
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on.
+    """Return a port that nobody listens on, and never the same again.
 
     It is below those that the system gives to outgoing connections, which
     could take it before the process that it is meant for has started.
     """
     while True:
         port = random.randint(*_PORTS)
+        if port in _given_ports:
+            # Its process may not have come to listen yet.
+            continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
+            _given_ports.add(port)
             return port
 
 
