--- a/src/geraniumlink/_configuration.py
+++ b/src/geraniumlink/_configuration.py
@@ -219,8 +219,9 @@
                 if claim != other:
                     findings.add(*_declared_twice(model, claim, other))
         self._model_owners = owners
-        if findings.all() != self._findings.all():
-            for found in findings.all():
+        known = set(self._findings.all())
+        for found in findings.all():
+            if found not in known:
                 _logs.event(
                     "configuration_finding",
                     place=found.place,
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -459,6 +459,45 @@
     return stored_now.body["version"]
 
 
+async def test_what_was_retired_comes_back_only_when_it_is_declared_again(
+    fleet,
+):
+    first, second, third, _ = await three(fleet)
+    creation = {"change_id": builders.change_id(), "author": "hirut"}
+    declared = builders.services(1, "stock")
+    answer = await builders.apply(fleet, first, declared, **creation)
+    version = int(answer.body["version"])
+    third.freeze()
+    answer = await fleet.call(
+        second,
+        "Operator/Retire",
+        name="stock",
+        expected_version=version,
+        change_id=builders.change_id(),
+        author="selin",
+    )
+    assert answer.status == 200, answer
+    again = await builders.apply(fleet, second, declared, **creation)
+    assert again.body["already_accepted"]
+    assert int(again.body["version"]) == version
+    third.thaw()
+    for instance in fleet.instances:
+
+        async def gone(instance=instance):
+            return await get_version(fleet, instance, "stock") == 0
+
+        await fleet.until(gone, f"{instance.name} has it retired")
+    newer = await builders.apply(
+        fleet, third, builders.services(3, "stock"), author="selin"
+    )
+    assert newer.status == 200, newer
+    await builders.apply(fleet, first, declared, **creation)
+    await builders.in_force(fleet, int(newer.body["version"]))
+    for instance in fleet.instances:
+        shown = await fleet.call(instance, "Operator/Get", name="stock")
+        assert len(shown.body["deployment"]["replicas"]) == 3
+
+
 async def test_a_model_declared_twice_in_a_race_has_one_owner_everywhere(
     fleet,
 ):
