--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -54,6 +54,7 @@
 from geraniumlink import _suspects
 from geraniumlink import _sync
 from geraniumlink import _telling
+from geraniumlink import _traffic
 
 
 # How long a peer's message in progress is waited for at the very end.
@@ -87,6 +88,7 @@
             self._client,
             self._clock,
             self._backends.refresh,
+            settings.isolation_ms,
         )
         teller = _telling.Teller(self._membership, self._client, source)
         self._suspects = _suspects.Suspects(
@@ -117,6 +119,8 @@
             self._clock,
             self._metrics,
         )
+        self._rpc.loaded = lambda: self._sync.loaded
+        self._traffic = _traffic.Traffic()
         self._peers = _peers.PeerServer(
             self._configuration,
             self._membership,
@@ -127,6 +131,7 @@
                 *self._suspects.routes,
                 *self._leaving.routes,
             ],
+            traffic=self._traffic,
         )
         self._listener = _server.Listener(
             self._rpc, settings.address, self._clock
@@ -147,7 +152,10 @@
 
     def _methods(self, router: _routing.Router) -> _rpc.Methods:
         changes = _changes.Changes(
-            self._objects, self._settings.name, self._clock
+            self._objects,
+            self._settings.name,
+            self._clock,
+            self._sync.take_written,
         )
         return _service_methods.build(
             _inference.Inference(
@@ -224,17 +232,28 @@
 
     async def _heartbeat(self) -> None:
         while True:
-            self._membership.beat(self._configuration.revision)
+            self._membership.renew(
+                self._configuration.revision, self._configuration.newest
+            )
             self._set_gauges()
             peer = self._membership.draw_peer()
             if peer is not None:
-                await _peers.exchange(self._client, peer, self._membership)
+                await _peers.exchange(
+                    self._client, peer, self._membership, self._traffic
+                )
             await self._clock.sleep(self._settings.heartbeat_ms)
 
     def _set_gauges(self) -> None:
         self._metrics.revision.set({}, self._configuration.revision)
         self._metrics.api_calls.set({}, self._objects.calls)
         self._metrics.api_reachable.set({}, int(self._objects.reachable))
+        self._metrics.api_received.set({}, self._objects.received_bytes)
+        self._metrics.peer_sent.set({}, self._traffic.sent_bytes)
+        self._metrics.peer_received.set({}, self._traffic.received_bytes)
+        self._metrics.isolated.set({}, int(self._sync.isolated))
+        self._metrics.configuration_findings.set(
+            {}, len(self._configuration.findings)
+        )
 
     async def _follow_instance_list(self) -> None:
         listed: list[_platform.Listed] = []
@@ -262,8 +281,9 @@
         )
 
     def _ready(self) -> bool:
-        known = self._sync.loaded and self._backends.surveyed
-        return known and not self._rpc.closing
+        if self._rpc.closing or self._sync.isolated:
+            return False
+        return self._sync.loaded and self._backends.surveyed
 
     async def _stop_on_signal(self, scope: anyio.CancelScope) -> None:
         with anyio.open_signal_receiver(
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -1,12 +1,15 @@
 """Stand-in for the platform's object API.
 
 Fault switches: ``outage`` (every call is answered 503), ``slow_ms`` (each
-answer is late), ``lose_answers`` (this many next writes take effect and the
-connection closes without an answer), ``hold_answers`` (writes of kinds that
-begin with this text take effect and are answered when it is off again),
-``slow_answers`` (a kind to milliseconds: writes of that kind take effect at
-once and are answered late),
-``forget`` (watches are answered 410).
+answer is late), ``stale_ms`` (each list and watch is late after it was
+made up, so older than what was written since), ``lose_answers`` (this many
+next writes take effect and the connection closes without an answer),
+``outage_after_writes`` (an outage begins after this many more writes),
+``hold_answers`` (writes of kinds that begin with this text take effect
+and are answered when it is off again), ``slow_answers`` (a kind to
+milliseconds: writes of that kind take effect at once and are answered late),
+``forget`` (watches are answered 410), ``forget_before`` (watches after an
+older revision are). An object that was removed counts as absent.
 """
 
 from __future__ import annotations
@@ -35,6 +38,12 @@
     value: typing.Any
 
 
+class Refused(typing.NamedTuple):
+    """A write was refused; the object is at another version."""
+
+    current: Stored
+
+
 class ObjectApi(_base.StandIn):
     """Objects in memory under one revision counter."""
 
@@ -72,9 +81,19 @@
             await asyncio.sleep(self.faults.slow_ms / 1000)
         return bool(self.faults.outage)
 
+    async def _set_faults(
+        self, request: requests.Request
+    ) -> responses.Response:
+        answer = await super()._set_faults(request)
+        async with self._changed:
+            # An outage ends the watches that wait.
+            self._changed.notify_all()
+        return answer
+
     def _find(self, kind: str, name: str) -> Stored:
         absent = Stored(kind, name, 0, None)
-        return self._objects.get((kind, name), absent)
+        found = self._objects.get((kind, name), absent)
+        return absent if found.value is None else found
 
     async def _get(self, request: requests.Request) -> responses.Response:
         if await self._meet_faults("get"):
@@ -89,15 +108,17 @@
         kind = request.path_params["kind"]
         if not watching:
             found = [
-                entry for entry in self._objects.values() if entry.kind == kind
+                entry
+                for entry in self._objects.values()
+                if entry.kind == kind and entry.value is not None
             ]
-            return self._listing(found)
-        if self.faults.forget:
-            return responses.JSONResponse({}, 410)
+            return await self._listing(found)
         after = int(request.query_params["after"])
+        if self.faults.forget or after < (self.faults.forget_before or 0):
+            return responses.JSONResponse({}, 410)
         wait_ms = int(request.query_params.get("wait_ms", "0"))
         found = await self._wait_for(kind, after, wait_ms)
-        return _out() if self.faults.outage else self._listing(found)
+        return _out() if self.faults.outage else await self._listing(found)
 
     async def _wait_for(
         self, kind: str, after: int, wait_ms: int
@@ -123,44 +144,64 @@
         if await self._meet_faults("write"):
             return _out()
         kind = request.path_params["kind"]
-        name = request.path_params["name"]
         body = await request.body()
         if len(body) > MAX_VALUE_BYTES:
             return responses.JSONResponse({}, 413)
         value = json.loads(body) if request.method == "PUT" else None
-        if_version = int(request.query_params["if_version"])
-        async with self._changed:
-            # Compared and written without another write between.
-            current = self._find(kind, name)
-            if if_version != current.version:
-                return responses.JSONResponse(current._asdict(), 409)
-            written = self._store(kind, name, value)
-            self._changed.notify_all()
+        written = await self._store_if(
+            kind,
+            request.path_params["name"],
+            int(request.query_params["if_version"]),
+            value,
+        )
+        if isinstance(written, Refused):
+            return responses.JSONResponse(written.current._asdict(), 409)
         while self.faults.hold_answers and kind.startswith(
             self.faults.hold_answers
         ):
             await asyncio.sleep(_HOLD_POLL_S)
         late_ms = (self.faults.slow_answers or {}).get(kind, 0)
         await asyncio.sleep(late_ms / 1000)
+        await self._begin_outage_after_writes()
         if self.faults.lose_answers:
             self.faults["lose_answers"] -= 1
             return _lost()
         return responses.JSONResponse(written._asdict())
 
-    def _store(self, kind: str, name: str, value: typing.Any) -> Stored:
-        self._revision += 1
-        written = Stored(kind, name, self._revision, value)
-        self._objects[(kind, name)] = written
-        self._history.append(written)
+    async def _store_if(
+        self, kind: str, name: str, if_version: int, value: typing.Any
+    ) -> Stored | Refused:
+        """Compare and write in one step: nothing may come in between."""
+        async with self._changed:
+            current = self._find(kind, name)
+            if current.version != if_version:
+                return Refused(current)
+            self._revision += 1
+            written = Stored(kind, name, self._revision, value)
+            self._objects[(kind, name)] = written
+            self._history.append(written)
+            self._changed.notify_all()
         return written
 
-    def _listing(self, found: list[Stored]) -> responses.Response:
-        return responses.JSONResponse(
+    async def _begin_outage_after_writes(self) -> None:
+        if not self.faults.outage_after_writes:
+            return
+        self.faults["outage_after_writes"] -= 1
+        if not self.faults.outage_after_writes:
+            async with self._changed:
+                self.faults["outage"] = True
+                self._changed.notify_all()
+
+    async def _listing(self, found: list[Stored]) -> responses.Response:
+        answer = responses.JSONResponse(
             {
                 "revision": self._revision,
                 "objects": [entry._asdict() for entry in found],
             }
         )
+        if self.faults.stale_ms:
+            await asyncio.sleep(self.faults.stale_ms / 1000)
+        return answer
 
 
 def _out() -> responses.Response:
