--- a/standins/engine.py
+++ b/standins/engine.py
@@ -5,7 +5,8 @@
 ``cut_after`` (tokens, then the connection closes), ``crash_on`` (a prompt
 with this text ends the process), ``duplicate``, ``reorder``, ``foreign``
 (chunks), ``leaving``, ``refuse`` (a reason), ``report_lag_ms``,
-``bad_report``.
+``bad_report``, ``slow_ms`` (before the first token). With ``--slots`` it has
+the capacity of ``engine_capacity``.
 """
 
 from __future__ import annotations
@@ -24,6 +25,7 @@
 from starlette import routing
 
 from standins import _base
+from standins import engine_capacity
 
 DEFAULT_TOKEN_MS = 5
 
@@ -43,8 +45,14 @@
 class Engine(_base.StandIn):
     """Holds models, batches without limit of speed, keeps a record."""
 
-    def __init__(self, resident: dict[str, str], max_in_flight: int) -> None:
+    def __init__(
+        self,
+        resident: dict[str, str],
+        max_in_flight: int,
+        batch: engine_capacity.Batch | None = None,
+    ) -> None:
         super().__init__()
+        self._batch = batch
         self._boot_id = uuid.uuid4().hex
         self._resident = resident
         self._max_in_flight = max_in_flight
@@ -95,8 +103,11 @@
     async def _stream(self, asked: dict, run: dict) -> AsyncIterator[bytes]:
         self._in_flight += 1
         try:
-            async for line in self._with_faults(asked):
-                yield line
+            async with engine_capacity.place(self._batch):
+                if self.faults.slow_ms:
+                    await asyncio.sleep(self.faults.slow_ms / 1000)
+                async for line in self._with_faults(asked):
+                    yield line
             run["ended"] = True
         finally:
             self._in_flight -= 1
@@ -136,6 +147,8 @@
             token_ms = self.faults.token_ms
             if token_ms is None:
                 token_ms = DEFAULT_TOKEN_MS
+            if self._batch is not None:
+                token_ms = self._batch.token_ms
             await asyncio.sleep(token_ms / 1000)
             await self._meet_cuts(index)
             yield (
@@ -181,6 +194,8 @@
     made = _base.parser(__doc__)
     made.add_argument("--resident", action="append", default=[])
     made.add_argument("--max-in-flight", type=int, default=64)
+    engine_capacity.add_arguments(made)
     options = made.parse_args()
     resident = dict(entry.split("=") for entry in options.resident)
-    _base.run(Engine(resident, options.max_in_flight), options.port)
+    batch = engine_capacity.from_arguments(options)
+    _base.run(Engine(resident, options.max_in_flight, batch), options.port)
