--- /dev/null
+++ b/src/geraniumlink/_first_token_times.py
@@ -0,0 +1,68 @@
+"""Finds replicas that are alive and slow, by this instance's own requests.
+
+A replica is compared with its peers and not with a fixed time, so a service
+that is slow as a whole loses no replica. What was seen counts for less as it
+gets older; so a slow replica is tried again, and gets its work back when it
+has recovered.
+"""
+
+from __future__ import annotations
+
+import statistics
+import weakref
+from collections.abc import Iterable
+
+from geraniumlink import _backends
+
+# Weight of the newest observation in the moving average.
+_WEIGHT = 0.2
+# A replica this many times slower than the median of its peers is slow.
+SLOW_RATIO = 2.0
+MAX_RATIO = 10.0
+# The excess of an average over its peers halves in this time.
+HALF_LIFE_MS = 4000
+
+
+class _Average:
+    def __init__(self, first_ms: float, at: int) -> None:
+        self.milliseconds = first_ms
+        self.at = at
+
+
+class FirstTokenTimes:
+    """Moving averages of the time from sending to the first token."""
+
+    def __init__(self) -> None:
+        self._averages: weakref.WeakKeyDictionary[
+            _backends.Backend, _Average
+        ] = weakref.WeakKeyDictionary()
+
+    def observe(
+        self, backend: _backends.Backend, milliseconds: float, now: int
+    ) -> None:
+        average = self._averages.get(backend)
+        if average is None:
+            self._averages[backend] = _Average(milliseconds, now)
+            return
+        average.milliseconds += _WEIGHT * (milliseconds - average.milliseconds)
+        average.at = now
+
+    def typical(self, backends: Iterable[_backends.Backend]) -> float | None:
+        """Return the median over replicas in milliseconds, None if unseen."""
+        averages = [
+            average.milliseconds
+            for backend in backends
+            if (average := self._averages.get(backend)) is not None
+        ]
+        return statistics.median_low(averages) if averages else None
+
+    def slowness(
+        self, backend: _backends.Backend, typical: float | None, now: int
+    ) -> float:
+        """Return 1 for a usual replica, up to 10 for a slow one."""
+        average = self._averages.get(backend)
+        if average is None or not typical:
+            return 1.0
+        ratio = min(MAX_RATIO, average.milliseconds / typical)
+        ratio = 1 + (ratio - 1) * 0.5 ** ((now - average.at) / HALF_LIFE_MS)
+        return ratio if ratio >= SLOW_RATIO else 1.0
--- /dev/null
+++ b/src/geraniumlink/_replica_limits.py
@@ -0,0 +1,83 @@
+"""How many requests this instance may have at each replica.
+
+A replica's ``max_in_flight`` keeps its KV cache within budget, and all
+instances use it together. They don't talk about it: each takes its share by
+the number of instances, and more only while the replica's own report shows
+unused room, of which it takes its share again. Reports lag, so the sum may
+pass the limit for a moment; the engine's own refusal "full" is what guards
+the memory, and sends the instance back to its share for a while.
+"""
+
+from __future__ import annotations
+
+import weakref
+
+from geraniumlink import _backends
+from geraniumlink import _engines
+
+# After the refusal "full" nothing above the share is sent for this long.
+FULL_HOLD_MS = 1000
+
+
+class _Known:
+    """What was so here when a report was first seen."""
+
+    def __init__(self) -> None:
+        self.report: _engines.Report | None = None
+        self.own = 0
+        self.full_until = 0
+
+
+def share(max_in_flight: int, instances: int) -> int:
+    """Return an instance's part of a replica's limit, at least one."""
+    return max(1, max_in_flight // max(1, instances))
+
+
+class ReplicaLimits:
+    """The limits of every replica at this instance."""
+
+    def __init__(self) -> None:
+        self._known: weakref.WeakKeyDictionary[_backends.Backend, _Known] = (
+            weakref.WeakKeyDictionary()
+        )
+
+    def limit(
+        self, backend: _backends.Backend, instances: int, now: int
+    ) -> int:
+        """Return how many requests may be there from here.
+
+        :param instances: how many instances use the replica.
+        """
+        maximum = backend.declared.max_in_flight
+        guaranteed = share(maximum, instances)
+        known = self._refreshed(backend)
+        if known.report is None or now < known.full_until:
+            return guaranteed
+        unused = maximum - known.report.in_flight
+        if unused <= 0:
+            return guaranteed
+        borrowed = -(-unused // max(1, instances))
+        return min(maximum, max(guaranteed, known.own + borrowed))
+
+    def load(self, backend: _backends.Backend) -> float:
+        """Return the estimated part of a replica's limit that is in use.
+
+        Others' requests are known by report only; own ones exactly.
+        """
+        known = self._refreshed(backend)
+        others = 0
+        if known.report is not None:
+            others = max(0, known.report.in_flight - known.own)
+        return (others + backend.in_flight) / backend.declared.max_in_flight
+
+    def refused_as_full(self, backend: _backends.Backend, now: int) -> None:
+        self._refreshed(backend).full_until = now + FULL_HOLD_MS
+
+    def _refreshed(self, backend: _backends.Backend) -> _Known:
+        known = self._known.get(backend)
+        if known is None:
+            known = self._known[backend] = _Known()
+        if known.report is not backend.report:
+            known.report = backend.report
+            known.own = backend.in_flight
+        return known
--- a/src/geraniumlink/_routing.py
+++ b/src/geraniumlink/_routing.py
@@ -2,24 +2,30 @@
 
 Many instances choose at once from reports that lag, so the least loaded
 server by report would draw all of them. Two servers drawn at random are
-compared instead, by this instance's own count first and the report second.
+compared instead, by own requests there and the report of others'.
 Source: M. Mitzenmacher, "The Power of Two Choices in Randomized Load
 Balancing", IEEE TPDS 2001.
 """
 
 from __future__ import annotations
 
-import hashlib
 import random
 import typing
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from geraniumlink import _backends
+from geraniumlink import _first_token_times
+from geraniumlink import _replica_limits
+from geraniumlink import _subsets
 
 # A session leaves its usual server when that has this much more than the
 # mean of own requests. Source: V. Mirrokni et al., "Consistent Hashing with
 # Bounded Loads", SODA 2018.
 AFFINITY_LOAD_BOUND = 1.25
+# A session does not go to a server that is this many times slower.
+AFFINITY_MAX_SLOWNESS = _first_token_times.SLOW_RATIO
+# How long the count of instances and the subsets drawn by it are kept.
+SUBSET_MS = 1000
 
 
 class Wanted(typing.NamedTuple):
@@ -40,65 +46,156 @@
     reachable: bool
 
 
+class Room(typing.NamedTuple):
+    """How much this instance may still send for what is wanted."""
+
+    # Servers in service that hold it.
+    servers: int
+    # Requests that they may take now.
+    free: int
+
+
+class Neighbours(typing.NamedTuple):
+    """This instance among the live ones, all of which share the replicas."""
+
+    own_name: str = ""
+    count: Callable[[], int] = lambda: 1
+    replicas_per_service: int = 16
+
+
 class Router:
     """Chooses among the backend servers known here."""
 
     def __init__(
-        self, backends: _backends.Backends, random_source: random.Random
+        self,
+        backends: _backends.Backends,
+        random_source: random.Random,
+        neighbours: Neighbours | None = None,
     ) -> None:
         self._backends = backends
         self._random = random_source
+        self._neighbours = neighbours or Neighbours()
+        self._limits = _replica_limits.ReplicaLimits()
+        self._times = _first_token_times.FirstTokenTimes()
+        self._subsets: dict[str, tuple[int, _subsets.Subset]] = {}
 
     def choose(
         self, wanted: Wanted, tried: Iterable[_backends.Key], now: int
     ) -> Choice:
         """Return a server in service with room that was not tried yet."""
-        holders = [
-            backend
-            for backend in self._backends.of(wanted.deployment)
-            if backend.state(now) == "serving" and _suits(backend, wanted)
-        ]
+        holders = self._holders(wanted, now)
         excluded = set(tried)
         free = [
             backend
             for backend in holders
-            if backend.key not in excluded
-            and backend.in_flight < backend.declared.max_in_flight
+            if backend.key not in excluded and self._free(backend, now) > 0
         ]
+        # Replicas outside the subset serve what the subset can't: models
+        # held only there, and load when all of the subset is full or lost.
+        subset = self._subset(wanted.deployment, now).keys
+        free = [entry for entry in free if entry.key in subset] or free
         if not free:
             return Choice(None, bool(holders))
-        if wanted.session:
-            return Choice(_by_session(wanted.session, free), True)
-        return Choice(self._two_choices(free), True)
-
-    def _two_choices(self, free: list[_backends.Backend]) -> _backends.Backend:
-        drawn = self._random.sample(free, min(2, len(free)))
-        return min(drawn, key=_load)
+        return Choice(self._pick(wanted, free, now), True)
 
+    def room(self, wanted: Wanted, now: int) -> Room:
+        """Return how much may be sent now."""
+        holders = self._holders(wanted, now)
+        free = sum(max(0, self._free(backend, now)) for backend in holders)
+        return Room(len(holders), free)
 
-def _suits(backend: _backends.Backend, wanted: Wanted) -> bool:
-    return not wanted.model or backend.holds(wanted.model, wanted.adapter)
+    def first_token_ms(self, wanted: Wanted, now: int) -> float:
+        """Return the usual time to the first token, 0 if none was seen."""
+        return self._times.typical(self._holders(wanted, now)) or 0.0
 
+    def observe_first_token(
+        self, backend: _backends.Backend, milliseconds: float, now: int
+    ) -> None:
+        """Take in how long a server took to send its first token."""
+        self._times.observe(backend, milliseconds, now)
 
-def _load(backend: _backends.Backend) -> tuple[float, int]:
-    own = backend.in_flight / backend.declared.max_in_flight
-    reported = backend.report.in_flight if backend.report else 0
-    return own, reported
-
-
-def _by_session(
-    session: str, free: list[_backends.Backend]
-) -> _backends.Backend:
-    """Rendezvous hashing with a bound on load."""
-    mean = sum(backend.in_flight for backend in free) / len(free)
-    bound = AFFINITY_LOAD_BOUND * (mean + 1)
-    ranked = sorted(free, key=lambda backend: _weight(session, backend))
-    for backend in ranked:
-        if backend.in_flight + 1 <= bound:
-            return backend
-    return ranked[0]
-
+    def observe_refusal(
+        self, backend: _backends.Backend, reason: str, now: int
+    ) -> None:
+        """Take in why a server did not begin a request."""
+        if reason == "full":
+            self._limits.refused_as_full(backend, now)
 
-def _weight(session: str, backend: _backends.Backend) -> bytes:
-    text = f"{session}\0{backend.key.replica}"
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+    def _holders(self, wanted: Wanted, now: int) -> list[_backends.Backend]:
+        """Return the servers in service, those with the adapter if any."""
+        serving = [
+            backend
+            for backend in self._backends.of(wanted.deployment)
+            if backend.state(now) == "serving"
+        ]
+        if not wanted.model:
+            return serving
+        with_adapter = [
+            backend
+            for backend in serving
+            if backend.holds(wanted.model, wanted.adapter)
+        ]
+        if with_adapter or not wanted.adapter:
+            return with_adapter
+        # An engine may load an adapter on demand, and refuses if it can't.
+        return [entry for entry in serving if entry.holds(wanted.model, "")]
+
+    def _free(self, backend: _backends.Backend, now: int) -> int:
+        subset = self._subset(backend.key.deployment, now)
+        instances = subset.instances_per_replica
+        limit = self._limits.limit(backend, instances, now)
+        return limit - backend.in_flight
+
+    def _subset(self, deployment: str, now: int) -> _subsets.Subset:
+        drawn_at, subset = self._subsets.get(deployment, (None, None))
+        if subset is None or drawn_at is None or now - drawn_at >= SUBSET_MS:
+            subset = _subsets.draw(
+                self._neighbours.own_name,
+                max(1, self._neighbours.count()),
+                self._backends.of(deployment),
+                self._neighbours.replicas_per_service,
+            )
+            self._subsets[deployment] = (now, subset)
+        return subset
+
+    def _pick(
+        self, wanted: Wanted, free: list[_backends.Backend], now: int
+    ) -> _backends.Backend:
+        typical = self._times.typical(free)
+        if wanted.session:
+            usual = self._by_session(wanted.session, free, typical, now)
+            if usual is not None:
+                return usual
+        drawn = self._random.sample(free, min(2, len(free)))
+        return min(
+            drawn, key=lambda backend: self._cost(backend, typical, now)
+        )
+
+    def _cost(
+        self, backend: _backends.Backend, typical: float | None, now: int
+    ) -> float:
+        """Return the load there with one more, weighed by slowness."""
+        one_more = 1 / backend.declared.max_in_flight
+        slowness = self._times.slowness(backend, typical, now)
+        return (self._limits.load(backend) + one_more) * slowness
+
+    def _by_session(
+        self,
+        session: str,
+        free: list[_backends.Backend],
+        typical: float | None,
+        now: int,
+    ) -> _backends.Backend | None:
+        """Rendezvous hashing with a bound on load."""
+        mean = sum(backend.in_flight for backend in free) / len(free)
+        bound = AFFINITY_LOAD_BOUND * (mean + 1)
+        ranked = sorted(
+            free, key=lambda entry: _subsets.weight(session, entry.key)
+        )
+        for backend in ranked:
+            slowness = self._times.slowness(backend, typical, now)
+            if slowness < AFFINITY_MAX_SLOWNESS and (
+                backend.in_flight + 1 <= bound
+            ):
+                return backend
+        return None
--- /dev/null
+++ b/src/geraniumlink/_subsets.py
@@ -0,0 +1,62 @@
+"""Which replicas of a service an instance uses first.
+
+With several hundred instances before a replica, each one's share of its
+limit would be below one request, and each replica would hold a connection
+from every instance. So an instance uses a subset, drawn by rendezvous
+hashing: it changes little when replicas or instances come and go, and needs
+no message.
+Source: D. Thaler, C. Ravishankar, "Using Name-Based Mappings to Increase Hit
+Rates", IEEE/ACM Transactions on Networking 1998.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import typing
+from collections.abc import Iterable
+
+from geraniumlink import _backends
+
+# A subset of one would leave nowhere to go when its replica is lost.
+MIN_SUBSET = 2
+
+
+class Subset(typing.NamedTuple):
+    """The replicas of one service that this instance uses first."""
+
+    keys: frozenset[_backends.Key]
+    # How many instances a replica is expected to have before it.
+    instances_per_replica: int
+
+
+def draw(
+    instance: str,
+    instances: int,
+    backends: Iterable[_backends.Backend],
+    replicas_per_service: int,
+) -> Subset:
+    """Return the subset of one instance among ``instances`` live ones."""
+    ranked = sorted(
+        backends, key=lambda backend: weight(instance, backend.key)
+    )
+    size = _size(instances, ranked, replicas_per_service)
+    chosen = frozenset(backend.key for backend in ranked[:size])
+    expected = -(-instances * size // max(1, len(ranked)))
+    return Subset(chosen, max(1, min(instances, expected)))
+
+
+def _size(
+    instances: int,
+    backends: list[_backends.Backend],
+    replicas_per_service: int,
+) -> int:
+    """Shrink the subset until each instance's share is one or more."""
+    slots = sum(backend.declared.max_in_flight for backend in backends)
+    sized = max(MIN_SUBSET, slots // max(1, instances))
+    return min(len(backends), replicas_per_service, sized)
+
+
+def weight(name: str, key: _backends.Key) -> bytes:
+    """Return the rank of a replica for an instance or a session."""
+    text = f"{name}\0{key.deployment}\0{key.replica}"
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
