Hook admission and observations into inference

Cause: the queue, retry budget and first-token times must see each request. Change: serve enters admission before the attempts; an attempt tells the router its first-token time and a refusal's reason; a further attempt asks the retry budget, unless the answer has begun. The instance gives the router its name and the number of live instances.

--- a/src/geraniumlink/_inference.py
+++ b/src/geraniumlink/_inference.py
@@ -9,6 +9,7 @@
 import anyio
 import expression
 
+from geraniumlink import _admission
 from geraniumlink import _backends
 from geraniumlink import _clock
 from geraniumlink import _configuration
@@ -54,7 +55,9 @@
         client: _http.Client,
         clock: _clock.Clock,
         metrics: _metrics.Metrics,
+        admission: _admission.Admission,
     ) -> None:
+        self._admission = admission
         self._configuration = configuration
         self._backends = backends
         self._router = router
@@ -77,7 +80,13 @@
         timeout_ms = request.timeout_ms or DEFAULT_TIMEOUT_MS
         run = _Run(self, deployment, request, request_id, emit)
         with anyio.move_on_after(timeout_ms / 1000):
-            return await run.attempts()
+            entrance = await self._admission.enter(
+                run.wanted, request.priority, timeout_ms
+            )
+            if entrance.is_error():
+                return expression.Error(entrance.error)
+            with entrance.ok:
+                return await run.attempts()
         return expression.Error(_refusals.deadline_passed(run.execution))
 
 
@@ -99,6 +108,9 @@
         self._emit = emit
         self._reassembly = _streams.Reassembly(request_id)
         self.execution = _refusals.Execution.NOT_RUN
+        self.wanted = _routing.Wanted(
+            deployment.name, request.model, request.adapter, request.session
+        )
 
     async def attempts(self) -> Outcome:
         tried: list[_backends.Key] = []
@@ -106,6 +118,8 @@
             choice = self._choose(tried)
             if choice.backend is None:
                 return expression.Error(self._no_server(choice, tried))
+            if tried and not self._may_retry():
+                return expression.Error(self._gave_up())
             tried.append(choice.backend.key)
             if await self._attempt(choice.backend):
                 end = _streams.End(self._request_id, self._reassembly.offset)
@@ -113,14 +127,13 @@
         return expression.Error(self._gave_up())
 
     def _choose(self, tried: list[_backends.Key]) -> _routing.Choice:
-        wanted = _routing.Wanted(
-            self._deployment.name,
-            self._request.model,
-            self._request.adapter,
-            self._request.session,
-        )
         now = self._inference._clock.now()
-        return self._inference._router.choose(wanted, tried, now)
+        return self._inference._router.choose(self.wanted, tried, now)
+
+    def _may_retry(self) -> bool:
+        within = self._inference._admission.may_retry(self._deployment.name)
+        # An answer that has begun is resumed all the same.
+        return within or self._reassembly.offset > 0
 
     async def _attempt(self, backend: _backends.Backend) -> bool:
         """Run or resume on one server; return whether the answer is whole."""
@@ -130,6 +143,9 @@
             await self._relay(backend)
         except _engines.RefusedError as refused:
             outcome = "refused"
+            self._inference._router.observe_refusal(
+                backend, refused.reason, self._inference._clock.now()
+            )
             if refused.reason == "leaving":
                 backend.refused_as_leaving = True
         except _http.NotSentError:
@@ -160,8 +176,13 @@
         messages = _engines.generate(
             self._inference._client, backend.address, generation, STALL_MS
         )
+        sent_at = self._inference._clock.now()
+        first = True
         async with contextlib.aclosing(messages):
             async for message in messages:
+                if first:
+                    first = False
+                    self._observe_first_token(backend, sent_at)
                 self.execution = _refusals.Execution.MAY_HAVE_RUN
                 offset = self._reassembly.offset
                 tokens = self._reassembly.take(message)
@@ -170,6 +191,14 @@
                 if self._reassembly.ended:
                     return
 
+    def _observe_first_token(
+        self, backend: _backends.Backend, sent_at: int
+    ) -> None:
+        now = self._inference._clock.now()
+        self._inference._router.observe_first_token(
+            backend, now - sent_at, now
+        )
+
     def _no_server(
         self, choice: _routing.Choice, tried: list[_backends.Key]
     ) -> _refusals.Refusal:
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -20,6 +20,7 @@
 
 import anyio
 
+from geraniumlink import _admission
 from geraniumlink import _backends
 from geraniumlink import _calls
 from geraniumlink import _changes
@@ -68,7 +69,15 @@
             self._clock,
             self._backends.refresh,
         )
-        router = _routing.Router(self._backends, source)
+        router = _routing.Router(
+            self._backends,
+            source,
+            _routing.Neighbours(
+                settings.name,
+                self._count_live,
+                settings.replicas_per_service,
+            ),
+        )
         self._rpc = _rpc.Server(
             self._methods(router),
             settings.name,
@@ -97,6 +106,7 @@
                 self._client,
                 self._clock,
                 self._metrics,
+                _admission.Admission(router, self._clock, random.Random()),
             ),
             _calls.Calls(
                 self._configuration, router, self._client, self._clock
@@ -167,6 +177,10 @@
                 )
             await self._clock.sleep(5 * self._settings.heartbeat_ms)
 
+    def _count_live(self) -> int:
+        members = self._membership.members()
+        return sum(1 for member in members if member.state == "live")
+
     def _ready(self) -> bool:
         return self._sync.loaded and not self._rpc.closing
 
