--- a/src/geraniumlink/_routing.py
+++ b/src/geraniumlink/_routing.py
@@ -2,7 +2,7 @@
 
 Many instances choose at once from reports that lag, so the least loaded
 server by report would draw all of them. Two servers drawn at random are
-compared instead, by own requests there and the report of others'.
+compared instead, by this instance's own count first and the report second.
 Source: M. Mitzenmacher, "The Power of Two Choices in Randomized Load
 Balancing", IEEE TPDS 2001.
 """
@@ -173,11 +173,15 @@
 
     def _cost(
         self, backend: _backends.Backend, typical: float | None, now: int
-    ) -> float:
-        """Return the load there with one more, weighed by slowness."""
-        one_more = 1 / backend.declared.max_in_flight
+    ) -> tuple[float, float]:
+        """Return own load there with one more, then the estimate of all.
+
+        The report is older than what this instance knows itself, and all
+        instances read the same one; it only decides between equals.
+        """
         slowness = self._times.slowness(backend, typical, now)
-        return (self._limits.load(backend) + one_more) * slowness
+        own = (backend.in_flight + 1) / backend.declared.max_in_flight
+        return own * slowness, self._limits.load(backend) * slowness
 
     def _by_session(
         self,
--- a/src/geraniumlink/_subsets.py
+++ b/src/geraniumlink/_subsets.py
@@ -17,8 +17,8 @@
 
 from geraniumlink import _backends
 
-# A subset of one would leave nowhere to go when its replica is lost.
-MIN_SUBSET = 2
+# With fewer, chance covers some replicas by many more instances than others.
+MIN_SUBSET = 4
 
 
 class Subset(typing.NamedTuple):
@@ -50,7 +50,11 @@
     backends: list[_backends.Backend],
     replicas_per_service: int,
 ) -> int:
-    """Shrink the subset until each instance's share is one or more."""
+    """Shrink the subset until each instance's share is one or more.
+
+    It stays above a minimum; the floor of one and the engine's own refusal
+    bound what is sent then.
+    """
     slots = sum(backend.declared.max_in_flight for backend in backends)
     sized = max(MIN_SUBSET, slots // max(1, instances))
     return min(len(backends), replicas_per_service, sized)
