--- a/src/geraniumlink/_admission.py
+++ b/src/geraniumlink/_admission.py
@@ -25,6 +25,8 @@
 # The first token is due this long after arrival, or at the request's own
 # timeout if that is earlier.
 FIRST_TOKEN_TARGET_MS = 610
+# Of that, what is left for the way from the caller and back.
+TRANSIT_MS = 40
 # Of the usual time to the first token, what is reserved for the engine.
 FIRST_TOKEN_MARGIN = 1.5
 MAX_WAITING = 128
@@ -175,7 +177,7 @@
         first_token_by = now + min(target_ms, timeout_ms)
         self._arrivals += 1
         order = (-priority, self._tag(wanted.model), self._arrivals)
-        start_by = first_token_by - FIRST_TOKEN_MARGIN * reserved
+        start_by = first_token_by - TRANSIT_MS - FIRST_TOKEN_MARGIN * reserved
         return _Waiter(wanted, order, start_by)
 
     def _tag(self, model: str) -> float:
