Lend unused room once, by the age of a report

Cause: what an instance had sent since a report was made counted as unused room again, and with fewer unused places than instances each took one. Change: only own requests that the report can have counted are added to; an odd place is taken by chance; no share outside the subset, except for models held only there; subsets of two again, so that shares are one or more. Room is lent three times over, since few instances use all of what they are lent. The bound on borrowed room follows LENDING.

--- a/src/geraniumlink/_admission.py
+++ b/src/geraniumlink/_admission.py
@@ -28,7 +28,7 @@
 # Of that, what is left for the way from the caller and back.
 TRANSIT_MS = 40
 # Of the usual time to the first token, what is reserved for the engine.
-FIRST_TOKEN_MARGIN = 1.5
+FIRST_TOKEN_MARGIN = 1.0
 MAX_WAITING = 128
 # Room may appear without an end here: by a report, or a server that returns.
 RECHECK_MS = 50
--- a/src/geraniumlink/_replica_limits.py
+++ b/src/geraniumlink/_replica_limits.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import random
 import weakref
 
 from geraniumlink import _backends
@@ -18,13 +19,21 @@
 # After the refusal "full" nothing above the share is sent for this long.
 FULL_HOLD_MS = 1000
 
+# Unused room is lent this many times over, because few instances use all of
+# what they are lent at the same time.
+LENDING = 3
+
 
 class _Known:
     """What was so here when a report was first seen."""
 
     def __init__(self) -> None:
         self.report: _engines.Report | None = None
+        # Own requests that the report has counted.
         self.own = 0
+        self.own_when_seen = 0
+        # Between 0 and 1; decides who of many takes the odd place.
+        self.draw = 0.0
         self.full_until = 0
 
 
@@ -36,27 +45,33 @@
 class ReplicaLimits:
     """The limits of every replica at this instance."""
 
-    def __init__(self) -> None:
+    def __init__(self, random_source: random.Random) -> None:
+        self._random = random_source
         self._known: weakref.WeakKeyDictionary[_backends.Backend, _Known] = (
             weakref.WeakKeyDictionary()
         )
 
     def limit(
-        self, backend: _backends.Backend, instances: int, now: int
+        self,
+        backend: _backends.Backend,
+        instances: int,
+        guaranteed: int,
+        now: int,
     ) -> int:
         """Return how many requests may be there from here.
 
         :param instances: how many instances use the replica.
+        :param guaranteed: what may be there whatever the report says.
         """
         maximum = backend.declared.max_in_flight
-        guaranteed = share(maximum, instances)
         known = self._refreshed(backend)
         if known.report is None or now < known.full_until:
             return guaranteed
         unused = maximum - known.report.in_flight
         if unused <= 0:
             return guaranteed
-        borrowed = -(-unused // max(1, instances))
+        # Of fewer places than instances, each takes one by chance.
+        borrowed = int(LENDING * unused / max(1, instances) + known.draw)
         return min(maximum, max(guaranteed, known.own + borrowed))
 
     def load(self, backend: _backends.Backend) -> float:
@@ -79,5 +94,9 @@
             known = self._known[backend] = _Known()
         if known.report is not backend.report:
             known.report = backend.report
-            known.own = backend.in_flight
+            # A report is about as old as the time between reports. Counting
+            # what was sent since as unused room would lend it twice.
+            known.own = min(known.own_when_seen, backend.in_flight)
+            known.own_when_seen = backend.in_flight
+            known.draw = self._random.random()
         return known
--- a/src/geraniumlink/_routing.py
+++ b/src/geraniumlink/_routing.py
@@ -63,6 +63,13 @@
     replicas_per_service: int = 16
 
 
+class _Place(typing.NamedTuple):
+    """A server and how many more requests it may have from here."""
+
+    backend: _backends.Backend
+    free: int
+
+
 class Router:
     """Chooses among the backend servers known here."""
 
@@ -75,7 +82,7 @@
         self._backends = backends
         self._random = random_source
         self._neighbours = neighbours or Neighbours()
-        self._limits = _replica_limits.ReplicaLimits()
+        self._limits = _replica_limits.ReplicaLimits(random_source)
         self._times = _first_token_times.FirstTokenTimes()
         self._subsets: dict[str, tuple[int, _subsets.Subset]] = {}
 
@@ -86,12 +93,11 @@
         holders = self._holders(wanted, now)
         excluded = set(tried)
         free = [
-            backend
-            for backend in holders
-            if backend.key not in excluded and self._free(backend, now) > 0
+            place.backend
+            for place in self._places(holders, now)
+            if place.free > 0 and place.backend.key not in excluded
         ]
-        # Replicas outside the subset serve what the subset can't: models
-        # held only there, and load when all of the subset is full or lost.
+        # Replicas outside the subset serve when all of it is full or lost.
         subset = self._subset(wanted.deployment, now).keys
         free = [entry for entry in free if entry.key in subset] or free
         if not free:
@@ -101,7 +107,8 @@
     def room(self, wanted: Wanted, now: int) -> Room:
         """Return how much may be sent now."""
         holders = self._holders(wanted, now)
-        free = sum(max(0, self._free(backend, now)) for backend in holders)
+        places = self._places(holders, now)
+        free = sum(max(0, place.free) for place in places)
         return Room(len(holders), free)
 
     def first_token_ms(self, wanted: Wanted, now: int) -> float:
@@ -140,11 +147,27 @@
         # An engine may load an adapter on demand, and refuses if it can't.
         return [entry for entry in serving if entry.holds(wanted.model, "")]
 
-    def _free(self, backend: _backends.Backend, now: int) -> int:
-        subset = self._subset(backend.key.deployment, now)
-        instances = subset.instances_per_replica
-        limit = self._limits.limit(backend, instances, now)
-        return limit - backend.in_flight
+    def _places(
+        self, holders: list[_backends.Backend], now: int
+    ) -> list[_Place]:
+        """Return how much may be sent to each of these servers."""
+        if not holders:
+            return []
+        subset = self._subset(holders[0].key.deployment, now)
+        # A model that is held only outside the subset stays reachable.
+        outside_only = all(entry.key not in subset.keys for entry in holders)
+        places = []
+        for backend in holders:
+            instances = subset.instances
+            guaranteed = 0
+            if backend.key in subset.keys:
+                instances = subset.instances_per_replica
+            if backend.key in subset.keys or outside_only:
+                maximum = backend.declared.max_in_flight
+                guaranteed = _replica_limits.share(maximum, instances)
+            limit = self._limits.limit(backend, instances, guaranteed, now)
+            places.append(_Place(backend, limit - backend.in_flight))
+        return places
 
     def _subset(self, deployment: str, now: int) -> _subsets.Subset:
         drawn_at, subset = self._subsets.get(deployment, (None, None))
--- a/src/geraniumlink/_subsets.py
+++ b/src/geraniumlink/_subsets.py
@@ -17,14 +17,15 @@
 
 from geraniumlink import _backends
 
-# With fewer, chance covers some replicas by many more instances than others.
-MIN_SUBSET = 4
+# A subset of one would leave nowhere to go when its replica is lost.
+MIN_SUBSET = 2
 
 
 class Subset(typing.NamedTuple):
     """The replicas of one service that this instance uses first."""
 
     keys: frozenset[_backends.Key]
+    instances: int
     # How many instances a replica is expected to have before it.
     instances_per_replica: int
 
@@ -42,7 +43,7 @@
     size = _size(instances, ranked, replicas_per_service)
     chosen = frozenset(backend.key for backend in ranked[:size])
     expected = -(-instances * size // max(1, len(ranked)))
-    return Subset(chosen, max(1, min(instances, expected)))
+    return Subset(chosen, instances, max(1, min(instances, expected)))
 
 
 def _size(
@@ -50,11 +51,7 @@
     backends: list[_backends.Backend],
     replicas_per_service: int,
 ) -> int:
-    """Shrink the subset until each instance's share is one or more.
-
-    It stays above a minimum; the floor of one and the engine's own refusal
-    bound what is sent then.
-    """
+    """Shrink the subset until each instance's share is one or more."""
     slots = sum(backend.declared.max_in_flight for backend in backends)
     sized = max(MIN_SUBSET, slots // max(1, instances))
     return min(len(backends), replicas_per_service, sized)
