--- a/benches/_fleet.py
+++ b/benches/_fleet.py
@@ -22,8 +22,11 @@
 class BenchFleet(fleets.Fleet):
     """A fleet whose instances run with the router that is named."""
 
-    def __init__(self, folder: pathlib.Path, router: str) -> None:
+    def __init__(
+        self, folder: pathlib.Path, router: str, time_scale: float = 1.0
+    ) -> None:
         self._router = router
+        self._time_scale = time_scale
         super().__init__(folder)
 
     def _start(
@@ -31,7 +34,8 @@
     ) -> fleets.Process:
         if self._router and command[2] == "geraniumlink":
             command = [sys.executable, "-m", "benches._instance"]
-            command += [self._router, str(self._folder / f"{name}.ini")]
+            settings = str(self._folder / f"{name}.ini")
+            command += [self._router, str(self._time_scale), settings]
         return super()._start(name, command, port, peer_port)
 
 
--- a/benches/_instance.py
+++ b/benches/_instance.py
@@ -1,6 +1,6 @@
 """Runs an instance with one of the baseline routers in place of its own.
 
-Usage: python -m benches._instance ROUTER SETTINGS
+Usage: python -m benches._instance ROUTER TIME_SCALE SETTINGS
 """
 
 from __future__ import annotations
@@ -8,11 +8,16 @@
 import sys
 
 from benches import _baselines
+from geraniumlink import _admission
 from geraniumlink import _cli
+from geraniumlink import _replica_limits
 from geraniumlink import _routing
 
 
-def main(router: str, settings: str) -> int:
+def main(router: str, time_scale: str, settings: str) -> int:
+    scale = float(time_scale)
+    _admission.FIRST_TOKEN_TARGET_MS *= scale  # type: ignore[assignment]
+    _replica_limits.FULL_HOLD_MS *= scale  # type: ignore[assignment]
     _routing.Router = _baselines.ROUTERS[router]  # type: ignore[misc]
     return _cli.main(["serve", settings])
 
--- a/benches/overload.py
+++ b/benches/overload.py
@@ -74,14 +74,25 @@
     routers: list[str]
     report_ms: int
     report_lag_ms: int
+    # All of the engines' times, the limits and the reports are this many
+    # times as long, so that a crowded machine is not what is measured.
+    time_scale: float
     seed: int
 
+    @property
+    def speed(self) -> engine_capacity.Speed:
+        return SPEED._replace(
+            prefill_ms=SPEED.prefill_ms * self.time_scale,
+            base_ms=SPEED.base_ms * self.time_scale,
+            per_request_ms=SPEED.per_request_ms * self.time_scale,
+        )
+
 
-def met(sample: _load.Sample) -> bool:
+def met(sample: _load.Sample, time_scale: float) -> bool:
     return (
         sample.outcome == "ok"
-        and sample.first_token_ms <= FIRST_TOKEN_MS
-        and sample.between_tokens_ms <= BETWEEN_TOKENS_MS
+        and sample.first_token_ms <= FIRST_TOKEN_MS * time_scale
+        and sample.between_tokens_ms <= BETWEEN_TOKENS_MS * time_scale
     )
 
 
@@ -141,7 +152,7 @@
     counted_seconds = options.seconds - options.warm_up_seconds
     whole = [sample for sample in samples if sample.outcome == "ok"]
     refused = [sample for sample in samples if sample.outcome != "ok"]
-    met_count = sum(1 for sample in samples if met(sample))
+    met_count = sum(met(sample, options.time_scale) for sample in samples)
     outcomes: dict[str, float] = {}
     for sample in samples:
         share = outcomes.get(sample.outcome, 0.0) + 1 / count
@@ -172,15 +183,17 @@
     site = _fleet.Site(
         options.instances,
         options.engines,
-        SPEED,
+        options.speed,
         SPEED.slots,
         [f"model-{number}" for number in range(4)],
-        options.report_ms,
-        options.report_lag_ms,
+        int(options.report_ms * options.time_scale),
+        int(options.report_lag_ms * options.time_scale),
     )
     points = []
     with tempfile.TemporaryDirectory() as folder:
-        fleet = _fleet.BenchFleet(pathlib.Path(folder), router)
+        fleet = _fleet.BenchFleet(
+            pathlib.Path(folder), router, options.time_scale
+        )
         try:
             engines = await _fleet.start_site(fleet, site)
             for load in options.loads:
@@ -221,7 +234,7 @@
 
 def capacity(options: Options) -> float:
     """Return the requests a second that the engines can complete."""
-    each = engine_capacity.requests_per_second(SPEED, MEAN_TOKENS)
+    each = engine_capacity.requests_per_second(options.speed, MEAN_TOKENS)
     return options.engines * each
 
 
@@ -242,15 +255,19 @@
     for router in options.routers:
         points += await measure_router(router, options)
     limited = any(
-        point.lateness_p99_ms > MAX_LATENESS_P99_MS for point in points
+        point.lateness_p99_ms > MAX_LATENESS_P99_MS * options.time_scale
+        for point in points
     )
     return {
         "bench": "overload",
         "options": options._asdict(),
-        "engine": SPEED._asdict(),
+        "engine": options.speed._asdict(),
         "tokens_per_request": [MIN_TOKENS, MAX_TOKENS],
         "capacity_per_s": round(capacity(options), 2),
-        "limits_ms": [FIRST_TOKEN_MS, BETWEEN_TOKENS_MS],
+        "limits_ms": [
+            FIRST_TOKEN_MS * options.time_scale,
+            BETWEEN_TOKENS_MS * options.time_scale,
+        ],
         "versions": _fleet.versions(),
         "machine_was_the_limit": limited,
         "points": [point._asdict() for point in points],
@@ -271,6 +288,7 @@
     )
     parser.add_argument("--report-ms", type=int, default=500)
     parser.add_argument("--report-lag-ms", type=int, default=500)
+    parser.add_argument("--time-scale", type=float, default=1.0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--json", type=pathlib.Path)
     parser.add_argument("--html", type=pathlib.Path)
--- a/tests/test_overload_smoke.py
+++ b/tests/test_overload_smoke.py
@@ -72,6 +72,7 @@
         routers=["geraniumlink", "least_reported"],
         report_ms=200,
         report_lag_ms=200,
+        time_scale=1.0,
         seed=1,
     )
     result = await overload.run(options)
