Lend more of a replica whose first tokens come quickly

Change: while own first tokens come within 150 ms, nothing waits inside the replica, and what was sent since the report is not held against it. Seen to fail first: the new test, with the limit by report alone.

--- a/benches/_instance.py
+++ b/benches/_instance.py
@@ -10,6 +10,7 @@
 from benches import _baselines
 from geraniumlink import _admission
 from geraniumlink import _cli
+from geraniumlink import _first_token_times
 from geraniumlink import _replica_limits
 from geraniumlink import _routing
 
@@ -18,6 +19,7 @@
     scale = float(time_scale)
     _admission.FIRST_TOKEN_TARGET_MS *= scale  # type: ignore[assignment]
     _replica_limits.FULL_HOLD_MS *= scale  # type: ignore[assignment]
+    _first_token_times.QUICK_MS *= scale  # type: ignore[assignment]
     _routing.Router = _baselines.ROUTERS[router]  # type: ignore[misc]
     return _cli.main(["serve", settings])
 
--- a/src/geraniumlink/_replica_limits.py
+++ b/src/geraniumlink/_replica_limits.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import weakref
 
@@ -56,12 +57,15 @@
         backend: _backends.Backend,
         instances: int,
         guaranteed: int,
+        answers_quickly: bool,
         now: int,
     ) -> int:
         """Return how many requests may be there from here.
 
         :param instances: how many instances use the replica.
         :param guaranteed: what may be there whatever the report says.
+        :param answers_quickly: whether first tokens show that requests
+            don't wait inside the replica.
         """
         maximum = backend.declared.max_in_flight
         known = self._refreshed(backend)
@@ -70,9 +74,13 @@
         unused = maximum - known.report.in_flight
         if unused <= 0:
             return guaranteed
+        part = unused / max(1, instances)
         # Of fewer places than instances, each takes one by chance.
-        borrowed = int(LENDING * unused / max(1, instances) + known.draw)
-        return min(maximum, max(guaranteed, known.own + borrowed))
+        allowed = known.own + int(LENDING * part + known.draw)
+        if answers_quickly:
+            # What is seen here is newer than the report: there is room.
+            allowed = max(allowed, known.own_when_seen + math.ceil(part))
+        return min(maximum, max(guaranteed, allowed))
 
     def load(self, backend: _backends.Backend) -> float:
         """Return the estimated part of a replica's limit that is in use.
--- a/src/geraniumlink/_routing.py
+++ b/src/geraniumlink/_routing.py
@@ -165,7 +165,9 @@
             if backend.key in subset.keys or outside_only:
                 maximum = backend.declared.max_in_flight
                 guaranteed = _replica_limits.share(maximum, instances)
-            limit = self._limits.limit(backend, instances, guaranteed, now)
+            limit = self._limits.limit(
+                backend, instances, guaranteed, self._times.quick(backend), now
+            )
             places.append(_Place(backend, limit - backend.in_flight))
         return places
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -50,7 +50,7 @@
     limits = _replica_limits.ReplicaLimits(random.Random(1))
     backend = routers.backend(in_flight=reported)
     guaranteed = _replica_limits.share(16, instances)
-    limit = limits.limit(backend, instances, guaranteed, NOW)
+    limit = limits.limit(backend, instances, guaranteed, False, NOW)
     assert guaranteed <= limit <= 16
     borrowed = limit - guaranteed
     lent = _replica_limits.LENDING * (16 - reported)
@@ -67,6 +67,18 @@
     assert sent == 16
 
 
+def test_a_quick_replica_is_lent_more_and_one_with_a_wait_inside_is_not():
+    backend = routers.backend(in_flight=0)
+    router = routers.router([backend], instances=16)
+    backend.in_flight = 4
+    routers.report(backend, 15)
+    router.observe_first_token(backend, 2000, NOW)
+    assert router.room(routers.WANTED, NOW).free == 0
+    for _ in range(40):
+        router.observe_first_token(backend, 60, NOW)
+    assert router.room(routers.WANTED, NOW).free == 1
+
+
 def test_the_refusal_full_sends_an_instance_back_to_its_share():
     backend = routers.backend(in_flight=0)
     router = routers.router([backend], instances=4)
