--- a/src/geraniumlink/_backends.py
+++ b/src/geraniumlink/_backends.py
@@ -307,9 +307,6 @@
                 replica=backend.key.replica,
                 error=str(error),
             )
-        except _http.NoConnectionError:
-            # A shortage of this process says nothing of the server.
-            return
         except (_http.NotSentError, _http.BrokenError):
             backend.mark_unreachable(self._clock.now())
         else:
--- a/src/geraniumlink/_engines.py
+++ b/src/geraniumlink/_engines.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncGenerator, AsyncIterator
 
 import anyio
+import orjson
 
 from geraniumlink import _http
 from geraniumlink import _settings
@@ -14,6 +15,8 @@
 
 _REPORT_TIMEOUT_MS = 1000
 MAX_LINE_BYTES = 2**18
+# What an engine has after its end to close the answer as HTTP asks.
+_CLOSE_MS = 50
 
 
 class Generation(typing.NamedTuple):
@@ -154,7 +157,7 @@
 
 def _message(line: bytes) -> _streams.Chunk | _streams.End:
     try:
-        message = json.loads(line)
+        message = orjson.loads(line)
         request_id = message["request_id"]
         if message.get("end"):
             return _streams.End(request_id, int(message["token_count"]))
--- a/src/geraniumlink/_inference.py
+++ b/src/geraniumlink/_inference.py
@@ -10,6 +10,7 @@
 import anyio
 import expression
 
+from geraniumlink import _admission
 from geraniumlink import _backends
 from geraniumlink import _clock
 from geraniumlink import _configuration
@@ -78,7 +79,9 @@
         clock: _clock.Clock,
         metrics: _metrics.Metrics,
         suspects: _suspects.Suspects,
+        admission: _admission.Admission,
     ) -> None:
+        self._admission = admission
         self._configuration = configuration
         self._backends = backends
         self._router = router
@@ -100,7 +103,13 @@
         timeout_ms = request.timeout_ms or DEFAULT_TIMEOUT_MS
         run = _Run(self, found.ok, request, request_id, emit)
         with anyio.move_on_after(timeout_ms / 1000):
-            return await run.attempts()
+            entrance = await self._admission.enter(
+                run.wanted, request.priority, timeout_ms
+            )
+            if entrance.is_error():
+                return expression.Error(entrance.error)
+            with entrance.ok:
+                return await run.attempts()
         return expression.Error(_refusals.deadline_passed(run.execution))
 
 
@@ -127,10 +136,15 @@
             request.model, request.adapter, request.prompt
         )
         self.execution = _refusals.Execution.NOT_RUN
+        self.wanted = _routing.Wanted(
+            deployment.name, request.model, request.adapter, request.session
+        )
 
     async def attempts(self) -> Outcome:
         tried: list[_backends.Key] = []
         for _ in range(MAX_ATTEMPTS):
+            if tried and not self._may_retry():
+                return expression.Error(self._gave_up())
             choice = await self._admit(tried)
             if choice.backend is None:
                 return expression.Error(self._no_server(choice, tried))
@@ -242,14 +256,13 @@
         return _homes.choose(self._fingerprint, holders, is_proven)
 
     def _route(self, avoided: list[_backends.Key]) -> _routing.Choice:
-        wanted = _routing.Wanted(
-            self._deployment.name,
-            self._request.model,
-            self._request.adapter,
-            self._request.session,
-        )
         now = self._inference._clock.now()
-        return self._inference._router.choose(wanted, avoided, now)
+        return self._inference._router.choose(self.wanted, avoided, now)
+
+    def _may_retry(self) -> bool:
+        within = self._inference._admission.may_retry(self._deployment.name)
+        # An answer that has begun is resumed all the same.
+        return within or self._reassembly.offset > 0
 
     async def _attempt(self, backend: _backends.Backend) -> bool:
         """Run or resume on one server; return whether the answer is whole."""
@@ -277,12 +290,12 @@
             await self._relay(run)
         except _engines.RefusedError as refused:
             self.execution = before
+            self._inference._router.observe_refusal(
+                run.backend, refused.reason, self._inference._clock.now()
+            )
             if refused.reason == "leaving":
                 self._inference._backends.take_refusal(run.backend)
             return "refused"
-        except _http.NoConnectionError:
-            self.execution = before
-            return "not_sent"
         except _http.NotSentError:
             self.execution = before
             run.backend.mark_unreachable(self._inference._clock.now())
@@ -317,6 +330,8 @@
             # ``next_message`` is the one to find a server silent.
             2 * FIRST_TOKEN_MS,
         )
+        sent_at = self._inference._clock.now()
+        first = True
         async with contextlib.aclosing(messages):
             silence_ms = FIRST_TOKEN_MS
             while not self._reassembly.ended:
@@ -324,6 +339,9 @@
                 if message is None:
                     return
                 silence_ms = STALL_MS
+                if first:
+                    first = False
+                    self._observe_first_token(run.backend, sent_at)
                 offset = self._reassembly.offset
                 tokens = self._reassembly.take(message)
                 if self._reassembly.offset >= survived_at:
@@ -333,6 +351,14 @@
             with contextlib.suppress(_http.BrokenError):
                 await _engines.next_message(messages, CLOSE_MS)
 
+    def _observe_first_token(
+        self, backend: _backends.Backend, sent_at: int
+    ) -> None:
+        now = self._inference._clock.now()
+        self._inference._router.observe_first_token(
+            backend, now - sent_at, now
+        )
+
     def _no_server(
         self, choice: _routing.Choice, tried: list[_backends.Key]
     ) -> _refusals.Refusal:
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -25,6 +25,7 @@
 
 import anyio
 
+from geraniumlink import _admission
 from geraniumlink import _attempts
 from geraniumlink import _backends
 from geraniumlink import _calls
@@ -70,9 +71,6 @@
         source = random.Random()
         self._metrics = _metrics.Metrics()
         self._client = _http.Client()
-        # Requests have connections of their own, one for each that may be
-        # in flight, so that control never waits for a request to end.
-        self._request_client = _http.Client(settings.max_requests)
         self._configuration = _configuration.Configuration()
         self._objects = _objects.ObjectApi(self._client, settings.object_api)
         self._membership = _membership.Membership(
@@ -95,7 +93,15 @@
             self._client, self._clock, teller, self._metrics
         )
         self._leaving = _leaving.Leaving(self._backends, teller)
-        router = _routing.Router(self._backends, source)
+        router = _routing.Router(
+            self._backends,
+            source,
+            _routing.Neighbours(
+                settings.name,
+                self._count_live,
+                settings.replicas_per_service,
+            ),
+        )
         self._attempts = _attempts.Attempts(
             router, self._backends, self._clock, self._metrics
         )
@@ -162,15 +168,16 @@
                 self._configuration,
                 self._backends,
                 router,
-                self._request_client,
+                self._client,
                 self._clock,
                 self._metrics,
                 self._suspects,
+                _admission.Admission(router, self._clock, random.Random()),
             ),
             _calls.Calls(
                 self._configuration,
                 self._attempts,
-                self._request_client,
+                self._client,
                 self._clock,
                 self._once,
             ),
@@ -192,7 +199,6 @@
             group.start_soon(self._stop_on_signal, group.cancel_scope)
             await _supervisor.supervise(self._children(), self._clock)
         await self._client.close()
-        await self._request_client.close()
         _logs.event("stopped")
 
     def _children(self) -> list[_supervisor.Child]:
@@ -280,6 +286,10 @@
             }
         )
 
+    def _count_live(self) -> int:
+        members = self._membership.members()
+        return sum(1 for member in members if member.state == "live")
+
     def _ready(self) -> bool:
         if self._rpc.closing or self._sync.isolated:
             return False
--- a/src/geraniumlink/_once.py
+++ b/src/geraniumlink/_once.py
@@ -55,7 +55,7 @@
         self._store = store
         # An idle connection that the server closes as the call is written
         # would leave its outcome unknown, so each call has a new one.
-        self._fresh_client = _http.Client(MAX_LIVE, max_idle=0)
+        self._fresh_client = _http.Client(keeps_alive=False)
         self._clock = clock
         self._owner = _claims.Owner(name, uuid.uuid4().hex, str(peer_address))
         self._runs = _runs.Runs()
