Name the claim that was found in the log

A full check refused the trace of three attempts that each found a claim and met a silent owner: the owner was killed after its claim was written and before it logged a step, so the judge had one attempt too few. A line about a found claim now carries its nonce, and the judge counts that attempt.

--- a/src/geraniumlink/_resolution.py
+++ b/src/geraniumlink/_resolution.py
@@ -53,19 +53,19 @@
     ) -> _runs.Settled | TakeOver:
         """Learn from a claim, or from its owner, what became of the call."""
         if found.digest != run.claim.digest:
-            log("another_request", run)
+            log("another_request", run, found=found.nonce)
             return _runs.Settled(_call_refusals.another_request())
         match found.outcome:
             case None:
-                log("claim_found", run)
+                log("claim_found", run, found=found.nonce)
                 return await self._ask_owner(run, found)
             case _answers.NotRun():
-                log("claim_taken_over", run)
+                log("claim_taken_over", run, found=found.nonce)
                 return TakeOver()
             case _answers.Ran():
-                log("replay", run)
+                log("replay", run, found=found.nonce)
             case _answers.Unknown():
-                log("replay_unknown", run)
+                log("replay_unknown", run, found=found.nonce)
         return replay(found, run.claim.digest)
 
     async def _ask_owner(
--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -227,6 +227,9 @@
         if line["message_type"] in claims.LOGGED:
             attempts, steps = found.setdefault(line["claim"], ({}, []))
             number = attempts.setdefault(line["nonce"], len(attempts))
+            if "found" in line:
+                # The owner may have been killed before it logged a step.
+                attempts.setdefault(line["found"], len(attempts))
             steps.append((line["message_type"], number))
     return list(found.values())
 
