--- a/src/geraniumlink/_inference.py
+++ b/src/geraniumlink/_inference.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import random
 import typing
 from collections.abc import Awaitable, Callable
 
@@ -14,11 +15,15 @@
 from geraniumlink import _configuration
 from geraniumlink import _engines
 from geraniumlink import _findings
+from geraniumlink import _homes
 from geraniumlink import _http
 from geraniumlink import _metrics
+from geraniumlink import _models
 from geraniumlink import _refusals
 from geraniumlink import _routing
 from geraniumlink import _streams
+from geraniumlink import _suspects
+from geraniumlink import _suspicions
 from geraniumlink._schema import geraniumlink_pb2 as pb
 
 DEFAULT_TIMEOUT_MS = 60_000
@@ -27,9 +32,19 @@
 MAX_MAX_TOKENS = 8192
 MAX_PROMPT_BYTES = 256 * 1024
 MAX_ATTEMPTS = 4
-# An engine that is silent for this long between tokens has stalled.
-STALL_MS = 10_000
+# An engine that is silent for this long has stalled: before the first token,
+# where a request may wait its turn, and between tokens.
+FIRST_TOKEN_MS = 10_000
+STALL_MS = 3000
+# How long an engine may take to close a stream that has its explicit end.
+# The connection can then be used again.
+CLOSE_MS = 50
 RETRY_AFTER_MS = 1000
+# A suspect that got on by so much has passed the place of the crash.
+SURVIVED_TOKENS = 4
+# Waiting for a server that a suspect has to itself: first and longest pause.
+_FIRST_PAUSE_MS = 50
+_LONGEST_PAUSE_MS = 800
 
 
 class Tokens(typing.NamedTuple):
@@ -39,6 +54,14 @@
     tokens: tuple[str, ...]
 
 
+class _Choice(typing.NamedTuple):
+    """A server, and what must be reserved before it is used."""
+
+    choice: _routing.Choice
+    # An address, or NO_SERVER; None: nothing.
+    address: str | None
+
+
 Emit = Callable[[Tokens], Awaitable[None]]
 Outcome = expression.Result[_streams.End, _refusals.Refusal]
 
@@ -54,6 +77,7 @@
         client: _http.Client,
         clock: _clock.Clock,
         metrics: _metrics.Metrics,
+        suspects: _suspects.Suspects,
     ) -> None:
         self._configuration = configuration
         self._backends = backends
@@ -61,6 +85,7 @@
         self._client = client
         self._clock = clock
         self._metrics = metrics
+        self._suspects = suspects
 
     async def serve(
         self, request: pb.GenerateRequest, request_id: str, emit: Emit
@@ -69,13 +94,11 @@
         findings = check(request)
         if findings:
             return expression.Error(_refusals.invalid(findings))
-        deployment = self._configuration.owner_of_model(request.model)
-        if deployment is None:
-            return expression.Error(_unknown_model(request.model))
-        if not _has_adapter(deployment, request):
-            return expression.Error(_unknown_adapter(request))
+        found = _models.find(self._configuration, request)
+        if found.is_error():
+            return expression.Error(found.error)
         timeout_ms = request.timeout_ms or DEFAULT_TIMEOUT_MS
-        run = _Run(self, deployment, request, request_id, emit)
+        run = _Run(self, found.ok, request, request_id, emit)
         with anyio.move_on_after(timeout_ms / 1000):
             return await run.attempts()
         return expression.Error(_refusals.deadline_passed(run.execution))
@@ -98,12 +121,17 @@
         self._request_id = request_id
         self._emit = emit
         self._reassembly = _streams.Reassembly(request_id)
+        self._suspects = inference._suspects
+        # Not of the request id: a request sent again is recognised.
+        self._fingerprint = _suspicions.fingerprint(
+            request.model, request.adapter, request.prompt
+        )
         self.execution = _refusals.Execution.NOT_RUN
 
     async def attempts(self) -> Outcome:
         tried: list[_backends.Key] = []
         for _ in range(MAX_ATTEMPTS):
-            choice = self._choose(tried)
+            choice = await self._admit(tried)
             if choice.backend is None:
                 return expression.Error(self._no_server(choice, tried))
             tried.append(choice.backend.key)
@@ -112,7 +140,108 @@
                 return expression.Ok(end)
         return expression.Error(self._gave_up())
 
-    def _choose(self, tried: list[_backends.Key]) -> _routing.Choice:
+    async def _admit(self, tried: list[_backends.Key]) -> _routing.Choice:
+        """Choose a server; a suspect waits until it has one to itself."""
+        pause_ms = _FIRST_PAUSE_MS
+        while True:
+            match self._suspects.standing(self._fingerprint):
+                case _suspects.Standing.CLEAR:
+                    choice, address = self._choose(tried)
+                    if address is None:
+                        return choice
+                case _suspects.Standing.SUSPECT:
+                    choice, address = self._choose_apart(tried)
+                    # Would a server do, were it not for a suspect there?
+                    if not choice.backend and not self._route(tried).backend:
+                        return choice
+                case _:
+                    return _routing.Choice(None, True)
+            if choice.backend is not None and await self._reserve(address):
+                return choice
+            await self._inference._clock.sleep(
+                pause_ms * random.uniform(0.5, 1)
+            )
+            pause_ms = min(2 * pause_ms, _LONGEST_PAUSE_MS)
+
+    async def _reserve(self, address: str | None) -> bool:
+        """Reserve the only run, unless its standing changed meanwhile."""
+        before = self._suspects.standing(self._fingerprint)
+        if not await self._suspects.reserve(
+            self._fingerprint, address or _suspects.NO_SERVER
+        ):
+            return False
+        if self._suspects.standing(self._fingerprint) is before:
+            return True
+        self._suspects.release(self._fingerprint)
+        return False
+
+    def _choose(self, tried: list[_backends.Key]) -> _Choice:
+        """Choose for a request that is not a suspect.
+
+        It keeps away from servers that run a suspect, and at first it keeps
+        to its homes, while other servers than those are not needed. Where a
+        home has gone, a request like this one may be the cause, and peers
+        are asked before it runs elsewhere.
+        """
+        occupied = self._occupied()
+        homes = self._homes()
+        away = [
+            backend.key
+            for backend in self._servers()
+            if homes and backend not in homes
+        ]
+        for avoided in (occupied + away, away):
+            choice = self._route(tried + avoided)
+            if choice.backend is not None:
+                return _Choice(choice, None)
+        now = self._inference._clock.now()
+        gone = any(home.state(now) == "unreachable" for home in homes)
+        address = _suspects.NO_SERVER if gone else None
+        choice = self._route(tried + occupied)
+        if choice.backend is None:
+            choice = self._route(tried)
+        return _Choice(choice, address if choice.backend else None)
+
+    def _choose_apart(self, tried: list[_backends.Key]) -> _Choice:
+        """Choose an idle server if there is one, else one without suspect."""
+        occupied = self._occupied()
+        busy = [
+            backend.key
+            for backend in self._servers()
+            if _homes.is_busy(backend)
+        ]
+        choice = self._route(tried + occupied + busy)
+        if choice.backend is None:
+            choice = self._route(tried + occupied)
+        address = choice.backend.declared.address if choice.backend else ""
+        return _Choice(choice, address)
+
+    def _servers(self) -> list[_backends.Backend]:
+        return self._inference._backends.of(self._deployment.name)
+
+    def _occupied(self) -> list[_backends.Key]:
+        addresses = self._suspects.occupied()
+        if not addresses:
+            return []
+        return [
+            backend.key
+            for backend in self._servers()
+            if backend.declared.address in addresses
+        ]
+
+    def _homes(self) -> list[_backends.Backend]:
+        """Return the servers to keep to; none when all will do."""
+        holders = [
+            backend
+            for backend in self._servers()
+            if backend.holds(self._request.model, self._request.adapter)
+        ]
+        if self._request.session:
+            return []
+        is_proven = self._suspects.is_proven(self._fingerprint)
+        return _homes.choose(self._fingerprint, holders, is_proven)
+
+    def _route(self, avoided: list[_backends.Key]) -> _routing.Choice:
         wanted = _routing.Wanted(
             self._deployment.name,
             self._request.model,
@@ -120,25 +249,17 @@
             self._request.session,
         )
         now = self._inference._clock.now()
-        return self._inference._router.choose(wanted, tried, now)
+        return self._inference._router.choose(wanted, avoided, now)
 
     async def _attempt(self, backend: _backends.Backend) -> bool:
         """Run or resume on one server; return whether the answer is whole."""
-        outcome = "ok"
         backend.in_flight += 1
+        run = self._suspects.admit(self._fingerprint, backend)
+        outcome = "cancelled"
         try:
-            await self._relay(backend)
-        except _engines.RefusedError as refused:
-            outcome = "refused"
-            if refused.reason == "leaving":
-                backend.refused_as_leaving = True
-        except _http.NotSentError:
-            outcome = "not_sent"
-            backend.mark_unreachable(self._inference._clock.now())
-        except (_http.BrokenError, _streams.BrokenStreamError):
-            outcome = "broken"
-            self.execution = _refusals.Execution.MAY_HAVE_RUN
+            outcome = await self._run(run)
         finally:
+            self._suspects.leave(run)
             backend.in_flight -= 1
             labels = {
                 "deployment": self._deployment.name,
@@ -147,7 +268,39 @@
             self._inference._metrics.attempts.inc(labels)
         return self._reassembly.ended
 
-    async def _relay(self, backend: _backends.Backend) -> None:
+    async def _run(self, run: _suspects.Run) -> str:
+        """Relay from one server; return the outcome for the metrics."""
+        before = self.execution
+        # Also when the deadline passes before anything came back.
+        self.execution = _refusals.Execution.MAY_HAVE_RUN
+        try:
+            await self._relay(run)
+        except _engines.RefusedError as refused:
+            self.execution = before
+            if refused.reason == "leaving":
+                self._inference._backends.take_refusal(run.backend)
+            return "refused"
+        except _http.NoConnectionError:
+            self.execution = before
+            return "not_sent"
+        except _http.NotSentError:
+            self.execution = before
+            run.backend.mark_unreachable(self._inference._clock.now())
+            return "not_sent"
+        except _streams.BrokenStreamError:
+            return "broken"
+        except _http.BrokenError:
+            crashed = await self._suspects.crashed(run)
+            return "crashed" if crashed else "broken"
+        if not self._reassembly.ended:
+            # The engine closed the stream without its explicit end.
+            return "cut"
+        self._suspects.completed(run)
+        return "ok"
+
+    async def _relay(self, run: _suspects.Run) -> None:
+        self._reassembly.resume()
+        survived_at = self._reassembly.offset + SURVIVED_TOKENS
         generation = _engines.Generation(
             self._request_id,
             self._request.model,
@@ -158,22 +311,31 @@
             self._reassembly.offset,
         )
         messages = _engines.generate(
-            self._inference._client, backend.address, generation, STALL_MS
+            self._inference._client,
+            run.backend.address,
+            generation,
+            FIRST_TOKEN_MS,
         )
         async with contextlib.aclosing(messages):
-            async for message in messages:
-                self.execution = _refusals.Execution.MAY_HAVE_RUN
+            silence_ms = FIRST_TOKEN_MS
+            while not self._reassembly.ended:
+                message = await _engines.next_message(messages, silence_ms)
+                if message is None:
+                    return
+                silence_ms = STALL_MS
                 offset = self._reassembly.offset
                 tokens = self._reassembly.take(message)
+                if self._reassembly.offset >= survived_at:
+                    self._suspects.survived(run)
                 if tokens:
                     await self._emit(Tokens(offset, tokens))
-                if self._reassembly.ended:
-                    return
+            with contextlib.suppress(_http.BrokenError):
+                await _engines.next_message(messages, CLOSE_MS)
 
     def _no_server(
         self, choice: _routing.Choice, tried: list[_backends.Key]
     ) -> _refusals.Refusal:
-        if tried:
+        if tried or self._crashes_servers():
             return self._gave_up()
         if choice.reachable:
             return _refusals.Refusal(
@@ -187,7 +349,13 @@
             retry_after_ms=RETRY_AFTER_MS,
         )
 
+    def _crashes_servers(self) -> bool:
+        standing = self._suspects.standing(self._fingerprint)
+        return standing is _suspects.Standing.CONFIRMED
+
     def _gave_up(self) -> _refusals.Refusal:
+        if self._crashes_servers():
+            return _suspects.refusal()
         code = _refusals.Code.UNAVAILABLE
         if self._reassembly.offset:
             code = _refusals.Code.DATA_LOSS
@@ -227,26 +395,3 @@
         "timeout_ms",
         f"write 1 to {MAX_TIMEOUT_MS} milliseconds",
     )
-
-
-def _has_adapter(
-    deployment: pb.Deployment, request: pb.GenerateRequest
-) -> bool:
-    return not request.adapter or any(
-        adapter.model == request.model and adapter.name == request.adapter
-        for adapter in deployment.adapters
-    )
-
-
-def _unknown_model(model: str) -> _refusals.Refusal:
-    return _refusals.Refusal(
-        _refusals.Code.NOT_FOUND,
-        f"no deployment has a model {model!r}; Operator.List shows them",
-    )
-
-
-def _unknown_adapter(request: pb.GenerateRequest) -> _refusals.Refusal:
-    return _refusals.Refusal(
-        _refusals.Code.NOT_FOUND,
-        f"model {request.model!r} has no adapter {request.adapter!r}",
-    )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -2,10 +2,12 @@
 
 The answer is a pure function of model, adapter and prompt, so every chunk
 can be checked. Fault switches: ``token_ms``, ``stall_after`` (tokens),
-``cut_after`` (tokens, then the connection closes), ``crash_on`` (a prompt
-with this text ends the process), ``duplicate``, ``reorder``, ``foreign``
-(chunks), ``leaving``, ``refuse`` (a reason), ``report_lag_ms``,
-``bad_report``.
+``cut_after`` (tokens, then the connection closes), ``close_after`` (tokens,
+then the answer is closed in good order without its end), ``crash_on`` (a
+prompt with this text ends the process), ``duplicate``, ``reorder``,
+``foreign`` (chunks), ``leaving``, ``report_leaving`` (in reports alone),
+``refuse`` (a reason), ``report_lag_ms``, ``bad_report``.
+``engine_orders.py`` has those of orders.
 """
 
 from __future__ import annotations
@@ -24,6 +26,7 @@
 from starlette import routing
 
 from standins import _base
+from standins import engine_orders
 
 DEFAULT_TOKEN_MS = 5
 
@@ -43,28 +46,40 @@
 class Engine(_base.StandIn):
     """Holds models, batches without limit of speed, keeps a record."""
 
-    def __init__(self, resident: dict[str, str], max_in_flight: int) -> None:
+    def __init__(
+        self, memory: engine_orders.Memory, max_in_flight: int
+    ) -> None:
         super().__init__()
         self._boot_id = uuid.uuid4().hex
-        self._resident = resident
+        self._memory = memory
+        self._resident = memory.resident
+        self._orders = engine_orders.Orders(memory, self.faults)
         self._max_in_flight = max_in_flight
         self._in_flight = 0
         self._runs: list[dict] = []
+        self._refusals: list[float] = []
         self._reports: list[tuple[float, dict]] = []
 
     def routes(self) -> list[routing.Route]:
         return [
             routing.Route("/generate", self._generate, methods=["POST"]),
             routing.Route("/report", self._report),
+            *self._orders.routes(),
         ]
 
     def record(self) -> typing.Any:
-        return {"boot_id": self._boot_id, "runs": self._runs}
+        return {
+            "boot_id": self._boot_id,
+            "runs": self._runs,
+            "refusals": self._refusals,
+            **self._memory.record(),
+        }
 
     async def _generate(self, request: requests.Request) -> responses.Response:
         asked = json.loads(await request.body())
         reason = self._reason_to_refuse(asked)
         if reason:
+            self._refusals.append(time.time())
             return responses.JSONResponse({"refused": reason}, 503)
         crash_on = self.faults.crash_on
         if crash_on and crash_on in asked["prompt"]:
@@ -75,6 +90,7 @@
             "offset": asked["offset"],
             "time": time.time(),
             "ended": False,
+            "connection": request.client.port if request.client else 0,
         }
         self._runs.append(run)
         return responses.StreamingResponse(
@@ -104,6 +120,8 @@
     async def _with_faults(self, asked: dict) -> AsyncIterator[bytes]:
         held: bytes | None = None
         async for number, line in self._chunks(asked):
+            if number >= self.faults.get("close_after", number + 1):
+                return
             if self.faults.foreign:
                 yield _line({**json.loads(line), "request_id": "another"})
             if self.faults.reorder and number % 2 == 0 and held is None:
@@ -163,8 +181,9 @@
         report = {
             "boot_id": self._boot_id,
             "in_flight": self._in_flight,
-            "leaving": bool(self.faults.leaving),
-            "resident": self._resident,
+            "leaving": bool(self.faults.leaving or self.faults.report_leaving),
+            "resident": dict(self._resident),
+            **self._orders.report(),
         }
         self._reports.append((now, report))
         lag = (self.faults.report_lag_ms or 0) / 1000
@@ -179,8 +198,8 @@
 
 if __name__ == "__main__":
     made = _base.parser(__doc__)
-    made.add_argument("--resident", action="append", default=[])
     made.add_argument("--max-in-flight", type=int, default=64)
+    engine_orders.add_arguments(made)
     options = made.parse_args()
-    resident = dict(entry.split("=") for entry in options.resident)
-    _base.run(Engine(resident, options.max_in_flight), options.port)
+    memory = engine_orders.from_arguments(options)
+    _base.run(Engine(memory, options.max_in_flight), options.port)
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -4,6 +4,8 @@
 answer is late), ``lose_answers`` (this many next writes take effect and the
 connection closes without an answer), ``hold_answers`` (writes of kinds that
 begin with this text take effect and are answered when it is off again),
+``slow_answers`` (a kind to milliseconds: writes of that kind take effect at
+once and are answered late),
 ``forget`` (watches are answered 410).
 """
 
@@ -138,6 +140,8 @@
             self.faults.hold_answers
         ):
             await asyncio.sleep(_HOLD_POLL_S)
+        late_ms = (self.faults.slow_answers or {}).get(kind, 0)
+        await asyncio.sleep(late_ms / 1000)
         if self.faults.lose_answers:
             self.faults["lose_answers"] -= 1
             return _lost()
