Note refusals in the routing tests as the code does

Cause: the builders set a server's state by fields that streams replaced. Change: they use take_report and mark_refused; what is asserted is as it was.

--- a/tests/routers.py
+++ b/tests/routers.py
@@ -47,7 +47,10 @@
 
 def report(backend, in_flight, resident=("notes",)):
     backend.take_report(
-        _engines.Report("boot", in_flight, False, dict.fromkeys(resident, "1"))
+        _engines.Report(
+            "boot", in_flight, False, dict.fromkeys(resident, "1")
+        ),
+        now=0,
     )
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -220,6 +220,6 @@
     wanted = _routing.Wanted("assistant", "notes", "amharic")
     chosen = {router.choose(wanted, (), NOW).backend for _ in range(20)}
     assert chosen == {backends[2]}
-    backends[2].refused_as_leaving = True
+    backends[2].mark_refused(now=0)
     # The engine loads it or refuses; either is true to the caller.
     assert router.choose(wanted, (), NOW).backend is not None
