Give the leaving tests the stored form of today

Cause: config adds models_since to what is stored; the builder of test_leaving made the former form, which is not readable any more. Change: the builder has the field; what is asserted is as it was.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -145,7 +145,11 @@
         self.clock = _clock.ManualClock(start=100_000)
         configuration = _configuration.Configuration()
         addresses = [f"10.0.0.{n}:1" for n in range(len(resident))]
-        value = {"deployment": builders.engines(addresses), "changes": []}
+        value = {
+            "deployment": builders.engines(addresses),
+            "changes": [],
+            "models_since": {},
+        }
         entry = _objects.Object(_configuration.KIND, "assistant", 1, value)
         configuration.advance(_objects.Listing(1, [entry]))
         self.table = _backends.Backends(configuration, None, self.clock)
