--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -8,10 +8,13 @@
     |- watch_api     configuration from the object API   started again
     |- follow_peers  configuration from peers            started again
     |- heartbeat     exchange with one peer              started again
+    |- claims        non-idempotent calls under way      started again
+    |- claim_janitor removes old claims                  started again
     |- instance_list platform's list of instances        started again
     |- reports       reports of backend servers          started again
     |- suspects      news of crashes to and from peers   started again
     |- leaving       news of leaving servers to peers    started again
+    |- controller    shards under leases                 started again
     `- signals       SIGTERM and SIGINT begin shutdown   fails the instance
 """
 
@@ -22,11 +25,15 @@
 
 import anyio
 
+from geraniumlink import _attempts
 from geraniumlink import _backends
 from geraniumlink import _calls
 from geraniumlink import _changes
+from geraniumlink import _claim_janitor
+from geraniumlink import _claims
 from geraniumlink import _clock
 from geraniumlink import _configuration
+from geraniumlink import _controller
 from geraniumlink import _http
 from geraniumlink import _inference
 from geraniumlink import _leaving
@@ -34,6 +41,7 @@
 from geraniumlink import _membership
 from geraniumlink import _metrics
 from geraniumlink import _objects
+from geraniumlink import _once
 from geraniumlink import _operator
 from geraniumlink import _peers
 from geraniumlink import _platform
@@ -86,6 +94,21 @@
         )
         self._leaving = _leaving.Leaving(self._backends, teller)
         router = _routing.Router(self._backends, source)
+        self._attempts = _attempts.Attempts(
+            router, self._backends, self._clock, self._metrics
+        )
+        self._once = _once.Once(
+            self._attempts,
+            _claims.ClaimStore(self._objects),
+            self._client,
+            self._clock,
+            settings.name,
+            settings.peer_address,
+            self._membership.peers,
+        )
+        self._janitor = _claim_janitor.Janitor(
+            self._objects, self._clock, source
+        )
         self._rpc = _rpc.Server(
             self._methods(router),
             settings.name,
@@ -99,11 +122,24 @@
             self._membership,
             self._metrics,
             self._ready,
-            [*self._suspects.routes, *self._leaving.routes],
+            [
+                self._once.answerer.route,
+                *self._suspects.routes,
+                *self._leaving.routes,
+            ],
         )
         self._listener = _server.Listener(
             self._rpc, settings.address, self._clock
         )
+        self._controller = _controller.Controller(
+            settings,
+            self._configuration,
+            self._objects,
+            self._live_names,
+            self._client,
+            self._clock,
+            source,
+        )
         self._peer_listener = _server.Listener(
             self._peers.application, settings.peer_address, self._clock
         )
@@ -124,9 +160,10 @@
             ),
             _calls.Calls(
                 self._configuration,
-                router,
+                self._attempts,
                 self._request_client,
                 self._clock,
+                self._once,
             ),
             _operator.Operator(
                 self._configuration,
@@ -162,6 +199,8 @@
                 lambda: self._sync.follow_peers(settings.heartbeat_ms),
             ),
             child("heartbeat", self._heartbeat),
+            child("claims", self._once.run),
+            child("claim_janitor", self._janitor.run),
             child("instance_list", self._follow_instance_list),
             child("reports", lambda: self._backends.poll(settings.report_ms)),
             child(
@@ -172,6 +211,14 @@
                 "leaving",
                 lambda: self._leaving.keep_told(settings.heartbeat_ms),
             ),
+            child("controller", self._controller.run),
+        ]
+
+    def _live_names(self) -> list[str]:
+        return [
+            member.name
+            for member in self._membership.members()
+            if member.state == "live"
         ]
 
     async def _heartbeat(self) -> None:
@@ -237,6 +284,7 @@
         """
         self._rpc.closing = True
         self._membership.leave()
+        self._controller.stop()
         await self._clock.sleep(self._settings.drain_lag_ms)
         self._listener.stop()
         await self._finish_answers()
