--- /dev/null
+++ b/tests/test_configuration_faults.py
@@ -0,0 +1,344 @@
+"""What is in force on real processes that are killed, frozen and cut off."""
+
+import json
+
+import anyio
+import pytest
+
+from geraniumlink import _configuration
+from standins import fleet as fleets
+from tests import builders
+
+pytestmark = pytest.mark.anyio
+KIND = _configuration.KIND
+
+
+async def get_version(fleet, instance, name="booking"):
+    answer = await fleet.call(instance, "Operator/Get", name=name)
+    return int(answer.body["version"]) if answer.status == 200 else 0
+
+
+async def until_version(fleet, instance, version):
+    async def reached():
+        return await get_version(fleet, instance) >= version
+
+    await fleet.until(reached, f"{instance.name} has version {version}")
+
+
+async def is_ready(fleet, instance):
+    answer = await fleet.get(instance.peer_port, "/ready")
+    return answer is not None and answer.status == 200
+
+
+async def until_not_ready(fleet, instance):
+    async def reached():
+        answer = await fleet.get(instance.peer_port, "/ready")
+        return answer is not None and answer.status == 503
+
+    await fleet.until(reached, f"{instance.name} is not ready")
+
+
+async def three(fleet, **settings):
+    """Start three instances that know each other; declare a service."""
+    for number in range(3):
+        fleet.instance(f"i{number}", heartbeat_ms=100, **settings)
+    await fleet.ready()
+    await know_each_other(fleet, fleet.instances)
+    version = await builders.declare(
+        fleet, fleet.instances[0], builders.services(1)
+    )
+    return *fleet.instances, version
+
+
+async def know_each_other(fleet, instances):
+    async def reached():
+        for instance in instances:
+            status = await fleet.call(instance, "Operator/Status")
+            members = status.body.get("instances", ())
+            live = [entry for entry in members if entry["state"] == "live"]
+            if len(live) < len(instances):
+                return False
+        return True
+
+    await fleet.until(reached, "the instances know each other")
+
+
+async def accepted(fleet, instance, version, replicas=2):
+    answer = await builders.apply(
+        fleet, instance, builders.services(replicas), version
+    )
+    assert answer.status == 200, answer
+    return int(answer.body["version"])
+
+
+async def test_an_instance_frozen_through_an_acceptance_takes_it_when_thawed(
+    fleet,
+):
+    first, _, frozen, version = await three(fleet)
+    frozen.freeze()
+    version = await accepted(fleet, first, version)
+    frozen.thaw()
+    await until_version(fleet, frozen, version)
+
+
+@pytest.mark.parametrize("fault", ["cut", "stall"])
+async def test_an_instance_cut_off_from_the_api_learns_from_peers(
+    fleet, fault
+):
+    link, address = fleet.link(fleet.object_api.address)
+    first, _, _, version = await three(fleet)
+    cut = fleet.instance("cut", heartbeat_ms=100, object_api=address)
+    await fleet.ready()
+    await know_each_other(fleet, fleet.instances)
+    await fleet.faults(link, **{fault: True})
+    version = await accepted(fleet, first, version)
+    await until_version(fleet, cut, version)
+
+
+async def test_an_outage_right_after_acceptance_holds_nobody_back(fleet):
+    first, second, third, version = await three(fleet)
+    await fleet.faults(fleet.object_api, outage_after_writes=1)
+    version = await accepted(fleet, first, version)
+    for instance in (first, second, third):
+        await until_version(fleet, instance, version)
+
+
+async def test_a_restart_in_an_outage_takes_the_newest_that_peers_have(fleet):
+    first, lagging, restarted, version = await three(fleet)
+    lagging.freeze()
+    version = await accepted(fleet, first, version)
+    await until_version(fleet, restarted, version)
+    await fleet.faults(fleet.object_api, outage=True)
+    restarted.kill()
+    lagging.thaw()
+    restarted.start()
+    await fleet.answers(restarted.peer_port, "/ready")
+    assert await get_version(fleet, restarted) == version
+    await until_version(fleet, lagging, version)
+
+
+async def test_a_start_in_an_outage_without_peers_calls_nothing_unknown(fleet):
+    await fleet.ready()
+    await fleet.faults(fleet.object_api, outage=True)
+    alone = fleet.instance("alone", heartbeat_ms=100)
+    await until_not_ready(fleet, alone)
+    refused = await fleet.call(alone, "Inference/Generate", model="notes")
+    assert refused.body["code"] == "unavailable"
+    assert refused.body["execution"] == "NOT_RUN"
+    assert int(refused.body["retry_after_ms"]) > 0
+    await fleet.faults(fleet.object_api, outage=False)
+    await fleet.answers(alone.peer_port, "/ready")
+
+
+async def test_a_watch_that_is_answered_late_reverts_nothing(fleet):
+    first, second, third, version = await three(fleet)
+    await fleet.faults(fleet.object_api, stale_ms=700)
+    seen = {instance.name: 0 for instance in fleet.instances}
+    for number in range(5):
+        version = await accepted(fleet, first, version, 1 + number)
+        for instance in (first, second, third):
+            got = await get_version(fleet, instance)
+            assert got >= seen[instance.name]
+            seen[instance.name] = got
+    for instance in (first, second, third):
+        await until_version(fleet, instance, version)
+
+
+async def test_a_slow_api_delays_changes_and_loses_none(fleet):
+    first, second, third, version = await three(fleet)
+    await fleet.faults(fleet.object_api, slow_ms=800)
+    for replicas in (2, 3):
+        version = await accepted(fleet, first, version, replicas)
+    for instance in (first, second, third):
+        await until_version(fleet, instance, version)
+
+
+async def test_an_instance_that_joins_amid_changes_has_the_newest(fleet):
+    first, _, _, version = await three(fleet)
+    joining = fleet.instance("joining", heartbeat_ms=100)
+    for replicas in range(1, 9):
+        version = await accepted(fleet, first, version, replicas)
+    await fleet.ready()
+    await until_version(fleet, joining, version)
+
+
+async def test_a_compacted_watch_learns_of_removals_too(fleet):
+    link, address = fleet.link(fleet.object_api.address)
+    first, _, _, version = await three(fleet)
+    cut = fleet.instance("cut", heartbeat_ms=100, object_api=address)
+    await fleet.ready()
+    for instance in fleet.instances[:3]:
+        instance.kill()
+    await fleet.faults(link, cut=True)
+    path = f"/objects/{KIND}/booking?if_version={version}"
+    await fleet.post(fleet.object_api, path, {}, "DELETE")
+    await fleet.faults(fleet.object_api, forget_before=version + 1)
+    await fleet.faults(link, cut=False)
+
+    async def gone():
+        return await get_version(fleet, cut) == 0
+
+    await fleet.until(gone, "the removed deployment is not in force")
+
+
+async def test_an_isolated_instance_says_so_and_serves_on(fleet):
+    engine = fleet.engine({"notes": "1"})
+    link, address = fleet.link(fleet.object_api.address)
+    other = fleet.instance("other", heartbeat_ms=100)
+    cut = fleet.instance(
+        "cut", heartbeat_ms=100, isolation_ms=1000, object_api=address
+    )
+    await fleet.ready()
+    await know_each_other(fleet, fleet.instances)
+    await builders.declare(fleet, other, builders.engines([engine]))
+    await builders.serving(fleet, cut, 1)
+    other.freeze()
+    await fleet.faults(link, cut=True)
+    await until_not_ready(fleet, cut)
+
+    async def says_so():
+        status = await fleet.call(cut, "Operator/Status")
+        states = {
+            entry["name"]: entry["state"] for entry in status.body["instances"]
+        }
+        return states["cut"] == "suspect"
+
+    await fleet.until(says_so, "it shows that it is isolated")
+    served = await fleet.call(
+        cut, "Inference/Generate", model="notes", prompt="Boots?"
+    )
+    assert served.status == 200
+    refused = await builders.apply(fleet, cut, builders.services(1))
+    assert refused.body["code"] == "unavailable"
+    other.thaw()
+    await fleet.answers(cut.peer_port, "/ready")
+
+
+async def test_racing_operators_are_each_in_the_history_once(fleet):
+    *instances, version = await three(fleet)
+    told: list[tuple[int, str]] = []
+
+    async def operate(number, instance):
+        base = version
+        for attempt in range(7):
+            change_id = f"change-by-{number}-{attempt}"
+            answer = await builders.apply(
+                fleet,
+                instance,
+                builders.services(1 + attempt),
+                base,
+                author=f"operator-{number}",
+                change_id=change_id,
+            )
+            if answer.status == 200:
+                base = int(answer.body["version"])
+                told.append((base, change_id))
+            else:
+                assert answer.body["code"] == "aborted", answer
+                assert "operator-" in answer.body["message"]
+                base = await newest(fleet)
+
+    async with anyio.create_task_group() as group:
+        for number, instance in enumerate(instances):
+            group.start_soon(operate, number, instance)
+    assert told
+    answer = await fleet.call(
+        instances[0], "Operator/History", name="booking", limit=1000
+    )
+    history = [
+        (int(change["version"]), change["change_id"])
+        for change in answer.body["changes"]
+    ]
+    assert history[:-1] == sorted(told, reverse=True)
+    for instance in instances:
+        await until_version(fleet, instance, max(told)[0])
+
+
+async def newest(fleet):
+    stored_now = await fleet.get(
+        fleet.object_api.port, f"/objects/{KIND}/booking"
+    )
+    return stored_now.body["version"]
+
+
+async def test_what_was_retired_comes_back_only_when_it_is_declared_again(
+    fleet,
+):
+    first, second, third, _ = await three(fleet)
+    creation = {"change_id": builders.change_id(), "author": "hirut"}
+    declared = builders.services(1, "stock")
+    answer = await builders.apply(fleet, first, declared, **creation)
+    version = int(answer.body["version"])
+    third.freeze()
+    answer = await fleet.call(
+        second,
+        "Operator/Retire",
+        name="stock",
+        expected_version=version,
+        change_id=builders.change_id(),
+        author="selin",
+    )
+    assert answer.status == 200, answer
+    again = await builders.apply(fleet, second, declared, **creation)
+    assert again.body["already_accepted"]
+    assert int(again.body["version"]) == version
+    third.thaw()
+    for instance in fleet.instances:
+
+        async def gone(instance=instance):
+            return await get_version(fleet, instance, "stock") == 0
+
+        await fleet.until(gone, f"{instance.name} has it retired")
+    newer = await builders.apply(
+        fleet, third, builders.services(3, "stock"), author="selin"
+    )
+    assert newer.status == 200, newer
+    await builders.apply(fleet, first, declared, **creation)
+    await builders.in_force(fleet, int(newer.body["version"]))
+    for instance in fleet.instances:
+        shown = await fleet.call(instance, "Operator/Get", name="stock")
+        assert len(shown.body["deployment"]["replicas"]) == 3
+
+
+async def test_a_model_declared_twice_in_a_race_has_one_owner_everywhere(
+    fleet,
+):
+    engines = [fleet.engine({"notes": "1"}) for _ in range(2)]
+    for number in range(2):
+        fleet.instance(f"i{number}", heartbeat_ms=100)
+    await fleet.ready()
+    await fleet.faults(fleet.object_api, stale_ms=1500)
+    for number, instance in enumerate(fleet.instances):
+        answer = await builders.apply(
+            fleet,
+            instance,
+            builders.engines([engines[number]], name=f"assistant-{number}"),
+        )
+        assert answer.status == 200, answer
+    version = int(answer.body["version"])
+    await fleet.faults(fleet.object_api, stale_ms=0)
+    await builders.in_force(fleet, version)
+    for instance in fleet.instances:
+        await builders.serving(fleet, instance, 2)
+        answer = await fleet.call(
+            instance, "Inference/Generate", model="notes", prompt="Boots?"
+        )
+        assert answer.status == 200, answer
+        assert findings_logged(instance) == [
+            "deployments[assistant-1].models[notes]"
+        ]
+    assert len((await fleet.record(engines[0]))["runs"]) == 2
+    assert (await fleet.record(engines[1]))["runs"] == []
+
+
+def findings_logged(instance: fleets.Process) -> list[str]:
+    lines = [
+        json.loads(line)
+        for line in instance.log.read_text().split("\n")
+        if line.startswith("{")
+    ]
+    return [
+        line["place"]
+        for line in lines
+        if line.get("message_type") == "configuration_finding"
+    ]
--- a/tests/test_specs_configuration.py
+++ b/tests/test_specs_configuration.py
@@ -3,6 +3,7 @@
 import minicheck
 import pytest
 
+from specs import changes
 from specs import configuration
 
 MAX_STATES = 100_000
@@ -15,7 +16,7 @@
 @pytest.mark.parametrize(
     ("protocol", "least_states"),
     [
-        (configuration.acceptance(), 40_000),
+        (changes.acceptance(), 40_000),
         (configuration.spreading(), 30_000),
     ],
     ids=["acceptance", "spreading"],
@@ -32,13 +33,13 @@
     ("make", "mechanism", "broken"),
     [
         (
-            configuration.acceptance,
+            changes.acceptance,
             "condition",
             "changes_are_made_onto_what_they_were_checked_against",
         ),
-        (configuration.acceptance, "change_id", "no_change_is_applied_twice"),
-        (configuration.acceptance, "archive", "no_change_is_applied_twice"),
-        (configuration.acceptance, "unknown", "aborted_means_not_in_history"),
+        (changes.acceptance, "change_id", "no_change_is_applied_twice"),
+        (changes.acceptance, "archive", "no_change_is_applied_twice"),
+        (changes.acceptance, "unknown", "aborted_means_not_in_history"),
         (configuration.spreading, "version_check", "no_instance_reverts"),
         (
             configuration.spreading,
