--- a/src/geraniumlink/_changes.py
+++ b/src/geraniumlink/_changes.py
@@ -204,7 +204,7 @@
     async def _read(self, current: _objects.Object) -> _audit.Stored:
         """Return what is stored; a removed object has archives still."""
         stored = _audit.read(current)
-        if current.version == _objects.ABSENT:
+        if current.value is None:
             stored["archives"] = await self._archive.count(current.name)
         return stored
 
--- a/src/geraniumlink/_http.py
+++ b/src/geraniumlink/_http.py
@@ -23,6 +23,14 @@
     """The request did not leave this process."""
 
 
+class GoneError(NotSentError):
+    """Nobody listens at the address: the connection was refused."""
+
+
+class NoConnectionError(NotSentError):
+    """This process has no connection free; it says nothing of the server."""
+
+
 class BrokenError(Exception):
     """The request left this process and no whole answer came back."""
 
@@ -51,10 +59,10 @@
 class Client:
     """Keeps connections to a few addresses."""
 
-    def __init__(self, max_connections: int = 200) -> None:
+    def __init__(self, max_connections: int = 200, max_idle: int = 50) -> None:
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=max_connections,
-            max_keepalive_connections=50,
+            max_keepalive_connections=max_idle,
             keepalive_expiry=20.0,
             # A connection that fails before the request is written may be
             # opened anew by us alone; a retry in here would be unseen.
@@ -89,10 +97,18 @@
             "read": read_ms / 1000,
             "write": read_ms / 1000,
         }
+        # Made of its parts: parsing a URL would lose what follows a ";" or
+        # an empty query.
+        url = httpcore.URL(
+            scheme=b"http",
+            host=address.host.encode(),
+            port=address.port,
+            target=path.encode(),
+        )
         with _translated_errors():
             async with self._pool.stream(
                 method,
-                f"http://{address}{path}",
+                url,
                 headers=sent_headers,
                 content=body,
                 extensions={"timeout": timeouts},
@@ -159,10 +175,28 @@
         httpcore.ConnectTimeout,
         httpcore.PoolTimeout,
     ) as error:
-        raise NotSentError(str(error) or type(error).__name__) from error
+        raise _not_sent(error) from error
     except (
         httpcore.TimeoutException,
         httpcore.NetworkError,
         httpcore.ProtocolError,
     ) as error:
         raise BrokenError(str(error) or type(error).__name__) from error
+
+
+def _not_sent(error: Exception) -> NotSentError:
+    text = str(error) or type(error).__name__
+    if isinstance(error, httpcore.PoolTimeout):
+        return NoConnectionError(text)
+    if _was_refused(error):
+        return GoneError(text)
+    return NotSentError(text)
+
+
+def _was_refused(error: BaseException | None) -> bool:
+    """Look for the refusal under what the libraries wrapped round it."""
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__ or error.__context__
+    return False
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -8,8 +8,13 @@
     |- watch_api     configuration from the object API   started again
     |- follow_peers  configuration from peers            started again
     |- heartbeat     exchange with one peer              started again
+    |- claims        non-idempotent calls under way      started again
+    |- claim_janitor removes old claims                  started again
     |- instance_list platform's list of instances        started again
     |- reports       reports of backend servers          started again
+    |- suspects      news of crashes to and from peers   started again
+    |- leaving       news of leaving servers to peers    started again
+    |- controller    shards under leases                 started again
     `- signals       SIGTERM and SIGINT begin shutdown   fails the instance
 """
 
@@ -20,17 +25,23 @@
 
 import anyio
 
+from geraniumlink import _attempts
 from geraniumlink import _backends
 from geraniumlink import _calls
 from geraniumlink import _changes
+from geraniumlink import _claim_janitor
+from geraniumlink import _claims
 from geraniumlink import _clock
 from geraniumlink import _configuration
+from geraniumlink import _controller
 from geraniumlink import _http
 from geraniumlink import _inference
+from geraniumlink import _leaving
 from geraniumlink import _logs
 from geraniumlink import _membership
 from geraniumlink import _metrics
 from geraniumlink import _objects
+from geraniumlink import _once
 from geraniumlink import _operator
 from geraniumlink import _peers
 from geraniumlink import _platform
@@ -40,10 +51,16 @@
 from geraniumlink import _service_methods
 from geraniumlink import _settings
 from geraniumlink import _supervisor
+from geraniumlink import _suspects
 from geraniumlink import _sync
+from geraniumlink import _telling
 from geraniumlink import _traffic
 
 
+# How long a peer's message in progress is waited for at the very end.
+_PEERS_STOP_MS = 2000
+
+
 class Instance:
     """Builds the parts of one instance and runs them."""
 
@@ -53,6 +70,9 @@
         source = random.Random()
         self._metrics = _metrics.Metrics()
         self._client = _http.Client()
+        # Requests have connections of their own, one for each that may be
+        # in flight, so that control never waits for a request to end.
+        self._request_client = _http.Client(settings.max_requests)
         self._configuration = _configuration.Configuration()
         self._objects = _objects.ObjectApi(self._client, settings.object_api)
         self._membership = _membership.Membership(
@@ -70,7 +90,27 @@
             self._backends.refresh,
             settings.isolation_ms,
         )
+        teller = _telling.Teller(self._membership, self._client, source)
+        self._suspects = _suspects.Suspects(
+            self._client, self._clock, teller, self._metrics
+        )
+        self._leaving = _leaving.Leaving(self._backends, teller)
         router = _routing.Router(self._backends, source)
+        self._attempts = _attempts.Attempts(
+            router, self._backends, self._clock, self._metrics
+        )
+        self._once = _once.Once(
+            self._attempts,
+            _claims.ClaimStore(self._objects),
+            self._client,
+            self._clock,
+            settings.name,
+            settings.peer_address,
+            self._membership.peers,
+        )
+        self._janitor = _claim_janitor.Janitor(
+            self._objects, self._clock, source
+        )
         self._rpc = _rpc.Server(
             self._methods(router),
             settings.name,
@@ -86,11 +126,27 @@
             self._membership,
             self._metrics,
             self._ready,
-            traffic=self._traffic,
+            [
+                self._once.answerer.route,
+                *self._suspects.routes,
+                *self._leaving.routes,
+            ],
+            self._traffic,
+        )
+        self._listener = _server.Listener(
+            self._rpc, settings.address, self._clock
+        )
+        self._controller = _controller.Controller(
+            settings,
+            self._configuration,
+            self._objects,
+            self._live_names,
+            self._client,
+            self._clock,
+            source,
         )
-        self._listener = _server.Listener(self._rpc, settings.address)
         self._peer_listener = _server.Listener(
-            self._peers.application, settings.peer_address
+            self._peers.application, settings.peer_address, self._clock
         )
 
     def _methods(self, router: _routing.Router) -> _rpc.Methods:
@@ -105,12 +161,17 @@
                 self._configuration,
                 self._backends,
                 router,
-                self._client,
+                self._request_client,
                 self._clock,
                 self._metrics,
+                self._suspects,
             ),
             _calls.Calls(
-                self._configuration, router, self._client, self._clock
+                self._configuration,
+                self._attempts,
+                self._request_client,
+                self._clock,
+                self._once,
             ),
             _operator.Operator(
                 self._configuration,
@@ -130,6 +191,7 @@
             group.start_soon(self._stop_on_signal, group.cancel_scope)
             await _supervisor.supervise(self._children(), self._clock)
         await self._client.close()
+        await self._request_client.close()
         _logs.event("stopped")
 
     def _children(self) -> list[_supervisor.Child]:
@@ -145,8 +207,23 @@
                 lambda: self._sync.follow_peers(settings.heartbeat_ms),
             ),
             child("heartbeat", self._heartbeat),
+            child("claims", self._once.run),
+            child("claim_janitor", self._janitor.run),
             child("instance_list", self._follow_instance_list),
             child("reports", lambda: self._backends.poll(settings.report_ms)),
+            child(
+                "suspects",
+                lambda: self._suspects.keep_told(settings.heartbeat_ms),
+            ),
+            child("leaving", self._leaving.keep_told),
+            child("controller", self._controller.run),
+        ]
+
+    def _live_names(self) -> list[str]:
+        return [
+            member.name
+            for member in self._membership.members()
+            if member.state == "live"
         ]
 
     async def _heartbeat(self) -> None:
@@ -175,24 +252,34 @@
         )
 
     async def _follow_instance_list(self) -> None:
+        listed: list[_platform.Listed] = []
         while True:
-            listed = await _platform.list_instances(
+            answer = await _platform.list_instances(
                 self._client, self._settings.instance_list
             )
-            if listed is not None:
-                self._membership.take_list(
-                    {
-                        entry.name: entry.peer_address
-                        for entry in listed
-                        if entry.state == "live"
-                    }
-                )
-            await self._clock.sleep(5 * self._settings.heartbeat_ms)
+            # While the list is down its last word is judged anew all the
+            # same: the servers that stood in may have gone.
+            listed = listed if answer is None else answer
+            self._take_list(listed)
+            await self._clock.sleep(2 * self._settings.heartbeat_ms)
+
+    def _take_list(self, listed: list[_platform.Listed]) -> None:
+        self._backends.take_list(
+            entry.address for entry in listed if entry.state == "leaving"
+        )
+        self._membership.take_list(
+            {
+                entry.name: entry.address
+                for entry in listed
+                if entry.state == "live"
+                and not self._backends.find(entry.address)
+            }
+        )
 
     def _ready(self) -> bool:
         if self._rpc.closing or self._sync.isolated:
             return False
-        return self._sync.loaded
+        return self._sync.loaded and self._backends.surveyed
 
     async def _stop_on_signal(self, scope: anyio.CancelScope) -> None:
         with anyio.open_signal_receiver(
@@ -214,9 +301,34 @@
         """
         self._rpc.closing = True
         self._membership.leave()
+        self._controller.stop()
         await self._clock.sleep(self._settings.drain_lag_ms)
         self._listener.stop()
-        while self._rpc.in_flight:
-            await self._clock.sleep(50)
+        await self._finish_answers()
         self._peer_listener.stop()
-        await self._clock.sleep(200)
+        with anyio.move_on_after(_PEERS_STOP_MS / 1000):
+            await self._peer_listener.stopped()
+
+    async def _finish_answers(self) -> None:
+        """Wait until callers have every answer; each has its deadline.
+
+        An answer that was made is in a buffer of this process until its
+        caller has read enough; a caller that reads nothing is not waited
+        for beyond a bound.
+        """
+        idle_since = self._clock.now()
+        with anyio.CancelScope() as scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._cancel_when_stopped, scope)
+                while True:
+                    await self._clock.sleep(50)
+                    now = self._clock.now()
+                    if self._rpc.in_flight:
+                        idle_since = now
+                    elif now - idle_since > _server.FLUSH_MS:
+                        _logs.event("answers_not_read")
+                        scope.cancel()
+
+    async def _cancel_when_stopped(self, scope: anyio.CancelScope) -> None:
+        await self._listener.stopped()
+        scope.cancel()
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -5,8 +5,11 @@
 made up, so older than what was written since), ``lose_answers`` (this many
 next writes take effect and the connection closes without an answer),
 ``outage_after_writes`` (an outage begins after this many more writes),
-``forget`` (watches are answered 410), ``forget_before`` (watches after an
-older revision are). An object that was removed counts as absent.
+``hold_answers`` (writes of kinds that
+begin with this text take effect and are answered when it is off again),
+``slow_answers`` (a kind to milliseconds: writes of that kind take effect at
+once and are answered late), ``forget`` (watches are answered 410),
+``forget_before`` (watches after an older revision are).
 """
 
 from __future__ import annotations
@@ -23,6 +26,7 @@
 from standins import _base
 
 MAX_VALUE_BYTES = 2**20
+_HOLD_POLL_S = 0.01
 
 
 class Stored(typing.NamedTuple):
@@ -88,8 +92,7 @@
 
     def _find(self, kind: str, name: str) -> Stored:
         absent = Stored(kind, name, 0, None)
-        found = self._objects.get((kind, name), absent)
-        return absent if found.value is None else found
+        return self._objects.get((kind, name), absent)
 
     async def _get(self, request: requests.Request) -> responses.Response:
         if await self._meet_faults("get"):
@@ -139,12 +142,13 @@
     async def _write(self, request: requests.Request) -> responses.Response:
         if await self._meet_faults("write"):
             return _out()
+        kind = request.path_params["kind"]
         body = await request.body()
         if len(body) > MAX_VALUE_BYTES:
             return responses.JSONResponse({}, 413)
         value = json.loads(body) if request.method == "PUT" else None
         written = await self._store_if(
-            request.path_params["kind"],
+            kind,
             request.path_params["name"],
             int(request.query_params["if_version"]),
             value,
@@ -152,6 +156,12 @@
         if isinstance(written, Refused):
             return responses.JSONResponse(written.current._asdict(), 409)
         await self._begin_outage_after_writes()
+        while self.faults.hold_answers and kind.startswith(
+            self.faults.hold_answers
+        ):
+            await asyncio.sleep(_HOLD_POLL_S)
+        late_ms = (self.faults.slow_answers or {}).get(kind, 0)
+        await asyncio.sleep(late_ms / 1000)
         if self.faults.lose_answers:
             self.faults["lose_answers"] -= 1
             return _lost()
