--- a/src/geraniumlink/_audit.py
+++ b/src/geraniumlink/_audit.py
@@ -153,7 +153,7 @@
     async def count(self, name: str) -> int:
         """Return how many archives there are, by looking for each."""
         number = 0
-        while (await self._get(name, number)).version != _objects.ABSENT:
+        while (await self._get(name, number)).value is not None:
             number += 1
         return number
 
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -9,7 +9,7 @@
 and are answered when it is off again), ``slow_answers`` (a kind to
 milliseconds: writes of that kind take effect at once and are answered late),
 ``forget`` (watches are answered 410), ``forget_before`` (watches after an
-older revision are). An object that was removed counts as absent.
+older revision are).
 """
 
 from __future__ import annotations
@@ -156,13 +156,13 @@
         )
         if isinstance(written, Refused):
             return responses.JSONResponse(written.current._asdict(), 409)
+        await self._begin_outage_after_writes()
         while self.faults.hold_answers and kind.startswith(
             self.faults.hold_answers
         ):
             await asyncio.sleep(_HOLD_POLL_S)
         late_ms = (self.faults.slow_answers or {}).get(kind, 0)
         await asyncio.sleep(late_ms / 1000)
-        await self._begin_outage_after_writes()
         if self.faults.lose_answers:
             self.faults["lose_answers"] -= 1
             return _lost()
