Weigh further copies by the demand that engines report

Cause: plan() was given no demand, so attainment_weight did nothing. Seen to fail first: with an empty demand, a model asked for by four callers at once stayed on one of two engines (TimeoutError after 60 s).

--- a/benches/policy.py
+++ b/benches/policy.py
@@ -14,7 +14,7 @@
 
 from google.protobuf import json_format
 
-from benches import _baselines
+from benches import _policies
 from benches import _demand
 from benches import _fluid_site
 from benches import _measure
@@ -92,8 +92,8 @@
                 for seed in seeds
             ]
             for label, policy in (
-                ("static", _baselines.static),
-                ("greedy", _baselines.greedy),
+                ("static", _policies.static),
+                ("greedy", _policies.greedy),
             ):
                 rows.append(
                     _row(deployment, load, (label, policy), None, traces)
--- a/src/geraniumlink/_engine_reports.py
+++ b/src/geraniumlink/_engine_reports.py
@@ -31,6 +31,8 @@
     fencing_number: int
     copies: dict[_ledger.Copy, ReportedCopy]
     leaving: bool
+    # Requests that run, by model; empty from an engine that doesn't say.
+    running: dict[str, int]
 
 
 class BadReportError(Exception):
@@ -70,6 +72,10 @@
             int(message.get("fencing_number", 0)),
             copies,
             message.get("leaving") is True,
+            {
+                str(model): max(0, int(count))
+                for model, count in message.get("running", {}).items()
+            },
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise BadReportError(repr(error)) from error
--- a/src/geraniumlink/_engines.py
+++ b/src/geraniumlink/_engines.py
@@ -6,12 +6,17 @@
 import typing
 from collections.abc import AsyncGenerator, AsyncIterator
 
+import anyio
+import orjson
+
 from geraniumlink import _http
 from geraniumlink import _settings
 from geraniumlink import _streams
 
 _REPORT_TIMEOUT_MS = 1000
 MAX_LINE_BYTES = 2**18
+# What an engine has after its end to close the answer as HTTP asks.
+_CLOSE_MS = 50
 
 
 class Generation(typing.NamedTuple):
@@ -45,6 +50,10 @@
         self.reason = reason
 
 
+class SilentError(_http.BrokenError):
+    """The connection stands and nothing came on it for too long."""
+
+
 class BadReportError(Exception):
     """A report that makes no sense; the last good one stays in use."""
 
@@ -72,6 +81,21 @@
             yield _message(line)
 
 
+async def next_message(
+    messages: AsyncGenerator[_streams.Chunk | _streams.End, None],
+    silence_ms: int,
+) -> _streams.Chunk | _streams.End | None:
+    """Return the next message, or None at the end of the stream.
+
+    :raises SilentError: if none comes within ``silence_ms``.
+    """
+    try:
+        with anyio.fail_after(silence_ms / 1000):
+            return await anext(messages, None)
+    except TimeoutError as error:
+        raise SilentError(f"silent for {silence_ms} ms") from error
+
+
 async def report(client: _http.Client, address: _settings.Address) -> Report:
     """Ask an engine or plain service for its report.
 
@@ -133,7 +157,7 @@
 
 def _message(line: bytes) -> _streams.Chunk | _streams.End:
     try:
-        message = json.loads(line)
+        message = orjson.loads(line)
         request_id = message["request_id"]
         if message.get("end"):
             return _streams.End(request_id, int(message["token_count"]))
--- a/src/geraniumlink/_rpc.py
+++ b/src/geraniumlink/_rpc.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import itertools
-import json
 import typing
 import uuid
 from collections.abc import Awaitable, Callable, Iterable
@@ -22,6 +21,7 @@
 
 from geraniumlink import _clock
 from geraniumlink import _findings
+from geraniumlink import _json_lines
 from geraniumlink import _logs
 from geraniumlink import _metrics
 from geraniumlink import _refusals
@@ -33,6 +33,11 @@
 # How long a caller may take to send its whole request.
 BODY_TIMEOUT_MS = 30_000
 RETRY_AFTER_FULL_MS = 1000
+RETRY_AFTER_NOT_LOADED_MS = 1000
+# Answered at all times.
+_STATUS = "Operator/Status"
+# Messages of a stream that wait for a caller who reads slowly.
+MAX_PENDING_MESSAGES = 64
 
 
 class Unary(typing.NamedTuple):
@@ -40,6 +45,9 @@
 
     request_type: type[Message]
     handle: Callable[[typing.Any, str], Awaitable[Result]]
+    # What is true of a request that is refused unread. One that is sent
+    # again under its key may have run before.
+    unread: _refusals.Execution = _refusals.Execution.NOT_RUN
 
 
 class Stream(typing.NamedTuple):
@@ -47,6 +55,7 @@
 
     request_type: type[Message]
     handle: Callable[[typing.Any, str, EmitMessage], Awaitable[Result]]
+    unread: _refusals.Execution = _refusals.Execution.NOT_RUN
 
 
 Methods = dict[str, Unary | Stream]
@@ -85,6 +94,8 @@
         self._metrics = metrics
         self._in_flight = 0
         self.closing = False
+        # Whether a whole configuration is known.
+        self.loaded: Callable[[], bool] = lambda: True
 
     @property
     def in_flight(self) -> int:
@@ -129,17 +140,30 @@
             )
         if request.method != "POST":
             return expression.Error(_not_post(request.method))
+        if not self.loaded() and not request.url.path.endswith(_STATUS):
+            return expression.Error(_not_loaded())
         if self._in_flight > self._max_requests:
             return expression.Error(
                 _refusals.Refusal(
                     _refusals.Code.RESOURCE_EXHAUSTED,
                     "this instance is full",
+                    method.unread,
                     retry_after_ms=RETRY_AFTER_FULL_MS,
                 )
             )
         return expression.Ok(method)
 
 
+def _not_loaded() -> _refusals.Refusal:
+    """Nothing may be called unknown before everything is known."""
+    return _refusals.Refusal(
+        _refusals.Code.UNAVAILABLE,
+        "this instance has started and does not know the configuration yet;"
+        " send it through another one",
+        retry_after_ms=RETRY_AFTER_NOT_LOADED_MS,
+    )
+
+
 class _Exchange:
     """One HTTP request and its answer."""
 
@@ -157,6 +181,10 @@
         self._send = send
         self._request_id = request_id
         self._begun = False
+        # Messages of a stream that were emitted and are not sent yet.
+        self._pending: list[Message] = []
+        self._pending_added = anyio.Event()
+        self._pending_sent = anyio.Event()
 
     async def run(self) -> str:
         """Answer; return "ok", "caller_left" or the code of the error."""
@@ -165,7 +193,7 @@
             found = self._server.lookup(request)
             if found.is_error():
                 return await self._refuse(found.error)
-            read = await self._read(request, found.ok.request_type)
+            read = await self._read(request, found.ok)
             if read.is_error():
                 return await self._refuse(read.error)
             return await self._until_caller_leaves(found.ok, read.ok)
@@ -182,7 +210,7 @@
             return await self._refuse(_internal())
 
     async def _read(
-        self, request: requests.Request, request_type: type[Message]
+        self, request: requests.Request, method: Unary | Stream
     ) -> Result:
         body = bytearray()
         with anyio.move_on_after(BODY_TIMEOUT_MS / 1000) as scope:
@@ -193,9 +221,9 @@
                         self._too_large(self._server._max_request_bytes)
                     )
         if scope.cancelled_caught:
-            refusal = _refusals.deadline_passed(_refusals.Execution.NOT_RUN)
+            refusal = _refusals.deadline_passed(method.unread)
             return expression.Error(refusal)
-        return parse(bytes(body), request_type)
+        return parse(bytes(body), method.request_type)
 
     def _too_large(self, limit: int) -> _refusals.Refusal:
         findings = _findings.Findings()
@@ -209,6 +237,8 @@
         outcome = "caller_left"
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_caller, group.cancel_scope)
+            if isinstance(method, Stream):
+                group.start_soon(self._send_pending)
             outcome = await self._answer(method, message)
             group.cancel_scope.cancel()
         return outcome
@@ -250,13 +280,44 @@
                     "headers": headers,
                 }
             )
-        body = to_json(message) + b"\n"
+        self._pending.append(message)
+        self._pending_added.set()
+        if len(self._pending) > MAX_PENDING_MESSAGES:
+            await self._pending_sent.wait()
+
+    async def _send_pending(self) -> None:
+        """Send the messages of a stream, all that are there at once.
+
+        A system call for each token costs as much as all else that is done
+        with it. This task runs when the tokens that arrived together have
+        all been emitted.
+        """
+        while True:
+            await self._pending_added.wait()
+            self._pending_added = anyio.Event()
+            # Nothing is left when the stream was finished meanwhile, and
+            # then nothing may be sent.
+            if self._pending:
+                await self._send_messages(more_body=True)
+            self._pending_sent.set()
+            self._pending_sent = anyio.Event()
+
+    async def _send_messages(self, more_body: bool) -> None:
+        messages = _json_lines.merge_chunks(self._pending)
+        self._pending = []
+        body = b"".join(
+            _json_lines.to_json(message) + b"\n" for message in messages
+        )
         await self._send(
-            {"type": "http.response.body", "body": body, "more_body": True}
+            {
+                "type": "http.response.body",
+                "body": body,
+                "more_body": more_body,
+            }
         )
 
     async def _finish(self) -> None:
-        await self._send({"type": "http.response.body", "body": b""})
+        await self._send_messages(more_body=False)
 
     async def _refuse(self, refusal: _refusals.Refusal) -> str:
         error = error_message(refusal, self._request_id)
@@ -273,7 +334,7 @@
         self, status: int, message: Message, retry_after_ms: int
     ) -> str:
         response = responses.Response(
-            to_json(message), status, media_type="application/json"
+            _json_lines.to_json(message), status, media_type="application/json"
         )
         if retry_after_ms:
             seconds = -(-retry_after_ms // 1000)
@@ -301,13 +362,6 @@
     return expression.Ok(message)
 
 
-def to_json(message: Message) -> bytes:
-    fields = json_format.MessageToDict(
-        message, preserving_proto_field_name=True
-    )
-    return json.dumps(fields).encode()
-
-
 def error_message(refusal: _refusals.Refusal, request_id: str) -> pb.Error:
     """Return the schema's form of a refusal."""
     return pb.Error(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -2,15 +2,19 @@
 
 The answer is a pure function of model, adapter and prompt, so every chunk
 can be checked. Fault switches: ``token_ms``, ``stall_after`` (tokens),
-``cut_after`` (tokens, then the connection closes), ``crash_on`` (a prompt
-with this text ends the process), ``duplicate``, ``reorder``, ``foreign``
-(chunks), ``leaving``, ``refuse`` (a reason), ``report_lag_ms``,
-``bad_report``. ``engine_orders.py`` has those of orders.
+``cut_after`` (tokens, then the connection closes), ``close_after`` (tokens,
+then the answer is closed in good order without its end), ``crash_on`` (a
+prompt with this text ends the process), ``duplicate``, ``reorder``,
+``foreign`` (chunks), ``leaving``, ``report_leaving`` (in reports alone),
+``refuse`` (a reason), ``report_lag_ms``, ``bad_report``,
+``slow_ms`` (before the first token). ``engine_orders.py`` has those of
+orders. With ``--slots`` it has the capacity of ``engine_capacity``.
 """
 
 from __future__ import annotations
 
 import asyncio
+import collections
 import hashlib
 import json
 import os
@@ -24,6 +28,7 @@
 from starlette import routing
 
 from standins import _base
+from standins import engine_capacity
 from standins import engine_orders
 
 DEFAULT_TOKEN_MS = 5
@@ -45,16 +50,22 @@
     """Holds models, batches without limit of speed, keeps a record."""
 
     def __init__(
-        self, memory: engine_orders.Memory, max_in_flight: int
+        self,
+        memory: engine_orders.Memory,
+        max_in_flight: int,
+        batch: engine_capacity.Batch | None = None,
     ) -> None:
         super().__init__()
+        self._batch = batch
         self._boot_id = uuid.uuid4().hex
         self._memory = memory
         self._resident = memory.resident
         self._orders = engine_orders.Orders(memory, self.faults)
         self._max_in_flight = max_in_flight
         self._in_flight = 0
+        self._running: collections.Counter[str] = collections.Counter()
         self._runs: list[dict] = []
+        self._refusals: list[float] = []
         self._reports: list[tuple[float, dict]] = []
 
     def routes(self) -> list[routing.Route]:
@@ -68,6 +79,7 @@
         return {
             "boot_id": self._boot_id,
             "runs": self._runs,
+            "refusals": self._refusals,
             **self._memory.record(),
         }
 
@@ -75,6 +87,7 @@
         asked = json.loads(await request.body())
         reason = self._reason_to_refuse(asked)
         if reason:
+            self._refusals.append(time.time())
             return responses.JSONResponse({"refused": reason}, 503)
         crash_on = self.faults.crash_on
         if crash_on and crash_on in asked["prompt"]:
@@ -85,6 +98,7 @@
             "offset": asked["offset"],
             "time": time.time(),
             "ended": False,
+            "connection": request.client.port if request.client else 0,
         }
         self._runs.append(run)
         return responses.StreamingResponse(
@@ -104,16 +118,23 @@
 
     async def _stream(self, asked: dict, run: dict) -> AsyncIterator[bytes]:
         self._in_flight += 1
+        self._running[asked["model"]] += 1
         try:
-            async for line in self._with_faults(asked):
-                yield line
+            async with engine_capacity.place(self._batch):
+                if self.faults.slow_ms:
+                    await asyncio.sleep(self.faults.slow_ms / 1000)
+                async for line in self._with_faults(asked):
+                    yield line
             run["ended"] = True
         finally:
             self._in_flight -= 1
+            self._running[asked["model"]] -= 1
 
     async def _with_faults(self, asked: dict) -> AsyncIterator[bytes]:
         held: bytes | None = None
         async for number, line in self._chunks(asked):
+            if number >= self.faults.get("close_after", number + 1):
+                return
             if self.faults.foreign:
                 yield _line({**json.loads(line), "request_id": "another"})
             if self.faults.reorder and number % 2 == 0 and held is None:
@@ -146,6 +167,8 @@
             token_ms = self.faults.token_ms
             if token_ms is None:
                 token_ms = DEFAULT_TOKEN_MS
+            if self._batch is not None:
+                token_ms = self._batch.token_ms
             await asyncio.sleep(token_ms / 1000)
             await self._meet_cuts(index)
             yield (
@@ -173,7 +196,8 @@
         report = {
             "boot_id": self._boot_id,
             "in_flight": self._in_flight,
-            "leaving": bool(self.faults.leaving),
+            "running": dict(+self._running),
+            "leaving": bool(self.faults.leaving or self.faults.report_leaving),
             "resident": dict(self._resident),
             **self._orders.report(),
         }
@@ -192,6 +216,8 @@
     made = _base.parser(__doc__)
     made.add_argument("--max-in-flight", type=int, default=64)
     engine_orders.add_arguments(made)
+    engine_capacity.add_arguments(made)
     options = made.parse_args()
     memory = engine_orders.from_arguments(options)
-    _base.run(Engine(memory, options.max_in_flight), options.port)
+    batch = engine_capacity.from_arguments(options)
+    _base.run(Engine(memory, options.max_in_flight, batch), options.port)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -25,6 +26,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 WAIT_S = 60.0
 _POLL_S = 0.03
+_FIRST_PORT = 10_000
+_PORTS = 22_000
+_port_numbers = itertools.count(os.getpid() * 211)
 
 
 class Answer(typing.NamedTuple):
@@ -137,22 +141,34 @@
     def plain_service(self) -> Process:
         return self.stand_in("plain_service")
 
+    def link(self, to: str) -> tuple[Process, str]:
+        """Start a link; return it and the address that it relays."""
+        relay_port = free_port()
+        process = self.stand_in(
+            "link", "--relay-port", str(relay_port), "--to", to
+        )
+        return process, f"127.0.0.1:{relay_port}"
+
     def instance(
         self,
         name: str = "",
         data_centre: str = "debark",
         binary: str = "",
+        object_api: str = "",
         **settings: object,
     ) -> Process:
         """Start an instance; ``settings`` replace those of the sections.
 
         It runs from the source tree unless a ``binary`` is given.
+        ``object_api`` is the address of a link to it, if one is used.
         """
         name = name or f"i{len(self.instances) + 1}"
         port, peer_port = free_port(), free_port()
         path = self._folder / f"{name}.ini"
         path.write_text(
-            self._settings(name, data_centre, port, peer_port, settings)
+            self._settings(
+                name, data_centre, port, peer_port, object_api, settings
+            )
         )
         program = [sys.executable, "-m", "geraniumlink"]
         if binary:
@@ -168,6 +184,7 @@
         data_centre: str,
         port: int,
         peer_port: int,
+        object_api: str,
         settings: dict[str, object],
     ) -> str:
         timing = {
@@ -187,7 +204,7 @@
             f"address = 127.0.0.1:{port}",
             f"peer_address = 127.0.0.1:{peer_port}",
             "[platform]",
-            f"object_api = {self.object_api.address}",
+            f"object_api = {object_api or self.object_api.address}",
             f"instance_list = {self.instance_list.address}",
             "[limits]",
             *(f"{key} = {value}" for key, value in limits.items()),
@@ -294,9 +311,17 @@
 
 
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that nobody has.
+
+    Ports lie below those that the kernel gives to outgoing connections, one
+    of which could otherwise take it before the process listens. Each program
+    that starts fleets counts on from a place of its own for the same reason.
+    """
+    while True:
+        port = _FIRST_PORT + next(_port_numbers) % _PORTS
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 def _answer(
