--- a/src/geraniumlink/_configuration.py
+++ b/src/geraniumlink/_configuration.py
@@ -251,7 +251,7 @@
     deployment = _declarations.from_json(received.value["deployment"])
     if deployment.name != received.name:
         raise KeyError(f"it names itself {deployment.name!r}")
-    since = dict(received.value["models_since"])
+    since = dict(received.value.get("models_since", {}))
     models_since = {
         model.name: int(since.get(model.name, received.version))
         for model in deployment.models
