Record outcomes before an instance ends

Cause: a call whose caller had left was cut when its instance ended, so a resend was told MAY_HAVE_RUN though the server had answered. Ruled out: the drain (it counts answers, and nobody waits for this one). Change: after the answers, the shutdown waits up to 10 s for calls that are not recorded. Before: test_a_shutdown_records_a_run_whose_caller_has_left failed with 503. After: it passes.

--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -60,6 +60,8 @@
 
 # How long a peer's message in progress is waited for at the very end.
 _PEERS_STOP_MS = 2000
+# How long an outcome that no caller waits for may take to be recorded.
+_OUTCOMES_MS = 10_000
 
 
 class Instance:
@@ -319,10 +321,17 @@
         await self._clock.sleep(self._settings.drain_lag_ms)
         self._listener.stop()
         await self._finish_answers()
+        await self._record_outcomes()
         self._peer_listener.stop()
         with anyio.move_on_after(_PEERS_STOP_MS / 1000):
             await self._peer_listener.stopped()
 
+    async def _record_outcomes(self) -> None:
+        """Wait for calls whose callers have left, so that they are known."""
+        with anyio.move_on_after(_OUTCOMES_MS / 1000):
+            while self._once.in_flight:
+                await self._clock.sleep(50)
+
     async def _finish_answers(self) -> None:
         """Wait until callers have every answer; each has its deadline.
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -423,3 +423,30 @@
     await site.until_outcome("ran")
     answer = await site.call(site.second, key)
     assert answer.body["replayed"] and await site.runs(key) == 1
+
+
+async def test_a_shutdown_records_a_run_whose_caller_has_left(fleet):
+    # Regression: the process ended while the call was under way, so a
+    # resend was told that it may have run, though the server answered.
+    site = await Site(fleet).start()
+    key = builders.key()
+    await fleet.faults(site.service, hold=True)
+    async with anyio.create_task_group() as group:
+        group.start_soon(site.keep, [], site.first, key, {})
+        await site.until_run(key)
+        group.cancel_scope.cancel()
+    site.first.terminate()
+
+    async def is_leaving() -> bool:
+        answer = await fleet.get(site.first.peer_port, "/ready")
+        return answer is None or answer.status != 200
+
+    await fleet.until(is_leaving, "the first instance is leaving")
+    given = time.monotonic()
+    # Past the drain, and within the bound for what is not recorded.
+    await fleet.until(lambda: time.monotonic() > given + 1.5, "it is late")
+    await fleet.faults(site.service, hold=False)
+    assert site.first.wait() == 0
+    answer = await site.call(site.second, key)
+    assert answer.status == 200 and answer.body["replayed"]
+    assert await site.runs(key) == 1
