--- a/benches/_slopes.py
+++ b/benches/_slopes.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import platform
+import subprocess
 import typing
 
 _LIBRARIES = ("anyio", "httpcore", "uvicorn", "starlette", "protobuf")
@@ -61,8 +62,11 @@
 
 def write(path: str, result: dict) -> None:
     """Write a result with the versions and the machine's load."""
+    # Where it was written says nothing of the run.
+    result.get("settings", {}).pop("out", None)
     result = {
         **result,
+        "commit": _commit(),
         "versions": versions(),
         "processors": os.cpu_count(),
         "load_average": os.getloadavg(),
@@ -74,6 +78,23 @@
         pathlib.Path(path).write_text(text + "\n", encoding="utf-8")
 
 
+def _commit() -> str:
+    found = subprocess.run(
+        ["git", "describe", "--always", "--dirty"],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    return found.stdout.strip()
+
+
+class Point(typing.NamedTuple):
+    """One measured size."""
+
+    size: float
+    value: float
+
+
 class Usage(typing.NamedTuple):
     """What a process used until now."""
 
--- a/benches/claims.py
+++ b/benches/claims.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import argparse
 import collections
 import random
 import statistics
@@ -19,7 +20,7 @@
 
 import anyio
 
-from benches import _measure
+from benches import _slopes
 from standins import fleet as fleets
 from tests import builders
 
@@ -77,17 +78,21 @@
     writes = []
     waits = []
     for size in SIZES:
-        cpu_before = _measure.cpu_s(instance.pid)
+        before = _slopes.usage(instance.pid)
         writes_before = await _writes(fleet)
         for _ in range(size):
             key = builders.key()
             sent = await _call(fleet, instance, key, repeatable)
             waits.append(sent.duration_ms)
-        spent_ms = 1000 * (_measure.cpu_s(instance.pid) - cpu_before)
-        points.append(_measure.Point(size, spent_ms))
+        after = _slopes.usage(instance.pid)
+        spent_ms = after.processor_ms - before.processor_ms
+        points.append(_slopes.Point(size, spent_ms))
         writes.append((await _writes(fleet) - writes_before) / size)
     return {
-        "cpu_ms": _measure.fit(points)._asdict(),
+        "cpu_ms": _slopes.fit(
+            [point.size for point in points],
+            [point.value for point in points],
+        )._asdict(),
         "points": points,
         "writes_per_call": writes,
         "median_ms": statistics.median(waits),
@@ -170,11 +175,15 @@
 
 
 if __name__ == "__main__":
-    options = _measure.parser(__doc__, "bench-claims.json").parse_args()
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--out", default="docs/measurements/claims.json")
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
     settings = {
         "sizes": SIZES,
         "instances": INSTANCES,
         "calls": CALLS,
         "seed": options.seed,
     }
-    _measure.write(options.output, settings, anyio.run(_run, options.seed))
+    results = anyio.run(_run, options.seed)
+    _slopes.write(options.out, {"settings": settings, "results": results})
--- a/benches/policy.py
+++ b/benches/policy.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import argparse
 import json
 import statistics
 import typing
@@ -15,9 +16,9 @@
 from google.protobuf import json_format
 
 from benches import _policies
+from benches import _slopes
 from benches import _demand
 from benches import _fluid_site
-from benches import _measure
 from geraniumlink import _placement
 from geraniumlink._schema import geraniumlink_pb2 as pb
 from standins import fleet as fleets
@@ -102,20 +103,24 @@
                 chosen = ("plan", _placement.plan)
                 rows.append(_row(deployment, load, chosen, weight, traces))
             for row in rows[-2 - len(WEIGHTS) :]:
-                print(*row)
+                print(*row, flush=True)
     return rows
 
 
 def main() -> None:
-    parser = _measure.parser(__doc__, "docs/measurements/policy.json")
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--out", default="docs/measurements/policy.json")
+    parser.add_argument("--first-seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--duration-s", type=int, default=DURATION_S)
     options = parser.parse_args()
-    seeds = list(range(options.seed, options.seed + options.seeds))
+    first = options.first_seed
+    seeds = list(range(first, first + options.seeds))
     rows = measure(seeds, options.duration_s)
     settings = {"seeds": seeds, "duration_s": options.duration_s}
-    _measure.write(
-        options.output, settings, {"rows": [row._asdict() for row in rows]}
+    _slopes.write(
+        options.out,
+        {"settings": settings, "rows": [row._asdict() for row in rows]},
     )
 
 
--- a/benches/slopes.py
+++ b/benches/slopes.py
@@ -9,13 +9,14 @@
 
 from __future__ import annotations
 
+import argparse
 import time
 import typing
 from collections.abc import Awaitable, Callable
 
 import anyio
 
-from benches import _measure
+from benches import _slopes
 from standins import fleet as fleets
 from tests import builders
 
@@ -23,11 +24,12 @@
 REQUESTS_PER_SIZE = 40
 STREAM_SIZES = (25, 50, 100, 200, 400)
 REPLICA_SIZES = (2, 4, 8, 16)
-CALL_SIZES = (50, 100, 200, 400)
 WATCH_S = 8.0
 REPORT_MS = 1000
+# "GET /report HTTP/1.1" with its two headers, and a status line.
+QUESTION_BYTES = 95
 
-Measured = list[_measure.Point]
+Measured = list[_slopes.Point]
 
 
 class _Bench(typing.NamedTuple):
@@ -35,6 +37,10 @@
     instance: fleets.Process
 
 
+def _cpu_s(pid: int) -> float:
+    return _slopes.usage(pid).processor_ms / 1000
+
+
 async def _one_engine(fleet: fleets.Fleet) -> _Bench:
     engine = fleet.engine({"notes": "1"}, "--max-in-flight", "2000")
     instance = fleet.instance(report_ms=REPORT_MS, heartbeat_ms=1000)
@@ -66,11 +72,11 @@
     await _generate(bench, 64)
     points = []
     for size in TOKEN_SIZES:
-        before = _measure.cpu_s(bench.instance.pid)
+        before = _cpu_s(bench.instance.pid)
         for _ in range(REQUESTS_PER_SIZE):
             await _generate(bench, size)
-        spent = _measure.cpu_s(bench.instance.pid) - before
-        points.append(_measure.Point(size, spent / REQUESTS_PER_SIZE))
+        spent = _cpu_s(bench.instance.pid) - before
+        points.append(_slopes.Point(size, spent / REQUESTS_PER_SIZE))
     return points
 
 
@@ -85,8 +91,8 @@
             for _ in range(size):
                 group.start_soon(_generate, bench, 60)
             await anyio.sleep(4)
-            resident = _measure.resident_mb(bench.instance.pid)
-            points.append(_measure.Point(size, resident))
+            resident = _slopes.usage(bench.instance.pid).resident_kb / 1024
+            points.append(_slopes.Point(size, resident))
     return points
 
 
@@ -100,50 +106,18 @@
         declared = builders.engines(engines[:size])
         version = await builders.declare(fleet, instance, declared, version)
         await builders.serving(fleet, instance, size)
-        points.append(_measure.Point(size, await _idle_share(instance.pid)))
+        points.append(_slopes.Point(size, await _idle_share(instance.pid)))
     return points
 
 
 async def _idle_share(pid: int) -> float:
     """Return the share of a core that a process takes by itself."""
-    before, began = _measure.cpu_s(pid), time.monotonic()
+    before, began = _cpu_s(pid), time.monotonic()
     await anyio.sleep(WATCH_S)
-    spent = _measure.cpu_s(pid) - before
+    spent = _cpu_s(pid) - before
     return spent / (time.monotonic() - began)
 
 
-async def calls(fleet: fleets.Fleet, idempotent: bool) -> Measured:
-    """Processor seconds against calls to a plain service."""
-    service = fleet.plain_service()
-    instance = fleet.instance()
-    await fleet.ready()
-    await builders.declare(fleet, instance, builders.plain([service]))
-    points = []
-    for size in CALL_SIZES:
-        before = _measure.cpu_s(instance.pid)
-        for number in range(size):
-            await _call(fleet, instance, idempotent, f"{size}-{number}")
-        spent = _measure.cpu_s(instance.pid) - before
-        points.append(_measure.Point(size, spent))
-    return points
-
-
-async def _call(
-    fleet: fleets.Fleet,
-    instance: fleets.Process,
-    idempotent: bool,
-    name: str,
-) -> None:
-    body: dict[str, object] = {"service": "booking", "path": "/reserve"}
-    body |= {"method": "POST", "idempotent": idempotent}
-    if not idempotent:
-        issued_ms = time.time_ns() // 1_000_000
-        body["idempotency_key"] = f"{issued_ms}-bench-{name}"
-    answer = await fleet.call(instance, "Calls/Call", **body)
-    if answer.status != 200:
-        raise RuntimeError(f"not answered: {answer.body}")
-
-
 async def metrics(fleet: fleets.Fleet) -> Measured:
     """Bytes of a scrape against models that were asked for."""
     models = [f"m{number}" for number in range(32)]
@@ -160,7 +134,23 @@
         asked = size
         scrape = await fleet.get(instance.peer_port, "/metrics")
         length = int(scrape.headers["content-length"]) if scrape else 0
-        points.append(_measure.Point(size, length))
+        points.append(_slopes.Point(size, length))
+    return points
+
+
+async def report_bytes(fleet: fleets.Fleet) -> Measured:
+    """Bytes of a report with its question, against resident models."""
+    points = []
+    for size in (1, 4, 16, 64):
+        models = {f"model-{number:04}": "1" for number in range(size)}
+        engine = fleet.engine(models)
+        await fleet.answers(engine.port, "/report")
+        answer = await fleet.get(engine.port, "/report")
+        if answer is None:
+            raise RuntimeError("the engine gives no report")
+        head = sum(len(k) + len(v) + 4 for k, v in answer.headers.items())
+        body = int(answer.headers["content-length"])
+        points.append(_slopes.Point(size, QUESTION_BYTES + head + body))
     return points
 
 
@@ -169,9 +159,8 @@
     "cpu_s_per_request_by_tokens": tokens,
     "resident_mb_by_open_streams": streams,
     "cpu_share_by_reports_per_s": reports,
-    "cpu_s_by_idempotent_calls": lambda fleet: calls(fleet, True),
-    "cpu_s_by_claimed_calls": lambda fleet: calls(fleet, False),
     "scrape_bytes_by_models_used": metrics,
+    "report_bytes_by_resident_models": report_bytes,
 }
 
 
@@ -180,19 +169,23 @@
     for name in names:
         async with fleets.start() as fleet:
             points = await MEASUREMENTS[name](fleet)
-        line = _measure.fit(points)
+        line = _slopes.fit(
+            [point.size for point in points],
+            [point.value for point in points],
+        )
         results[name] = {"points": points, "fit": line._asdict()}
         print(f"{name}: {line.slope:.3g} each + {line.intercept:.3g}")
     return results
 
 
 def main() -> None:
-    parser = _measure.parser(__doc__, "docs/measurements/slopes.json")
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--out", default="docs/measurements/slopes.json")
     parser.add_argument("--only", choices=MEASUREMENTS, action="append")
     options = parser.parse_args()
     results = anyio.run(measure, options.only or list(MEASUREMENTS))
     settings = {"report_ms": REPORT_MS, "requests": REQUESTS_PER_SIZE}
-    _measure.write(options.output, settings, results)
+    _slopes.write(options.out, {"settings": settings, "results": results})
 
 
 if __name__ == "__main__":
