--- /dev/null
+++ b/src/geraniumlink/_candidates.py
@@ -0,0 +1,152 @@
+"""Chooses the server for one attempt of a request to a model.
+
+Routing says which server has room. This narrows its choice by what is known
+of crashes: a suspect runs alone on its server, and other requests keep away
+from servers that run one. docs/design/crash-suspicion.md has the reasons.
+"""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from geraniumlink import _backends
+from geraniumlink import _clock
+from geraniumlink import _homes
+from geraniumlink import _routing
+from geraniumlink import _suspects
+
+# Waiting for a server that a suspect has to itself: first and longest pause.
+_FIRST_PAUSE_MS = 50
+_LONGEST_PAUSE_MS = 800
+
+
+class _Choice(typing.NamedTuple):
+    """A server, and what must be reserved before it is used."""
+
+    choice: _routing.Choice
+    # An address, or NO_SERVER; None: nothing.
+    address: str | None
+
+
+class Candidates:
+    """The servers that one request may be sent to, attempt by attempt."""
+
+    def __init__(
+        self,
+        wanted: _routing.Wanted,
+        fingerprint: str,
+        backends: _backends.Backends,
+        router: _routing.Router,
+        suspects: _suspects.Suspects,
+        clock: _clock.Clock,
+    ) -> None:
+        self._wanted = wanted
+        self._fingerprint = fingerprint
+        self._backends = backends
+        self._router = router
+        self._suspects = suspects
+        self._clock = clock
+
+    async def admit(self, tried: list[_backends.Key]) -> _routing.Choice:
+        """Choose a server; a suspect waits until it has one to itself."""
+        pause_ms = _FIRST_PAUSE_MS
+        while True:
+            match self._suspects.standing(self._fingerprint):
+                case _suspects.Standing.CLEAR:
+                    choice, address = self._choose(tried)
+                    if address is None:
+                        return choice
+                case _suspects.Standing.SUSPECT:
+                    choice, address = self._choose_apart(tried)
+                    # Would a server do, were it not for a suspect there?
+                    if not choice.backend and not self._route(tried).backend:
+                        return choice
+                case _:
+                    return _routing.Choice(None, True)
+            if choice.backend is not None and await self._reserve(address):
+                return choice
+            await self._clock.sleep(pause_ms * random.uniform(0.5, 1))
+            pause_ms = min(2 * pause_ms, _LONGEST_PAUSE_MS)
+
+    async def _reserve(self, address: str | None) -> bool:
+        """Reserve the only run, unless its standing changed meanwhile."""
+        before = self._suspects.standing(self._fingerprint)
+        if not await self._suspects.reserve(
+            self._fingerprint, address or _suspects.NO_SERVER
+        ):
+            return False
+        if self._suspects.standing(self._fingerprint) is before:
+            return True
+        self._suspects.release(self._fingerprint)
+        return False
+
+    def _choose(self, tried: list[_backends.Key]) -> _Choice:
+        """Choose for a request that is not a suspect.
+
+        It keeps away from servers that run a suspect, and at first it keeps
+        to its homes, while other servers than those are not needed. Where a
+        home has gone, a request like this one may be the cause, and peers
+        are asked before it runs elsewhere.
+        """
+        occupied = self._occupied()
+        homes = self._homes()
+        away = [
+            backend.key
+            for backend in self._servers()
+            if homes and backend not in homes
+        ]
+        for avoided in (occupied + away, away):
+            choice = self._route(tried + avoided)
+            if choice.backend is not None:
+                return _Choice(choice, None)
+        now = self._clock.now()
+        gone = any(home.state(now) == "unreachable" for home in homes)
+        address = _suspects.NO_SERVER if gone else None
+        choice = self._route(tried + occupied)
+        if choice.backend is None:
+            choice = self._route(tried)
+        return _Choice(choice, address if choice.backend else None)
+
+    def _choose_apart(self, tried: list[_backends.Key]) -> _Choice:
+        """Choose an idle server if there is one, else one without suspect."""
+        occupied = self._occupied()
+        busy = [
+            backend.key
+            for backend in self._servers()
+            if _homes.is_busy(backend)
+        ]
+        choice = self._route(tried + occupied + busy)
+        if choice.backend is None:
+            choice = self._route(tried + occupied)
+        address = choice.backend.declared.address if choice.backend else ""
+        return _Choice(choice, address)
+
+    def _servers(self) -> list[_backends.Backend]:
+        return self._backends.of(self._wanted.deployment)
+
+    def _occupied(self) -> list[_backends.Key]:
+        addresses = self._suspects.occupied()
+        if not addresses:
+            return []
+        return [
+            backend.key
+            for backend in self._servers()
+            if backend.declared.address in addresses
+        ]
+
+    def _homes(self) -> list[_backends.Backend]:
+        """Return the servers to keep to; none when all will do."""
+        holders = [
+            backend
+            for backend in self._servers()
+            if backend.holds(self._wanted.model, self._wanted.adapter)
+        ]
+        if self._wanted.session:
+            return []
+        is_proven = self._suspects.is_proven(self._fingerprint)
+        return _homes.choose(self._fingerprint, holders, is_proven)
+
+    def _route(self, avoided: list[_backends.Key]) -> _routing.Choice:
+        now = self._clock.now()
+        return self._router.choose(self._wanted, avoided, now)
--- a/src/geraniumlink/_inference.py
+++ b/src/geraniumlink/_inference.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import random
 import typing
 from collections.abc import Awaitable, Callable
 
@@ -12,11 +11,11 @@
 
 from geraniumlink import _admission
 from geraniumlink import _backends
+from geraniumlink import _candidates
 from geraniumlink import _clock
 from geraniumlink import _configuration
 from geraniumlink import _engines
 from geraniumlink import _findings
-from geraniumlink import _homes
 from geraniumlink import _http
 from geraniumlink import _metrics
 from geraniumlink import _models
@@ -43,9 +42,6 @@
 RETRY_AFTER_MS = 1000
 # A suspect that got on by so much has passed the place of the crash.
 SURVIVED_TOKENS = 4
-# Waiting for a server that a suspect has to itself: first and longest pause.
-_FIRST_PAUSE_MS = 50
-_LONGEST_PAUSE_MS = 800
 
 
 class Tokens(typing.NamedTuple):
@@ -55,14 +51,6 @@
     tokens: tuple[str, ...]
 
 
-class _Choice(typing.NamedTuple):
-    """A server, and what must be reserved before it is used."""
-
-    choice: _routing.Choice
-    # An address, or NO_SERVER; None: nothing.
-    address: str | None
-
-
 Emit = Callable[[Tokens], Awaitable[None]]
 Outcome = expression.Result[_streams.End, _refusals.Refusal]
 
@@ -139,13 +127,21 @@
         self.wanted = _routing.Wanted(
             deployment.name, request.model, request.adapter, request.session
         )
+        self._candidates = _candidates.Candidates(
+            self.wanted,
+            self._fingerprint,
+            inference._backends,
+            inference._router,
+            inference._suspects,
+            inference._clock,
+        )
 
     async def attempts(self) -> Outcome:
         tried: list[_backends.Key] = []
         for _ in range(MAX_ATTEMPTS):
             if tried and not self._may_retry():
                 return expression.Error(self._gave_up())
-            choice = await self._admit(tried)
+            choice = await self._candidates.admit(tried)
             if choice.backend is None:
                 return expression.Error(self._no_server(choice, tried))
             tried.append(choice.backend.key)
@@ -154,111 +150,6 @@
                 return expression.Ok(end)
         return expression.Error(self._gave_up())
 
-    async def _admit(self, tried: list[_backends.Key]) -> _routing.Choice:
-        """Choose a server; a suspect waits until it has one to itself."""
-        pause_ms = _FIRST_PAUSE_MS
-        while True:
-            match self._suspects.standing(self._fingerprint):
-                case _suspects.Standing.CLEAR:
-                    choice, address = self._choose(tried)
-                    if address is None:
-                        return choice
-                case _suspects.Standing.SUSPECT:
-                    choice, address = self._choose_apart(tried)
-                    # Would a server do, were it not for a suspect there?
-                    if not choice.backend and not self._route(tried).backend:
-                        return choice
-                case _:
-                    return _routing.Choice(None, True)
-            if choice.backend is not None and await self._reserve(address):
-                return choice
-            await self._inference._clock.sleep(
-                pause_ms * random.uniform(0.5, 1)
-            )
-            pause_ms = min(2 * pause_ms, _LONGEST_PAUSE_MS)
-
-    async def _reserve(self, address: str | None) -> bool:
-        """Reserve the only run, unless its standing changed meanwhile."""
-        before = self._suspects.standing(self._fingerprint)
-        if not await self._suspects.reserve(
-            self._fingerprint, address or _suspects.NO_SERVER
-        ):
-            return False
-        if self._suspects.standing(self._fingerprint) is before:
-            return True
-        self._suspects.release(self._fingerprint)
-        return False
-
-    def _choose(self, tried: list[_backends.Key]) -> _Choice:
-        """Choose for a request that is not a suspect.
-
-        It keeps away from servers that run a suspect, and at first it keeps
-        to its homes, while other servers than those are not needed. Where a
-        home has gone, a request like this one may be the cause, and peers
-        are asked before it runs elsewhere.
-        """
-        occupied = self._occupied()
-        homes = self._homes()
-        away = [
-            backend.key
-            for backend in self._servers()
-            if homes and backend not in homes
-        ]
-        for avoided in (occupied + away, away):
-            choice = self._route(tried + avoided)
-            if choice.backend is not None:
-                return _Choice(choice, None)
-        now = self._inference._clock.now()
-        gone = any(home.state(now) == "unreachable" for home in homes)
-        address = _suspects.NO_SERVER if gone else None
-        choice = self._route(tried + occupied)
-        if choice.backend is None:
-            choice = self._route(tried)
-        return _Choice(choice, address if choice.backend else None)
-
-    def _choose_apart(self, tried: list[_backends.Key]) -> _Choice:
-        """Choose an idle server if there is one, else one without suspect."""
-        occupied = self._occupied()
-        busy = [
-            backend.key
-            for backend in self._servers()
-            if _homes.is_busy(backend)
-        ]
-        choice = self._route(tried + occupied + busy)
-        if choice.backend is None:
-            choice = self._route(tried + occupied)
-        address = choice.backend.declared.address if choice.backend else ""
-        return _Choice(choice, address)
-
-    def _servers(self) -> list[_backends.Backend]:
-        return self._inference._backends.of(self._deployment.name)
-
-    def _occupied(self) -> list[_backends.Key]:
-        addresses = self._suspects.occupied()
-        if not addresses:
-            return []
-        return [
-            backend.key
-            for backend in self._servers()
-            if backend.declared.address in addresses
-        ]
-
-    def _homes(self) -> list[_backends.Backend]:
-        """Return the servers to keep to; none when all will do."""
-        holders = [
-            backend
-            for backend in self._servers()
-            if backend.holds(self._request.model, self._request.adapter)
-        ]
-        if self._request.session:
-            return []
-        is_proven = self._suspects.is_proven(self._fingerprint)
-        return _homes.choose(self._fingerprint, holders, is_proven)
-
-    def _route(self, avoided: list[_backends.Key]) -> _routing.Choice:
-        now = self._inference._clock.now()
-        return self._inference._router.choose(self.wanted, avoided, now)
-
     def _may_retry(self) -> bool:
         within = self._inference._admission.may_retry(self._deployment.name)
         # An answer that has begun is resumed all the same.
