--- a/src/geraniumlink/_engine_reports.py
+++ b/src/geraniumlink/_engine_reports.py
@@ -8,12 +8,11 @@
 
 import typing
 
+from geraniumlink import _engines
 from geraniumlink import _http
 from geraniumlink import _ledger
 from geraniumlink import _settings
 
-_TIMEOUT_MS = 1000
-
 
 class ReportedCopy(typing.NamedTuple):
     """A copy that takes memory at the engine."""
@@ -35,35 +34,17 @@
     running: dict[str, int]
 
 
-class BadReportError(Exception):
-    """A report that makes no sense; the last good one stays in use."""
-
-
 async def fetch(
     client: _http.Client, address: _settings.Address
 ) -> MemoryReport:
-    """Ask an engine for its report.
-
-    :raises BadReportError: if the answer makes no sense.
-    :raises _http.NotSentError: if the engine can't be reached.
-    :raises _http.BrokenError: if no whole answer came.
-    """
-    answer = await client.request(
-        "GET",
-        address,
-        "/report",
-        connect_ms=_TIMEOUT_MS,
-        read_ms=_TIMEOUT_MS,
-    )
-    if answer.status != 200:
-        raise BadReportError(f"status {answer.status}")
-    return read(answer.json())
+    """Ask an engine for its report; errors as of ``_engines.report``."""
+    return read(await _engines.fetch_report(client, address))
 
 
 def read(message: typing.Any) -> MemoryReport:
     """Check a report.
 
-    :raises BadReportError: if it makes no sense.
+    :raises _engines.BadReportError: if it makes no sense.
     """
     try:
         copies = dict(_copy(entry) for entry in message["copies"])
@@ -78,9 +59,9 @@
             },
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise BadReportError(repr(error)) from error
+        raise _engines.BadReportError(repr(error)) from error
     if len(copies) > _ledger.MAX_ENTRIES or report.fencing_number < 0:
-        raise BadReportError("the counts are out of range")
+        raise _engines.BadReportError("the counts are out of range")
     return report
 
 
--- a/src/geraniumlink/_engines.py
+++ b/src/geraniumlink/_engines.py
@@ -100,7 +100,16 @@
     """Ask an engine or plain service for its report.
 
     :raises BadReportError: if the answer makes no sense.
+    :raises _http.NotSentError: if the server can't be reached.
+    :raises _http.BrokenError: if no whole answer came.
     """
+    return _check_report(await fetch_report(client, address))
+
+
+async def fetch_report(
+    client: _http.Client, address: _settings.Address
+) -> typing.Any:
+    """Return a report as it was sent; errors as of ``report``."""
     answer = await client.request(
         "GET",
         address,
@@ -110,7 +119,7 @@
     )
     if answer.status != 200:
         raise BadReportError(f"status {answer.status}")
-    return _check_report(answer.json())
+    return answer.json()
 
 
 def _check_report(message: typing.Any) -> Report:
--- a/src/geraniumlink/_held_replica.py
+++ b/src/geraniumlink/_held_replica.py
@@ -7,6 +7,7 @@
 
 from geraniumlink import _clock
 from geraniumlink import _engine_reports
+from geraniumlink import _engines
 from geraniumlink import _http
 from geraniumlink import _ledger
 from geraniumlink import _ledger_store
@@ -145,7 +146,7 @@
                 report = await _engine_reports.fetch(
                     self._client, self._address
                 )
-            except _engine_reports.BadReportError as error:
+            except _engines.BadReportError as error:
                 self._log("bad_memory_report", error=str(error))
                 self._metrics.control_faults.inc({"kind": "report"})
             except (_http.NotSentError, _http.BrokenError):
