Say MAY_HAVE_RUN of what a starting instance can't know

Cause: an instance that does not know the configuration yet refused every method as NOT_RUN, also a call that is sent again under its key after it ran through another instance. Found by reading. Ruled out: the refusal of a full instance, which had the right word. Change: the refusal takes the method's own word; changes with a change id have the same word as keyed calls; the loaded check is a constructor argument, not set from outside. Before: the extended test failed with NOT_RUN. After: it passes.

--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -126,8 +126,8 @@
             settings.max_request_bytes,
             self._clock,
             self._metrics,
+            lambda: self._sync.loaded,
         )
-        self._rpc.loaded = lambda: self._sync.loaded
         self._traffic = _traffic.Traffic()
         self._peers = _peers.PeerServer(
             self._configuration,
--- a/src/geraniumlink/_rpc.py
+++ b/src/geraniumlink/_rpc.py
@@ -83,8 +83,11 @@
         max_request_bytes: int,
         clock: _clock.Clock,
         metrics: _metrics.Metrics,
+        loaded: Callable[[], bool],
     ) -> None:
         self._methods = methods
+        # Whether a whole configuration is known.
+        self._loaded = loaded
         # A restarted instance must not use the same request ids again.
         self._id_prefix = f"{instance}-{uuid.uuid4().hex[:8]}"
         self._numbers = itertools.count(1)
@@ -94,8 +97,6 @@
         self._metrics = metrics
         self._in_flight = 0
         self.closing = False
-        # Whether a whole configuration is known.
-        self.loaded: Callable[[], bool] = lambda: True
 
     @property
     def in_flight(self) -> int:
@@ -140,8 +141,8 @@
             )
         if request.method != "POST":
             return expression.Error(_not_post(request.method))
-        if not self.loaded() and not request.url.path.endswith(_STATUS):
-            return expression.Error(_not_loaded())
+        if not self._loaded() and not request.url.path.endswith(_STATUS):
+            return expression.Error(_not_loaded(method))
         if self._in_flight > self._max_requests:
             return expression.Error(
                 _refusals.Refusal(
@@ -154,12 +155,13 @@
         return expression.Ok(method)
 
 
-def _not_loaded() -> _refusals.Refusal:
+def _not_loaded(method: Unary | Stream) -> _refusals.Refusal:
     """Nothing may be called unknown before everything is known."""
     return _refusals.Refusal(
         _refusals.Code.UNAVAILABLE,
         "this instance has started and does not know the configuration yet;"
         " send it through another one",
+        method.unread,
         retry_after_ms=RETRY_AFTER_NOT_LOADED_MS,
     )
 
--- a/src/geraniumlink/_service_methods.py
+++ b/src/geraniumlink/_service_methods.py
@@ -12,6 +12,8 @@
 from geraniumlink._schema import geraniumlink_pb2 as pb
 
 _PACKAGE = "/geraniumlink.v1."
+# A call is sent again under its key, a change under its change id.
+_SENT_AGAIN = _refusals.Execution.MAY_HAVE_RUN
 
 
 def build(
@@ -29,17 +31,21 @@
         "Inference/GenerateStream": _rpc.Stream(
             pb.GenerateRequest, generation.generate_stream
         ),
-        "Calls/Call": _rpc.Unary(
-            pb.CallRequest, calls.call, _refusals.Execution.MAY_HAVE_RUN
+        "Calls/Call": _rpc.Unary(pb.CallRequest, calls.call, _SENT_AGAIN),
+        "Operator/Apply": _rpc.Unary(
+            pb.ApplyRequest, operator.apply, _SENT_AGAIN
+        ),
+        "Operator/Retire": _rpc.Unary(
+            pb.RetireRequest, operator.retire, _SENT_AGAIN
         ),
-        "Operator/Apply": _rpc.Unary(pb.ApplyRequest, operator.apply),
-        "Operator/Retire": _rpc.Unary(pb.RetireRequest, operator.retire),
         "Operator/Get": _rpc.Unary(pb.GetRequest, operator.get),
         "Operator/List": _rpc.Unary(pb.ListRequest, operator.list),
         "Operator/Diff": _rpc.Unary(pb.DiffRequest, operator.diff),
         "Operator/Status": _rpc.Unary(pb.StatusRequest, operator.status),
         "Operator/History": _rpc.Unary(pb.HistoryRequest, operator.history),
-        "Operator/Drain": _rpc.Unary(pb.DrainRequest, operator.drain),
+        "Operator/Drain": _rpc.Unary(
+            pb.DrainRequest, operator.drain, _SENT_AGAIN
+        ),
     }
     methods = {_PACKAGE + name: method for name, method in table.items()}
     _rpc.check_methods(methods)
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -126,6 +126,15 @@
     assert refused.body["code"] == "unavailable"
     assert refused.body["execution"] == "NOT_RUN"
     assert int(refused.body["retry_after_ms"]) > 0
+    # Regression: what is sent again under its key or change id may have run
+    # or been accepted through another instance, and this one can't know.
+    for method, body in (
+        ("Calls/Call", builders.booking(builders.key())),
+        ("Operator/Retire", {"name": "booking", "expected_version": 1}),
+    ):
+        path = f"/geraniumlink.v1.{method}"
+        refused = await fleet.post(alone, path, body)
+        assert refused.body["execution"] == "MAY_HAVE_RUN"
     await fleet.faults(fleet.object_api, outage=False)
     await fleet.answers(alone.peer_port, "/ready")
 
