--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -157,6 +157,26 @@
     ]
 
 
+def sums(rows: list[Row]) -> list[Row]:
+    """Return a node's whole control work, with and without a shard."""
+    rest, configuration, _, needed, shard, metrics = rows
+    without = [rest, configuration, needed, metrics]
+    return [
+        _sum("sum with the needed reports, no shard", without),
+        _sum("sum with the needed reports and a shard", [*without, shard]),
+    ]
+
+
+def _sum(name: str, rows: list[Row]) -> Row:
+    return Row(
+        f"**{name}**",
+        "",
+        sum(row.bytes_per_s for row in rows),
+        sum(row.cpu_percent for row in rows),
+        sum(row.memory_mb for row in rows),
+    )
+
+
 def requests(slopes: Slopes) -> list[Row]:
     """Return the work for callers on one node, outside the budget."""
     per_node = REQUESTS_PER_S / NODES
@@ -215,10 +235,12 @@
 
 def render(slopes: Slopes) -> str:
     """Return the tables as they stand in docs/CAPACITY.md."""
+    rows = control(slopes)
     lines = [
         "| control on one node | mechanism | bytes/s | % of a core | MB |",
         "| --- | --- | --- | --- | --- |",
-        *map(_line, control(slopes)),
+        *map(_line, rows),
+        *map(_line, sums(rows)),
         f"| **budget** | | {BYTES_PER_S} | {CPU_PERCENT} | {MEMORY_MB} |",
         "",
         "| for callers, on one node | what | % of a core | MB |",
