--- a/src/geraniumlink/_engines.py
+++ b/src/geraniumlink/_engines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import typing
 from collections.abc import AsyncGenerator, AsyncIterator
@@ -15,8 +16,6 @@
 
 _REPORT_TIMEOUT_MS = 1000
 MAX_LINE_BYTES = 2**18
-# What an engine has after its end to close the answer as HTTP asks.
-_CLOSE_MS = 50
 
 
 class Generation(typing.NamedTuple):
@@ -81,19 +80,18 @@
             yield _message(line)
 
 
-async def next_message(
+async def read_to_end(
     messages: AsyncGenerator[_streams.Chunk | _streams.End, None],
-    silence_ms: int,
-) -> _streams.Chunk | _streams.End | None:
-    """Return the next message, or None at the end of the stream.
+    limit_ms: int,
+) -> None:
+    """Read past the end of an answer, so that its connection can be kept.
 
-    :raises SilentError: if none comes within ``silence_ms``.
+    A connection whose answer was not read to its last byte must be closed,
+    and the next request pays for a new one.
     """
-    try:
-        with anyio.fail_after(silence_ms / 1000):
-            return await anext(messages, None)
-    except TimeoutError as error:
-        raise SilentError(f"silent for {silence_ms} ms") from error
+    with contextlib.suppress(_http.BrokenError):
+        with anyio.move_on_after(limit_ms / 1000):
+            await anext(messages, None)
 
 
 async def report(client: _http.Client, address: _settings.Address) -> Report:
--- a/src/geraniumlink/_inference.py
+++ b/src/geraniumlink/_inference.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import typing
 from collections.abc import Awaitable, Callable
 
@@ -218,29 +219,44 @@
             self._inference._client,
             run.backend.address,
             generation,
-            # ``next_message`` is the one to find a server silent.
+            # The scope below is the one to find a server silent.
             2 * FIRST_TOKEN_MS,
         )
         sent_at = self._inference._clock.now()
         first = True
         async with contextlib.aclosing(messages):
-            silence_ms = FIRST_TOKEN_MS
-            while not self._reassembly.ended:
-                message = await _engines.next_message(messages, silence_ms)
-                if message is None:
-                    return
-                silence_ms = STALL_MS
-                if first:
-                    first = False
-                    self._observe_first_token(run.backend, sent_at)
-                offset = self._reassembly.offset
-                tokens = self._reassembly.take(message)
-                if self._reassembly.offset >= survived_at:
-                    self._suspects.survived(run)
-                if tokens:
-                    await self._emit(Tokens(offset, tokens))
-            with contextlib.suppress(_http.BrokenError):
-                await _engines.next_message(messages, CLOSE_MS)
+            # One scope for all messages: a scope for each costs a tenth of
+            # the work on a token.
+            with anyio.CancelScope() as silence:
+                silence.deadline = anyio.current_time() + FIRST_TOKEN_MS / 1000
+                async for message in messages:
+                    # A caller who reads slowly is not the engine's silence.
+                    silence.deadline = math.inf
+                    if first:
+                        first = False
+                        self._observe_first_token(run.backend, sent_at)
+                    await self._take(message, run, survived_at)
+                    if self._reassembly.ended:
+                        break
+                    silence.deadline = anyio.current_time() + STALL_MS / 1000
+            if silence.cancelled_caught:
+                raise _engines.SilentError("no token came in time")
+            if self._reassembly.ended:
+                await _engines.read_to_end(messages, CLOSE_MS)
+
+    async def _take(
+        self,
+        message: _streams.Chunk | _streams.End,
+        run: _suspects.Run,
+        survived_at: int,
+    ) -> None:
+        """Hand on what is in order now."""
+        offset = self._reassembly.offset
+        tokens = self._reassembly.take(message)
+        if self._reassembly.offset >= survived_at:
+            self._suspects.survived(run)
+        if tokens:
+            await self._emit(Tokens(offset, tokens))
 
     def _observe_first_token(
         self, backend: _backends.Backend, sent_at: int
