--- a/benches/_baselines.py
+++ b/benches/_baselines.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import itertools
 import random
 import typing
-from collections.abc import Iterable
 
 from geraniumlink import _backends
 from geraniumlink import _routing
--- a/benches/_fleet.py
+++ b/benches/_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from importlib import metadata
 import os
 import pathlib
 import platform
@@ -9,7 +10,6 @@
 import sys
 import time
 import typing
-from importlib import metadata
 
 from standins import engine_capacity
 from standins import fleet as fleets
--- a/benches/_fluid_site.py
+++ b/benches/_fluid_site.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-import typing
 from collections.abc import Callable
+import typing
 
 from geraniumlink import _ledger
 from geraniumlink import _placement_views as views
-from geraniumlink import _spread
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink import _spread
 
 # How fast one load reads from the store at full speed.
 STORE_MB_PER_S = 1024.0
--- a/benches/_policies.py
+++ b/benches/_policies.py
@@ -5,8 +5,8 @@
 from geraniumlink import _ledger
 from geraniumlink import _placement
 from geraniumlink import _placement_views as views
-from geraniumlink import _spread
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink import _spread
 
 
 def static(
--- a/benches/_report.py
+++ b/benches/_report.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import html
 from collections.abc import Iterable
+import html
 
 _COLOURS = ("#0b6e4f", "#c0392b", "#2c3e93", "#8e6c00")
 _WIDTH, _HEIGHT, _MARGIN = 640, 320, 50
--- a/benches/claims.py
+++ b/benches/claims.py
@@ -12,11 +12,11 @@
 
 import argparse
 import collections
+from collections.abc import Awaitable, Callable
 import random
 import statistics
 import time
 import typing
-from collections.abc import Awaitable, Callable
 
 import anyio
 
--- a/benches/policy.py
+++ b/benches/policy.py
@@ -15,10 +15,10 @@
 
 from google.protobuf import json_format
 
-from benches import _policies
-from benches import _slopes
 from benches import _demand
 from benches import _fluid_site
+from benches import _policies
+from benches import _slopes
 from geraniumlink import _placement
 from geraniumlink._schema import geraniumlink_pb2 as pb
 from standins import fleet as fleets
--- a/benches/slopes.py
+++ b/benches/slopes.py
@@ -10,9 +10,9 @@
 from __future__ import annotations
 
 import argparse
+from collections.abc import Awaitable, Callable
 import time
 import typing
-from collections.abc import Awaitable, Callable
 
 import anyio
 
--- a/benches/speed.py
+++ b/benches/speed.py
@@ -6,13 +6,13 @@
 from __future__ import annotations
 
 import argparse
+from collections.abc import Awaitable, Callable
 import json
 import pathlib
 import sys
 import tempfile
 import time
 import typing
-from collections.abc import Awaitable, Callable
 
 import anyio
 
--- a/specs/changes.py
+++ b/specs/changes.py
@@ -13,8 +13,8 @@
 
 from __future__ import annotations
 
-import typing
 from collections.abc import Iterator
+import typing
 
 import minicheck
 
--- a/specs/claims.py
+++ b/specs/claims.py
@@ -17,9 +17,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import enum
 import typing
-from collections.abc import Iterator
 
 import minicheck
 
--- a/specs/configuration.py
+++ b/specs/configuration.py
@@ -15,8 +15,8 @@
 
 from __future__ import annotations
 
-import typing
 from collections.abc import Iterator
+import typing
 
 import minicheck
 
--- a/specs/last_copy.py
+++ b/specs/last_copy.py
@@ -14,8 +14,8 @@
 
 from __future__ import annotations
 
-import typing
 from collections.abc import Iterator
+import typing
 
 import minicheck
 
--- a/specs/memory.py
+++ b/specs/memory.py
@@ -14,8 +14,8 @@
 
 from __future__ import annotations
 
-import typing
 from collections.abc import Iterator
+import typing
 
 import minicheck
 
--- a/specs/replay.py
+++ b/specs/replay.py
@@ -10,11 +10,11 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterable
 import json
 import pathlib
 import sys
 import typing
-from collections.abc import Iterable
 
 
 class Step(typing.NamedTuple):
--- a/src/geraniumlink/_attempts.py
+++ b/src/geraniumlink/_attempts.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 import json
 import typing
-from collections.abc import Sequence
 
 from geraniumlink import _answers
 from geraniumlink import _backends
--- a/src/geraniumlink/_audit.py
+++ b/src/geraniumlink/_audit.py
@@ -9,9 +9,9 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
 import contextlib
 import typing
-from collections.abc import AsyncIterator
 
 from geraniumlink import _objects
 
--- a/src/geraniumlink/_backends.py
+++ b/src/geraniumlink/_backends.py
@@ -8,12 +8,12 @@
 
 from __future__ import annotations
 
-import contextlib
-import random
-import typing
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+import contextlib
+import random
+import typing
 
 import anyio
 
@@ -22,8 +22,8 @@
 from geraniumlink import _engines
 from geraniumlink import _http
 from geraniumlink import _logs
-from geraniumlink import _settings
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink import _settings
 
 # A server that failed to connect is tried again after this long.
 UNREACHABLE_MS = 2000
--- a/src/geraniumlink/_changes.py
+++ b/src/geraniumlink/_changes.py
@@ -8,10 +8,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import hashlib
 import json
 import typing
-from collections.abc import Callable
 
 import expression
 
--- a/src/geraniumlink/_controller.py
+++ b/src/geraniumlink/_controller.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable, Iterable
+import random
 
 import anyio
 import anyio.abc
@@ -22,9 +22,9 @@
 from geraniumlink import _logs
 from geraniumlink import _metrics
 from geraniumlink import _objects
+from geraniumlink._schema import geraniumlink_pb2 as pb
 from geraniumlink import _settings
 from geraniumlink import _shard
-from geraniumlink._schema import geraniumlink_pb2 as pb
 
 _RELEASE_MS = 1000
 
--- a/src/geraniumlink/_declarations.py
+++ b/src/geraniumlink/_declarations.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Iterable
+import re
 
 from google.protobuf import json_format
 
 from geraniumlink import _findings
-from geraniumlink import _settings
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink import _settings
 
 _NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?\Z")
 _CHANGE_ID = re.compile(r"[A-Za-z0-9_-]{8,64}\Z")
--- a/src/geraniumlink/_engines.py
+++ b/src/geraniumlink/_engines.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncGenerator, AsyncIterator
 import contextlib
 import json
 import typing
-from collections.abc import AsyncGenerator, AsyncIterator
 
 import anyio
 import orjson
--- a/src/geraniumlink/_first_token_times.py
+++ b/src/geraniumlink/_first_token_times.py
@@ -8,9 +8,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import statistics
 import weakref
-from collections.abc import Iterable
 
 from geraniumlink import _backends
 
--- a/src/geraniumlink/_held_replica.py
+++ b/src/geraniumlink/_held_replica.py
@@ -16,9 +16,9 @@
 from geraniumlink import _objects
 from geraniumlink import _orders
 from geraniumlink import _placement_views
+from geraniumlink._schema import geraniumlink_pb2 as pb
 from geraniumlink import _settings
 from geraniumlink import _settlement
-from geraniumlink._schema import geraniumlink_pb2 as pb
 
 # Without a report for this long a replica counts as down.
 DOWN_AFTER_MS = 3000
--- a/src/geraniumlink/_http.py
+++ b/src/geraniumlink/_http.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
 import contextlib
 import json
 import typing
-from collections.abc import AsyncIterator
 
 import anyio
 import httpcore
--- a/src/geraniumlink/_inference.py
+++ b/src/geraniumlink/_inference.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 import contextlib
 import math
 import typing
-from collections.abc import Awaitable, Callable
 
 import anyio
 import expression
@@ -22,10 +22,10 @@
 from geraniumlink import _models
 from geraniumlink import _refusals
 from geraniumlink import _routing
+from geraniumlink._schema import geraniumlink_pb2 as pb
 from geraniumlink import _streams
 from geraniumlink import _suspects
 from geraniumlink import _suspicions
-from geraniumlink._schema import geraniumlink_pb2 as pb
 
 DEFAULT_TIMEOUT_MS = 60_000
 MAX_TIMEOUT_MS = 600_000
--- a/src/geraniumlink/_json_lines.py
+++ b/src/geraniumlink/_json_lines.py
@@ -5,9 +5,9 @@
 import json
 import typing
 
-import orjson
 from google.protobuf import json_format
 from google.protobuf import message as protobuf_message
+import orjson
 
 from geraniumlink._schema import geraniumlink_pb2 as pb
 
--- a/src/geraniumlink/_leases.py
+++ b/src/geraniumlink/_leases.py
@@ -13,10 +13,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import hashlib
 import random
 import typing
-from collections.abc import Iterable
 
 from geraniumlink import _clock
 from geraniumlink import _logs
--- a/src/geraniumlink/_once.py
+++ b/src/geraniumlink/_once.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import hashlib
 import random
 import uuid
-from collections.abc import Callable
 
 import anyio
-import expression
 from anyio import abc
+import expression
 
 from geraniumlink import _answers
 from geraniumlink import _attempts
@@ -28,8 +28,8 @@
 from geraniumlink import _refusals
 from geraniumlink import _resolution
 from geraniumlink import _runs
-from geraniumlink import _settings
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink import _settings
 
 # Runs that an instance works on, or whose outcomes it still has to write.
 MAX_LIVE = 500
--- a/src/geraniumlink/_peers.py
+++ b/src/geraniumlink/_peers.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Sequence
 import json
 import typing
-from collections.abc import Callable, Sequence
 
 from aioprometheus import renderer
 from starlette import applications
--- a/src/geraniumlink/_probes.py
+++ b/src/geraniumlink/_probes.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection, Iterable
 import enum
 import random
-from collections.abc import Collection, Iterable
 
 from geraniumlink import _clock
 
--- a/src/geraniumlink/_resolution.py
+++ b/src/geraniumlink/_resolution.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import random
 import typing
-from collections.abc import Callable
 
 import anyio
 
--- a/src/geraniumlink/_routing.py
+++ b/src/geraniumlink/_routing.py
@@ -9,9 +9,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
 import random
 import typing
-from collections.abc import Callable, Iterable
 
 from geraniumlink import _backends
 from geraniumlink import _first_token_times
--- a/src/geraniumlink/_rpc.py
+++ b/src/geraniumlink/_rpc.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable, Iterable
 import itertools
 import typing
 import uuid
-from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 import expression
--- a/src/geraniumlink/_server.py
+++ b/src/geraniumlink/_server.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import contextlib
 import select
 import socket
 import typing
-from collections.abc import Iterator
 
 import anyio
-import uvicorn
 from starlette import types
+import uvicorn
 
 from geraniumlink import _clock
 from geraniumlink import _settings
--- a/src/geraniumlink/_service_methods.py
+++ b/src/geraniumlink/_service_methods.py
@@ -8,8 +8,8 @@
 from geraniumlink import _operator
 from geraniumlink import _refusals
 from geraniumlink import _rpc
-from geraniumlink import _streams
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink import _streams
 
 _PACKAGE = "/geraniumlink.v1."
 # A call is sent again under its key, a change under its change id.
--- a/src/geraniumlink/_settings.py
+++ b/src/geraniumlink/_settings.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import configparser
 import ipaddress
 import pathlib
 import typing
-from collections.abc import Callable
 
 import expression
 
--- a/src/geraniumlink/_shard.py
+++ b/src/geraniumlink/_shard.py
@@ -28,8 +28,8 @@
 from geraniumlink import _orders
 from geraniumlink import _placement
 from geraniumlink import _placement_views
-from geraniumlink import _settlement
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink import _settlement
 
 # Moves wait this long for the first report of each replica.
 FIRST_REPORTS_MS = 3000
--- a/src/geraniumlink/_subsets.py
+++ b/src/geraniumlink/_subsets.py
@@ -11,9 +11,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import hashlib
 import typing
-from collections.abc import Iterable
 
 from geraniumlink import _backends
 
--- a/src/geraniumlink/_supervisor.py
+++ b/src/geraniumlink/_supervisor.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 import enum
 import typing
-from collections.abc import Awaitable, Callable
 
 import anyio
 
--- a/src/geraniumlink/_sync.py
+++ b/src/geraniumlink/_sync.py
@@ -9,8 +9,8 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
+import random
 
 from geraniumlink import _clock
 from geraniumlink import _configuration
--- a/src/geraniumlink/_trials.py
+++ b/src/geraniumlink/_trials.py
@@ -10,8 +10,8 @@
 
 from __future__ import annotations
 
-import typing
 from collections.abc import Callable
+import typing
 
 from geraniumlink import _clock
 from geraniumlink import _suspect_messages
--- a/standins/_base.py
+++ b/standins/_base.py
@@ -7,11 +7,11 @@
 import json
 import typing
 
-import uvicorn
 from starlette import applications
 from starlette import requests
 from starlette import responses
 from starlette import routing
+import uvicorn
 
 
 class Faults(dict[str, typing.Any]):
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Iterator
 import contextlib
 import pathlib
 import signal
@@ -15,7 +16,6 @@
 import tempfile
 import time
 import typing
-from collections.abc import Iterator
 
 import anyio
 import httpcore
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -15,13 +15,13 @@
 
 import asyncio
 import collections
+from collections.abc import AsyncIterator
 import hashlib
 import json
 import os
 import time
 import typing
 import uuid
-from collections.abc import AsyncIterator
 
 from starlette import requests
 from starlette import responses
--- a/standins/engine_capacity.py
+++ b/standins/engine_capacity.py
@@ -8,9 +8,9 @@
 
 import argparse
 import asyncio
+from collections.abc import AsyncIterator
 import contextlib
 import typing
-from collections.abc import AsyncIterator
 
 
 class Speed(typing.NamedTuple):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator, Callable
 import contextlib
 import itertools
 import json
@@ -18,7 +19,6 @@
 import tempfile
 import time
 import typing
-from collections.abc import AsyncIterator, Callable
 
 import anyio
 import httpcore
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -25,17 +25,15 @@
 class Site:
     """A booking service behind a few instances."""
 
-    def __init__(self, fleet, servers=1, instances=2, relay=False):
+    def __init__(self, fleet, servers=1, instances=2, link=False):
         self.fleet = fleet
         self.services = [fleet.plain_service() for _ in range(servers)]
         self.service = self.services[0]
         self.api = fleet.object_api
-        if relay:
+        if link:
             # The first instance reaches the object API through it.
-            self.relay = fleet.stand_in("relay", "--to", self.api.address)
-            fleet.object_api = self.relay
-            fleet.instance()
-            fleet.object_api = self.api
+            self.link, address = fleet.link(self.api.address)
+            fleet.instance(object_api=address)
         while len(fleet.instances) < instances:
             fleet.instance()
         self.first, self.second = fleet.instances[:2]
@@ -249,14 +247,14 @@
 
 
 async def test_an_owner_cut_off_from_the_api_still_answers(fleet):
-    site = await Site(fleet, relay=True).start()
+    site = await Site(fleet, link=True).start()
     key = builders.key()
     await fleet.faults(site.service, hold=True)
     answers = []
     async with anyio.create_task_group() as group:
         group.start_soon(site.keep, answers, site.first, key, {})
         await site.until_run(key)
-        site.relay.kill()
+        site.link.kill()
         await fleet.faults(site.service, hold=False)
     assert answers[0].status == 200
     again = await site.call(site.second, key)
@@ -265,9 +263,9 @@
 
 
 async def test_an_instance_cut_off_from_the_api_sends_nothing(fleet):
-    site = await Site(fleet, relay=True).start()
+    site = await Site(fleet, link=True).start()
     key = builders.key()
-    site.relay.kill()
+    site.link.kill()
     refused = await site.call(site.first, key)
     assert execution(refused) == "MAY_HAVE_RUN"
     assert int(refused.body["retry_after_ms"]) > 0
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -6,8 +6,8 @@
 
 import httpcore
 import hypothesis
-import pytest
 from hypothesis import strategies as st
+import pytest
 
 from geraniumlink import _rpc
 from geraniumlink._schema import geraniumlink_pb2 as pb
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -1,9 +1,9 @@
 """Further copies follow demand, never beyond memory or the price of moves."""
 
-import hypothesis
-import pytest
 from google.protobuf import json_format
+import hypothesis
 from hypothesis import strategies as st
+import pytest
 
 from geraniumlink import _balance
 from geraniumlink import _demand
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,8 +1,8 @@
 """What is in force moves only forward, whoever brings it."""
 
 import hypothesis
-import pytest
 from hypothesis import strategies
+import pytest
 
 from geraniumlink import _configuration
 from geraniumlink import _objects
--- a/tests/test_declarations.py
+++ b/tests/test_declarations.py
@@ -1,7 +1,7 @@
 """A declaration is refused whole, with every fault and its place."""
 
-import hypothesis
 from google.protobuf import json_format
+import hypothesis
 from hypothesis import strategies as st
 
 from geraniumlink import _declarations
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -2,13 +2,13 @@
 
 import json
 
-import pytest
 from google.protobuf import json_format
+import pytest
 
 from geraniumlink import _declarations
 from geraniumlink import _findings
-from geraniumlink import _settings
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink import _settings
 from standins import fleet as fleets
 
 EXAMPLES = fleets.ROOT / "examples"
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -3,8 +3,8 @@
 import time
 
 import hypothesis
-import pytest
 from hypothesis import strategies
+import pytest
 
 from geraniumlink import _claim_janitor
 from geraniumlink import _claims
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,8 +4,8 @@
 import typing
 
 import hypothesis
-import pytest
 from hypothesis import strategies
+import pytest
 
 from geraniumlink import _clock
 from geraniumlink import _member_entries
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,8 +3,8 @@
 import random
 
 import hypothesis
-import pytest
 from hypothesis import strategies
+import pytest
 
 from geraniumlink import _declarations
 from geraniumlink import _ledger
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -2,9 +2,9 @@
 
 import random
 
-import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from benches import _baselines
 from geraniumlink import _first_token_times
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -1,8 +1,8 @@
 """Demand spreads over holders without loss, and evenly where it can."""
 
 import hypothesis
-import pytest
 from hypothesis import strategies as st
+import pytest
 
 from geraniumlink import _spread
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,8 +1,8 @@
 """Answers are put in order whole, whatever order their chunks come in."""
 
 import hypothesis
-import pytest
 from hypothesis import strategies as st
+import pytest
 
 from geraniumlink import _streams
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -2,8 +2,8 @@
 
 import anyio
 import hypothesis
-import pytest
 from hypothesis import strategies as st
+import pytest
 
 from geraniumlink import _clock
 from geraniumlink import _suspicions
