Serve the users' platform by a thin path through an adapter

Cause: nothing ran on the users' platform.

The lease of the controller is that of the product; a renewal now changes the stored value, because the platform's store makes no event of a write that changes nothing.

--- a/src/geraniumlink/_clock.py
+++ b/src/geraniumlink/_clock.py
@@ -20,6 +20,10 @@
         """Return monotonic milliseconds; comparable in this process only."""
         return time.monotonic_ns() // 1_000_000
 
+    def since_boot(self) -> int:
+        """Return milliseconds that go on while the machine is suspended."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
     def wall(self) -> int:
         """Return milliseconds since 1970-01-01T00:00Z."""
         return time.time_ns() // 1_000_000
@@ -39,6 +43,9 @@
     def now(self) -> int:
         return self._now
 
+    def since_boot(self) -> int:
+        return self._now
+
     def wall(self) -> int:
         return self._now + self._wall_offset
 
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -142,7 +142,7 @@
             traffic=self._traffic,
         )
         self._listener = _server.Listener(
-            self._rpc, settings.address, self._clock
+            self._rpc, [settings.address], self._clock
         )
         self._controller = _controller.Controller(
             settings,
@@ -155,7 +155,7 @@
             self._metrics,
         )
         self._peer_listener = _server.Listener(
-            self._peers.application, settings.peer_address, self._clock
+            self._peers.application, [settings.peer_address], self._clock
         )
 
     def _methods(self, router: _routing.Router) -> _rpc.Methods:
--- a/src/geraniumlink/_leases.py
+++ b/src/geraniumlink/_leases.py
@@ -37,6 +37,9 @@
     # Rises by one whenever the lease is taken.
     epoch: int
     duration_ms: int
+    # Rises with each renewal: a write that changes nothing is no change to
+    # those who watch.
+    renewals: int = 0
 
 
 class Held(typing.NamedTuple):
@@ -45,6 +48,8 @@
     shard: str
     lease: Lease
     version: int
+    # What was stored before it was taken, where that is known.
+    previous: Lease | None = None
 
 
 class LostError(Exception):
@@ -54,6 +59,7 @@
 class _Sighting(typing.NamedTuple):
     version: int
     seen_at: int
+    holder: str
 
 
 class Leases:
@@ -79,6 +85,11 @@
     def duration_ms(self) -> int:
         return self._duration_ms
 
+    def holder_of(self, shard: str) -> str:
+        """Return who held a lease when it was last looked at, or ''."""
+        sighting = self._sightings.get(shard)
+        return sighting.holder if sighting else ""
+
     async def try_take(self, shard: str) -> Held | None:
         """Take a lease that is free or lapsed; None when it is neither.
 
@@ -102,7 +113,8 @@
             )
         except _objects.ConflictError:
             return None
-        return self._taken(shard, wanted, written.version)
+        taken = self._taken(shard, wanted, written.version)
+        return taken._replace(previous=current)
 
     async def renew(self, held: Held) -> Held:
         """Write the lease again, so that observers see it change.
@@ -110,17 +122,20 @@
         :raises LostError: if another instance has taken it.
         :raises _objects.UnavailableError: if the outcome is unknown.
         """
+        renewed = held.lease._replace(renewals=held.lease.renewals + 1)
         try:
             written = await self._objects.put(
-                KIND, held.shard, held.lease._asdict(), held.version
+                KIND, held.shard, renewed._asdict(), held.version
             )
         except _objects.ConflictError as conflict:
             current = read(conflict.current)
-            if current != held.lease:
+            if current is None or not self._is_same_term(current, held.lease):
                 raise LostError(held.shard) from conflict
             # An earlier renewal took effect and its answer was lost.
-            return held._replace(version=conflict.current.version)
-        return held._replace(version=written.version)
+            return held._replace(
+                lease=current, version=conflict.current.version
+            )
+        return held._replace(lease=renewed, version=written.version)
 
     async def release(self, held: Held) -> None:
         """Let another instance take the lease at once; errors are logged."""
@@ -147,6 +162,9 @@
             and lease.incarnation == self._incarnation
         )
 
+    def _is_same_term(self, lease: Lease, held: Lease) -> bool:
+        return self._is_own(lease) and lease.epoch == held.epoch
+
     def _taken(self, shard: str, lease: Lease, version: int) -> Held:
         _logs.event("lease_taken", deployment=shard, epoch=lease.epoch)
         return Held(shard, lease, version)
@@ -156,10 +174,14 @@
         now = self._clock.now()
         sighting = self._sightings.get(found.name)
         if sighting is None or sighting.version != found.version:
-            sighting = _Sighting(found.version, now)
+            holder = lease.holder if lease else ""
+            sighting = _Sighting(found.version, now, holder)
             self._sightings[found.name] = sighting
         if found.value is None or (lease and not lease.holder):
             return True
+        if lease and lease.holder == self._holder:
+            # An earlier process of this instance held it, and has ended.
+            return True
         duration_ms = lease.duration_ms if lease else self._duration_ms
         return now - sighting.seen_at >= duration_ms
 
@@ -174,8 +196,9 @@
             str(found.value["incarnation"]),
             int(found.value["epoch"]),
             int(found.value["duration_ms"]),
+            int(found.value.get("renewals", 0)),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
         _logs.event("lease_unreadable", shard=found.name, error=repr(error))
         return None
     if not 0 < lease.duration_ms <= _MAX_DURATION_MS:
--- a/src/geraniumlink/_server.py
+++ b/src/geraniumlink/_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Iterator
 import contextlib
 import select
@@ -9,7 +10,6 @@
 import typing
 
 import anyio
-from starlette import types
 import uvicorn
 
 from geraniumlink import _clock
@@ -81,22 +81,36 @@
     return bool(poll.poll(0))
 
 
+def _bound(address: _settings.Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        # A former process of this instance may have left connections there.
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind((address.host, address.port))
+    except OSError as error:
+        bound.close()
+        raise OSError(f"can't listen on {address}: {error}") from error
+    return bound
+
+
 class Listener:
-    """Serves an ASGI application at an address until told to stop."""
+    """Serves an ASGI application at some addresses until told to stop."""
 
     def __init__(
         self,
-        application: types.ASGIApp,
-        address: _settings.Address,
+        application: typing.Any,
+        addresses: list[_settings.Address],
         clock: _clock.Clock,
+        http: type[asyncio.Protocol] | str = "httptools",
     ) -> None:
         config = uvicorn.Config(
-            typing.cast(typing.Any, application),
-            host=address.host,
-            port=address.port,
+            application,
             # uvloop may use io_uring, which the users rule out.
             loop="asyncio",
-            http="httptools",
+            http=typing.cast(typing.Any, http),
+            date_header=False,
+            server_header=False,
             ws="none",
             lifespan="off",
             access_log=False,
@@ -104,18 +118,20 @@
             timeout_keep_alive=KEEP_ALIVE_S,
             backlog=1024,
         )
-        self._address = address
+        self._addresses = addresses
         self._server = _Server(config, clock)
         self._stopped = anyio.Event()
 
     async def run(self) -> None:
         """Listen; return after ``stop`` when every answer has been sent."""
+        sockets: list[socket.socket] = []
         try:
-            await self._server.serve()
-        except SystemExit as error:
-            # uvicorn exits the process when the address is taken.
-            raise OSError(f"can't listen on {self._address}") from error
+            for address in self._addresses:
+                sockets.append(_bound(address))
+            await self._server.serve(sockets)
         finally:
+            for bound in sockets:
+                bound.close()
             self._stopped.set()
 
     def stop(self) -> None:
--- /dev/null
+++ b/src/geraniumlink/hosting/_application.py
@@ -0,0 +1,167 @@
+"""The ASGI application behind an instance's three addresses."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+import orjson
+
+from geraniumlink import _clock
+from geraniumlink import _logs
+from geraniumlink import _settings
+from geraniumlink import platform
+from geraniumlink.residency import _exchange
+from geraniumlink.serving import _catalogue
+from geraniumlink.serving import _forward
+from geraniumlink.serving import _reply
+
+Scope = dict[str, typing.Any]
+Receive = typing.Callable[[], typing.Awaitable[typing.Any]]
+Send = _reply.Send
+
+
+class TooLargeError(Exception):
+    """A client's body is larger than the operator allows."""
+
+
+class ClientLeftError(Exception):
+    """The client closed its connection before its request was whole."""
+
+
+class Addresses(typing.NamedTuple):
+    """Where clients, the balancer's check and other instances connect."""
+
+    clients: _settings.Address
+    readiness: _settings.Address
+    instances: _settings.Address
+
+
+class Application:
+    """Tells the addresses apart and serves what comes to each."""
+
+    def __init__(
+        self,
+        *,
+        addresses: Addresses,
+        catalogue: _catalogue.Catalogue,
+        forwarder: _forward.Forwarder,
+        exchange: _exchange.Exchange,
+        clock: _clock.Clock,
+        is_ready: typing.Callable[[], bool],
+    ) -> None:
+        self._addresses = addresses
+        self._catalogue = catalogue
+        self._forwarder = forwarder
+        self._exchange = exchange
+        self._clock = clock
+        self._is_ready = is_ready
+        self._draining = False
+        self._in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests of clients that have no final answer yet."""
+        return self._in_flight
+
+    def drain(self) -> None:
+        """Ask each client to close its connection with the next answer."""
+        self._draining = True
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one request."""
+        reply = _reply.Reply(send, lambda: self._draining)
+        port = scope["server"][1]
+        if port == self._addresses.readiness.port:
+            status = 200 if self._is_ready() else 503
+            await reply.answer(status, [], b"")
+        elif port == self._addresses.instances.port:
+            await self._serve_instance(scope, receive, reply)
+        else:
+            self._in_flight += 1
+            try:
+                await self._serve_client(scope, receive, reply)
+            finally:
+                self._in_flight -= 1
+
+    async def _serve_instance(
+        self, scope: Scope, receive: Receive, reply: _reply.Reply
+    ) -> None:
+        try:
+            body = await _read(receive, _exchange.MAX_MESSAGE_BYTES)
+            answer = await self._exchange.receive(scope["path"], body)
+        except (ValueError, TooLargeError) as error:
+            _logs.event("bad_message", path=scope["path"], error=str(error))
+            await reply.answer(400, [], str(error).encode())
+        except ClientLeftError:
+            _logs.event("instance_left", path=scope["path"])
+        else:
+            await reply.answer(200, [], orjson.dumps(answer))
+
+    async def _serve_client(
+        self, scope: Scope, receive: Receive, reply: _reply.Reply
+    ) -> None:
+        received_at = self._clock.now()
+        headers = scope["headers"]
+        request = platform.decode_request(
+            scope["method"].encode(), scope["target"], headers, received_at
+        )
+        current = self._catalogue.current
+        if current is not None:
+            size = sum(len(name) + len(value) + 4 for name, value in headers)
+            if size > current.limits.header_bytes:
+                await _reject(reply, 431, "the head is too large")
+                return
+        try:
+            most = current.limits.body_bytes if current else 0
+            body = await _read(receive, most) if current else b""
+        except TooLargeError:
+            await _reject(reply, 413, "the body is too large")
+            return
+        except ClientLeftError:
+            return
+        await self._serve_while_connected(
+            request._replace(body=body), receive, reply
+        )
+
+    async def _serve_while_connected(
+        self, request: typing.Any, receive: Receive, reply: _reply.Reply
+    ) -> None:
+        """Serve a request until it is answered or its client leaves."""
+        async with anyio.create_task_group() as group:
+
+            async def watch() -> None:
+                while (await receive())["type"] != "http.disconnect":
+                    pass
+                group.cancel_scope.cancel()
+
+            group.start_soon(watch)
+            await self._forwarder.serve(request, reply)
+            group.cancel_scope.cancel()
+
+
+async def _reject(reply: _reply.Reply, status: int, reason: str) -> None:
+    """Answer what is not read to its end, and close the connection."""
+    await reply.answer(status, [(b"connection", b"close")], reason.encode())
+
+
+async def _read(receive: Receive, most_bytes: int) -> bytes:
+    """Return a whole body.
+
+    :raises TooLargeError: if it is larger than allowed.
+    :raises ClientLeftError: if it ends too early.
+    """
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise ClientLeftError
+        parts.append(message["body"])
+        size += len(message["body"])
+        if size > most_bytes:
+            raise TooLargeError
+        if not message["more_body"]:
+            return b"".join(parts)
--- /dev/null
+++ b/src/geraniumlink/hosting/_instance.py
@@ -0,0 +1,293 @@
+"""One instance on the users' platform, as a supervisor tree.
+
+::
+
+    serve
+    +- listener          clients, readiness, other instances
+    +- configuration     follows the operator's configuration
+    +- replicas          follows the registered replicas
+    +- leadership        keeps the controller's lease, if it can be had
+    +- controller        places models while the lease is held
+    +- reports           tells the controller what is asked for
+    +- connections       closes idle connections to replicas
+    +- signals           SIGTERM begins the drain, SIGHUP reads settings
+"""
+
+from __future__ import annotations
+
+import pathlib
+import random
+import signal
+import sys
+
+import anyio
+import eliot
+
+from geraniumlink import _clock
+from geraniumlink import _http
+from geraniumlink import _leases
+from geraniumlink import _logs
+from geraniumlink import _objects
+from geraniumlink import _server
+from geraniumlink import _supervisor
+from geraniumlink import _suspicions
+from geraniumlink import platform
+from geraniumlink.hosting import _application
+from geraniumlink.hosting import _follower
+from geraniumlink.hosting import _protocol
+from geraniumlink.platform import _configuration
+from geraniumlink.platform import _replicas as _replica_entries
+from geraniumlink.residency import _controller
+from geraniumlink.residency import _exchange
+from geraniumlink.residency import _leadership
+from geraniumlink.serving import _budget
+from geraniumlink.serving import _catalogue
+from geraniumlink.serving import _forward
+from geraniumlink.serving import _replicas
+from geraniumlink.serving import _types
+
+# The balancer asks once a second and takes an instance out after two
+# misses; new connections come until then.
+OUT_OF_ROTATION_MS = 2600
+# Before SIGKILL, what is left is cut off in order.
+EXIT_MARGIN_MS = 400
+# A lease that did not change for this long, and for the platform's bound
+# between two holders besides, is free: it covers the holder's last order.
+LEASE_MS = _leadership.ORDER_MS + _leadership.GUARD_MARGIN_MS
+CLOSE_STALE_MS = 1000
+
+
+async def serve(path: pathlib.Path) -> None:
+    """Run one instance until SIGTERM.
+
+    :raises platform.FormatError: if the settings make no sense.
+    :raises OSError: if they can't be read, or an address is taken.
+    """
+    settings = platform.read_settings(path)
+    eliot.to_file(sys.stdout)
+    eliot.add_global_fields(instance=settings.instance)
+    await _Instance(settings, path).run()
+
+
+class _Instance:
+    def __init__(
+        self, settings: platform.NodeSettings, path: pathlib.Path
+    ) -> None:
+        self._settings = settings
+        self._path = path
+        self._clock = _clock.Clock()
+        self._random = random.Random()
+        self._draining = False
+        self._client = _http.Client()
+        self._store = platform.Store(self._client, settings.store_address)
+        self._catalogue = _catalogue.Catalogue()
+        self._replicas = _replicas.Replicas(
+            self._clock, settings.leaving_bound_ms
+        )
+        self._suspicions = _suspicions.Suspicions(self._clock)
+        self._budgets = _budget.RepeatBudgets(
+            _budget.Bound(
+                settings.retry_ratio,
+                settings.retry_constant,
+                settings.retry_window_ms,
+            ),
+            self._clock,
+        )
+        self._leadership = self._make_leadership()
+        self._controller = _controller.Controller(
+            catalogue=self._catalogue,
+            replicas=self._replicas,
+            leadership=self._leadership,
+            orders=platform.OrderCalls(_http.Client(keeps_alive=False)),
+            clock=self._clock,
+            instance=settings.instance,
+        )
+        self._exchange = self._make_exchange()
+        self._forwarder = self._make_forwarder()
+        self._application = self._make_application()
+        self._listener = _server.Listener(
+            self._application,
+            list(self._addresses()),
+            self._clock,
+            http=_protocol.limited_protocol(self._catalogue),
+        )
+
+    def _make_leadership(self) -> _leadership.Leadership:
+        leases = _leases.Leases(
+            self._store,
+            str(self._settings.peer_address),
+            LEASE_MS + self._settings.lease_ms,
+            self._clock,
+            self._random,
+        )
+        return _leadership.Leadership(
+            leases, self._settings.lease_ms, self._clock
+        )
+
+    def _make_exchange(self) -> _exchange.Exchange:
+        return _exchange.Exchange(
+            controller=self._controller,
+            leadership=self._leadership,
+            replicas=self._replicas,
+            budgets=self._budgets,
+            suspicions=self._suspicions,
+            client=_http.Client(),
+            clock=self._clock,
+            instance=self._settings.instance,
+        )
+
+    def _make_forwarder(self) -> _forward.Forwarder:
+        return _forward.Forwarder(
+            catalogue=self._catalogue,
+            replicas=self._replicas,
+            residency=self._exchange,
+            budgets=self._budgets,
+            suspicions=self._suspicions,
+            clock=self._clock,
+            data_centre=self._settings.data_centre,
+            random_source=self._random,
+        )
+
+    def _make_application(self) -> _application.Application:
+        return _application.Application(
+            addresses=self._addresses(),
+            catalogue=self._catalogue,
+            forwarder=self._forwarder,
+            exchange=self._exchange,
+            clock=self._clock,
+            is_ready=self._is_ready,
+        )
+
+    def _addresses(self) -> _application.Addresses:
+        return _application.Addresses(
+            clients=self._settings.client_address,
+            readiness=self._settings.ready_address,
+            instances=self._settings.peer_address,
+        )
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._draining
+            and self._catalogue.current is not None
+            and self._replicas.listed
+        )
+
+    async def run(self) -> None:
+        _logs.event("started", data_centre=self._settings.data_centre)
+        children = [
+            _supervisor.Child(
+                "listener", self._listener.run, _supervisor.Restart.NEVER
+            ),
+            _supervisor.Child("configuration", self._follow_configuration),
+            _supervisor.Child("replicas", self._follow_replicas),
+            _supervisor.Child("leadership", self._leadership.keep),
+            _supervisor.Child("controller", self._controller.run),
+            _supervisor.Child("reports", self._exchange.report_always),
+            _supervisor.Child("connections", self._close_stale),
+        ]
+        async with anyio.create_task_group() as group:
+            group.start_soon(_supervisor.supervise, children, self._clock)
+            await self._take_signals()
+            group.cancel_scope.cancel()
+        _logs.event("stopped")
+
+    async def _take_signals(self) -> None:
+        """Return when the instance has drained after SIGTERM."""
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGHUP
+        ) as received:
+            async for number in received:
+                if number == signal.SIGTERM:
+                    await self._drain()
+                    return
+                self._read_again()
+
+    def _read_again(self) -> None:
+        """Check the settings that SIGHUP says have changed."""
+        try:
+            settings = platform.read_settings(self._path)
+        except (platform.FormatError, OSError) as error:
+            _logs.event("settings_kept", error=str(error))
+            return
+        _logs.event("settings_read", changed=settings != self._settings)
+        self._budgets.set_bound(
+            _budget.Bound(
+                settings.retry_ratio,
+                settings.retry_constant,
+                settings.retry_window_ms,
+            )
+        )
+
+    async def _drain(self) -> None:
+        """Leave the rotation, then finish every answer."""
+        began = self._clock.now()
+        _logs.event("draining", in_flight=self._application.in_flight)
+        self._draining = True
+        self._application.drain()
+        cut_at = began + self._settings.grace_ms - EXIT_MARGIN_MS
+        with anyio.move_on_after(self._settings.lease_ms / 1000):
+            await self._leadership.release()
+        left_ms = OUT_OF_ROTATION_MS - (self._clock.now() - began)
+        await self._clock.sleep(max(0, left_ms))
+        self._listener.stop()
+        with anyio.move_on_after((cut_at - self._clock.now()) / 1000):
+            await self._listener.stopped()
+        _logs.event("drained", in_flight=self._application.in_flight)
+
+    async def _follow_configuration(self) -> None:
+        await _follower.Follower(
+            self._store,
+            _configuration.KIND,
+            self._clock,
+            on_list=self._take_configurations,
+            on_change=self._take_configuration,
+        ).run()
+
+    def _take_configurations(self, objects: list[_objects.Object]) -> None:
+        for found in objects:
+            self._take_configuration(found)
+
+    def _take_configuration(self, found: _objects.Object) -> None:
+        if found.name != _configuration.NAME or found.value is None:
+            return
+        try:
+            configuration = platform.decode_configuration(found.value)
+        except platform.FormatError as error:
+            _logs.event("configuration_unreadable", error=str(error))
+            return
+        self._catalogue.accept(configuration)
+
+    async def _follow_replicas(self) -> None:
+        await _follower.Follower(
+            self._store,
+            _replica_entries.KIND,
+            self._clock,
+            on_list=self._take_replicas,
+            on_change=self._take_replica,
+        ).run()
+
+    def _take_replicas(self, objects: list[_objects.Object]) -> None:
+        entries = [self._decode(found) for found in objects]
+        self._replicas.replace(entry for entry in entries if entry)
+
+    def _take_replica(self, found: _objects.Object) -> None:
+        if found.value is None:
+            self._replicas.remove(found.name)
+            return
+        entry = self._decode(found)
+        if entry is not None:
+            self._replicas.update(entry)
+
+    def _decode(self, found: _objects.Object) -> _types.ReplicaEntry | None:
+        try:
+            return platform.decode_replica(found.name, found.value)
+        except platform.FormatError as error:
+            _logs.event(
+                "entry_unreadable", replica=found.name, error=str(error)
+            )
+            return None
+
+    async def _close_stale(self) -> None:
+        while True:
+            await self._clock.sleep(CLOSE_STALE_MS)
+            await self._forwarder.connections.close_stale()
--- /dev/null
+++ b/src/geraniumlink/residency/_exchange.py
@@ -0,0 +1,279 @@
+"""What instances tell the controller, and what it answers.
+
+JSON over HTTP on the instances' own port. Each instance reports what it was
+asked for, a few times a second, and asks for what is resident nowhere. The
+controller's answers bring what concerns all: how many instances there are,
+and which requests crash replicas.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import typing
+
+import anyio
+import orjson
+
+from geraniumlink import _clock
+from geraniumlink import _http
+from geraniumlink import _logs
+from geraniumlink import _settings
+from geraniumlink import _suspicions
+from geraniumlink.residency import _controller
+from geraniumlink.residency import _demand
+from geraniumlink.residency import _leadership
+from geraniumlink.serving import _budget
+from geraniumlink.serving import _outcomes
+from geraniumlink.serving import _replicas
+from geraniumlink.serving import _types
+
+REPORT_PATH = "/instances/report"
+WANT_PATH = "/instances/want"
+REPORT_MS = 500
+# A call to another instance is answered within some ms.
+CALL_MS = 600
+# An instance that has reported within this is counted.
+COUNTED_MS = 3000
+# Time to come back when the controller isn't known or doesn't answer: it is
+# replaced within seconds.
+NO_CONTROLLER_MS = 1000
+# Wants and reports are short; anything longer is no message of ours.
+MAX_MESSAGE_BYTES = 262_144
+
+
+class _Report(typing.TypedDict):
+    instance: str
+    # Service, model, adapter, prompt tokens.
+    uses: list[list[typing.Any]]
+    suspicions: list[typing.Any]
+
+
+class Exchange:
+    """Both sides: the controller's when the lease is held here."""
+
+    def __init__(
+        self,
+        *,
+        controller: _controller.Controller,
+        leadership: _leadership.Leadership,
+        replicas: _replicas.Replicas,
+        budgets: _budget.RepeatBudgets,
+        suspicions: _suspicions.Suspicions,
+        client: _http.Client,
+        clock: _clock.Clock,
+        instance: str,
+    ) -> None:
+        self._controller = controller
+        self._leadership = leadership
+        self._replicas = replicas
+        self._budgets = budgets
+        self._suspicions = suspicions
+        self._client = client
+        self._clock = clock
+        self._instance = instance
+        self._uses: dict[tuple[str, str, str], int] = {}
+        # When each instance last reported here.
+        self._reported: dict[str, int] = {}
+        self._asking: dict[_controller.Want, anyio.Event] = {}
+
+    def note_demand(self, service: str, request: _types.Request) -> None:
+        """Count a request for the next report."""
+        key = (service, request.model, request.adapter)
+        tokens = self._uses.get(key, 0) + request.prompt_tokens
+        self._uses[key] = tokens
+
+    async def ensure(
+        self,
+        service: str,
+        request: _types.Request,
+        avoid: set[str],
+        wait_ms: int,
+    ) -> _outcomes.Refusal | None:
+        """Return once some replica holds what a request needs."""
+        want = _controller.Want(service, request.model, request.adapter)
+        asking = self._asking.get(want)
+        if asking is not None and not avoid:
+            await asking.wait()
+            if self._is_placed(want):
+                return None
+        done = self._asking.setdefault(want, anyio.Event())
+        try:
+            answer = await self._ask(want, avoid, max(0, wait_ms))
+        finally:
+            done.set()
+            if self._asking.get(want) is done:
+                del self._asking[want]
+        match answer:
+            case _controller.Placed(names):
+                self._note_placed(want, names)
+                return None
+            case _controller.Later(retry_ms):
+                what = "adapter" if request.adapter else "model"
+                return _outcomes.Refusal(f"the {what} isn't loaded", retry_ms)
+
+    async def report_always(self) -> None:
+        """Report to the controller for ever."""
+        while True:
+            await self._clock.sleep(REPORT_MS)
+            uses, self._uses = self._uses, {}
+            report = _Report(
+                instance=self._instance,
+                uses=[[*key, tokens] for key, tokens in uses.items()],
+                suspicions=_suspicions.to_json(self._suspicions.latest()),
+            )
+            if self._leadership.is_leader:
+                self._take_answer(self._answer_report(report))
+                continue
+            answer = await self._call(REPORT_PATH, report, CALL_MS)
+            if answer is not None:
+                self._take_answer(answer)
+
+    async def receive(self, path: str, body: bytes) -> typing.Any:
+        """Answer another instance's message.
+
+        :raises ValueError: if it makes no sense.
+        """
+        try:
+            message = orjson.loads(body)
+            if path == REPORT_PATH:
+                return self._answer_report(message)
+            if path == WANT_PATH:
+                return await self._answer_want(message)
+        except (KeyError, TypeError) as error:
+            raise ValueError(f"no message of ours: {error!r}") from error
+        raise ValueError(f"no such path: {path}")
+
+    def _answer_report(self, report: _Report) -> dict[str, typing.Any]:
+        now = self._clock.now()
+        self._reported[str(report["instance"])] = now
+        self._reported = {
+            name: at
+            for name, at in self._reported.items()
+            if now - at < COUNTED_MS
+        }
+        for service, model, adapter, tokens in report["uses"]:
+            self._controller.note_use(
+                _demand.Use(service, model, adapter, int(tokens))
+            )
+        self._suspicions.merge(
+            [
+                entry
+                for entry in _suspicions.from_json(report["suspicions"])
+                if entry.fingerprint
+            ]
+        )
+        return {
+            "instances": len(self._reported),
+            "suspicions": _suspicions.to_json(self._suspicions.latest()),
+        }
+
+    def _take_answer(self, answer: typing.Any) -> None:
+        try:
+            self._budgets.set_instances(int(answer["instances"]))
+            entries = _suspicions.from_json(answer["suspicions"])
+        except (KeyError, TypeError, ValueError) as error:
+            _logs.event("bad_report_answer", error=repr(error))
+            return
+        self._suspicions.merge(entries)
+
+    async def _answer_want(self, message: typing.Any) -> typing.Any:
+        want = _controller.Want(
+            str(message["service"]),
+            str(message["model"]),
+            str(message["adapter"]),
+        )
+        avoid = {str(name) for name in message["avoid"]}
+        wait_ms = int(message["wait_ms"])
+        answer = await self._controller.want(want, avoid, wait_ms)
+        match answer:
+            case _controller.Placed(names):
+                return {"replicas": list(names)}
+            case _controller.Pending():
+                return {"pending": True}
+            case _controller.Later(retry_ms):
+                return {"retry_ms": retry_ms}
+
+    async def _ask(
+        self, want: _controller.Want, avoid: set[str], wait_ms: int
+    ) -> _controller.Placed | _controller.Later:
+        until = self._clock.now() + wait_ms
+        while True:
+            left_ms = max(0, until - self._clock.now())
+            answer = await self._ask_once(want, avoid, left_ms)
+            if not isinstance(answer, _controller.Pending):
+                return answer
+
+    async def _ask_once(
+        self, want: _controller.Want, avoid: set[str], wait_ms: int
+    ) -> _controller.Answer:
+        if self._leadership.is_leader:
+            return await self._controller.want(want, avoid, wait_ms)
+        message = {
+            **want._asdict(),
+            "avoid": sorted(avoid),
+            "wait_ms": wait_ms,
+        }
+        timeout_ms = _controller.ANSWER_MS + CALL_MS
+        answer = await self._call(WANT_PATH, message, timeout_ms)
+        try:
+            if answer is None:
+                return _controller.Later(NO_CONTROLLER_MS)
+            if "pending" in answer:
+                return _controller.Pending()
+            if "retry_ms" in answer:
+                return _controller.Later(int(answer["retry_ms"]))
+            names = tuple(str(name) for name in answer["replicas"])
+            return _controller.Placed(names)
+        except (KeyError, TypeError, ValueError) as error:
+            _logs.event("bad_want_answer", error=repr(error))
+            return _controller.Later(NO_CONTROLLER_MS)
+
+    def _is_placed(self, want: _controller.Want) -> bool:
+        now = self._clock.now()
+        return any(
+            replica.holds(want.model, want.adapter, now)
+            for replica in self._replicas.serving(want.service)
+        )
+
+    def _note_placed(
+        self, want: _controller.Want, names: Iterable[str]
+    ) -> None:
+        now = self._clock.now()
+        for name in names:
+            replica = self._replicas.get(name)
+            if replica is not None:
+                replica.note_placed(want.model, want.adapter, now)
+
+    async def _call(
+        self, path: str, message: typing.Any, timeout_ms: int
+    ) -> typing.Any:
+        """Return the controller's answer; None when there is none."""
+        try:
+            address = _settings.parse_address(self._leadership.leader)
+        except ValueError:
+            # Nobody has taken the lease yet, or it was released.
+            return None
+        try:
+            with anyio.fail_after(timeout_ms / 1000):
+                answer = await self._client.request(
+                    "POST",
+                    address,
+                    path,
+                    body=orjson.dumps(message),
+                    connect_ms=CALL_MS,
+                    read_ms=timeout_ms,
+                )
+            if answer.status != 200:
+                raise _http.BrokenError(f"answered {answer.status}")
+            return answer.json()
+        except (
+            _http.NotSentError,
+            _http.BrokenError,
+            TimeoutError,
+        ) as error:
+            _logs.event(
+                "controller_unreachable",
+                controller=str(address),
+                error=repr(error),
+            )
+            return None
--- /dev/null
+++ b/src/geraniumlink/residency/_leadership.py
@@ -0,0 +1,103 @@
+"""Which instance controls the replicas, by a lease in the store.
+
+Replicas don't check fencing numbers, so a former controller must have
+stopped before the next one begins. It orders only for a short time after its
+last renewal was sent, by a clock that goes on while the machine is
+suspended; the next one waits for longer than that and the guard together.
+"""
+
+from __future__ import annotations
+
+from geraniumlink import _clock
+from geraniumlink import _leases
+from geraniumlink import _logs
+from geraniumlink import _objects
+
+SHARD = "controller"
+# A renewal is a write to the store; two may fail before the lease lapses.
+RENEW_MS = 700
+# After its last renewal was sent, a holder orders for this long.
+ORDER_MS = 1400
+# Kept between two holders' orders, beyond the platform's bound.
+GUARD_MARGIN_MS = 200
+# How often the others look who holds it, by reads that cost a tenth.
+LOOK_MS = 1000
+
+
+class Leadership:
+    """Takes and keeps the controller's lease for this instance."""
+
+    def __init__(
+        self, leases: _leases.Leases, guard_ms: int, clock: _clock.Clock
+    ) -> None:
+        self._leases = leases
+        self._guard_ms = guard_ms + GUARD_MARGIN_MS
+        self._clock = clock
+        self._held: _leases.Held | None = None
+        self._renewed_at = 0
+        self._orders_from = 0
+        self._leader = ""
+
+    @property
+    def leader(self) -> str:
+        """The address of the instance that holds the lease; may lag."""
+        return self._leader
+
+    @property
+    def epoch(self) -> int:
+        """The term of the lease; 0 when it isn't held here."""
+        return self._held.lease.epoch if self._held else 0
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether the lease is held here, as far as is known."""
+        return self._held is not None
+
+    def may_order(self) -> bool:
+        """Whether an order sent now can't meet another holder's."""
+        if self._held is None:
+            return False
+        now = self._clock.since_boot()
+        return self._orders_from <= now < self._renewed_at + ORDER_MS
+
+    async def keep(self) -> None:
+        """Take the lease whenever it is free, and renew it, for ever."""
+        while True:
+            try:
+                if self._held is None:
+                    await self._look()
+                else:
+                    await self._renew(self._held)
+            except _objects.UnavailableError as error:
+                _logs.event("lease_unavailable", error=str(error))
+            held = self._held is not None
+            await self._clock.sleep(RENEW_MS if held else LOOK_MS)
+
+    async def release(self) -> None:
+        """Let another instance take over; used before the process ends."""
+        held, self._held = self._held, None
+        if held is not None:
+            await self._leases.release(held)
+
+    async def _look(self) -> None:
+        before = self._clock.since_boot()
+        held = await self._leases.try_take(SHARD)
+        if held is None:
+            self._leader = self._leases.holder_of(SHARD)
+            return
+        self._held = held
+        self._leader = held.lease.holder
+        self._renewed_at = self._clock.since_boot()
+        # A holder that released it may have ordered just before.
+        released = held.previous is not None and not held.previous.holder
+        self._orders_from = before + (self._guard_ms if released else 0)
+
+    async def _renew(self, held: _leases.Held) -> None:
+        sent_at = self._clock.since_boot()
+        try:
+            self._held = await self._leases.renew(held)
+        except _leases.LostError:
+            _logs.event("lease_lost", epoch=held.lease.epoch)
+            self._held = None
+            return
+        self._renewed_at = sent_at
--- /dev/null
+++ b/src/geraniumlink/residency/_planner.py
@@ -0,0 +1,202 @@
+"""Chooses which model to load where.
+
+Demand is in prompt tokens a second, by model, since reading prompts is what
+binds the engines. A model that is asked for and resident nowhere comes
+first. Then the model with the most demand for each of its copies gets
+another one, where that takes load off its replicas. What makes room is the
+copy whose loss costs least.
+
+Answers the load where demand moves between models within seconds, and rare
+models are asked for at once.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from geraniumlink.serving import _types
+
+# Demand that one engine serves well: its prefill rate of 22 tokens a ms,
+# less what generating takes.
+REPLICA_TOKENS_PER_S = 15_000.0
+# A copy is worth adding when its holders are above this share of that.
+BUSY_SHARE = 0.45
+# The most loaded holder must be relieved by this share of the capacity.
+LEAST_RELIEF = 0.1
+# The last copy of a model is kept for this long after it was asked for.
+KEEP_LAST_MS = 6000
+# Cost of losing a last copy that is idle, in tokens a second: it will have
+# to be loaded again when it is asked for.
+LAST_COPY_COST = 800.0
+# How long an idle last copy is taken to be likely to be asked for again.
+RECENT_MS = 30_000
+
+
+class View(typing.NamedTuple):
+    """A replica as the planner sees it."""
+
+    name: str
+    # Resident, or being loaded.
+    models: frozenset[str]
+    # An order is in progress, or its outcome is unknown.
+    busy: bool
+
+
+class Move(typing.NamedTuple):
+    """A model to load, and the one that makes room for it, if any."""
+
+    replica: str
+    model: str
+    evicted: str | None
+
+
+class Demand(typing.NamedTuple):
+    """What callers ask for."""
+
+    # Prompt tokens a second by model.
+    rates: dict[str, float]
+    # Time since each model was last asked for, in ms.
+    idle_ms: dict[str, int]
+    # Models that requests wait for now, the longest wait first.
+    wanted: tuple[str, ...]
+
+
+def plan(
+    engine: _types.Engine, views: list[View], demand: Demand, most: int
+) -> list[Move]:
+    """Return at most that many loads, the most urgent first."""
+    planner = _Planner(engine, views, demand)
+    moves: list[Move] = []
+    for model in demand.wanted:
+        if len(moves) < most and not planner.copies(model):
+            moves += planner.load(model)
+    while len(moves) < most:
+        more = planner.relieve()
+        if not more:
+            break
+        moves += more
+    return moves
+
+
+class _Planner:
+    """The placement as it will be after the moves chosen so far."""
+
+    def __init__(
+        self, engine: _types.Engine, views: list[View], demand: Demand
+    ) -> None:
+        self._engine = engine
+        self._demand = demand
+        self._models = {view.name: set(view.models) for view in views}
+        self._free = {view.name for view in views if not view.busy}
+
+    def copies(self, model: str) -> int:
+        return sum(model in held for held in self._models.values())
+
+    def load(self, model: str) -> list[Move]:
+        """Load a model where it costs least."""
+        options = []
+        for replica in sorted(self._free - self._holders(model)):
+            room = self._room(replica, model)
+            if room is not None:
+                evicted, cost = room
+                options.append((cost + self._load(replica), replica, evicted))
+        if not options:
+            return []
+        _, replica, evicted = min(options, key=lambda option: option[0])
+        return [self._move(replica, model, evicted)]
+
+    def relieve(self) -> list[Move]:
+        """Add a copy of the model with the most demand for each copy."""
+        rates = self._demand.rates
+        busy = sorted(rates, key=self._share, reverse=True)
+        for model in busy:
+            holders = self._holders(model)
+            if not holders or model not in self._engine.models:
+                continue
+            load = max(self._load(replica) for replica in holders)
+            if load < BUSY_SHARE * REPLICA_TOKENS_PER_S:
+                continue
+            move = self._copy(model, load)
+            if move:
+                return move
+        return []
+
+    def _copy(self, model: str, load: float) -> list[Move]:
+        copies = self.copies(model)
+        share = self._demand.rates[model] / (copies + 1)
+        relief = self._share(model) - share
+        if relief < LEAST_RELIEF * REPLICA_TOKENS_PER_S:
+            return []
+        options = []
+        for replica in sorted(self._free - self._holders(model)):
+            room = self._room(replica, model)
+            if room is None:
+                continue
+            evicted, cost = room
+            after = self._load(replica) + share + cost
+            if after < load - relief / 2:
+                options.append((after, replica, evicted))
+        if not options:
+            return []
+        _, replica, evicted = min(options, key=lambda option: option[0])
+        return [self._move(replica, model, evicted)]
+
+    def _move(self, replica: str, model: str, evicted: str | None) -> Move:
+        self._models[replica].add(model)
+        if evicted is not None:
+            self._models[replica].discard(evicted)
+        self._free.discard(replica)
+        return Move(replica, model, evicted)
+
+    def _holders(self, model: str) -> set[str]:
+        return {name for name, held in self._models.items() if model in held}
+
+    def _share(self, model: str) -> float:
+        """Demand for each copy of a model."""
+        rate = self._demand.rates.get(model, 0.0)
+        return rate / max(1, self.copies(model))
+
+    def _load(self, replica: str) -> float:
+        return sum(self._share(model) for model in self._models[replica])
+
+    def _room(
+        self, replica: str, model: str
+    ) -> tuple[str | None, float] | None:
+        """Return what to evict, if anything, and what its loss costs."""
+        if self._fits(self._models[replica], model):
+            return None, 0.0
+        options = []
+        for held in sorted(self._models[replica]):
+            rest = self._models[replica] - {held}
+            cost = self._loss(held)
+            if cost is not None and self._fits(rest, model):
+                options.append((cost, held))
+        if not options:
+            return None
+        cost, held = min(options)
+        return held, cost
+
+    def _fits(self, held: set[str], model: str) -> bool:
+        sizes = self._engine.models
+        if model not in sizes:
+            return False
+        names = held | {model}
+        # A model that is no longer declared has an unknown size.
+        if not names <= sizes.keys():
+            return False
+        adapter_mb = max(sizes[name].adapter_mb for name in names)
+        total = sum(sizes[name].size_mb for name in names)
+        total += adapter_mb * self._engine.adapter_slots
+        return total <= self._engine.weights_mb
+
+    def _loss(self, model: str) -> float | None:
+        """Return what losing a copy costs; None if it must stay."""
+        copies = self.copies(model)
+        rate = self._demand.rates.get(model, 0.0)
+        if copies > 1:
+            return rate / (copies - 1)
+        idle_ms = self._demand.idle_ms.get(model, RECENT_MS)
+        if idle_ms < KEEP_LAST_MS or model in self._demand.wanted:
+            return None
+        recency = max(0.0, 1 - idle_ms / RECENT_MS)
+        return rate + LAST_COPY_COST * (1 + recency)
--- /dev/null
+++ b/src/geraniumlink/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request: routing, admission, attempts and answers."""
--- /dev/null
+++ b/src/geraniumlink/serving/_catalogue.py
@@ -0,0 +1,55 @@
+"""The configuration in force at this instance, and the way to a route."""
+
+from __future__ import annotations
+
+import collections
+
+from geraniumlink import _logs
+from geraniumlink.serving import _types
+
+
+class Catalogue:
+    """Holds the newest configuration that was ever seen here."""
+
+    def __init__(self) -> None:
+        self._current: _types.Configuration | None = None
+        # Longest prefix first.
+        self._by_host: dict[str, list[_types.Route]] = {}
+
+    @property
+    def current(self) -> _types.Configuration | None:
+        """The configuration in force; None before the first."""
+        return self._current
+
+    def accept(self, configuration: _types.Configuration) -> bool:
+        """Put a configuration in force unless it is an older one."""
+        known = self._current
+        if known is not None and configuration.version <= known.version:
+            return False
+        by_host = collections.defaultdict(list)
+        for route in configuration.routes:
+            by_host[route.host].append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: -len(route.path_prefix))
+        self._by_host = dict(by_host)
+        self._current = configuration
+        _logs.event(
+            "configuration_in_force",
+            version=configuration.version,
+            previous_version=known.version if known else None,
+            routes=len(configuration.routes),
+        )
+        return True
+
+    def route(self, host: str, target: bytes) -> _types.Route | None:
+        """Return the route with the longest prefix of a path."""
+        path = target.partition(b"?")[0].decode("latin-1")
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def service(self, name: str) -> _types.Service | None:
+        if self._current is None:
+            return None
+        return self._current.services.get(name)
--- /dev/null
+++ b/src/geraniumlink/serving/_replicas.py
@@ -0,0 +1,237 @@
+"""The replicas known here, and what this instance learned of each.
+
+What is registered says who exists, who leaves and what each holds. An entry
+that vanishes without having been marked as leaving is ambiguous: the replica
+may have left without a word, or its entry may have lapsed while the store
+was down. It is used for a little longer, after all others.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import collections
+
+from geraniumlink import _clock
+from geraniumlink import _logs
+from geraniumlink.serving import _types
+
+# An entry is written again within about 2 s after the store's return.
+VANISHED_MARGIN_MS = 300
+# First and longest pause after a connection could not be opened.
+FIRST_PAUSE_MS = 300
+LONGEST_PAUSE_MS = 3000
+# Half-life of what was learned from the replica's behaviour.
+MEMORY_MS = 3000
+# Weight of one outcome in the moving averages.
+OUTCOME_WEIGHT = 0.15
+# A replica's word that it lacks a model stands until its entry follows,
+# which takes a heartbeat.
+ABSENCE_MS = 1500
+# An order that was just confirmed shows in the entry after a heartbeat.
+PLACED_MS = 4000
+MAX_PARTS = 4096
+
+
+class Replica:
+    """A replica and the load that this instance puts on it."""
+
+    def __init__(self, entry: _types.ReplicaEntry, now: int) -> None:
+        self.entry = entry
+        # When the entry was first seen as it is.
+        self.changed_at = now
+        self.in_flight = 0
+        # Prompt tokens sent and not yet followed by a first event, by rank.
+        self.prefilling: collections.Counter[int] = collections.Counter()
+        self.last_heard = 0
+        self.load: _types.LoadReport | None = None
+        self.load_at = 0
+        # Since when the entry is missing; None while it is there.
+        self.vanished_at: int | None = None
+        self.leaving = entry.leaving
+        self.paused_until = 0
+        self._pause_ms = FIRST_PAUSE_MS
+        self._failures = 0.0
+        self._lag_ms = 0.0
+        self._learned_at = 0
+        self._parts: collections.OrderedDict[tuple[str, str], None] = (
+            collections.OrderedDict()
+        )
+        self._absent: dict[tuple[str, str], int] = {}
+        self._placed: dict[tuple[str, str], int] = {}
+
+    def holds(self, model: str, adapter: str, now: int) -> bool:
+        """Whether a request for them can run there, as far as is known."""
+        if not model:
+            return True
+        if self._absent.get((model, adapter), 0) > now:
+            return False
+        if self._absent.get((model, ""), 0) > now:
+            return False
+        if self._placed.get((model, adapter), 0) > now:
+            return True
+        resident = self.entry.residents.get(model)
+        return resident is not None and (not adapter or adapter in resident)
+
+    def note_absent(self, model: str, adapter: str, now: int) -> None:
+        """Take the replica's word that it can't run a request for them."""
+        self._absent[model, adapter] = now + ABSENCE_MS
+        self._placed.pop((model, adapter), None)
+
+    def note_placed(self, model: str, adapter: str, now: int) -> None:
+        """Take the controller's word that they were loaded there."""
+        self._placed[model, adapter] = now + PLACED_MS
+        self._absent.pop((model, adapter), None)
+
+    def update(self, entry: _types.ReplicaEntry, now: int) -> None:
+        if entry.residents != self.entry.residents:
+            self.changed_at = now
+            self._absent.clear()
+        self.entry = entry
+        self.vanished_at = None
+        # A replica that has begun to leave never comes back.
+        self.leaving = self.leaving or entry.leaving
+
+    def failures(self, now: int) -> float:
+        """Share of late outcomes that were failures, fading with time."""
+        return self._failures * self._fade(now)
+
+    def lag_ms(self, now: int) -> float:
+        """By how much it was later than expected, fading with time."""
+        return self._lag_ms * self._fade(now)
+
+    def note_outcome(self, failed: bool, now: int) -> None:
+        self._age(now)
+        self._failures += OUTCOME_WEIGHT * (float(failed) - self._failures)
+
+    def note_lag(self, lag_ms: float, now: int) -> None:
+        self._age(now)
+        self._lag_ms += 2 * OUTCOME_WEIGHT * (max(0, lag_ms) - self._lag_ms)
+
+    def note_unreachable(self, now: int) -> None:
+        """Stop sending for a while, longer each time."""
+        self.paused_until = now + self._pause_ms
+        self._pause_ms = min(2 * self._pause_ms, LONGEST_PAUSE_MS)
+
+    def note_heard(self, now: int) -> None:
+        self.last_heard = now
+        self.paused_until = 0
+        self._pause_ms = FIRST_PAUSE_MS
+
+    def note_load(self, load: _types.LoadReport, now: int) -> None:
+        self.load = load
+        self.load_at = now
+
+    def uncached_tokens(self, request: _types.Request) -> int:
+        """Prompt tokens that it hasn't read for this instance lately."""
+        left = request.prompt_tokens
+        for part in request.parts:
+            if (request.model, part.key) not in self._parts:
+                break
+            left -= part.tokens
+        return max(0, left)
+
+    def remember_parts(self, request: _types.Request) -> None:
+        for part in request.parts:
+            key = (request.model, part.key)
+            self._parts[key] = None
+            self._parts.move_to_end(key)
+        while len(self._parts) > MAX_PARTS:
+            self._parts.popitem(last=False)
+
+    def _fade(self, now: int) -> float:
+        return 0.5 ** ((now - self._learned_at) / MEMORY_MS)
+
+    def _age(self, now: int) -> None:
+        fade = self._fade(now)
+        self._failures *= fade
+        self._lag_ms *= fade
+        self._learned_at = now
+
+
+class Replicas:
+    """All registered replicas by name."""
+
+    def __init__(self, clock: _clock.Clock, leaving_bound_ms: int) -> None:
+        self._clock = clock
+        self._vanished_ms = leaving_bound_ms - VANISHED_MARGIN_MS
+        self._known: dict[str, Replica] = {}
+        self._listed = False
+
+    @property
+    def listed(self) -> bool:
+        """Whether the whole list was read once."""
+        return self._listed
+
+    def get(self, name: str) -> Replica | None:
+        return self._known.get(name)
+
+    def of_service(self, service: str) -> list[Replica]:
+        """Return those that are registered, leaving or not."""
+        self._forget_vanished()
+        return [
+            replica
+            for replica in self._known.values()
+            if replica.entry.service == service
+        ]
+
+    def serving(self, service: str) -> list[Replica]:
+        """Return those that may get new requests now."""
+        now = self._clock.now()
+        found = [
+            replica
+            for replica in self.of_service(service)
+            if not replica.leaving and replica.paused_until <= now
+        ]
+        certain = [r for r in found if r.vanished_at is None]
+        return certain or found
+
+    def replace(self, entries: Iterable[_types.ReplicaEntry]) -> None:
+        """Take in the whole list."""
+        listed = {entry.name: entry for entry in entries}
+        for entry in listed.values():
+            self.update(entry)
+        for name in self._known.keys() - listed.keys():
+            self.remove(name)
+        self._listed = True
+
+    def update(self, entry: _types.ReplicaEntry) -> None:
+        known = self._known.get(entry.name)
+        if known is None or _is_other_process(known.entry, entry):
+            self._known[entry.name] = Replica(entry, self._clock.now())
+            _logs.event(
+                "replica_seen",
+                replica=entry.name,
+                service=entry.service,
+                address=str(entry.address),
+                incarnation=entry.started_at,
+            )
+            return
+        if entry.leaving and not known.leaving:
+            _logs.event("replica_leaving", replica=entry.name)
+        known.update(entry, self._clock.now())
+
+    def remove(self, name: str) -> None:
+        """Note that an entry is missing."""
+        known = self._known.get(name)
+        if known is None or known.vanished_at is not None:
+            return
+        known.vanished_at = self._clock.now()
+        _logs.event("replica_vanished", replica=name, leaving=known.leaving)
+
+    def _forget_vanished(self) -> None:
+        now = self._clock.now()
+        for name, replica in list(self._known.items()):
+            since = replica.vanished_at
+            if since is not None and now - since > self._vanished_ms:
+                del self._known[name]
+                _logs.event("replica_forgotten", replica=name)
+
+
+def _is_other_process(
+    known: _types.ReplicaEntry, entry: _types.ReplicaEntry
+) -> bool:
+    return (
+        known.started_at != entry.started_at
+        or known.address != entry.address
+        or known.service != entry.service
+    )
