Account for each replica by its own reports alone

Ruled out: late orders (the order count named was right) and the planner's sizes. Now an account is taken from a report, with the count it is right for, before anything is ordered, and from own orders after that.

--- a/src/geraniumlink/_leases.py
+++ b/src/geraniumlink/_leases.py
@@ -56,6 +56,18 @@
     """Another instance has taken the lease."""
 
 
+class ObjectStore(typing.Protocol):
+    """What leases need of a store; ``_objects.ObjectApi`` has it."""
+
+    async def get(self, kind: str, name: str) -> _objects.Object:
+        """Return an object; version 0 and value None when there is none."""
+
+    async def put(
+        self, kind: str, name: str, value: typing.Any, if_version: int
+    ) -> _objects.Object:
+        """Write when the object is at that version."""
+
+
 class _Sighting(typing.NamedTuple):
     version: int
     seen_at: int
@@ -67,7 +79,7 @@
 
     def __init__(
         self,
-        objects: _objects.ObjectApi,
+        objects: ObjectStore,
         holder: str,
         duration_ms: int,
         clock: _clock.Clock,
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -31,10 +31,10 @@
 from geraniumlink import _server
 from geraniumlink import _supervisor
 from geraniumlink import _suspicions
-from geraniumlink import platform
 from geraniumlink.hosting import _application
 from geraniumlink.hosting import _follower
 from geraniumlink.hosting import _protocol
+from geraniumlink import platform
 from geraniumlink.platform import _configuration
 from geraniumlink.platform import _replicas as _replica_entries
 from geraniumlink.residency import _controller
@@ -109,7 +109,9 @@
             self._application,
             list(self._addresses()),
             self._clock,
-            http=_protocol.limited_protocol(self._catalogue),
+            http=_protocol.limited_protocol(
+                self._catalogue, lambda: self._draining
+            ),
         )
 
     def _make_leadership(self) -> _leadership.Leadership:
--- a/src/geraniumlink/hosting/_protocol.py
+++ b/src/geraniumlink/hosting/_protocol.py
@@ -19,17 +19,24 @@
 
 def limited_protocol(
     catalogue: _catalogue.Catalogue,
+    is_draining: typing.Callable[[], bool],
 ) -> type[asyncio.Protocol]:
-    """Return a protocol class that reads its limits from a catalogue."""
+    """Return a protocol class that reads its limits from a catalogue.
+
+    While the instance drains, a connection is closed after its answer, also
+    where the answer began before and couldn't announce it.
+    """
 
     class LimitedProtocol(_LimitedProtocol):
         _catalogue = catalogue
+        _is_draining = staticmethod(is_draining)
 
     return LimitedProtocol
 
 
 class _LimitedProtocol(httptools_impl.HttpToolsProtocol):
     _catalogue: _catalogue.Catalogue
+    _is_draining: typing.Callable[[], bool]
     _header_timer: asyncio.TimerHandle | None = None
     _header_bytes = 0
 
@@ -83,6 +90,8 @@
     def on_response_complete(self) -> None:
         self.timeout_keep_alive = self._idle_s  # type: ignore[assignment]
         super().on_response_complete()
+        if self._is_draining():
+            self.transport.close()
 
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection, unless the limit was raised meanwhile."""
--- a/src/geraniumlink/platform/__init__.py
+++ b/src/geraniumlink/platform/__init__.py
@@ -7,12 +7,12 @@
 """
 
 from geraniumlink.platform._configuration import decode_configuration
+from geraniumlink.platform._fields import FormatError
 from geraniumlink.platform._heads import AnswerHead
 from geraniumlink.platform._heads import decode_answer
 from geraniumlink.platform._heads import decode_request
 from geraniumlink.platform._heads import encode_request
 from geraniumlink.platform._heads import refusal_headers
-from geraniumlink.platform._fields import FormatError
 from geraniumlink.platform._orders import Order
 from geraniumlink.platform._orders import OrderCalls
 from geraniumlink.platform._orders import Verdict
--- a/src/geraniumlink/platform/_configuration.py
+++ b/src/geraniumlink/platform/_configuration.py
@@ -16,9 +16,7 @@
 
     :raises _fields.FormatError: naming the field that is missing or wrong.
     """
-    services = [
-        _service(entry) for entry in _fields.listed(spec, "services")
-    ]
+    services = [_service(entry) for entry in _fields.listed(spec, "services")]
     routes = [_route(entry) for entry in _fields.listed(spec, "routes")]
     return _types.Configuration(
         version=_fields.whole(spec, "version"),
--- a/src/geraniumlink/platform/_fields.py
+++ b/src/geraniumlink/platform/_fields.py
@@ -27,9 +27,7 @@
     return value
 
 
-def number(
-    message: typing.Any, name: str, default: float = _MISSING
-) -> float:
+def number(message: typing.Any, name: str, default: float = _MISSING) -> float:
     """Return a number, not negative."""
     value = _typed(message, name, (int, float), default)
     if not 0 <= value < float("inf"):
--- a/src/geraniumlink/platform/_settings.py
+++ b/src/geraniumlink/platform/_settings.py
@@ -58,9 +58,7 @@
         data_centre=_fields.text(message, "zone"),
         client_address=_fields.address(listen, "front"),
         ready_address=_fields.address(listen, "ready"),
-        peer_address=_settings.Address(
-            _fields.text(message, "ip"), ports[0]
-        ),
+        peer_address=_settings.Address(_fields.text(message, "ip"), ports[0]),
         store_address=_fields.address(
             _fields.table(message, "platform"), "address"
         ),
--- a/src/geraniumlink/platform/_store.py
+++ b/src/geraniumlink/platform/_store.py
@@ -168,9 +168,7 @@
         raise _objects.UnavailableError("no revision") from error
 
 
-def _items(
-    kind: str, body: typing.Any, field: str
-) -> list[_objects.Object]:
+def _items(kind: str, body: typing.Any, field: str) -> list[_objects.Object]:
     try:
         return [_item(kind, entry) for entry in body[field]]
     except (KeyError, TypeError) as error:
--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -37,6 +37,8 @@
 RETRY_MS = 1000
 # A want is answered within this, even if it is still being carried out.
 ANSWER_MS = 800
+# An order without an answer is sent again this often in all.
+MAX_SENDS = 3
 # How long a want stands after the last request that waits for it.
 WANT_MS = 1500
 
@@ -108,12 +110,13 @@
             while True:
                 if self._leadership.may_order():
                     self._begin_term()
+                    for holding in self._holdings.values():
+                        if not holding.known and not holding.moving:
+                            group.start_soon(self._introduce, holding)
                     self._place(group)
                 await self._clock.sleep(TICK_MS)
 
-    async def want(
-        self, want: Want, avoid: set[str], wait_ms: int
-    ) -> Answer:
+    async def want(self, want: Want, avoid: set[str], wait_ms: int) -> Answer:
         """Have a model or adapter loaded; return where it is resident.
 
         ``wait_ms`` is how long the request can wait in all. The answer
@@ -137,6 +140,15 @@
             if self._clock.now() - began >= ANSWER_MS:
                 return Pending()
 
+    async def _introduce(self, holding: _holdings.Holding) -> None:
+        """Learn what a replica holds before anything is ordered there."""
+        holding.moving = True
+        await self._ask(holding)
+        if holding.busy:
+            # What a former controller ordered doesn't show in the report.
+            holding.order_count = None
+        holding.moving = False
+
     def _begin_term(self) -> None:
         """Forget what was believed before the lease was taken."""
         epoch = self._leadership.epoch
@@ -165,8 +177,6 @@
         holding = self._holdings.get(entry.name)
         if holding is None or holding.started_at != entry.started_at:
             self._holdings[entry.name] = _holdings.Holding(entry)
-        else:
-            holding.take_entry(entry, self._clock.now())
 
     def _serving(self, service: str) -> list[_holdings.Holding]:
         return [
@@ -202,9 +212,7 @@
             return Later(RETRY_MS)
         return None
 
-    async def _load_adapter(
-        self, want: Want, avoid: set[str]
-    ) -> Later | None:
+    async def _load_adapter(self, want: Want, avoid: set[str]) -> Later | None:
         loading = self._loading_adapters.get(want)
         if loading is not None:
             await loading.wait()
@@ -229,6 +237,7 @@
             if holding.name not in avoid
             and holding.holds(want.model, "")
             # While it loads a model, it refuses other orders.
+            and holding.known
             and not holding.moving
         ]
         return sorted(hosts, key=lambda h: len(h.charged_adapters()))
@@ -248,20 +257,17 @@
                     return False
                 if not await self._unload_adapter(holding, victim):
                     return False
-            holding.pending.add((want.model, want.adapter))
             verdict = await self._order(
                 holding, load=True, model=want.model, adapter=want.adapter
             )
+            if verdict is platform.Verdict.ACCEPTED:
+                holding.pending.add((want.model, want.adapter))
         match verdict:
             case platform.Verdict.ACCEPTED:
                 await self._clock.sleep(ADAPTER_MS)
             case platform.Verdict.HOLDS:
                 pass
-            case platform.Verdict.UNKNOWN:
-                # It stays charged until a newer order rules it out.
-                return False
             case _:
-                holding.pending.discard((want.model, want.adapter))
                 return False
         holding.pending.discard((want.model, want.adapter))
         holding.models.setdefault(want.model, set()).add(want.adapter)
@@ -354,10 +360,9 @@
         load_ms = LOAD_SLACK * engine.models[move.model].load_ms
         self._ready_at[key] = self._clock.now() + int(load_ms)
         try:
-            if move.evicted is not None:
-                if not await self._evict(holding, move.evicted):
-                    holding.pending.discard((move.model, ""))
-                    return
+            if not await self._evict(holding, move.evicted):
+                holding.pending.discard((move.model, ""))
+                return
             await self._load(holding, move.model, 3 * load_ms)
         finally:
             holding.moving = False
@@ -367,7 +372,12 @@
             self._changed.set()
             self._changed = anyio.Event()
 
-    async def _evict(self, holding: _holdings.Holding, model: str) -> bool:
+    async def _evict(
+        self, holding: _holdings.Holding, model: str | None
+    ) -> bool:
+        """Make room; whether there is."""
+        if model is None:
+            return True
         if not await self._order_surely(holding, load=False, model=model):
             return False
         return await self._until(
@@ -384,8 +394,10 @@
     async def _order_surely(
         self, holding: _holdings.Holding, *, load: bool, model: str
     ) -> bool:
-        """Order until it is known to hold; False when it can't be."""
-        for _ in range(3):
+        """Order until it is known to be accepted; False when it isn't."""
+        before = holding.order_count
+        in_doubt = False
+        for _ in range(MAX_SENDS):
             async with holding.ordering:
                 verdict = await self._order(
                     holding, load=load, model=model, adapter=""
@@ -393,14 +405,18 @@
             match verdict:
                 case platform.Verdict.ACCEPTED | platform.Verdict.HOLDS:
                     return True
+                case platform.Verdict.UNKNOWN:
+                    in_doubt = True
                 case platform.Verdict.REFUSED:
-                    holding.pending.discard((model, ""))
-                    return False
-                case _:
-                    await self._clock.sleep(REPORT_LAG_MS)
-                    await self._ask(holding)
-                    if (model in holding.models) == load:
-                        return True
+                    break
+            await self._clock.sleep(REPORT_LAG_MS)
+            await self._ask(holding)
+            if in_doubt and holding.order_count != before:
+                # Nobody else orders, so it was ours that was counted.
+                return True
+            if verdict is platform.Verdict.CONFLICT:
+                break
+        holding.pending.discard((model, ""))
         return False
 
     async def _order(
@@ -411,8 +427,6 @@
         model: str,
         adapter: str,
     ) -> platform.Verdict:
-        if holding.order_count is None:
-            await self._ask(holding)
         if holding.order_count is None or not self._leadership.may_order():
             return platform.Verdict.REFUSED
         order = platform.Order(
@@ -430,7 +444,9 @@
             # An adapter that nobody uses is unloaded at once, and counted.
             verdict is platform.Verdict.HOLDS and adapter and not load
         ):
-            holding.note_accepted(self._clock.now())
+            holding.note_accepted()
+        if verdict is platform.Verdict.UNKNOWN and load:
+            holding.doubtful.add((model, adapter))
         _logs.event(
             "order",
             replica=order.replica,
@@ -460,9 +476,7 @@
                 # It ended, or another instance controls it.
                 return False
             await self._clock.sleep(POLL_MS)
-            self._refresh()
-            if not reached():
-                await self._ask(holding)
+            await self._ask(holding)
         return True
 
     async def _ask(self, holding: _holdings.Holding) -> None:
@@ -474,7 +488,7 @@
                 "report_missing", replica=holding.name, error=str(error)
             )
             return
-        holding.take_report(report, self._clock.now())
+        holding.take_report(report)
 
     def _engine(self, service: str) -> _types.Engine | None:
         found = self._catalogue.service(service)
@@ -483,5 +497,7 @@
 
 def _view(holding: _holdings.Holding) -> _planner.View:
     return _planner.View(
-        holding.name, holding.charged_models(), holding.moving
+        holding.name,
+        holding.charged_models() - holding.leaving,
+        holding.moving or not holding.known,
     )
--- a/src/geraniumlink/serving/_connections.py
+++ b/src/geraniumlink/serving/_connections.py
@@ -231,7 +231,7 @@
                 await connection.close()
 
     def _is_fresh(self, connection: Connection, careful: bool) -> bool:
-        limit = min(connection.idle_ms - IDLE_MARGIN_MS, MAX_IDLE_MS)
+        limit: float = min(connection.idle_ms - IDLE_MARGIN_MS, MAX_IDLE_MS)
         if careful:
             limit /= 2
         return self._clock.now() - connection.idle_since < limit
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -212,9 +212,7 @@
             return False
         return self._budgets.withdraw(task.service)
 
-    async def _place(
-        self, task: Task
-    ) -> _balance.Choice | _outcomes.Refusal:
+    async def _place(self, task: Task) -> _balance.Choice | _outcomes.Refusal:
         """Choose a replica, after loading what is missing if need be."""
         if self._is_confirmed(task):
             return _outcomes.Refusal("it crashed replicas before", None)
@@ -356,9 +354,7 @@
         standing = self._suspicions.standing(task.fingerprint)
         return standing is _suspicions.Standing.CONFIRMED
 
-    async def _conclude(
-        self, task: Task, outcome: _outcomes.Outcome
-    ) -> None:
+    async def _conclude(self, task: Task, outcome: _outcomes.Outcome) -> None:
         """Give the final answer to what isn't repeated."""
         if task.reply.started:
             task.outcome = "cut off"
@@ -388,9 +384,7 @@
                 task.reply, _TIMED_OUT, "no answer in time", retry=False
             )
         else:
-            await self._answer_own(
-                task.reply, _UNAVAILABLE, "not run in time"
-            )
+            await self._answer_own(task.reply, _UNAVAILABLE, "not run in time")
 
     async def _refuse(self, task: Task, refusal: _outcomes.Refusal) -> None:
         task.outcome = f"refused: {refusal.reason}"
@@ -558,7 +552,7 @@
         return _outcomes.Done()
 
     async def _read_whole(self) -> bytes:
-        parts = []
+        parts: list[bytes] = []
         while True:
             part = await self._heard(self._connection.read_chunk)
             if part is None:
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -8,8 +8,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 import collections
+from collections.abc import Iterable
 
 from geraniumlink import _clock
 from geraniumlink import _logs
@@ -35,10 +35,8 @@
 class Replica:
     """A replica and the load that this instance puts on it."""
 
-    def __init__(self, entry: _types.ReplicaEntry, now: int) -> None:
+    def __init__(self, entry: _types.ReplicaEntry) -> None:
         self.entry = entry
-        # When the entry was first seen as it is.
-        self.changed_at = now
         self.in_flight = 0
         # Prompt tokens sent and not yet followed by a first event, by rank.
         self.prefilling: collections.Counter[int] = collections.Counter()
@@ -82,9 +80,8 @@
         self._placed[model, adapter] = now + PLACED_MS
         self._absent.pop((model, adapter), None)
 
-    def update(self, entry: _types.ReplicaEntry, now: int) -> None:
+    def update(self, entry: _types.ReplicaEntry) -> None:
         if entry.residents != self.entry.residents:
-            self.changed_at = now
             self._absent.clear()
         self.entry = entry
         self.vanished_at = None
@@ -197,7 +194,7 @@
     def update(self, entry: _types.ReplicaEntry) -> None:
         known = self._known.get(entry.name)
         if known is None or _is_other_process(known.entry, entry):
-            self._known[entry.name] = Replica(entry, self._clock.now())
+            self._known[entry.name] = Replica(entry)
             _logs.event(
                 "replica_seen",
                 replica=entry.name,
@@ -208,7 +205,7 @@
             return
         if entry.leaving and not known.leaving:
             _logs.event("replica_leaving", replica=entry.name)
-        known.update(entry, self._clock.now())
+        known.update(entry)
 
     def remove(self, name: str) -> None:
         """Note that an entry is missing."""
