--- a/src/geraniumlink/_leases.py
+++ b/src/geraniumlink/_leases.py
@@ -25,6 +25,9 @@
 KIND = "leases"
 # Instances that look at the lease of one shard; the rest make no calls.
 CANDIDATES = 3
+# Share of the duration over which candidates spread their writes; a write
+# that comes second is refused and costs one call.
+TAKE_SPREAD = 1 / 16
 _MAX_DURATION_MS = 600_000
 
 
@@ -116,7 +119,8 @@
         if not self._lapsed(found, current):
             return None
         # Candidates that saw the lapse together don't write together.
-        await self._clock.sleep(self._random.uniform(0, self._duration_ms / 4))
+        spread_ms = self._duration_ms * TAKE_SPREAD
+        await self._clock.sleep(self._random.uniform(0, spread_ms))
         epoch = current.epoch + 1 if current else _first_epoch(found)
         wanted = self._lease(epoch)
         try:
--- a/src/geraniumlink/platform/_configuration.py
+++ b/src/geraniumlink/platform/_configuration.py
@@ -92,10 +92,18 @@
         name=_fields.text(entry, "name"),
         size_mb=_fields.number(entry, "weights_mb"),
         load_ms=1000 * _fields.number(entry, "load_s"),
+        near_load_ms=_near_load_ms(entry),
         adapter_mb=_fields.number(entry, "adapter_mb", 0.0),
     )
 
 
+def _near_load_ms(entry: typing.Any) -> float:
+    """Return the longer of the times from memory and from disk."""
+    load_s = _fields.number(entry, "load_s")
+    warm_s = _fields.number(entry, "warm_s", load_s)
+    return 1000 * max(warm_s, _fields.number(entry, "disk_s", load_s))
+
+
 def _limits(entry: dict[str, typing.Any]) -> _types.ClientLimits:
     return _types.ClientLimits(
         header_bytes=_fields.whole(entry, "max_header_bytes"),
--- a/src/geraniumlink/platform/_replicas.py
+++ b/src/geraniumlink/platform/_replicas.py
@@ -56,7 +56,16 @@
         residents=_residents(message),
         busy=_fields.flag(message, "busy", False),
         order_count=_fields.whole(message, "sequence"),
-        pending_adapters=tuple(
-            str(entry) for entry in message.get("pending") or ()
-        ),
+        near=_near(message.get("available")),
+    )
+
+
+def _near(available: typing.Any) -> frozenset[str]:
+    """Return the models that load without the weight store."""
+    if not isinstance(available, dict):
+        return frozenset()
+    return frozenset(
+        str(model)
+        for place in ("in_memory", "on_disk")
+        for model in available.get(place) or ()
     )
--- a/src/geraniumlink/residency/_exchange.py
+++ b/src/geraniumlink/residency/_exchange.py
@@ -37,6 +37,8 @@
 # Time to come back when the controller isn't known or doesn't answer: it is
 # replaced within seconds.
 NO_CONTROLLER_MS = 1000
+# A new controller is at work, and has loaded what is near, within this.
+TAKEOVER_MS = 7000
 # Wants and reports are short; anything longer is no message of ours.
 MAX_MESSAGE_BYTES = 262_144
 
@@ -200,12 +202,20 @@
         while True:
             left_ms = max(0, until - self._clock.now())
             answer = await self._ask_once(want, avoid, left_ms)
-            if not isinstance(answer, _controller.Pending):
-                return answer
+            match answer:
+                case None if left_ms > TAKEOVER_MS:
+                    await self._clock.sleep(REPORT_MS)
+                case None:
+                    return _controller.Later(NO_CONTROLLER_MS)
+                case _controller.Pending():
+                    pass
+                case _:
+                    return answer
 
     async def _ask_once(
         self, want: _controller.Want, avoid: set[str], wait_ms: int
-    ) -> _controller.Answer:
+    ) -> _controller.Answer | None:
+        """Ask the controller; None when there is none."""
         if self._leadership.is_leader:
             return await self._controller.want(want, avoid, wait_ms)
         message = {
@@ -217,7 +227,7 @@
         answer = await self._call(WANT_PATH, message, timeout_ms)
         try:
             if answer is None:
-                return _controller.Later(NO_CONTROLLER_MS)
+                return None
             if "pending" in answer:
                 return _controller.Pending()
             if "retry_ms" in answer:
@@ -226,7 +236,7 @@
             return _controller.Placed(names)
         except (KeyError, TypeError, ValueError) as error:
             _logs.event("bad_want_answer", error=repr(error))
-            return _controller.Later(NO_CONTROLLER_MS)
+            return None
 
     def _is_placed(self, want: _controller.Want) -> bool:
         now = self._clock.now()
--- a/src/geraniumlink/residency/_holdings.py
+++ b/src/geraniumlink/residency/_holdings.py
@@ -13,9 +13,16 @@
 
 from geraniumlink.serving import _types
 
+# Reports lag behind the replica by less than this.
+REPORT_LAG_MS = 400
+
 
 class Holding:
-    """One incarnation of a replica, as its controller accounts for it."""
+    """One incarnation of a replica, as its controller accounts for it.
+
+    A model is the pair of its name and an empty text, an adapter that of its
+    model's name and its own.
+    """
 
     def __init__(self, entry: _types.ReplicaEntry) -> None:
         self.name = entry.name
@@ -24,67 +31,88 @@
         # None until a report told what it holds.
         self.order_count: int | None = None
         self.models: dict[str, set[str]] = {}
-        # Models and adapters that accepted orders bring in.
+        # Models that load from the replica's own memory or disk.
+        self.near: frozenset[str] = frozenset()
+        # What accepted orders bring in.
         self.pending: set[tuple[str, str]] = set()
-        # Those of an order that may be carried out until a newer one is.
+        # What an order without an answer may bring in, until a newer order
+        # is accepted.
         self.doubtful: set[tuple[str, str]] = set()
-        # Models that are being unloaded; still resident.
-        self.leaving: set[str] = set()
+        # What is being unloaded; still resident.
+        self.leaving: set[tuple[str, str]] = set()
+        # A model is being moved, or what it holds is being asked for.
         self.moving = False
         # A model was being loaded or unloaded when it last reported.
         self.busy = False
         # One order at a time, since each names the count before it.
         self.ordering = anyio.Lock()
+        self._ordered_at = 0
 
     @property
     def known(self) -> bool:
         """Whether its own report was read."""
         return self.order_count is not None
 
-    def take_report(self, report: _types.ReplicaReport) -> None:
+    def take_report(self, report: _types.ReplicaReport, now: int) -> None:
         """Adopt a report, unless an order came after it was made."""
         if self.order_count is not None:
-            if report.order_count < self.order_count:
+            lagging = report.order_count < self.order_count
+            if lagging and now - self._ordered_at < REPORT_LAG_MS:
                 return
             if report.order_count > self.order_count:
                 # What was in doubt has been carried out, or never will be.
                 self.doubtful.clear()
         self.order_count = report.order_count
         self.busy = report.busy
+        self.near = report.near
         self.models = {m: set(a) for m, a in report.residents.items()}
-        self.leaving &= self.models.keys()
-        self.pending = {
-            (model, adapter)
-            for model, adapter in self.pending
-            if not self.holds(model, adapter)
-        }
-
-    def note_accepted(self) -> None:
+        self.leaving &= self._resident()
+        self.pending -= self._resident()
+
+    def note_accepted(self, now: int) -> None:
         """Count an order; whatever was in doubt before is void now."""
         if self.order_count is not None:
             self.order_count += 1
+        self._ordered_at = now
         self.doubtful.clear()
 
+    def note_loaded(self, model: str, adapter: str) -> None:
+        """Take it that an accepted order has been carried out."""
+        self.pending.discard((model, adapter))
+        self.models.setdefault(model, set()).add(adapter)
+
+    def note_unloaded(self, model: str, adapter: str) -> None:
+        """Take it that an accepted order has been carried out."""
+        self.leaving.discard((model, adapter))
+        self.models.get(model, set()).discard(adapter)
+
     def charged_models(self) -> frozenset[str]:
         """Return the models that are or may come to be resident."""
-        coming = {m for m, a in self.pending | self.doubtful if not a}
-        return frozenset(self.models.keys() | coming)
+        return frozenset(m for m, a in self._charged() if not a)
 
     def charged_adapters(self) -> set[tuple[str, str]]:
         """Return the adapters that are or may come to be resident."""
-        held = {
-            (model, adapter)
-            for model, adapters in self.models.items()
-            for adapter in adapters
-        }
-        return held | {
-            entry for entry in self.pending | self.doubtful if entry[1]
-        }
+        return {entry for entry in self._charged() if entry[1]}
+
+    def staying_models(self) -> frozenset[str]:
+        """Return the models that are charged and not being unloaded."""
+        leaving = {m for m, a in self.leaving if not a}
+        return self.charged_models() - leaving
 
     def holds(self, model: str, adapter: str) -> bool:
-        if model in self.leaving:
+        """Whether a request for them can be sent there."""
+        if {(model, ""), (model, adapter)} & self.leaving:
             return False
         adapters = self.models.get(model)
         if adapters is None:
             return False
         return not adapter or adapter in adapters
+
+    def _resident(self) -> set[tuple[str, str]]:
+        resident = {(model, "") for model in self.models}
+        for model, adapters in self.models.items():
+            resident |= {(model, adapter) for adapter in adapters}
+        return resident
+
+    def _charged(self) -> set[tuple[str, str]]:
+        return self._resident() | self.pending | self.doubtful
--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -15,13 +15,13 @@
 
 SHARD = "controller"
 # A renewal is a write to the store; two may fail before the lease lapses.
-RENEW_MS = 700
+RENEW_MS = 500
 # After its last renewal was sent, a holder orders for this long.
-ORDER_MS = 1400
+ORDER_MS = 1200
 # Kept between two holders' orders, beyond the platform's bound.
 GUARD_MARGIN_MS = 200
 # How often the others look who holds it, by reads that cost a tenth.
-LOOK_MS = 1000
+LOOK_MS = 500
 
 
 class Leadership:
@@ -38,6 +38,11 @@
         self._orders_from = 0
         self._leader = ""
 
+    @property
+    def guard_ms(self) -> int:
+        """Time that is kept between two holders' orders."""
+        return self._guard_ms
+
     @property
     def leader(self) -> str:
         """The address of the instance that holds the lease; may lag."""
--- a/src/geraniumlink/residency/_load_budget.py
+++ b/src/geraniumlink/residency/_load_budget.py
@@ -22,11 +22,11 @@
         self._begun: collections.deque[int] = collections.deque()
         self._running = 0
 
-    def assume_used(self, loads_per_s: float) -> None:
-        """Count what a former controller may have begun just before."""
-        now = self._clock.now()
+    def assume_used(self, loads_per_s: float, before_ms: int) -> None:
+        """Count what a former controller may have begun until then."""
+        ended_at = self._clock.now() - before_ms
         loads = math.ceil(loads_per_s * WINDOW_MS / 1000)
-        self._begun.extend([now] * loads)
+        self._begun.extend([ended_at] * loads)
 
     def free(self, loads_per_s: float, load_ms: float) -> int:
         """Return how many loads may begin now."""
--- a/src/geraniumlink/residency/_planner.py
+++ b/src/geraniumlink/residency/_planner.py
@@ -28,6 +28,9 @@
 # Cost of losing a last copy that is idle, in tokens a second: it will have
 # to be loaded again when it is asked for.
 LAST_COPY_COST = 800.0
+# Cost of a load from the weight store, in tokens a second: it takes seconds,
+# and the store's rate is shared by all replicas.
+STORE_LOAD_COST = 2000.0
 # How long an idle last copy is taken to be likely to be asked for again.
 RECENT_MS = 30_000
 
@@ -38,6 +41,8 @@
     name: str
     # Resident, or being loaded.
     models: frozenset[str]
+    # Load from the replica's own memory or disk, not the weight store.
+    near: frozenset[str]
     # An order is in progress, or its outcome is unknown.
     busy: bool
 
@@ -48,6 +53,8 @@
     replica: str
     model: str
     evicted: str | None
+    # It needn't come from the weight store.
+    near: bool
 
 
 class Demand(typing.NamedTuple):
@@ -62,29 +69,37 @@
 
 
 def plan(
-    engine: _types.Engine, views: list[View], demand: Demand, most: int
+    engine: _types.Engine, views: list[View], demand: Demand, store_loads: int
 ) -> list[Move]:
-    """Return at most that many loads, the most urgent first."""
-    planner = _Planner(engine, views, demand)
+    """Return loads, the most urgent first.
+
+    At most ``store_loads`` of them are from the weight store.
+    """
+    planner = _Planner(engine, views, demand, store_loads)
     moves: list[Move] = []
     for model in demand.wanted:
-        if len(moves) < most and not planner.copies(model):
+        if not planner.copies(model):
             moves += planner.load(model)
-    while len(moves) < most:
+    while True:
         more = planner.relieve()
         if not more:
-            break
+            return moves
         moves += more
-    return moves
 
 
 class _Planner:
     """The placement as it will be after the moves chosen so far."""
 
     def __init__(
-        self, engine: _types.Engine, views: list[View], demand: Demand
+        self,
+        engine: _types.Engine,
+        views: list[View],
+        demand: Demand,
+        store_loads: int,
     ) -> None:
         self._engine = engine
+        self._store_loads = store_loads
+        self._near = {view.name: view.near for view in views}
         self._demand = demand
         self._models = {view.name: set(view.models) for view in views}
         self._free = {view.name for view in views if not view.busy}
@@ -95,11 +110,12 @@
     def load(self, model: str) -> list[Move]:
         """Load a model where it costs least."""
         options = []
-        for replica in sorted(self._free - self._holders(model)):
+        for replica in self._hosts(model):
             room = self._room(replica, model)
             if room is not None:
                 evicted, cost = room
-                options.append((cost + self._load(replica), replica, evicted))
+                cost += self._load(replica) + self._source_cost(replica, model)
+                options.append((cost, replica, evicted))
         if not options:
             return []
         _, replica, evicted = min(options, key=lambda option: option[0])
@@ -128,11 +144,12 @@
         if relief < LEAST_RELIEF * REPLICA_TOKENS_PER_S:
             return []
         options = []
-        for replica in sorted(self._free - self._holders(model)):
+        for replica in self._hosts(model):
             room = self._room(replica, model)
             if room is None:
                 continue
             evicted, cost = room
+            cost += self._source_cost(replica, model)
             after = self._load(replica) + share + cost
             if after < load - relief / 2:
                 options.append((after, replica, evicted))
@@ -146,7 +163,21 @@
         if evicted is not None:
             self._models[replica].discard(evicted)
         self._free.discard(replica)
-        return Move(replica, model, evicted)
+        near = model in self._near[replica]
+        if not near:
+            self._store_loads -= 1
+        return Move(replica, model, evicted, near)
+
+    def _hosts(self, model: str) -> list[str]:
+        """Return the replicas that may load a model now."""
+        return [
+            replica
+            for replica in sorted(self._free - self._holders(model))
+            if self._store_loads > 0 or model in self._near[replica]
+        ]
+
+    def _source_cost(self, replica: str, model: str) -> float:
+        return 0.0 if model in self._near[replica] else STORE_LOAD_COST
 
     def _holders(self, model: str) -> set[str]:
         return {name for name, held in self._models.items() if model in held}
--- a/src/geraniumlink/serving/_types.py
+++ b/src/geraniumlink/serving/_types.py
@@ -65,6 +65,8 @@
     size_mb: float
     # From the weight store, with nothing else being loaded.
     load_ms: float
+    # From a copy in the replica's own memory or on its disk.
+    near_load_ms: float
     adapter_mb: float
 
 
@@ -130,7 +132,8 @@
     busy: bool
     # Orders accepted since the replica started.
     order_count: int
-    pending_adapters: tuple[str, ...]
+    # Models with a copy in its own memory or on its disk, resident or not.
+    near: frozenset[str]
 
 
 class Part(typing.NamedTuple):
