Place by gain: busy models before rare ones, ready copies kept

Also: instances tell their load on each replica with their reports, so that each knows the tokens ahead; a client's patience for a first event bounds what is admitted.

--- a/src/geraniumlink/platform/_orders.py
+++ b/src/geraniumlink/platform/_orders.py
@@ -14,8 +14,9 @@
 from geraniumlink.platform import _replicas
 from geraniumlink.serving import _types
 
-# A replica answers an order at once; the rest is for a lost packet.
-ORDER_MS = 500
+# A replica answers an order at once; the rest is for a packet that is sent
+# again.
+ORDER_MS = 250
 _JSON = (b"Content-Type", b"application/json")
 
 
--- a/src/geraniumlink/residency/_adapters.py
+++ b/src/geraniumlink/residency/_adapters.py
@@ -75,10 +75,6 @@
         self, service: str, holding: _holdings.Holding
     ) -> bool:
         """Unload the adapter that was unused for longest, if long enough."""
-        if any(adapter for _, adapter in holding.leaving):
-            # One is being unloaded; its place may be free by now.
-            await self._desk.ask(holding)
-            return True
         used = {
             (model, adapter): self._demands.adapter_used_at(
                 service, model, adapter
--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -68,6 +68,13 @@
 Answer = Placed | Pending | Later
 
 
+class _Wanted(typing.NamedTuple):
+    """Since when a model is waited for, and until when that stands."""
+
+    since: int
+    until: int
+
+
 class Controller:
     """The controller's state; it acts only while the lease is held."""
 
@@ -92,8 +99,8 @@
         )
         self._holdings: dict[str, _holdings.Holding] = {}
         self._budgets: dict[str, _load_budget.LoadBudget] = {}
-        # Models that requests wait for, and until when the want stands.
-        self._wanted: dict[tuple[str, str], int] = {}
+        # Models that requests wait for.
+        self._wanted: dict[tuple[str, str], _Wanted] = {}
         # When each model that is being loaded should be there.
         self._ready_at: dict[tuple[str, str], int] = {}
         self._wanting = anyio.Event()
@@ -110,7 +117,7 @@
             while True:
                 if self._leadership.may_order():
                     self._begin_term()
-                    self._introduce_unknown(group)
+                    self._ask_unsettled(group)
                     self._place(group)
                 with anyio.move_on_after(TICK_MS / 1000):
                     await self._wanting.wait()
@@ -152,7 +159,7 @@
         if not holders:
             return await self._await_model(want, engine, until)
         # While a replica loads a model, it refuses other orders.
-        hosts = [h for h in holders if h.known and not h.moving]
+        hosts = [h for h in holders if h.settled and not h.moving]
         if not hosts:
             return await self._await_change(until)
         there = await self._adapters.bring(
@@ -166,9 +173,11 @@
         """Wait for a change if the model can be there in time."""
         now = self._clock.now()
         key = (want.service, want.model)
-        if key not in self._wanted:
+        known = self._wanted.get(key)
+        if known is None:
             self._wanting.set()
-        self._wanted[key] = now + WANT_MS
+        since = known.since if known else now
+        self._wanted[key] = _Wanted(since, now + WANT_MS)
         ready_at = self._ready_at.get(key)
         if ready_at is None:
             ready_at = now + self._load_ms(want, engine)
@@ -192,16 +201,17 @@
         )
         return ORDERING_MS + int(model.near_load_ms if near else model.load_ms)
 
-    def _introduce_unknown(self, group: anyio.abc.TaskGroup) -> None:
+    def _ask_unsettled(self, group: anyio.abc.TaskGroup) -> None:
         """Learn what replicas hold before anything is ordered there."""
         for holding in self._holdings.values():
-            if not holding.known and not holding.moving:
+            if not holding.moving and not holding.settled:
                 holding.moving = True
-                group.start_soon(self._introduce, holding)
+                group.start_soon(self._settle, holding)
 
-    async def _introduce(self, holding: _holdings.Holding) -> None:
+    async def _settle(self, holding: _holdings.Holding) -> None:
+        new = not holding.known
         await self._desk.ask(holding)
-        if holding.busy:
+        if new and holding.busy:
             # What a former controller ordered doesn't show in the report.
             holding.order_count = None
         holding.moving = False
@@ -285,12 +295,19 @@
             self._budgets[service] = budget
         return budget
 
-    def _wants(self, service: str) -> tuple[str, ...]:
+    def _wants(self, service: str) -> dict[str, int]:
+        """Return the models that are waited for, and for how long."""
         now = self._clock.now()
         self._wanted = {
-            key: until for key, until in self._wanted.items() if until > now
+            key: wanted
+            for key, wanted in self._wanted.items()
+            if wanted.until > now
+        }
+        return {
+            model: now - wanted.since
+            for (of_service, model), wanted in self._wanted.items()
+            if of_service == service
         }
-        return tuple(m for s, m in self._wanted if s == service)
 
     def _begin_move(self, move: _planner.Move) -> None:
         """Charge a move before it is ordered, so none is planned twice."""
@@ -318,7 +335,14 @@
                 await self._load(holding, move.model, load_ms)
             else:
                 holding.pending.discard((move.model, ""))
+                # What refused it will not have changed at once.
+                await self._clock.sleep(RETRY_MS)
         finally:
+            _logs.event(
+                "move_ended",
+                **move._asdict(),
+                resident=sorted(holding.models),
+            )
             holding.moving = False
             if move.evicted is not None:
                 holding.leaving.discard((move.evicted, ""))
@@ -364,6 +388,7 @@
     return _planner.View(
         holding.name,
         holding.staying_models(),
+        holding.ready_models(),
         holding.near,
-        holding.moving or not holding.known,
+        holding.moving or not holding.settled,
     )
--- a/src/geraniumlink/residency/_demand.py
+++ b/src/geraniumlink/residency/_demand.py
@@ -47,7 +47,7 @@
             self._adapters[(*key, use.adapter)] = now
 
     def of_service(
-        self, service: str, wanted: tuple[str, ...]
+        self, service: str, wanted: dict[str, int]
     ) -> _planner.Demand:
         """Return the demand for a service's models now."""
         now = self._clock.now()
--- a/src/geraniumlink/residency/_exchange.py
+++ b/src/geraniumlink/residency/_exchange.py
@@ -29,11 +29,13 @@
 
 REPORT_PATH = "/instances/report"
 WANT_PATH = "/instances/want"
-REPORT_MS = 500
+REPORT_MS = 250
 # A call to another instance is answered within some ms.
 CALL_MS = 600
 # An instance that has reported within this is counted.
 COUNTED_MS = 3000
+# Its load changes sooner.
+LOADS_STALE_MS = 1000
 # Time to come back when the controller isn't known or doesn't answer: it is
 # replaced within seconds.
 NO_CONTROLLER_MS = 1000
@@ -43,10 +45,44 @@
 MAX_MESSAGE_BYTES = 262_144
 
 
+class _Load(typing.NamedTuple):
+    """Requests in flight at a replica, and prompt tokens unread by rank."""
+
+    in_flight: int
+    prefilling: dict[int, int]
+
+    def plus(self, other: _Load) -> _Load:
+        prefilling = dict(self.prefilling)
+        for rank, tokens in other.prefilling.items():
+            prefilling[rank] = prefilling.get(rank, 0) + tokens
+        return _Load(self.in_flight + other.in_flight, prefilling)
+
+
+class _Reported(typing.NamedTuple):
+    """When an instance reported, and its load on each replica."""
+
+    at: int
+    loads: dict[str, _Load]
+
+
+def _to_json(loads: dict[str, _Load]) -> dict[str, list[typing.Any]]:
+    """Leave out what is zero."""
+    return {
+        replica: [
+            load.in_flight,
+            [[r, tokens] for r, tokens in load.prefilling.items() if tokens],
+        ]
+        for replica, load in loads.items()
+        if load.in_flight
+    }
+
+
 class _Report(typing.TypedDict):
     instance: str
     # Service, model, adapter, prompt tokens.
     uses: list[list[typing.Any]]
+    # By replica: requests in flight, then pairs of rank and prompt tokens.
+    loads: dict[str, list[typing.Any]]
     suspicions: list[typing.Any]
 
 
@@ -74,8 +110,8 @@
         self._clock = clock
         self._instance = instance
         self._uses: dict[tuple[str, str, str], int] = {}
-        # When each instance last reported here.
-        self._reported: dict[str, int] = {}
+        # When each instance last reported here, and its load then.
+        self._reported: dict[str, _Reported] = {}
         self._asking: dict[_controller.Want, anyio.Event] = {}
 
     def note_demand(self, service: str, request: _types.Request) -> None:
@@ -121,6 +157,7 @@
             report = _Report(
                 instance=self._instance,
                 uses=[[*key, tokens] for key, tokens in uses.items()],
+                loads=self._own_loads(),
                 suspicions=_suspicions.to_json(self._suspicions.latest()),
             )
             if self._leadership.is_leader:
@@ -147,11 +184,18 @@
 
     def _answer_report(self, report: _Report) -> dict[str, typing.Any]:
         now = self._clock.now()
-        self._reported[str(report["instance"])] = now
+        sender = str(report["instance"])
+        loads = {
+            str(name): _Load(
+                int(load[0]), {int(r): int(t) for r, t in load[1]}
+            )
+            for name, load in report["loads"].items()
+        }
+        self._reported[sender] = _Reported(now, loads)
         self._reported = {
-            name: at
-            for name, at in self._reported.items()
-            if now - at < COUNTED_MS
+            name: reported
+            for name, reported in self._reported.items()
+            if now - reported.at < COUNTED_MS
         }
         for service, model, adapter, tokens in report["uses"]:
             self._controller.note_use(
@@ -166,18 +210,51 @@
         )
         return {
             "instances": len(self._reported),
+            "loads": _to_json(self._loads_but(sender, now)),
             "suspicions": _suspicions.to_json(self._suspicions.latest()),
         }
 
     def _take_answer(self, answer: typing.Any) -> None:
         try:
             self._budgets.set_instances(int(answer["instances"]))
+            self._note_foreign(answer["loads"])
             entries = _suspicions.from_json(answer["suspicions"])
         except (KeyError, TypeError, ValueError) as error:
             _logs.event("bad_report_answer", error=repr(error))
             return
         self._suspicions.merge(entries)
 
+    def _own_loads(self) -> dict[str, list[typing.Any]]:
+        """Return the load from here on the replicas of engines."""
+        loads = {
+            replica.entry.name: _Load(
+                replica.in_flight, dict(replica.prefilling)
+            )
+            for replica in self._replicas.all()
+            if replica.entry.residents
+        }
+        return _to_json(loads)
+
+    def _loads_but(self, sender: str, now: int) -> dict[str, _Load]:
+        """Return the sum of the loads that all others reported lately."""
+        totals: dict[str, _Load] = {}
+        for name, reported in self._reported.items():
+            if name == sender or now - reported.at > LOADS_STALE_MS:
+                continue
+            for replica, load in reported.loads.items():
+                total = totals.setdefault(replica, _Load(0, {}))
+                totals[replica] = total.plus(load)
+        return totals
+
+    def _note_foreign(self, loads: dict[str, list[typing.Any]]) -> None:
+        now = self._clock.now()
+        for replica in self._replicas.all():
+            in_flight, ranks = loads.get(replica.entry.name, (0, ()))
+            prefilling = {int(rank): int(tokens) for rank, tokens in ranks}
+            replica.note_foreign(
+                _replicas.Foreign(int(in_flight), prefilling, now)
+            )
+
     async def _answer_want(self, message: typing.Any) -> typing.Any:
         want = _controller.Want(
             str(message["service"]),
--- a/src/geraniumlink/residency/_holdings.py
+++ b/src/geraniumlink/residency/_holdings.py
@@ -53,6 +53,14 @@
         """Whether its own report was read."""
         return self.order_count is not None
 
+    @property
+    def settled(self) -> bool:
+        """Whether it is known, and no adapter is being unloaded.
+
+        Until then the replica refuses other orders.
+        """
+        return self.known and not any(adapter for _, adapter in self.leaving)
+
     def take_report(self, report: _types.ReplicaReport, now: int) -> None:
         """Adopt a report, unless an order came after it was made."""
         if self.order_count is not None:
@@ -99,6 +107,10 @@
         leaving = {m for m, a in self.leaving if not a}
         return self.charged_models() - leaving
 
+    def ready_models(self) -> frozenset[str]:
+        """Return the models that serve requests."""
+        return frozenset(m for m in self.models if self.holds(m, ""))
+
     def holds(self, model: str, adapter: str) -> bool:
         """Whether a request for them can be sent there."""
         if {(model, ""), (model, adapter)} & self.leaving:
--- a/src/geraniumlink/residency/_order_desk.py
+++ b/src/geraniumlink/residency/_order_desk.py
@@ -15,7 +15,7 @@
 # may have; its reports lag by about this.
 POLL_MS = 150
 # An order without an answer is sent again this often in all.
-MAX_SENDS = 3
+MAX_SENDS = 4
 # An adapter is in place after 5 to 10 ms unless many are on their way.
 ADAPTER_MS = 15
 
@@ -127,16 +127,14 @@
                     return True
                 case platform.Verdict.UNKNOWN:
                     in_doubt = True
+                    continue
                 case platform.Verdict.REFUSED:
                     return False
-            await self._clock.sleep(_holdings.REPORT_LAG_MS)
-            await self.ask(holding)
-            if in_doubt and holding.order_count != before:
-                # Nobody else orders, so it was ours that was counted.
-                return True
-            if verdict is platform.Verdict.CONFLICT:
-                return False
-        return False
+            break
+        await self._clock.sleep(_holdings.REPORT_LAG_MS)
+        await self.ask(holding)
+        # Nobody else orders, so it was ours that was counted.
+        return in_doubt and holding.order_count != before
 
     async def _send(
         self, holding: _holdings.Holding, load: bool, model: str, adapter: str
--- a/src/geraniumlink/residency/_planner.py
+++ b/src/geraniumlink/residency/_planner.py
@@ -1,10 +1,10 @@
 """Chooses which model to load where.
 
 Demand is in prompt tokens a second, by model, since reading prompts is what
-binds the engines. A model that is asked for and resident nowhere comes
-first. Then the model with the most demand for each of its copies gets
-another one, where that takes load off its replicas. What makes room is the
-copy whose loss costs least.
+binds the engines. A model that is asked for and resident nowhere is loaded;
+one whose replicas are too busy gets another copy, where that takes load off
+them. What gains most comes first, and a want gains with its age. What makes
+room is the copy whose loss costs least.
 
 Answers the load where demand moves between models within seconds, and rare
 models are asked for at once.
@@ -23,6 +23,14 @@
 BUSY_SHARE = 0.45
 # The most loaded holder must be relieved by this share of the capacity.
 LEAST_RELIEF = 0.1
+# A model that is wanted and nowhere counts as that much excess demand, and
+# the more the longer it is waited for, so that none is left out.
+WANTED_GAIN = 500.0
+AGE_GAIN = 0.5
+# Moves that gain less leave replicas free for those that gain more: a
+# replica that loads a model can't load another for seconds.
+LARGE_GAIN = 4000.0
+SMALL_MOVES_SHARE = 0.4
 # The last copy of a model is kept for this long after it was asked for.
 KEEP_LAST_MS = 6000
 # Cost of losing a last copy that is idle, in tokens a second: it will have
@@ -41,6 +49,8 @@
     name: str
     # Resident, or being loaded.
     models: frozenset[str]
+    # Resident, so that requests are served.
+    ready: frozenset[str]
     # Load from the replica's own memory or disk, not the weight store.
     near: frozenset[str]
     # An order is in progress, or its outcome is unknown.
@@ -64,8 +74,8 @@
     rates: dict[str, float]
     # Time since each model was last asked for, in ms.
     idle_ms: dict[str, int]
-    # Models that requests wait for now, the longest wait first.
-    wanted: tuple[str, ...]
+    # Models that requests wait for now, and for how long, in ms.
+    wanted: dict[str, int]
 
 
 def plan(
@@ -77,14 +87,11 @@
     """
     planner = _Planner(engine, views, demand, store_loads)
     moves: list[Move] = []
-    for model in demand.wanted:
-        if not planner.copies(model):
-            moves += planner.load(model)
     while True:
-        more = planner.relieve()
-        if not more:
+        move = planner.next_move()
+        if move is None:
             return moves
-        moves += more
+        moves.append(move)
 
 
 class _Planner:
@@ -102,13 +109,46 @@
         self._near = {view.name: view.near for view in views}
         self._demand = demand
         self._models = {view.name: set(view.models) for view in views}
+        self._ready = {view.name: set(view.ready) for view in views}
         self._free = {view.name for view in views if not view.busy}
+        # Replicas that may be kept busy by moves of little gain.
+        self._spare = len(self._free) - len(views) * (1 - SMALL_MOVES_SHARE)
 
     def copies(self, model: str) -> int:
         return sum(model in held for held in self._models.values())
 
-    def load(self, model: str) -> list[Move]:
-        """Load a model where it costs least."""
+    def next_move(self) -> Move | None:
+        """Return the move that gains most and can be made."""
+        rates = self._demand.rates
+        gains = {
+            model: rates.get(model, 0.0) + WANTED_GAIN + waiting_ms * AGE_GAIN
+            for model, waiting_ms in self._demand.wanted.items()
+            if not self.copies(model)
+        }
+        for model in rates:
+            gain = self._excess(model)
+            if gain > 0:
+                gains[model] = gain
+        for model in sorted(gains, key=lambda name: -gains[name]):
+            if gains[model] < LARGE_GAIN and self._spare < 1:
+                break
+            move = self._copy(model) if self.copies(model) else None
+            if not self.copies(model):
+                move = self._load_first(model)
+            if move is not None:
+                return move
+        return None
+
+    def _excess(self, model: str) -> float:
+        """Return by how much the busiest holder of a model is too busy."""
+        holders = self._holders(model)
+        if not holders or model not in self._engine.models:
+            return 0.0
+        load = max(self._load(replica) for replica in holders)
+        return load - BUSY_SHARE * REPLICA_TOKENS_PER_S
+
+    def _load_first(self, model: str) -> Move | None:
+        """Load a model that is nowhere, where it costs least."""
         options = []
         for replica in self._hosts(model):
             room = self._room(replica, model)
@@ -117,32 +157,17 @@
                 cost += self._load(replica) + self._source_cost(replica, model)
                 options.append((cost, replica, evicted))
         if not options:
-            return []
+            return None
         _, replica, evicted = min(options, key=lambda option: option[0])
-        return [self._move(replica, model, evicted)]
-
-    def relieve(self) -> list[Move]:
-        """Add a copy of the model with the most demand for each copy."""
-        rates = self._demand.rates
-        busy = sorted(rates, key=self._share, reverse=True)
-        for model in busy:
-            holders = self._holders(model)
-            if not holders or model not in self._engine.models:
-                continue
-            load = max(self._load(replica) for replica in holders)
-            if load < BUSY_SHARE * REPLICA_TOKENS_PER_S:
-                continue
-            move = self._copy(model, load)
-            if move:
-                return move
-        return []
+        return self._move(replica, model, evicted)
 
-    def _copy(self, model: str, load: float) -> list[Move]:
-        copies = self.copies(model)
-        share = self._demand.rates[model] / (copies + 1)
+    def _copy(self, model: str) -> Move | None:
+        """Add a copy of a model where that takes load off its holders."""
+        load = max(self._load(replica) for replica in self._holders(model))
+        share = self._demand.rates[model] / (self.copies(model) + 1)
         relief = self._share(model) - share
         if relief < LEAST_RELIEF * REPLICA_TOKENS_PER_S:
-            return []
+            return None
         options = []
         for replica in self._hosts(model):
             room = self._room(replica, model)
@@ -154,15 +179,17 @@
             if after < load - relief / 2:
                 options.append((after, replica, evicted))
         if not options:
-            return []
+            return None
         _, replica, evicted = min(options, key=lambda option: option[0])
-        return [self._move(replica, model, evicted)]
+        return self._move(replica, model, evicted)
 
     def _move(self, replica: str, model: str, evicted: str | None) -> Move:
         self._models[replica].add(model)
         if evicted is not None:
             self._models[replica].discard(evicted)
+            self._ready[replica].discard(evicted)
         self._free.discard(replica)
+        self._spare -= 1
         near = model in self._near[replica]
         if not near:
             self._store_loads -= 1
@@ -222,10 +249,11 @@
 
     def _loss(self, model: str) -> float | None:
         """Return what losing a copy costs; None if it must stay."""
-        copies = self.copies(model)
+        # A copy that is being loaded serves nobody yet.
+        ready = sum(model in held for held in self._ready.values())
         rate = self._demand.rates.get(model, 0.0)
-        if copies > 1:
-            return rate / (copies - 1)
+        if ready > 1:
+            return rate / (ready - 1)
         idle_ms = self._demand.idle_ms.get(model, RECENT_MS)
         if idle_ms < KEEP_LAST_MS or model in self._demand.wanted:
             return None
--- a/src/geraniumlink/serving/_balance.py
+++ b/src/geraniumlink/serving/_balance.py
@@ -36,6 +36,8 @@
 FAILURE_MS = 3000.0
 # Own requests to a full engine wait for a slot.
 FULL_MS = 400.0
+# Replicas that are compared; all instances would choose the best of all.
+DRAWN = 3
 # Spread of the random factor.
 JITTER = 0.1
 
@@ -57,6 +59,8 @@
 ) -> Choice:
     """Return the best of some replicas, of which there is at least one."""
     best: tuple[float, Choice] | None = None
+    if len(replicas) > DRAWN:
+        replicas = random_source.sample(replicas, DRAWN)
     for replica in replicas:
         expected = expected_ms(replica, request, priority, now)
         cost = expected + FAILURE_MS * replica.failures(now)
@@ -77,16 +81,14 @@
     now: int,
 ) -> float:
     """Return the expected time to the first event of an answer."""
-    running, waiting = _foreign(replica, now)
+    running, waiting = _others(replica, now)
     slots = max(1, replica.entry.slots)
     if not request.model:
         ahead = replica.in_flight + running + waiting
         return (1 + ahead / slots) * PLAIN_CALL_MS + replica.lag_ms(now)
     tokens = replica.uncached_tokens(request)
+    tokens += replica.tokens_ahead(priority, now)
     tokens += waiting * WAITING_PROMPT_TOKENS
-    for rank, prompt_tokens in replica.prefilling.items():
-        if rank <= priority:
-            tokens += prompt_tokens
     busy = replica.in_flight + running
     full = FULL_MS if busy >= slots else 0.0
     return (
@@ -97,8 +99,14 @@
     )
 
 
-def _foreign(replica: _replicas.Replica, now: int) -> tuple[int, int]:
-    """Return what others run and what waits, as the replica stated."""
+def _others(replica: _replicas.Replica, now: int) -> tuple[int, int]:
+    """Return what others run and what waits unseen.
+
+    What instances tell each other is newer than what the replica stated.
+    """
+    foreign = replica.foreign(now)
+    if foreign is not None:
+        return foreign.in_flight, 0
     load = replica.load
     if load is None or now - replica.load_at > LOAD_STALE_MS:
         return 0, 0
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -41,11 +41,16 @@
 LONGEST_SILENCE_MS = 2000
 # The same once a stream runs, in longest pauses.
 SILENCE_PAUSES = 4
+# Clients give up a stream without events after the longest of: this time,
+# and so many times the target and the longest pause. From the users' pages.
+LEAST_ABANDON_MS = 2000
+ABANDON_TARGETS = 4
+ABANDON_PAUSES = 8
 # Time to come back when no replica is known to be free soon.
 RETRY_AFTER_MS = 500
 LONGEST_RETRY_AFTER_MS = 4000
 # What is left for the answer after a model was loaded.
-SERVE_MS = 500
+SERVE_MS = 400
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _TIMED_OUT = 504
@@ -90,6 +95,8 @@
         self.service = service
         # Our clock's time at which there must be a final answer.
         self.until = until
+        # By then a client that still waits for a first event gives up.
+        self.first_by = request.received_at + _first_event_ms(route)
         self.attempts = 0
         self.unsent = 0
         self.tried: set[str] = set()
@@ -234,8 +241,9 @@
             ]
             if holders:
                 return self._choose(task, holders, left_ms, now)
+            wait_ms = min(left_ms, task.first_by - now) - SERVE_MS
             refusal = await self._residency.ensure(
-                task.service, request, task.tried, left_ms - SERVE_MS
+                task.service, request, task.tried, wait_ms
             )
             if refusal is not None:
                 return refusal
@@ -255,11 +263,9 @@
             now,
             self._random,
         )
-        if choice.expected_ms > left_ms:
-            return self._refusal(
-                "no replica can answer in time",
-                choice.expected_ms - left_ms,
-            )
+        late_ms = choice.expected_ms - min(left_ms, task.first_by - now)
+        if late_ms > 0:
+            return self._refusal("no replica can answer in time", late_ms)
         return choice
 
     def _refusal(
@@ -641,6 +647,16 @@
         return max(SHORTEST_SILENCE_MS, min(LONGEST_SILENCE_MS, silence_ms))
 
 
+def _first_event_ms(route: _types.Route) -> int:
+    if route.kind is not _types.RouteKind.STREAM:
+        return route.timeout_ms
+    return max(
+        LEAST_ABANDON_MS,
+        ABANDON_TARGETS * route.target_ms,
+        ABANDON_PAUSES * route.gap_target_ms,
+    )
+
+
 def _fingerprint(request: _types.Request) -> str:
     """Recognise a request that is sent again, under whatever id."""
     digest = hashlib.blake2b(request.body, digest_size=16).hexdigest()
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -10,6 +10,7 @@
 
 import collections
 from collections.abc import Iterable
+import typing
 
 from geraniumlink import _clock
 from geraniumlink import _logs
@@ -30,6 +31,17 @@
 # An order that was just confirmed shows in the entry after a heartbeat.
 PLACED_MS = 4000
 MAX_PARTS = 4096
+# What other instances have sent changes within this.
+FOREIGN_STALE_MS = 1500
+
+
+class Foreign(typing.NamedTuple):
+    """The load that other instances put on a replica."""
+
+    in_flight: int
+    # Prompt tokens sent and not yet followed by a first event, by rank.
+    prefilling: dict[int, int]
+    told_at: int
 
 
 class Replica:
@@ -41,6 +53,7 @@
         # Prompt tokens sent and not yet followed by a first event, by rank.
         self.prefilling: collections.Counter[int] = collections.Counter()
         self.last_heard = 0
+        self._foreign: Foreign | None = None
         self.load: _types.LoadReport | None = None
         self.load_at = 0
         # Since when the entry is missing; None while it is there.
@@ -118,6 +131,30 @@
         self.load = load
         self.load_at = now
 
+    def note_foreign(self, foreign: Foreign) -> None:
+        """Take what other instances told of their load."""
+        self._foreign = foreign
+
+    def foreign(self, now: int) -> Foreign | None:
+        """Return the others' load, if it was told lately."""
+        foreign = self._foreign
+        if foreign is None or now - foreign.told_at > FOREIGN_STALE_MS:
+            return None
+        return foreign
+
+    def tokens_ahead(self, priority: int, now: int) -> int:
+        """Prompt tokens that are read before a request of that rank."""
+        counts = [dict(self.prefilling)]
+        foreign = self.foreign(now)
+        if foreign is not None:
+            counts.append(foreign.prefilling)
+        return sum(
+            tokens
+            for prefilling in counts
+            for rank, tokens in prefilling.items()
+            if rank <= priority
+        )
+
     def uncached_tokens(self, request: _types.Request) -> int:
         """Prompt tokens that it hasn't read for this instance lately."""
         left = request.prompt_tokens
@@ -162,6 +199,9 @@
     def get(self, name: str) -> Replica | None:
         return self._known.get(name)
 
+    def all(self) -> list[Replica]:
+        return list(self._known.values())
+
     def of_service(self, service: str) -> list[Replica]:
         """Return those that are registered, leaving or not."""
         self._forget_vanished()
