Ask on when a crash probe times out or gets no report

Looking for the known red test (a third engine ended by one prompt). Read: a probe whose connection timed out, or that got no whole report, was taken for a server that had not crashed, though a process that ends may answer so; then the prompt goes on to a third engine. tests/test_crash_probe.py fails on that and passes now.

Ruled out by a trial: a peer that pauses for 1 s is not told in 0.4 s (a longer wait made no difference, because the message waits in its socket; the wait is as it was, the test stays). A peer that wasn't told is now logged.

--- a/src/geraniumlink/_suspects.py
+++ b/src/geraniumlink/_suspects.py
@@ -268,8 +268,17 @@
             while True:
                 try:
                     return await self._probe(run)
-                except _http.BrokenError:
+                except (
+                    _http.BrokenError,
+                    _http.NotSentError,
+                    _engines.BadReportError,
+                ) as error:
                     # A process may be going: ask again.
+                    _logs.event(
+                        "crash_probe_failed",
+                        server=run.process.address,
+                        error=str(error),
+                    )
                     await self._clock.sleep(_PROBE_PAUSE_MS)
         return False
 
@@ -280,8 +289,6 @@
         except _http.GoneError:
             backend.mark_unreachable(self._clock.now())
             return True
-        except (_http.NotSentError, _engines.BadReportError):
-            return False
         backend.take_report(report, self._clock.now())
         return report.boot_id != run.process.boot_id
 
--- a/src/geraniumlink/_telling.py
+++ b/src/geraniumlink/_telling.py
@@ -8,6 +8,7 @@
 import anyio
 
 from geraniumlink import _http
+from geraniumlink import _logs
 from geraniumlink import _membership
 from geraniumlink import _settings
 
@@ -58,8 +59,10 @@
                     )
                     if answer.status == 200:
                         answers.append(answer.json())
-                except (_http.NotSentError, _http.BrokenError):
-                    return
+                except (_http.NotSentError, _http.BrokenError) as error:
+                    _logs.event(
+                        "peer_not_told", peer=str(peer), error=str(error)
+                    )
 
         async with anyio.create_task_group() as group:
             for peer in peers:
--- /dev/null
+++ b/tests/test_crash_probe.py
@@ -0,0 +1,65 @@
+"""Whether a broken connection was a crash is asked until it is known."""
+
+import random
+
+import pytest
+
+from geraniumlink import _backends
+from geraniumlink import _clock
+from geraniumlink import _engines
+from geraniumlink import _http
+from geraniumlink import _metrics
+from geraniumlink import _suspects
+from geraniumlink import _suspicions
+from geraniumlink._schema import geraniumlink_pb2 as pb
+
+pytestmark = pytest.mark.anyio
+
+
+class _Client:
+    """Fails each request in the way that is next in a list."""
+
+    def __init__(self, failures):
+        self._failures = list(failures)
+
+    async def request(self, *_args, **_options):
+        raise self._failures.pop(0)
+
+
+class _Teller:
+    own_name = "i1"
+
+    def is_alive(self, _name):
+        return True
+
+    async def tell(self, *_args, **_options):
+        return []
+
+
+def _suspects_of(failures):
+    return _suspects.Suspects(
+        _Client(failures), _clock.Clock(), _Teller(), _metrics.Metrics()
+    )
+
+
+def _backend():
+    key = _backends.Key("assistant", "r1")
+    return _backends.Backend(key, pb.Replica(address="127.0.0.1:9"))
+
+
+@pytest.mark.parametrize(
+    "first",
+    (
+        _http.NotSentError("timed out"),
+        _engines.BadReportError("status 503"),
+        _http.BrokenError("reset"),
+    ),
+    ids=("connection times out", "no report", "reset"),
+)
+async def test_a_server_that_ends_slowly_has_crashed(first):
+    """What isn't a whole report may come from a process that ends."""
+    suspects = _suspects_of([first, _http.GoneError("refused")])
+    name = _suspicions.fingerprint("a prompt", str(random.Random(1).random()))
+    run = suspects.admit(name, _backend())
+    assert await suspects.crashed(run)
+    assert suspects.standing(name) is _suspicions.Standing.SUSPECT
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -206,6 +206,21 @@
     assert _count_dead(served) == 2
 
 
+async def test_an_instance_that_pauses_briefly_is_told_at_once(fleet):
+    """It misses no news; a busy machine pauses for longer than a call."""
+    served, instances = await _start(fleet)
+    answers = []
+    instances[2].freeze()
+    async with anyio.create_task_group() as group:
+        group.start_soon(_send_poison, fleet, instances[0], answers)
+        await anyio.sleep(1.0)
+        instances[2].thaw()
+    assert _count_dead(served) == 2
+    await _send_poison(fleet, instances[2], answers)
+    assert answers[-1].body["code"] == "failed_precondition"
+    assert _count_dead(served) == 2
+
+
 async def test_an_instance_that_starts_later_learns_what_it_missed(fleet):
     served, instances = await _start(fleet, instances=2)
     answers = []
