Renew watches when the store answers again; gather replicas' changes

Now watches wait 4 s and are begun anew when the lease's reads find the store back, and changes of replicas are gathered for a quarter of the bound on leaving.

--- a/src/geraniumlink/hosting/_follower.py
+++ b/src/geraniumlink/hosting/_follower.py
@@ -11,12 +11,9 @@
 from geraniumlink import _logs
 from geraniumlink import _objects
 
-# A watch that waits longer would hide a connection that went silent; a
-# machine that reaches the store again must know all changes within 3 s.
-WATCH_MS = 2500
-# Changes that come within this are read by one call. Well below the bounds
-# for a configuration and for a replica that leaves.
-GATHER_MS = 250
+# A watch that waits longer would hide a connection that went silent: all
+# changes must be known 5 s after it did. Each watch is a call that is paid.
+WATCH_MS = 4000
 FIRST_RETRY_MS = 100
 LONGEST_RETRY_MS = 800
 
@@ -44,15 +41,23 @@
         *,
         on_list: Callable[[list[_objects.Object]], None],
         on_change: Callable[[_objects.Object], None],
+        gather_ms: int,
     ) -> None:
         self._store = store
         self._kind = kind
         self._clock = clock
         self._on_list = on_list
         self._on_change = on_change
+        # Changes that come within this are read by one call.
+        self._gather_ms = gather_ms
+        self._watching = anyio.CancelScope()
         self._revision: int | None = None
         self._reachable = True
 
+    def renew(self) -> None:
+        """Begin another watch; the connection of this one may be dead."""
+        self._watching.cancel()
+
     async def run(self) -> None:
         """Follow for ever."""
         retry_ms = FIRST_RETRY_MS
@@ -74,18 +79,24 @@
             self._revision = listing.revision
             return
         try:
-            changes = await self._store.watch(
-                self._kind, self._revision, WATCH_MS
-            )
+            changes = await self._watch(self._revision)
         except _objects.GoneError:
             _logs.event("store_history_gone", kind=self._kind)
             self._revision = None
             return
+        if changes is None:
+            return
         for changed in changes.objects:
             self._on_change(changed)
         self._revision = max(self._revision, changes.revision)
         if changes.objects:
-            await anyio.sleep(GATHER_MS / 1000)
+            await self._clock.sleep(self._gather_ms)
+
+    async def _watch(self, revision: int) -> _objects.Listing | None:
+        """Return the changes; None when the watch is to be renewed."""
+        with anyio.CancelScope() as self._watching:
+            return await self._store.watch(self._kind, revision, WATCH_MS)
+        return None
 
     def _note_reachable(self, reachable: bool, error: str) -> None:
         if reachable is not self._reachable:
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -55,6 +55,11 @@
 # between two holders besides, is free: it covers the holder's last order.
 LEASE_MS = _leadership.ORDER_MS + _leadership.GUARD_MARGIN_MS
 CLOSE_STALE_MS = 1000
+# Changes of the configuration, and of replicas, that come within this are
+# read by one call to the store. Both must be in force within some seconds;
+# of the bound on replicas that leave, this share is used.
+GATHER_CONFIGURATION_MS = 250
+GATHER_REPLICAS_SHARE = 0.25
 
 
 async def serve(path: pathlib.Path) -> None:
@@ -94,6 +99,8 @@
             self._clock,
         )
         self._leadership = self._make_leadership()
+        self._followers = self._make_followers()
+        self._leadership.when_regained(self._renew_watches)
         self._controller = _controller.Controller(
             catalogue=self._catalogue,
             replicas=self._replicas,
@@ -180,8 +187,8 @@
             _supervisor.Child(
                 "listener", self._listener.run, _supervisor.Restart.NEVER
             ),
-            _supervisor.Child("configuration", self._follow_configuration),
-            _supervisor.Child("replicas", self._follow_replicas),
+            _supervisor.Child("configuration", self._followers[0].run),
+            _supervisor.Child("replicas", self._followers[1].run),
             _supervisor.Child("leadership", self._leadership.keep),
             _supervisor.Child("controller", self._controller.run),
             _supervisor.Child("reports", self._exchange.report_always),
@@ -236,14 +243,30 @@
             await self._listener.stopped()
         _logs.event("drained", in_flight=self._application.in_flight)
 
-    async def _follow_configuration(self) -> None:
-        await _follower.Follower(
-            self._store,
-            _configuration.KIND,
-            self._clock,
-            on_list=self._take_configurations,
-            on_change=self._take_configuration,
-        ).run()
+    def _make_followers(self) -> list[_follower.Follower]:
+        bound_ms = self._settings.leaving_bound_ms
+        return [
+            _follower.Follower(
+                self._store,
+                _configuration.KIND,
+                self._clock,
+                on_list=self._take_configurations,
+                on_change=self._take_configuration,
+                gather_ms=GATHER_CONFIGURATION_MS,
+            ),
+            _follower.Follower(
+                self._store,
+                _replica_entries.KIND,
+                self._clock,
+                on_list=self._take_replicas,
+                on_change=self._take_replica,
+                gather_ms=int(GATHER_REPLICAS_SHARE * bound_ms),
+            ),
+        ]
+
+    def _renew_watches(self) -> None:
+        for follower in self._followers:
+            follower.renew()
 
     def _take_configurations(self, objects: list[_objects.Object]) -> None:
         for found in objects:
@@ -259,15 +282,6 @@
             return
         self._catalogue.accept(configuration)
 
-    async def _follow_replicas(self) -> None:
-        await _follower.Follower(
-            self._store,
-            _replica_entries.KIND,
-            self._clock,
-            on_list=self._take_replicas,
-            on_change=self._take_replica,
-        ).run()
-
     def _take_replicas(self, objects: list[_objects.Object]) -> None:
         entries = [self._decode(found) for found in objects]
         self._replicas.replace(entry for entry in entries if entry)
--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from geraniumlink import _clock
 from geraniumlink import _leases
 from geraniumlink import _logs
@@ -37,6 +39,8 @@
         self._renewed_at = 0
         self._orders_from = 0
         self._leader = ""
+        self._reachable = True
+        self._on_regained: Callable[[], None] = lambda: None
 
     @property
     def guard_ms(self) -> int:
@@ -65,6 +69,10 @@
         now = self._clock.since_boot()
         return self._orders_from <= now < self._renewed_at + ORDER_MS
 
+    def when_regained(self, call: Callable[[], None]) -> None:
+        """Call that whenever the store answers again after it did not."""
+        self._on_regained = call
+
     async def keep(self) -> None:
         """Take the lease whenever it is free, and renew it, for ever."""
         while True:
@@ -75,6 +83,11 @@
                     await self._renew(self._held)
             except _objects.UnavailableError as error:
                 _logs.event("lease_unavailable", error=str(error))
+                self._reachable = False
+            else:
+                if not self._reachable:
+                    self._reachable = True
+                    self._on_regained()
             held = self._held is not None
             await self._clock.sleep(RENEW_MS if held else LOOK_MS)
 
