Group the modules by subject

They are in packages now, by the topics of docs/developers.md; what all use stays at the top. Moves and imports alone; no behaviour is changed.

--- a/benches/_baselines.py
+++ b/benches/_baselines.py
@@ -11,8 +11,8 @@
 import random
 import typing
 
-from geraniumlink import _backends
-from geraniumlink import _routing
+from geraniumlink.backends import _backends
+from geraniumlink.requests import _routing
 
 _UNLIMITED = 10**9
 
--- a/benches/_fluid_site.py
+++ b/benches/_fluid_site.py
@@ -10,10 +10,10 @@
 from collections.abc import Callable
 import typing
 
-from geraniumlink import _ledger
-from geraniumlink import _placement_views as views
 from geraniumlink._schema import geraniumlink_pb2 as pb
-from geraniumlink import _spread
+from geraniumlink.control import _ledger
+from geraniumlink.control import _placement_views as views
+from geraniumlink.control import _spread
 
 # How fast one load reads from the store at full speed.
 STORE_MB_PER_S = 1024.0
--- a/benches/_instance.py
+++ b/benches/_instance.py
@@ -8,11 +8,11 @@
 import sys
 
 from benches import _baselines
-from geraniumlink import _admission
-from geraniumlink import _cli
-from geraniumlink import _first_token_times
-from geraniumlink import _replica_limits
-from geraniumlink import _routing
+from geraniumlink.interface import _cli
+from geraniumlink.requests import _admission
+from geraniumlink.requests import _first_token_times
+from geraniumlink.requests import _replica_limits
+from geraniumlink.requests import _routing
 
 
 def main(router: str, time_scale: str, settings: str) -> int:
--- a/benches/_membership_tables.py
+++ b/benches/_membership_tables.py
@@ -8,8 +8,8 @@
 import typing
 
 from geraniumlink import _clock
-from geraniumlink import _membership
 from geraniumlink import _settings
+from geraniumlink.members import _membership
 
 _BEAT_MS = 1000
 # Heads of a question and an answer, and of what comes with the entries.
--- a/benches/_policies.py
+++ b/benches/_policies.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from geraniumlink import _ledger
-from geraniumlink import _placement
-from geraniumlink import _placement_views as views
 from geraniumlink._schema import geraniumlink_pb2 as pb
-from geraniumlink import _spread
+from geraniumlink.control import _ledger
+from geraniumlink.control import _placement
+from geraniumlink.control import _placement_views as views
+from geraniumlink.control import _spread
 
 
 def static(
--- a/benches/configuration.py
+++ b/benches/configuration.py
@@ -18,8 +18,8 @@
 import anyio
 
 from benches import _slopes
-from geraniumlink import _configuration
 from geraniumlink import _objects
+from geraniumlink.configuration import _configuration
 from standins import fleet as fleets
 
 MODELS_PER_DEPLOYMENT = 40
--- a/benches/policy.py
+++ b/benches/policy.py
@@ -19,8 +19,8 @@
 from benches import _fluid_site
 from benches import _policies
 from benches import _slopes
-from geraniumlink import _placement
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.control import _placement
 from standins import fleet as fleets
 
 DEPLOYMENTS = ("bekele/assistant", "mahzen/sommelier-llm")
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -25,37 +25,37 @@
 
 import anyio
 
-from geraniumlink import _admission
-from geraniumlink import _attempts
-from geraniumlink import _backends
-from geraniumlink import _calls
-from geraniumlink import _changes
-from geraniumlink import _claim_janitor
-from geraniumlink import _claims
 from geraniumlink import _clock
-from geraniumlink import _configuration
-from geraniumlink import _controller
 from geraniumlink import _http
-from geraniumlink import _inference
-from geraniumlink import _leaving
 from geraniumlink import _logs
-from geraniumlink import _membership
 from geraniumlink import _metrics
 from geraniumlink import _objects
-from geraniumlink import _once
-from geraniumlink import _operator
-from geraniumlink import _peers
 from geraniumlink import _platform
-from geraniumlink import _routing
-from geraniumlink import _rpc
 from geraniumlink import _server
-from geraniumlink import _service_methods
 from geraniumlink import _settings
 from geraniumlink import _supervisor
-from geraniumlink import _suspects
-from geraniumlink import _sync
-from geraniumlink import _telling
-from geraniumlink import _traffic
+from geraniumlink.backends import _backends
+from geraniumlink.backends import _leaving
+from geraniumlink.configuration import _changes
+from geraniumlink.configuration import _configuration
+from geraniumlink.configuration import _sync
+from geraniumlink.control import _controller
+from geraniumlink.interface import _operator
+from geraniumlink.interface import _rpc
+from geraniumlink.interface import _service_methods
+from geraniumlink.members import _membership
+from geraniumlink.members import _peers
+from geraniumlink.once import _claim_janitor
+from geraniumlink.once import _claims
+from geraniumlink.once import _once
+from geraniumlink.requests import _admission
+from geraniumlink.requests import _attempts
+from geraniumlink.requests import _calls
+from geraniumlink.requests import _inference
+from geraniumlink.requests import _routing
+from geraniumlink.requests import _traffic
+from geraniumlink.suspicion import _suspects
+from geraniumlink.suspicion import _telling
 
 
 # How long a peer's message in progress is waited for at the very end.
--- a/src/geraniumlink/_backends.py
+++ b/src/geraniumlink/backends/_backends.py
@@ -18,12 +18,12 @@
 import anyio
 
 from geraniumlink import _clock
-from geraniumlink import _configuration
-from geraniumlink import _engines
 from geraniumlink import _http
 from geraniumlink import _logs
 from geraniumlink._schema import geraniumlink_pb2 as pb
 from geraniumlink import _settings
+from geraniumlink.backends import _engines
+from geraniumlink.configuration import _configuration
 
 # A server that failed to connect is tried again after this long.
 UNREACHABLE_MS = 2000
--- a/src/geraniumlink/_engines.py
+++ b/src/geraniumlink/backends/_engines.py
@@ -12,7 +12,7 @@
 
 from geraniumlink import _http
 from geraniumlink import _settings
-from geraniumlink import _streams
+from geraniumlink.requests import _streams
 
 _REPORT_TIMEOUT_MS = 1000
 MAX_LINE_BYTES = 2**18
--- a/src/geraniumlink/_leaving.py
+++ b/src/geraniumlink/backends/_leaving.py
@@ -18,11 +18,11 @@
 from starlette import responses
 from starlette import routing
 
-from geraniumlink import _backends
 from geraniumlink import _logs
-from geraniumlink import _peers
-from geraniumlink import _suspicions
-from geraniumlink import _telling
+from geraniumlink.backends import _backends
+from geraniumlink.members import _peers
+from geraniumlink.suspicion import _suspicions
+from geraniumlink.suspicion import _telling
 
 PATH = "/leaving"
 MAX_SERVERS = 64
--- a/src/geraniumlink/_models.py
+++ b/src/geraniumlink/backends/_models.py
@@ -4,9 +4,9 @@
 
 import expression
 
-from geraniumlink import _configuration
-from geraniumlink import _refusals
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.configuration import _configuration
+from geraniumlink.requests import _refusals
 
 
 def find(
--- a/src/geraniumlink/cli.py
+++ b/src/geraniumlink/cli.py
@@ -1,5 +1,5 @@
 """The command line of geraniumlink."""
 
-from geraniumlink._cli import main
+from geraniumlink.interface._cli import main
 
 __all__ = ["main"]
--- /dev/null
+++ b/src/geraniumlink/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Deployments: declared, checked, changed and in force everywhere."""
--- a/src/geraniumlink/_changes.py
+++ b/src/geraniumlink/configuration/_changes.py
@@ -15,12 +15,12 @@
 
 import expression
 
-from geraniumlink import _audit
 from geraniumlink import _clock
-from geraniumlink import _configuration
 from geraniumlink import _logs
 from geraniumlink import _objects
-from geraniumlink import _refusals
+from geraniumlink.configuration import _audit
+from geraniumlink.configuration import _configuration
+from geraniumlink.requests import _refusals
 
 _WRITE_ATTEMPTS = 3
 RETRY_AFTER_MS = 2000
--- a/src/geraniumlink/_configuration.py
+++ b/src/geraniumlink/configuration/_configuration.py
@@ -13,11 +13,11 @@
 
 from google.protobuf import json_format
 
-from geraniumlink import _declarations
 from geraniumlink import _findings
 from geraniumlink import _logs
 from geraniumlink import _objects
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.configuration import _declarations
 
 KIND = "deployments"
 # Tombstones of removed objects; older ones are of no use to anybody whose
--- a/src/geraniumlink/_retired.py
+++ b/src/geraniumlink/configuration/_retired.py
@@ -8,11 +8,11 @@
 
 from __future__ import annotations
 
-from geraniumlink import _audit
 from geraniumlink import _clock
-from geraniumlink import _configuration
 from geraniumlink import _logs
 from geraniumlink import _objects
+from geraniumlink.configuration import _audit
+from geraniumlink.configuration import _configuration
 
 KEEP_MS = 24 * 3_600_000
 MAX_REMOVALS = 2
--- a/src/geraniumlink/_sync.py
+++ b/src/geraniumlink/configuration/_sync.py
@@ -13,12 +13,12 @@
 import random
 
 from geraniumlink import _clock
-from geraniumlink import _configuration
 from geraniumlink import _http
 from geraniumlink import _logs
-from geraniumlink import _membership
 from geraniumlink import _objects
-from geraniumlink import _peers
+from geraniumlink.configuration import _configuration
+from geraniumlink.members import _membership
+from geraniumlink.members import _peers
 
 FIRST_RETRY_MS = 250
 LONGEST_RETRY_MS = 2000
--- /dev/null
+++ b/src/geraniumlink/control/__init__.py
@@ -0,0 +1,1 @@
+"""Places models on replicas under leases and ledgers."""
--- a/src/geraniumlink/_balance.py
+++ b/src/geraniumlink/control/_balance.py
@@ -8,10 +8,10 @@
 
 from __future__ import annotations
 
-from geraniumlink import _ledger
-from geraniumlink import _placement_views as views
 from geraniumlink._schema import geraniumlink_pb2 as pb
-from geraniumlink import _spread
+from geraniumlink.control import _ledger
+from geraniumlink.control import _placement_views as views
+from geraniumlink.control import _spread
 
 # Utilisation of a replica above which it is relieved.
 BUSY = 0.75
--- a/src/geraniumlink/_budgets.py
+++ b/src/geraniumlink/control/_budgets.py
@@ -9,8 +9,8 @@
 
 from collections.abc import Iterable
 
-from geraniumlink import _ledger
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.control import _ledger
 
 
 class Budget:
--- a/src/geraniumlink/_charges.py
+++ b/src/geraniumlink/control/_charges.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from geraniumlink import _clock
-from geraniumlink import _ledger
 from geraniumlink import _logs
 from geraniumlink import _objects
+from geraniumlink.control import _ledger
 
 # Callers that ask more often are given the last answer.
 MAX_AGE_MS = 1000
--- a/src/geraniumlink/_controller.py
+++ b/src/geraniumlink/control/_controller.py
@@ -14,17 +14,17 @@
 import anyio.abc
 
 from geraniumlink import _clock
-from geraniumlink import _configuration
-from geraniumlink import _held_replica
 from geraniumlink import _http
-from geraniumlink import _leases
-from geraniumlink import _ledger_store
 from geraniumlink import _logs
 from geraniumlink import _metrics
 from geraniumlink import _objects
 from geraniumlink._schema import geraniumlink_pb2 as pb
 from geraniumlink import _settings
-from geraniumlink import _shard
+from geraniumlink.configuration import _configuration
+from geraniumlink.control import _held_replica
+from geraniumlink.control import _leases
+from geraniumlink.control import _ledger_store
+from geraniumlink.control import _shard
 
 _RELEASE_MS = 1000
 
--- a/src/geraniumlink/_engine_reports.py
+++ b/src/geraniumlink/control/_engine_reports.py
@@ -8,10 +8,10 @@
 
 import typing
 
-from geraniumlink import _engines
 from geraniumlink import _http
-from geraniumlink import _ledger
 from geraniumlink import _settings
+from geraniumlink.backends import _engines
+from geraniumlink.control import _ledger
 
 
 class ReportedCopy(typing.NamedTuple):
--- a/src/geraniumlink/_held_replica.py
+++ b/src/geraniumlink/control/_held_replica.py
@@ -6,19 +6,19 @@
 import typing
 
 from geraniumlink import _clock
-from geraniumlink import _engine_reports
-from geraniumlink import _engines
 from geraniumlink import _http
-from geraniumlink import _ledger
-from geraniumlink import _ledger_store
 from geraniumlink import _logs
 from geraniumlink import _metrics
 from geraniumlink import _objects
-from geraniumlink import _orders
-from geraniumlink import _placement_views
 from geraniumlink._schema import geraniumlink_pb2 as pb
 from geraniumlink import _settings
-from geraniumlink import _settlement
+from geraniumlink.backends import _engines
+from geraniumlink.control import _engine_reports
+from geraniumlink.control import _ledger
+from geraniumlink.control import _ledger_store
+from geraniumlink.control import _orders
+from geraniumlink.control import _placement_views
+from geraniumlink.control import _settlement
 
 # Without a report for this long a replica counts as down.
 DOWN_AFTER_MS = 3000
--- a/src/geraniumlink/_ledger_store.py
+++ b/src/geraniumlink/control/_ledger_store.py
@@ -13,9 +13,9 @@
 
 from geraniumlink import _clock
 from geraniumlink import _findings
-from geraniumlink import _ledger
 from geraniumlink import _logs
 from geraniumlink import _objects
+from geraniumlink.control import _ledger
 
 _WRITE_ATTEMPTS = 3
 _REMEMBERED_CHANGES = 16
--- a/src/geraniumlink/_orders.py
+++ b/src/geraniumlink/control/_orders.py
@@ -13,8 +13,8 @@
 import anyio
 
 from geraniumlink import _http
-from geraniumlink import _ledger
 from geraniumlink import _settings
+from geraniumlink.control import _ledger
 
 # Nothing of an order leaves this process later than this after ``send``.
 TIMEOUT_MS = 1000
--- a/src/geraniumlink/_placement.py
+++ b/src/geraniumlink/control/_placement.py
@@ -9,10 +9,10 @@
 
 from __future__ import annotations
 
-from geraniumlink import _balance
-from geraniumlink import _ledger
-from geraniumlink import _placement_views as views
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.control import _balance
+from geraniumlink.control import _ledger
+from geraniumlink.control import _placement_views as views
 
 
 def plan(
--- a/src/geraniumlink/_placement_views.py
+++ b/src/geraniumlink/control/_placement_views.py
@@ -5,8 +5,8 @@
 import enum
 import typing
 
-from geraniumlink import _ledger
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.control import _ledger
 
 
 class CopyView(typing.NamedTuple):
--- a/src/geraniumlink/_settlement.py
+++ b/src/geraniumlink/control/_settlement.py
@@ -12,9 +12,9 @@
 
 import typing
 
-from geraniumlink import _engine_reports
-from geraniumlink import _ledger
-from geraniumlink import _orders
+from geraniumlink.control import _engine_reports
+from geraniumlink.control import _ledger
+from geraniumlink.control import _orders
 
 # An order leaves at most this long after the write of its intent began.
 SEND_WINDOW_MS = 2000
--- a/src/geraniumlink/_shard.py
+++ b/src/geraniumlink/control/_shard.py
@@ -14,22 +14,22 @@
 
 import anyio
 
-from geraniumlink import _budgets
 from geraniumlink import _clock
-from geraniumlink import _configuration
-from geraniumlink import _demand
-from geraniumlink import _held_replica
 from geraniumlink import _http
-from geraniumlink import _ledger
-from geraniumlink import _ledger_store
 from geraniumlink import _logs
 from geraniumlink import _metrics
 from geraniumlink import _objects
-from geraniumlink import _orders
-from geraniumlink import _placement
-from geraniumlink import _placement_views
 from geraniumlink._schema import geraniumlink_pb2 as pb
-from geraniumlink import _settlement
+from geraniumlink.configuration import _configuration
+from geraniumlink.control import _budgets
+from geraniumlink.control import _demand
+from geraniumlink.control import _held_replica
+from geraniumlink.control import _ledger
+from geraniumlink.control import _ledger_store
+from geraniumlink.control import _orders
+from geraniumlink.control import _placement
+from geraniumlink.control import _placement_views
+from geraniumlink.control import _settlement
 
 # Moves wait this long for the first report of each replica.
 FIRST_REPORTS_MS = 3000
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -25,12 +25,11 @@
 
 from geraniumlink import _clock
 from geraniumlink import _http
-from geraniumlink import _leases
 from geraniumlink import _logs
 from geraniumlink import _objects
 from geraniumlink import _server
 from geraniumlink import _supervisor
-from geraniumlink import _suspicions
+from geraniumlink.control import _leases
 from geraniumlink.hosting import _application
 from geraniumlink.hosting import _follower
 from geraniumlink.hosting import _protocol
@@ -45,6 +44,7 @@
 from geraniumlink.serving import _forward
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _types
+from geraniumlink.suspicion import _suspicions
 
 # The balancer asks once a second and takes an instance out after two
 # misses; new connections come until then.
--- /dev/null
+++ b/src/geraniumlink/interface/__init__.py
@@ -0,0 +1,1 @@
+"""The product's interface: remote procedure calls and command line."""
--- a/src/geraniumlink/_cli.py
+++ b/src/geraniumlink/interface/_cli.py
@@ -16,11 +16,11 @@
 import anyio
 
 import geraniumlink
-from geraniumlink import _client
-from geraniumlink import _commands
 from geraniumlink import _instance
 from geraniumlink import _logs
 from geraniumlink import _settings
+from geraniumlink.interface import _client
+from geraniumlink.interface import _commands
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/src/geraniumlink/_commands.py
+++ b/src/geraniumlink/interface/_commands.py
@@ -9,7 +9,7 @@
 import time
 import typing
 
-from geraniumlink import _client
+from geraniumlink.interface import _client
 
 POLL_MS = 200
 
--- a/src/geraniumlink/_operator.py
+++ b/src/geraniumlink/interface/_operator.py
@@ -6,19 +6,19 @@
 
 import expression
 
-from geraniumlink import _audit
-from geraniumlink import _backends
-from geraniumlink import _changes
-from geraniumlink import _charges
 from geraniumlink import _clock
-from geraniumlink import _configuration
-from geraniumlink import _declarations
 from geraniumlink import _findings
-from geraniumlink import _membership
 from geraniumlink import _objects
-from geraniumlink import _refusals
-from geraniumlink import _retired
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.backends import _backends
+from geraniumlink.configuration import _audit
+from geraniumlink.configuration import _changes
+from geraniumlink.configuration import _configuration
+from geraniumlink.configuration import _declarations
+from geraniumlink.configuration import _retired
+from geraniumlink.control import _charges
+from geraniumlink.members import _membership
+from geraniumlink.requests import _refusals
 
 DEFAULT_HISTORY = 50
 MAX_HISTORY = 1000
--- a/src/geraniumlink/_rpc.py
+++ b/src/geraniumlink/interface/_rpc.py
@@ -21,11 +21,11 @@
 
 from geraniumlink import _clock
 from geraniumlink import _findings
-from geraniumlink import _json_lines
 from geraniumlink import _logs
 from geraniumlink import _metrics
-from geraniumlink import _refusals
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.interface import _json_lines
+from geraniumlink.requests import _refusals
 
 Message = protobuf_message.Message
 Result = expression.Result[typing.Any, _refusals.Refusal]
--- a/src/geraniumlink/_service_methods.py
+++ b/src/geraniumlink/interface/_service_methods.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from geraniumlink import _calls
-from geraniumlink import _inference
 from geraniumlink import _metrics
-from geraniumlink import _operator
-from geraniumlink import _refusals
-from geraniumlink import _rpc
 from geraniumlink._schema import geraniumlink_pb2 as pb
-from geraniumlink import _streams
+from geraniumlink.interface import _operator
+from geraniumlink.interface import _rpc
+from geraniumlink.requests import _calls
+from geraniumlink.requests import _inference
+from geraniumlink.requests import _refusals
+from geraniumlink.requests import _streams
 
 _PACKAGE = "/geraniumlink.v1."
 # A call is sent again under its key, a change under its change id.
--- /dev/null
+++ b/src/geraniumlink/members/__init__.py
@@ -0,0 +1,1 @@
+"""The instances that are alive, and how to reach them."""
--- a/src/geraniumlink/_membership.py
+++ b/src/geraniumlink/members/_membership.py
@@ -24,9 +24,9 @@
 
 from geraniumlink import _clock
 from geraniumlink import _logs
-from geraniumlink import _member_entries
-from geraniumlink import _probes
 from geraniumlink import _settings
+from geraniumlink.backends import _probes
+from geraniumlink.members import _member_entries
 
 MAX_ENTRIES = _member_entries.MAX_ENTRIES
 # How often news of who is there is passed on: this many times log2 of the
--- a/src/geraniumlink/_peers.py
+++ b/src/geraniumlink/members/_peers.py
@@ -12,14 +12,14 @@
 from starlette import responses
 from starlette import routing
 
-from geraniumlink import _configuration
 from geraniumlink import _http
 from geraniumlink import _logs
-from geraniumlink import _membership
 from geraniumlink import _metrics
 from geraniumlink import _objects
 from geraniumlink import _settings
-from geraniumlink import _traffic
+from geraniumlink.configuration import _configuration
+from geraniumlink.members import _membership
+from geraniumlink.requests import _traffic
 
 EXCHANGE_TIMEOUT_MS = 1000
 MAX_MESSAGE_BYTES = 64 * 1024
--- /dev/null
+++ b/src/geraniumlink/once/__init__.py
@@ -0,0 +1,1 @@
+"""Runs a request that is not idempotent at most once."""
--- a/src/geraniumlink/_claim_janitor.py
+++ b/src/geraniumlink/once/_claim_janitor.py
@@ -11,10 +11,10 @@
 
 import random
 
-from geraniumlink import _claims
 from geraniumlink import _clock
-from geraniumlink import _keys
 from geraniumlink import _objects
+from geraniumlink.once import _claims
+from geraniumlink.once import _keys
 
 LOOK_BACK_MS = 24 * 60 * 60 * 1000
 # A kind is swept at most this long after it is due.
--- a/src/geraniumlink/_claim_peers.py
+++ b/src/geraniumlink/once/_claim_peers.py
@@ -15,13 +15,13 @@
 from starlette import responses
 from starlette import routing
 
-from geraniumlink import _answers
-from geraniumlink import _claims
 from geraniumlink import _http
 from geraniumlink import _logs
-from geraniumlink import _peers
-from geraniumlink import _runs
 from geraniumlink import _settings
+from geraniumlink.members import _peers
+from geraniumlink.once import _claims
+from geraniumlink.once import _runs
+from geraniumlink.requests import _answers
 
 PATH = "/claim"
 # A peer that is alive answers within this long, plus what it is told to
--- a/src/geraniumlink/_claims.py
+++ b/src/geraniumlink/once/_claims.py
@@ -12,11 +12,11 @@
 import hashlib
 import typing
 
-from geraniumlink import _answers
-from geraniumlink import _keys
 from geraniumlink import _logs
 from geraniumlink import _objects
 from geraniumlink import _settings
+from geraniumlink.once import _keys
+from geraniumlink.requests import _answers
 
 # A listing returns values, so the claims of a minute are a kind of their
 # own: what is listed for removal stays small.
--- a/src/geraniumlink/_keys.py
+++ b/src/geraniumlink/once/_keys.py
@@ -12,7 +12,7 @@
 import typing
 
 from geraniumlink import _findings
-from geraniumlink import _refusals
+from geraniumlink.requests import _refusals
 
 KEY_LIFE_MS = 24 * 60 * 60 * 1000
 # What a caller's clock may be ahead of an instance's.
--- a/src/geraniumlink/_once.py
+++ b/src/geraniumlink/once/_once.py
@@ -15,21 +15,21 @@
 from anyio import abc
 import expression
 
-from geraniumlink import _answers
-from geraniumlink import _attempts
-from geraniumlink import _call_refusals
-from geraniumlink import _claim_peers
-from geraniumlink import _claims
 from geraniumlink import _clock
 from geraniumlink import _http
-from geraniumlink import _keys
 from geraniumlink import _logs
 from geraniumlink import _objects
-from geraniumlink import _refusals
-from geraniumlink import _resolution
-from geraniumlink import _runs
 from geraniumlink._schema import geraniumlink_pb2 as pb
 from geraniumlink import _settings
+from geraniumlink.once import _claim_peers
+from geraniumlink.once import _claims
+from geraniumlink.once import _keys
+from geraniumlink.once import _resolution
+from geraniumlink.once import _runs
+from geraniumlink.requests import _answers
+from geraniumlink.requests import _attempts
+from geraniumlink.requests import _call_refusals
+from geraniumlink.requests import _refusals
 
 # Runs that an instance works on, or whose outcomes it still has to write.
 MAX_LIVE = 500
--- a/src/geraniumlink/_resolution.py
+++ b/src/geraniumlink/once/_resolution.py
@@ -12,16 +12,16 @@
 
 import anyio
 
-from geraniumlink import _answers
-from geraniumlink import _call_refusals
-from geraniumlink import _claim_peers
-from geraniumlink import _claims
 from geraniumlink import _clock
 from geraniumlink import _http
 from geraniumlink import _logs
-from geraniumlink import _refusals
-from geraniumlink import _runs
 from geraniumlink import _settings
+from geraniumlink.once import _claim_peers
+from geraniumlink.once import _claims
+from geraniumlink.once import _runs
+from geraniumlink.requests import _answers
+from geraniumlink.requests import _call_refusals
+from geraniumlink.requests import _refusals
 
 # Peers that are asked for a key while the object API is out.
 MAX_ASKED = 8
--- a/src/geraniumlink/_runs.py
+++ b/src/geraniumlink/once/_runs.py
@@ -13,10 +13,10 @@
 
 import anyio
 
-from geraniumlink import _answers
-from geraniumlink import _claims
 from geraniumlink import _objects
-from geraniumlink import _refusals
+from geraniumlink.once import _claims
+from geraniumlink.requests import _answers
+from geraniumlink.requests import _refusals
 
 # Outcomes that are in their claims are kept this long too, to be answered
 # while the object API is out.
--- a/src/geraniumlink/_admission.py
+++ b/src/geraniumlink/requests/_admission.py
@@ -18,9 +18,9 @@
 import expression
 
 from geraniumlink import _clock
-from geraniumlink import _refusals
-from geraniumlink import _retry_budget
-from geraniumlink import _routing
+from geraniumlink.requests import _refusals
+from geraniumlink.requests import _retry_budget
+from geraniumlink.requests import _routing
 
 # The first token is due this long after arrival, or at the request's own
 # timeout if that is earlier.
--- a/src/geraniumlink/_answers.py
+++ b/src/geraniumlink/requests/_answers.py
@@ -7,7 +7,7 @@
 import typing
 
 from geraniumlink import _http
-from geraniumlink import _refusals
+from geraniumlink.requests import _refusals
 
 # An answer whose body or headers are larger is not kept.
 MAX_KEPT_BODY_BYTES = 32 * 1024
--- a/src/geraniumlink/_attempts.py
+++ b/src/geraniumlink/requests/_attempts.py
@@ -6,14 +6,14 @@
 import json
 import typing
 
-from geraniumlink import _answers
-from geraniumlink import _backends
 from geraniumlink import _clock
 from geraniumlink import _http
 from geraniumlink import _metrics
-from geraniumlink import _refusals
-from geraniumlink import _routing
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.backends import _backends
+from geraniumlink.requests import _answers
+from geraniumlink.requests import _refusals
+from geraniumlink.requests import _routing
 
 MAX_ATTEMPTS = 3
 RETRY_AFTER_MS = 1000
--- a/src/geraniumlink/_call_refusals.py
+++ b/src/geraniumlink/requests/_call_refusals.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from geraniumlink import _refusals
+from geraniumlink.requests import _refusals
 
 RETRY_AFTER_MS = 2000
 _MAY_HAVE_RUN = _refusals.Execution.MAY_HAVE_RUN
--- a/src/geraniumlink/_calls.py
+++ b/src/geraniumlink/requests/_calls.py
@@ -7,20 +7,20 @@
 import anyio
 import expression
 
-from geraniumlink import _answers
-from geraniumlink import _attempts
-from geraniumlink import _backends
-from geraniumlink import _call_refusals
 from geraniumlink import _clock
-from geraniumlink import _configuration
 from geraniumlink import _findings
 from geraniumlink import _http
-from geraniumlink import _inference
-from geraniumlink import _keys
-from geraniumlink import _once
-from geraniumlink import _refusals
-from geraniumlink import _runs
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.backends import _backends
+from geraniumlink.configuration import _configuration
+from geraniumlink.once import _keys
+from geraniumlink.once import _once
+from geraniumlink.once import _runs
+from geraniumlink.requests import _answers
+from geraniumlink.requests import _attempts
+from geraniumlink.requests import _call_refusals
+from geraniumlink.requests import _inference
+from geraniumlink.requests import _refusals
 
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
 # Set for the connection to the backend server, not by the caller.
--- a/src/geraniumlink/_candidates.py
+++ b/src/geraniumlink/requests/_candidates.py
@@ -10,11 +10,11 @@
 import random
 import typing
 
-from geraniumlink import _backends
 from geraniumlink import _clock
-from geraniumlink import _homes
-from geraniumlink import _routing
-from geraniumlink import _suspects
+from geraniumlink.backends import _backends
+from geraniumlink.requests import _homes
+from geraniumlink.requests import _routing
+from geraniumlink.suspicion import _suspects
 
 # Waiting for a server that a suspect has to itself: first and longest pause.
 _FIRST_PAUSE_MS = 50
--- a/src/geraniumlink/_first_token_times.py
+++ b/src/geraniumlink/requests/_first_token_times.py
@@ -12,7 +12,7 @@
 import statistics
 import weakref
 
-from geraniumlink import _backends
+from geraniumlink.backends import _backends
 
 # Weight of the newest observation in the moving average.
 _WEIGHT = 0.2
--- a/src/geraniumlink/_homes.py
+++ b/src/geraniumlink/requests/_homes.py
@@ -11,7 +11,7 @@
 
 import hashlib
 
-from geraniumlink import _backends
+from geraniumlink.backends import _backends
 
 HOMES = 2
 # Homes that have this much more than the mean of own requests are left by
--- a/src/geraniumlink/_inference.py
+++ b/src/geraniumlink/requests/_inference.py
@@ -10,22 +10,22 @@
 import anyio
 import expression
 
-from geraniumlink import _admission
-from geraniumlink import _backends
-from geraniumlink import _candidates
 from geraniumlink import _clock
-from geraniumlink import _configuration
-from geraniumlink import _engines
 from geraniumlink import _findings
 from geraniumlink import _http
 from geraniumlink import _metrics
-from geraniumlink import _models
-from geraniumlink import _refusals
-from geraniumlink import _routing
 from geraniumlink._schema import geraniumlink_pb2 as pb
-from geraniumlink import _streams
-from geraniumlink import _suspects
-from geraniumlink import _suspicions
+from geraniumlink.backends import _backends
+from geraniumlink.backends import _engines
+from geraniumlink.backends import _models
+from geraniumlink.configuration import _configuration
+from geraniumlink.requests import _admission
+from geraniumlink.requests import _candidates
+from geraniumlink.requests import _refusals
+from geraniumlink.requests import _routing
+from geraniumlink.requests import _streams
+from geraniumlink.suspicion import _suspects
+from geraniumlink.suspicion import _suspicions
 
 DEFAULT_TIMEOUT_MS = 60_000
 MAX_TIMEOUT_MS = 600_000
--- a/src/geraniumlink/_replica_limits.py
+++ b/src/geraniumlink/requests/_replica_limits.py
@@ -14,8 +14,8 @@
 import random
 import weakref
 
-from geraniumlink import _backends
-from geraniumlink import _engines
+from geraniumlink.backends import _backends
+from geraniumlink.backends import _engines
 
 # After the refusal "full" nothing above the share is sent for this long.
 FULL_HOLD_MS = 1000
--- a/src/geraniumlink/_routing.py
+++ b/src/geraniumlink/requests/_routing.py
@@ -13,10 +13,10 @@
 import random
 import typing
 
-from geraniumlink import _backends
-from geraniumlink import _first_token_times
-from geraniumlink import _replica_limits
-from geraniumlink import _subsets
+from geraniumlink.backends import _backends
+from geraniumlink.requests import _first_token_times
+from geraniumlink.requests import _replica_limits
+from geraniumlink.requests import _subsets
 
 # A session leaves its usual server when that has this much more than the
 # mean of own requests. Source: V. Mirrokni et al., "Consistent Hashing with
--- a/src/geraniumlink/_subsets.py
+++ b/src/geraniumlink/requests/_subsets.py
@@ -15,7 +15,7 @@
 import hashlib
 import typing
 
-from geraniumlink import _backends
+from geraniumlink.backends import _backends
 
 # A subset of one would leave nowhere to go when its replica is lost.
 MIN_SUBSET = 2
--- a/src/geraniumlink/residency/_exchange.py
+++ b/src/geraniumlink/residency/_exchange.py
@@ -18,7 +18,6 @@
 from geraniumlink import _http
 from geraniumlink import _logs
 from geraniumlink import _settings
-from geraniumlink import _suspicions
 from geraniumlink.residency import _controller
 from geraniumlink.residency import _demand
 from geraniumlink.residency import _leadership
@@ -26,6 +25,7 @@
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _types
+from geraniumlink.suspicion import _suspicions
 
 REPORT_PATH = "/instances/report"
 WANT_PATH = "/instances/want"
--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable
 
 from geraniumlink import _clock
-from geraniumlink import _leases
 from geraniumlink import _logs
 from geraniumlink import _objects
+from geraniumlink.control import _leases
 
 SHARD = "controller"
 # A renewal is a write to the store; two may fail before the lease lapses.
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -18,7 +18,6 @@
 from geraniumlink import _clock
 from geraniumlink import _http
 from geraniumlink import _logs
-from geraniumlink import _suspicions
 from geraniumlink import platform
 from geraniumlink.serving import _balance
 from geraniumlink.serving import _budget
@@ -29,6 +28,7 @@
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _reply
 from geraniumlink.serving import _types
+from geraniumlink.suspicion import _suspicions
 
 # Connections that can't be opened for one request before it is refused.
 MAX_UNSENT = 4
--- /dev/null
+++ b/src/geraniumlink/suspicion/__init__.py
@@ -0,0 +1,1 @@
+"""Finds and confines the requests that crash backend servers."""
--- a/src/geraniumlink/_suspect_messages.py
+++ b/src/geraniumlink/suspicion/_suspect_messages.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from geraniumlink import _suspicions
+from geraniumlink.suspicion import _suspicions
 
 PATH = "/suspicions"
 MAX_ENDED = 64
--- a/src/geraniumlink/_suspects.py
+++ b/src/geraniumlink/suspicion/_suspects.py
@@ -21,18 +21,18 @@
 from starlette import responses
 from starlette import routing
 
-from geraniumlink import _backends
 from geraniumlink import _clock
-from geraniumlink import _engines
 from geraniumlink import _http
 from geraniumlink import _logs
 from geraniumlink import _metrics
-from geraniumlink import _peers
-from geraniumlink import _refusals
-from geraniumlink import _suspect_messages
-from geraniumlink import _suspicions
-from geraniumlink import _telling
-from geraniumlink import _trials
+from geraniumlink.backends import _backends
+from geraniumlink.backends import _engines
+from geraniumlink.members import _peers
+from geraniumlink.requests import _refusals
+from geraniumlink.suspicion import _suspect_messages
+from geraniumlink.suspicion import _suspicions
+from geraniumlink.suspicion import _telling
+from geraniumlink.suspicion import _trials
 
 MAX_PROVEN = 4096
 # A server that is gone refuses at once. The bound is for one that froze; it
--- a/src/geraniumlink/_telling.py
+++ b/src/geraniumlink/suspicion/_telling.py
@@ -9,8 +9,8 @@
 
 from geraniumlink import _http
 from geraniumlink import _logs
-from geraniumlink import _membership
 from geraniumlink import _settings
+from geraniumlink.members import _membership
 
 # Peers told at once; the others learn by exchange with those.
 MAX_TOLD = 64
--- a/src/geraniumlink/_trials.py
+++ b/src/geraniumlink/suspicion/_trials.py
@@ -14,7 +14,7 @@
 import typing
 
 from geraniumlink import _clock
-from geraniumlink import _suspect_messages
+from geraniumlink.suspicion import _suspect_messages
 
 # A trial counts for no longer, should its end never be heard of.
 TRIAL_MS = 60_000
--- a/tests/routers.py
+++ b/tests/routers.py
@@ -9,10 +9,10 @@
 import heapq
 import random
 
-from geraniumlink import _backends
-from geraniumlink import _engines
-from geraniumlink import _routing
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.backends import _backends
+from geraniumlink.backends import _engines
+from geraniumlink.requests import _routing
 
 WANTED = _routing.Wanted("assistant", "notes")
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,10 +5,10 @@
 import anyio
 import pytest
 
-from geraniumlink import _admission
 from geraniumlink import _clock
-from geraniumlink import _refusals
-from geraniumlink import _routing
+from geraniumlink.requests import _admission
+from geraniumlink.requests import _refusals
+from geraniumlink.requests import _routing
 from tests import routers
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -10,10 +10,10 @@
 import httpcore
 import pytest
 
-from geraniumlink import _claims
-from geraniumlink import _keys
-from geraniumlink import _once
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.once import _claims
+from geraniumlink.once import _keys
+from geraniumlink.once import _once
 from standins import fleet as fleets
 from tests import builders
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 import pytest
 
-from geraniumlink import _rpc
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.interface import _rpc
 from standins import engine
 from tests import builders
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -5,11 +5,11 @@
 from hypothesis import strategies as st
 import pytest
 
-from geraniumlink import _balance
-from geraniumlink import _demand
-from geraniumlink import _ledger
-from geraniumlink import _placement_views as views
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.control import _balance
+from geraniumlink.control import _demand
+from geraniumlink.control import _ledger
+from geraniumlink.control import _placement_views as views
 from tests import builders
 
 MODELS = ["hot", "warm", "cold"]
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from geraniumlink import _calls
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.requests import _calls
 from tests import builders
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -3,15 +3,15 @@
 import anyio
 import pytest
 
-from geraniumlink import _audit
-from geraniumlink import _changes
 from geraniumlink import _clock
-from geraniumlink import _configuration
 from geraniumlink import _http
 from geraniumlink import _objects
-from geraniumlink import _refusals
-from geraniumlink import _retired
 from geraniumlink import _settings
+from geraniumlink.configuration import _audit
+from geraniumlink.configuration import _changes
+from geraniumlink.configuration import _configuration
+from geraniumlink.configuration import _retired
+from geraniumlink.requests import _refusals
 from tests import builders
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies
 import pytest
 
-from geraniumlink import _configuration
 from geraniumlink import _objects
+from geraniumlink.configuration import _configuration
 from tests import builders
 
 KIND = _configuration.KIND
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from geraniumlink import _configuration
+from geraniumlink.configuration import _configuration
 from standins import fleet as fleets
 from tests import builders
 
--- a/tests/test_crash_probe.py
+++ b/tests/test_crash_probe.py
@@ -4,14 +4,14 @@
 
 import pytest
 
-from geraniumlink import _backends
 from geraniumlink import _clock
-from geraniumlink import _engines
 from geraniumlink import _http
 from geraniumlink import _metrics
-from geraniumlink import _suspects
-from geraniumlink import _suspicions
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.backends import _backends
+from geraniumlink.backends import _engines
+from geraniumlink.suspicion import _suspects
+from geraniumlink.suspicion import _suspicions
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_declarations.py
+++ b/tests/test_declarations.py
@@ -4,9 +4,9 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from geraniumlink import _declarations
 from geraniumlink import _findings
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.configuration import _declarations
 from tests import builders
 
 ADDRESSES = ["127.0.0.1:9001", "127.0.0.1:9002"]
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -5,10 +5,10 @@
 from google.protobuf import json_format
 import pytest
 
-from geraniumlink import _declarations
 from geraniumlink import _findings
 from geraniumlink._schema import geraniumlink_pb2 as pb
 from geraniumlink import _settings
+from geraniumlink.configuration import _declarations
 from standins import fleet as fleets
 
 EXAMPLES = fleets.ROOT / "examples"
--- a/tests/test_json_lines.py
+++ b/tests/test_json_lines.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from geraniumlink import _json_lines
 from geraniumlink._schema import geraniumlink_pb2 as pb
+from geraniumlink.interface import _json_lines
 
 TEXTS = st.text(st.characters(codec="utf-8"), max_size=8)
 SIZES = st.lists(st.integers(1, 4), max_size=12)
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -6,13 +6,13 @@
 from hypothesis import strategies
 import pytest
 
-from geraniumlink import _claim_janitor
-from geraniumlink import _claims
 from geraniumlink import _clock
 from geraniumlink import _findings
-from geraniumlink import _keys
 from geraniumlink import _objects
-from geraniumlink import _refusals
+from geraniumlink.once import _claim_janitor
+from geraniumlink.once import _claims
+from geraniumlink.once import _keys
+from geraniumlink.requests import _refusals
 
 NOW_MS = 1_700_000_000_000
 times = strategies.integers(0, 2 * NOW_MS)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -5,7 +5,7 @@
 import pytest
 
 from geraniumlink import _clock
-from geraniumlink import _leases
+from geraniumlink.control import _leases
 from tests import memory_api
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -5,11 +5,11 @@
 import anyio
 import pytest
 
-from geraniumlink import _backends
 from geraniumlink import _clock
-from geraniumlink import _configuration
-from geraniumlink import _engines
 from geraniumlink import _objects
+from geraniumlink.backends import _backends
+from geraniumlink.backends import _engines
+from geraniumlink.configuration import _configuration
 from tests import builders
 from tests import streaming
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -7,11 +7,11 @@
 import pytest
 
 from geraniumlink import _clock
-from geraniumlink import _engine_reports
-from geraniumlink import _ledger
-from geraniumlink import _ledger_store
-from geraniumlink import _orders
-from geraniumlink import _settlement
+from geraniumlink.control import _engine_reports
+from geraniumlink.control import _ledger
+from geraniumlink.control import _ledger_store
+from geraniumlink.control import _orders
+from geraniumlink.control import _settlement
 from tests import memory_api
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,9 +8,9 @@
 import pytest
 
 from geraniumlink import _clock
-from geraniumlink import _member_entries
-from geraniumlink import _membership
 from geraniumlink import _settings
+from geraniumlink.members import _member_entries
+from geraniumlink.members import _membership
 from tests import builders
 
 BEAT_MS = 1000
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,10 +6,10 @@
 from hypothesis import strategies
 import pytest
 
-from geraniumlink import _declarations
-from geraniumlink import _ledger
-from geraniumlink import _placement
-from geraniumlink import _placement_views
+from geraniumlink.configuration import _declarations
+from geraniumlink.control import _ledger
+from geraniumlink.control import _placement
+from geraniumlink.control import _placement_views
 from tests import builders
 
 RESIDENT = _ledger.State.RESIDENT
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from geraniumlink import _retry_budget
+from geraniumlink.requests import _retry_budget
 
 
 @given(requests=st.integers(0, 2000), attempts=st.integers(2, 4))
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,10 +7,10 @@
 import pytest
 
 from benches import _baselines
-from geraniumlink import _first_token_times
-from geraniumlink import _replica_limits
-from geraniumlink import _routing
-from geraniumlink import _subsets
+from geraniumlink.requests import _first_token_times
+from geraniumlink.requests import _replica_limits
+from geraniumlink.requests import _routing
+from geraniumlink.requests import _subsets
 from tests import routers
 
 NOW = 1000
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from geraniumlink import _spread
+from geraniumlink.control import _spread
 
 CAPACITY = {"a": 10.0, "b": 20.0, "c": 5.0}
 _HOLDERS = st.lists(st.sampled_from("abc"), min_size=1, unique=True)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from geraniumlink import _streams
+from geraniumlink.requests import _streams
 
 _OWN = "request-1"
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -6,7 +6,7 @@
 import pytest
 
 from geraniumlink import _clock
-from geraniumlink import _suspicions
+from geraniumlink.suspicion import _suspicions
 from tests import builders
 from tests import streaming
 
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from geraniumlink import _clock
-from geraniumlink import _trials
+from geraniumlink.suspicion import _trials
 
 _NAMES = ("i1", "i2", "i3")
 
