Let the controller's instance tell the others what the store holds

Now the holder of the lease, which has just renewed it and so reaches the store, answers each report with what has changed since the revision that its sender knows, and with the lease's version. Whoever hears nothing for 0.7 s watches by itself again from there.

Ruled out: reads that may lag (cheap, but a leaving replica would be learned of too late).

--- a/benches/_fleet.py
+++ b/benches/_fleet.py
@@ -30,13 +30,18 @@
         super().__init__(folder)
 
     def _start(
-        self, name: str, command: list[str], port: int, peer_port: int = 0
+        self,
+        name: str,
+        command: list[str],
+        port: int,
+        peer_port: int = 0,
+        environment: dict[str, str] | None = None,
     ) -> fleets.Process:
         if self._router and command[2] == "geraniumlink":
             command = [sys.executable, "-m", "benches._instance"]
             settings = str(self._folder / f"{name}.ini")
             command += [self._router, str(self._time_scale), settings]
-        return super()._start(name, command, port, peer_port)
+        return super()._start(name, command, port, peer_port, environment)
 
 
 class Site(typing.NamedTuple):
--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -105,6 +105,13 @@
         sighting = self._sightings.get(shard)
         return sighting.holder if sighting else ""
 
+    def sight(self, shard: str, version: int, holder: str) -> None:
+        """Take its holder's word for a lease, in place of a look at it."""
+        known = self._sightings.get(shard)
+        if known is None or known.version < version:
+            now = self._clock.now()
+            self._sightings[shard] = _Sighting(version, now, holder)
+
     async def try_take(self, shard: str) -> Held | None:
         """Take a lease that is free or lapsed; None when it is neither.
 
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -33,6 +33,7 @@
 from geraniumlink.hosting import _application
 from geraniumlink.hosting import _follower
 from geraniumlink.hosting import _protocol
+from geraniumlink.hosting import _relay
 from geraniumlink import platform
 from geraniumlink.platform import _configuration
 from geraniumlink.platform import _replicas as _replica_entries
@@ -140,6 +141,7 @@
             replicas=self._replicas,
             budgets=self._budgets,
             suspicions=self._suspicions,
+            relay=_relay.Relay(self._followers),
             client=_http.Client(),
             clock=self._clock,
             instance=self._settings.instance,
--- a/src/geraniumlink/residency/_exchange.py
+++ b/src/geraniumlink/residency/_exchange.py
@@ -81,11 +81,26 @@
     instance: str
     # Service, model, adapter, prompt tokens.
     uses: list[list[typing.Any]]
+    # Revisions of the store's kinds that are known there.
+    known: dict[str, int]
     # By replica: requests in flight, then pairs of rank and prompt tokens.
     loads: dict[str, list[typing.Any]]
     suspicions: list[typing.Any]
 
 
+class Relay(typing.Protocol):
+    """Tells and takes what the store holds."""
+
+    def known(self) -> dict[str, int]:
+        """Return the revision known of each kind."""
+
+    def tell(self, known: dict[str, int]) -> dict[str, typing.Any]:
+        """Return what another instance lacks that knows so much."""
+
+    def take(self, told: typing.Any) -> None:
+        """Take what was told."""
+
+
 class Exchange:
     """Both sides: the controller's when the lease is held here."""
 
@@ -97,6 +112,7 @@
         replicas: _replicas.Replicas,
         budgets: _budget.RepeatBudgets,
         suspicions: _suspicions.Suspicions,
+        relay: Relay,
         client: _http.Client,
         clock: _clock.Clock,
         instance: str,
@@ -106,6 +122,7 @@
         self._replicas = replicas
         self._budgets = budgets
         self._suspicions = suspicions
+        self._relay = relay
         self._client = client
         self._clock = clock
         self._instance = instance
@@ -157,6 +174,7 @@
             report = _Report(
                 instance=self._instance,
                 uses=[[*key, tokens] for key, tokens in uses.items()],
+                known=self._relay.known(),
                 loads=self._own_loads(),
                 suspicions=_suspicions.to_json(self._suspicions.latest()),
             )
@@ -208,17 +226,26 @@
                 if entry.fingerprint
             ]
         )
-        return {
+        answer = {
             "instances": len(self._reported),
             "loads": _to_json(self._loads_but(sender, now)),
             "suspicions": _suspicions.to_json(self._suspicions.latest()),
         }
+        # Only one that has just renewed its lease knows that it reaches the
+        # store, and so that what it knows is not old.
+        if sender != self._instance and self._leadership.may_order():
+            answer["lease_version"] = self._leadership.lease_version
+            answer["objects"] = self._relay.tell(report["known"])
+        return answer
 
     def _take_answer(self, answer: typing.Any) -> None:
         try:
             self._budgets.set_instances(int(answer["instances"]))
             self._note_foreign(answer["loads"])
             entries = _suspicions.from_json(answer["suspicions"])
+            if "objects" in answer:
+                self._leadership.note_led(int(answer["lease_version"]))
+                self._relay.take(answer["objects"])
         except (KeyError, TypeError, ValueError) as error:
             _logs.event("bad_report_answer", error=repr(error))
             return
--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -22,6 +22,8 @@
 ORDER_MS = 1200
 # Kept between two holders' orders, beyond the platform's bound.
 GUARD_MARGIN_MS = 200
+# The leader's word that it leads is good for this long.
+LED_MS = 700
 # How often the others look who holds it, by reads that cost a tenth.
 LOOK_MS = 500
 
@@ -39,6 +41,7 @@
         self._renewed_at = 0
         self._orders_from = 0
         self._leader = ""
+        self._led_until = 0
         self._reachable = True
         self._on_regained: Callable[[], None] = lambda: None
 
@@ -57,6 +60,11 @@
         """The term of the lease; 0 when it isn't held here."""
         return self._held.lease.epoch if self._held else 0
 
+    @property
+    def lease_version(self) -> int:
+        """The version of the lease when it was last renewed here, or 0."""
+        return self._held.version if self._held else 0
+
     @property
     def is_leader(self) -> bool:
         """Whether the lease is held here, as far as is known."""
@@ -69,6 +77,11 @@
         now = self._clock.since_boot()
         return self._orders_from <= now < self._renewed_at + ORDER_MS
 
+    def note_led(self, lease_version: int) -> None:
+        """Take the leader's word that it renewed the lease."""
+        self._leases.sight(SHARD, lease_version, self._leader)
+        self._led_until = self._clock.now() + LED_MS
+
     def when_regained(self, call: Callable[[], None]) -> None:
         """Call that whenever the store answers again after it did not."""
         self._on_regained = call
@@ -76,21 +89,25 @@
     async def keep(self) -> None:
         """Take the lease whenever it is free, and renew it, for ever."""
         while True:
-            try:
-                if self._held is None:
-                    await self._look()
-                else:
-                    await self._renew(self._held)
-            except _objects.UnavailableError as error:
-                _logs.event("lease_unavailable", error=str(error))
-                self._reachable = False
-            else:
-                if not self._reachable:
-                    self._reachable = True
-                    self._on_regained()
+            if self._held is not None or self._clock.now() >= self._led_until:
+                await self._look_or_renew()
             held = self._held is not None
             await self._clock.sleep(RENEW_MS if held else LOOK_MS)
 
+    async def _look_or_renew(self) -> None:
+        try:
+            if self._held is None:
+                await self._look()
+            else:
+                await self._renew(self._held)
+        except _objects.UnavailableError as error:
+            _logs.event("lease_unavailable", error=str(error))
+            self._reachable = False
+            return
+        if not self._reachable:
+            self._reachable = True
+            self._on_regained()
+
     async def release(self) -> None:
         """Let another instance take over; used before the process ends."""
         held, self._held = self._held, None
