Place elsewhere what a replica held that most instances can't reach

Ruled out: the rate of the weight store; replicas were free.

Now reports name the replicas that can't be connected to; those that half of the instances name serve nobody. The test (two instances, one dead replica whose entry stays) timed out before.

--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -106,11 +106,19 @@
         self._wanting = anyio.Event()
         self._changed = anyio.Event()
         self._epoch = 0
+        # Replicas that instances can't connect to; their entries go later.
+        self._unreachable: set[str] = set()
 
     def note_use(self, use: _demand.Use) -> None:
         """Count what an instance reports to have been asked for."""
         self._demands.note(use)
 
+    def set_unreachable(self, replicas: set[str]) -> None:
+        """Take it that these serve nobody, whatever their entries say."""
+        if replicas != self._unreachable:
+            _logs.event("unreachable", replicas=sorted(replicas))
+        self._unreachable = replicas
+
     async def run(self) -> None:
         """Place models for ever."""
         async with anyio.create_task_group() as group:
@@ -248,6 +256,7 @@
             self._holdings[replica.entry.name]
             for replica in self._replicas.serving(service)
             if replica.entry.name in self._holdings
+            and replica.entry.name not in self._unreachable
         ]
 
     def _placed(self, want: Want, avoid: set[str]) -> tuple[str, ...]:
--- a/src/geraniumlink/residency/_exchange.py
+++ b/src/geraniumlink/residency/_exchange.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterable
 import typing
 
@@ -63,6 +64,7 @@
 
     at: int
     loads: dict[str, _Load]
+    unreachable: frozenset[str]
 
 
 def _to_json(loads: dict[str, _Load]) -> dict[str, list[typing.Any]]:
@@ -85,6 +87,8 @@
     known: dict[str, int]
     # By replica: requests in flight, then pairs of rank and prompt tokens.
     loads: dict[str, list[typing.Any]]
+    # Replicas that could not be connected to lately.
+    unreachable: list[str]
     suspicions: list[typing.Any]
 
 
@@ -176,6 +180,7 @@
                 uses=[[*key, tokens] for key, tokens in uses.items()],
                 known=self._relay.known(),
                 loads=self._own_loads(),
+                unreachable=sorted(self._replicas.unreachable()),
                 suspicions=_suspicions.to_json(self._suspicions.latest()),
             )
             if self._leadership.is_leader:
@@ -209,12 +214,14 @@
             )
             for name, load in report["loads"].items()
         }
-        self._reported[sender] = _Reported(now, loads)
+        unreachable = frozenset(str(r) for r in report["unreachable"])
+        self._reported[sender] = _Reported(now, loads, unreachable)
         self._reported = {
             name: reported
             for name, reported in self._reported.items()
             if now - reported.at < COUNTED_MS
         }
+        self._controller.set_unreachable(self._lost_to_most())
         for service, model, adapter, tokens in report["uses"]:
             self._controller.note_use(
                 _demand.Use(service, model, adapter, int(tokens))
@@ -262,6 +269,19 @@
         }
         return _to_json(loads)
 
+    def _lost_to_most(self) -> set[str]:
+        """Return the replicas that half of the instances can't reach.
+
+        One alone may be cut off itself.
+        """
+        votes = collections.Counter(
+            replica
+            for reported in self._reported.values()
+            for replica in reported.unreachable
+        )
+        needed = len(self._reported) / 2
+        return {replica for replica, n in votes.items() if n >= needed}
+
     def _loads_but(self, sender: str, now: int) -> dict[str, _Load]:
         """Return the sum of the loads that all others reported lately."""
         totals: dict[str, _Load] = {}
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -242,8 +242,9 @@
             if holders:
                 return self._choose(task, holders, left_ms, now)
             wait_ms = min(left_ms, task.first_by - now) - SERVE_MS
+            avoid = task.tried | self._replicas.unreachable()
             refusal = await self._residency.ensure(
-                task.service, request, task.tried, wait_ms
+                task.service, request, avoid, wait_ms
             )
             if refusal is not None:
                 return refusal
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -222,6 +222,15 @@
         certain = [r for r in found if r.vanished_at is None]
         return certain or found
 
+    def unreachable(self) -> set[str]:
+        """Return those to which no connection could be opened lately."""
+        now = self._clock.now()
+        return {
+            name
+            for name, replica in self._known.items()
+            if replica.paused_until > now
+        }
+
     def replace(self, entries: Iterable[_types.ReplicaEntry]) -> None:
         """Take in the whole list."""
         listed = {entry.name: entry for entry in entries}
--- a/tests/test_hosted_placement.py
+++ b/tests/test_hosted_placement.py
@@ -149,3 +149,20 @@
     await _served(site, "m3", site.hosts.index(leader))
     holders = [order["holder"] for order in await site.orders()]
     assert len(set(holders)) == 1
+
+
+async def test_the_models_of_a_dead_replica_are_loaded_elsewhere(fleet):
+    """Its entry is still there, as it is for three heartbeats."""
+    site = await _site(fleet, replicas=1, instances=2)
+    await site.add_replica("m3")
+    leader = next(h for h in site.hosts if hosts.logged(h, "lease_taken"))
+    other = next(i for i, h in enumerate(site.hosts) if h is not leader)
+    site.replicas["r-1"].kill()
+    with hosts.anyio.fail_after(5):
+        await _served(site, "m1", other)
+    loads = [
+        order
+        for order in (await fleet.record(site.replicas["r-2"]))["orders"]
+        if order["operation"] == "load"
+    ]
+    assert [order["model"] for order in loads] == ["m1"]
