--- a/src/geraniumlink/residency/_exchange.py
+++ b/src/geraniumlink/residency/_exchange.py
@@ -22,6 +22,7 @@
 from geraniumlink.residency import _controller
 from geraniumlink.residency import _demand
 from geraniumlink.residency import _leadership
+from geraniumlink.residency import _messages
 from geraniumlink.serving import _budget
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _replicas
@@ -46,52 +47,6 @@
 MAX_MESSAGE_BYTES = 262_144
 
 
-class _Load(typing.NamedTuple):
-    """Requests in flight at a replica, and prompt tokens unread by rank."""
-
-    in_flight: int
-    prefilling: dict[int, int]
-
-    def plus(self, other: _Load) -> _Load:
-        prefilling = dict(self.prefilling)
-        for rank, tokens in other.prefilling.items():
-            prefilling[rank] = prefilling.get(rank, 0) + tokens
-        return _Load(self.in_flight + other.in_flight, prefilling)
-
-
-class _Reported(typing.NamedTuple):
-    """When an instance reported, and its load on each replica."""
-
-    at: int
-    loads: dict[str, _Load]
-    unreachable: frozenset[str]
-
-
-def _to_json(loads: dict[str, _Load]) -> dict[str, list[typing.Any]]:
-    """Leave out what is zero."""
-    return {
-        replica: [
-            load.in_flight,
-            [[r, tokens] for r, tokens in load.prefilling.items() if tokens],
-        ]
-        for replica, load in loads.items()
-        if load.in_flight
-    }
-
-
-class _Report(typing.TypedDict):
-    instance: str
-    # Service, model, adapter, prompt tokens.
-    uses: list[list[typing.Any]]
-    # Revisions of the store's kinds that are known there.
-    known: dict[str, int]
-    # By replica: requests in flight, then pairs of rank and prompt tokens.
-    loads: dict[str, list[typing.Any]]
-    # Replicas that could not be connected to lately.
-    unreachable: list[str]
-    suspicions: list[typing.Any]
-
-
 class Relay(typing.Protocol):
     """Tells and takes what the store holds."""
 
@@ -132,7 +87,7 @@
         self._instance = instance
         self._uses: dict[tuple[str, str, str], int] = {}
         # When each instance last reported here, and its load then.
-        self._reported: dict[str, _Reported] = {}
+        self._reported: dict[str, _messages.Reported] = {}
         self._asking: dict[_controller.Want, anyio.Event] = {}
 
     def note_demand(self, service: str, request: _types.Request) -> None:
@@ -175,7 +130,7 @@
         while True:
             await self._clock.sleep(REPORT_MS)
             uses, self._uses = self._uses, {}
-            report = _Report(
+            report = _messages.Report(
                 instance=self._instance,
                 uses=[[*key, tokens] for key, tokens in uses.items()],
                 known=self._relay.known(),
@@ -205,17 +160,19 @@
             raise ValueError(f"no message of ours: {error!r}") from error
         raise ValueError(f"no such path: {path}")
 
-    def _answer_report(self, report: _Report) -> dict[str, typing.Any]:
+    def _answer_report(
+        self, report: _messages.Report
+    ) -> dict[str, typing.Any]:
         now = self._clock.now()
         sender = str(report["instance"])
         loads = {
-            str(name): _Load(
+            str(name): _messages.Load(
                 int(load[0]), {int(r): int(t) for r, t in load[1]}
             )
             for name, load in report["loads"].items()
         }
         unreachable = frozenset(str(r) for r in report["unreachable"])
-        self._reported[sender] = _Reported(now, loads, unreachable)
+        self._reported[sender] = _messages.Reported(now, loads, unreachable)
         self._reported = {
             name: reported
             for name, reported in self._reported.items()
@@ -235,7 +192,7 @@
         )
         answer = {
             "instances": len(self._reported),
-            "loads": _to_json(self._loads_but(sender, now)),
+            "loads": _messages.loads_to_json(self._loads_but(sender, now)),
             "suspicions": _suspicions.to_json(self._suspicions.latest()),
         }
         # Only one that has just renewed its lease knows that it reaches the
@@ -261,13 +218,13 @@
     def _own_loads(self) -> dict[str, list[typing.Any]]:
         """Return the load from here on the replicas of engines."""
         loads = {
-            replica.entry.name: _Load(
+            replica.entry.name: _messages.Load(
                 replica.in_flight, dict(replica.prefilling)
             )
             for replica in self._replicas.all()
             if replica.entry.residents
         }
-        return _to_json(loads)
+        return _messages.loads_to_json(loads)
 
     def _lost_to_most(self) -> set[str]:
         """Return the replicas that half of the instances can't reach.
@@ -282,14 +239,14 @@
         needed = len(self._reported) / 2
         return {replica for replica, n in votes.items() if n >= needed}
 
-    def _loads_but(self, sender: str, now: int) -> dict[str, _Load]:
+    def _loads_but(self, sender: str, now: int) -> dict[str, _messages.Load]:
         """Return the sum of the loads that all others reported lately."""
-        totals: dict[str, _Load] = {}
+        totals: dict[str, _messages.Load] = {}
         for name, reported in self._reported.items():
             if name == sender or now - reported.at > LOADS_STALE_MS:
                 continue
             for replica, load in reported.loads.items():
-                total = totals.setdefault(replica, _Load(0, {}))
+                total = totals.setdefault(replica, _messages.Load(0, {}))
                 totals[replica] = total.plus(load)
         return totals
 
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
-import hashlib
 import random
 import typing
 
@@ -19,14 +17,15 @@
 from geraniumlink import _http
 from geraniumlink import _logs
 from geraniumlink import platform
+from geraniumlink.serving import _attempt
 from geraniumlink.serving import _balance
 from geraniumlink.serving import _budget
 from geraniumlink.serving import _catalogue
 from geraniumlink.serving import _connections
-from geraniumlink.serving import _events
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _reply
+from geraniumlink.serving import _task
 from geraniumlink.serving import _types
 from geraniumlink.suspicion import _suspicions
 
@@ -34,18 +33,6 @@
 MAX_UNSENT = 4
 # With less time left, a replica could not answer.
 LEAST_LEFT_MS = 20
-# A replica of which nothing was heard for this many times the target is
-# taken for dead by requests that may be repeated.
-SILENCE_TARGETS = 2
-SHORTEST_SILENCE_MS = 300
-LONGEST_SILENCE_MS = 2000
-# The same once a stream runs, in longest pauses.
-SILENCE_PAUSES = 4
-# Clients give up a stream without events after the longest of: this time,
-# and so many times the target and the longest pause. From the users' pages.
-LEAST_ABANDON_MS = 2000
-ABANDON_TARGETS = 4
-ABANDON_PAUSES = 8
 # Time to come back when no replica is known to be free soon.
 RETRY_AFTER_MS = 500
 LONGEST_RETRY_AFTER_MS = 4000
@@ -55,12 +42,6 @@
 _UNAVAILABLE = 503
 _TIMED_OUT = 504
 
-_T = typing.TypeVar("_T")
-
-
-class SilentError(Exception):
-    """Nothing was heard of a replica for too long."""
-
 
 class Residency(typing.Protocol):
     """Has models and adapters loaded where they are asked for."""
@@ -78,35 +59,6 @@
         """Count a request for the choice of what to load."""
 
 
-class Task:
-    """A client's request on its way."""
-
-    def __init__(
-        self,
-        request: _types.Request,
-        reply: _reply.Reply,
-        route: _types.Route,
-        service: str,
-        until: int,
-    ) -> None:
-        self.request = request
-        self.reply = reply
-        self.route = route
-        self.service = service
-        # Our clock's time at which there must be a final answer.
-        self.until = until
-        # By then a client that still waits for a first event gives up.
-        self.first_by = request.received_at + _first_event_ms(route)
-        self.attempts = 0
-        self.unsent = 0
-        self.tried: set[str] = set()
-        self.may_have_run = False
-        self.last_event_id = request.last_event_id
-        self.fingerprint = _fingerprint(request)
-        self.last_replica = ""
-        self.outcome = ""
-
-
 class Forwarder:
     """Serves requests with the replicas known at this instance."""
 
@@ -148,7 +100,7 @@
         if route is None:
             await self._answer_own(reply, 404, "no such route", retry=False)
             return
-        task = self._task(request, reply, route)
+        task = self._make_task(request, reply, route)
         self._budgets.deposit(task.service)
         if request.model:
             self._residency.note_demand(task.service, request)
@@ -165,17 +117,19 @@
         finally:
             self._log(task)
 
-    def _task(
+    def _make_task(
         self,
         request: _types.Request,
         reply: _reply.Reply,
         route: _types.Route,
-    ) -> Task:
+    ) -> _task.Task:
         wait_ms = route.timeout_ms
         if request.patience_ms is not None:
             wait_ms = min(wait_ms, request.patience_ms)
         until = request.received_at + wait_ms
-        return Task(request, reply, route, self._service_of(route), until)
+        return _task.Task(
+            request, reply, route, self._service_of(route), until
+        )
 
     def _service_of(self, route: _types.Route) -> str:
         weights = [share.weight for share in route.shares]
@@ -183,7 +137,7 @@
             return route.shares[0].service
         return self._random.choices(route.shares, weights)[0].service
 
-    async def _serve(self, task: Task) -> None:
+    async def _serve(self, task: _task.Task) -> None:
         while True:
             choice = await self._place(task)
             if isinstance(choice, _outcomes.Refusal):
@@ -198,7 +152,9 @@
                 await self._conclude(task, outcome)
                 return
 
-    def _may_repeat(self, task: Task, outcome: _outcomes.Outcome) -> bool:
+    def _may_repeat(
+        self, task: _task.Task, outcome: _outcomes.Outcome
+    ) -> bool:
         if task.until - self._clock.now() < LEAST_LEFT_MS:
             return False
         match outcome:
@@ -219,7 +175,9 @@
             return False
         return self._budgets.withdraw(task.service)
 
-    async def _place(self, task: Task) -> _balance.Choice | _outcomes.Refusal:
+    async def _place(
+        self, task: _task.Task
+    ) -> _balance.Choice | _outcomes.Refusal:
         """Choose a replica, after loading what is missing if need be."""
         if self._is_confirmed(task):
             return _outcomes.Refusal("it crashed replicas before", None)
@@ -251,7 +209,7 @@
 
     def _choose(
         self,
-        task: Task,
+        task: _task.Task,
         holders: list[_replicas.Replica],
         left_ms: int,
         now: int,
@@ -280,7 +238,7 @@
         )
 
     async def _attempt(
-        self, task: Task, choice: _balance.Choice
+        self, task: _task.Task, choice: _balance.Choice
     ) -> _outcomes.Outcome:
         """Send the request to a replica and relay its answer."""
         replica = choice.replica
@@ -294,7 +252,7 @@
             replica.note_unreachable(self._clock.now())
             return _outcomes.Unsent(str(error))
         task.attempts += 1
-        attempt = _Attempt(
+        attempt = _attempt.Attempt(
             self._clock, task, replica, connection, choice.expected_ms
         )
         outcome: _outcomes.Outcome | None = None
@@ -310,7 +268,7 @@
 
     async def _learn(
         self,
-        task: Task,
+        task: _task.Task,
         replica: _replicas.Replica,
         outcome: _outcomes.Outcome,
     ) -> None:
@@ -332,7 +290,7 @@
             task.may_have_run = True
 
     async def _suspect_if_crashed(
-        self, task: Task, replica: _replicas.Replica
+        self, task: _task.Task, replica: _replicas.Replica
     ) -> None:
         """Count a crash against the request if nobody listens any more."""
         entry = replica.entry
@@ -357,11 +315,13 @@
         else:
             self._connections.give_back(entry.name, probe)
 
-    def _is_confirmed(self, task: Task) -> bool:
+    def _is_confirmed(self, task: _task.Task) -> bool:
         standing = self._suspicions.standing(task.fingerprint)
         return standing is _suspicions.Standing.CONFIRMED
 
-    async def _conclude(self, task: Task, outcome: _outcomes.Outcome) -> None:
+    async def _conclude(
+        self, task: _task.Task, outcome: _outcomes.Outcome
+    ) -> None:
         """Give the final answer to what isn't repeated."""
         if task.reply.started:
             task.outcome = "cut off"
@@ -383,7 +343,7 @@
             case _outcomes.Unsent(reason) | _outcomes.NotRun(reason):
                 await self._refuse(task, self._refusal(reason))
 
-    async def _conclude_timeout(self, task: Task) -> None:
+    async def _conclude_timeout(self, task: _task.Task) -> None:
         if task.reply.started:
             return
         if task.attempts:
@@ -393,7 +353,9 @@
         else:
             await self._answer_own(task.reply, _UNAVAILABLE, "not run in time")
 
-    async def _refuse(self, task: Task, refusal: _outcomes.Refusal) -> None:
+    async def _refuse(
+        self, task: _task.Task, refusal: _outcomes.Refusal
+    ) -> None:
         task.outcome = f"refused: {refusal.reason}"
         if task.reply.started:
             return
@@ -419,7 +381,7 @@
         headers = platform.refusal_headers(later)
         await reply.answer(status, headers, reason.encode())
 
-    def _log(self, task: Task) -> None:
+    def _log(self, task: _task.Task) -> None:
         now = self._clock.now()
         _logs.event(
             "request",
@@ -434,232 +396,3 @@
             outcome=task.outcome,
             took_ms=now - task.request.received_at,
         )
-
-
-class _Attempt:
-    """One request on one connection to one replica."""
-
-    def __init__(
-        self,
-        clock: _clock.Clock,
-        task: Task,
-        replica: _replicas.Replica,
-        connection: _connections.Connection,
-        expected_ms: float,
-    ) -> None:
-        self._clock = clock
-        self._task = task
-        self._replica = replica
-        self._connection = connection
-        self._expected_ms = expected_ms
-        self._sent_at = clock.now()
-        self._rank = task.route.priority
-        self._prefilling = replica.uncached_tokens(task.request)
-        # Whether the connection may carry another request.
-        self.reusable = False
-
-    async def run(self) -> _outcomes.Outcome:
-        replica = self._replica
-        replica.in_flight += 1
-        replica.prefilling[self._rank] += self._prefilling
-        try:
-            return await self._exchange()
-        except _http.BrokenError as error:
-            return _outcomes.Interrupted(str(error))
-        except SilentError:
-            replica.note_unreachable(self._clock.now())
-            return _outcomes.Interrupted("the replica is silent")
-        finally:
-            replica.in_flight -= 1
-            self._end_prefill()
-
-    async def _exchange(self) -> _outcomes.Outcome:
-        body = self._task.request.body
-        if len(body) <= _connections.SMALL_BODY_BYTES:
-            await self._connection.send(self._head() + body)
-            return await self._receive()
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._send_large, self._head() + body)
-            outcome = await self._receive()
-            if not self._body_sent:
-                # What follows on this connection would be taken for it.
-                self.reusable = False
-            group.cancel_scope.cancel()
-        return outcome
-
-    _body_sent = False
-
-    async def _send_large(self, data: bytes) -> None:
-        try:
-            await self._connection.send(data)
-            self._body_sent = True
-        except _http.BrokenError as error:
-            # The answer may have come before; reading tells.
-            _logs.event("body_not_taken", error=str(error))
-
-    def _head(self) -> bytes:
-        task = self._task
-        left_ms = task.until - self._clock.now()
-        return platform.encode_request(
-            task.request,
-            replica=self._replica.entry.name,
-            left_ms=max(1, left_ms),
-            priority=self._rank if task.request.model else None,
-            last_event_id=task.last_event_id,
-        )
-
-    async def _receive(self) -> _outcomes.Outcome:
-        head = await self._read_head()
-        self._note_head(head)
-        if 200 <= head.status < 300:
-            if not head.sealed:
-                return _outcomes.Interrupted("an answer without its seal")
-            if self._task.route.kind is _types.RouteKind.STREAM:
-                return await self._relay_events(head)
-            return await self._relay_whole(head)
-        body = await self._read_whole()
-        self._finish(head)
-        if head.not_run:
-            if head.status == 421:
-                request = self._task.request
-                self._replica.note_absent(
-                    request.model, request.adapter, self._clock.now()
-                )
-            return _outcomes.NotRun(f"the replica answered {head.status}")
-        return _outcomes.Failed(head.status, head.headers, body)
-
-    async def _read_head(self) -> platform.AnswerHead:
-        """Return the head of the own answer; skip those to others."""
-        while True:
-            message = await self._heard(self._connection.read_head)
-            head = platform.decode_answer(message.status, message.headers)
-            if head.request_id in (self._task.request.id, b""):
-                return head
-            _logs.event(
-                "foreign_answer",
-                replica=self._replica.entry.name,
-                request_id=head.request_id.decode("latin-1"),
-            )
-            await self._heard(self._connection.skip_answer)
-
-    def _note_head(self, head: platform.AnswerHead) -> None:
-        now = self._clock.now()
-        if head.load is not None:
-            self._replica.note_load(head.load, now)
-        if head.idle_ms is not None:
-            self._connection.idle_ms = head.idle_ms
-
-    async def _relay_whole(
-        self, head: platform.AnswerHead
-    ) -> _outcomes.Outcome:
-        body = await self._read_whole()
-        self._note_first_event()
-        self._finish(head)
-        await self._task.reply.answer(head.status, head.headers, body)
-        return _outcomes.Done()
-
-    async def _read_whole(self) -> bytes:
-        parts: list[bytes] = []
-        while True:
-            part = await self._heard(self._connection.read_chunk)
-            if part is None:
-                return b"".join(parts)
-            parts.append(part)
-
-    async def _relay_events(
-        self, head: platform.AnswerHead
-    ) -> _outcomes.Outcome:
-        task = self._task
-        splitter = _events.EventSplitter()
-        while True:
-            part = await self._heard(self._connection.read_chunk)
-            if part is None:
-                break
-            events = splitter.feed(part)
-            if not events:
-                continue
-            self._note_first_event()
-            await self._start_reply(head)
-            await task.reply.write(events)
-            task.last_event_id = splitter.last_id or task.last_event_id
-        self._finish(head)
-        await self._start_reply(head)
-        await task.reply.finish(splitter.rest)
-        return _outcomes.Done()
-
-    async def _start_reply(self, head: platform.AnswerHead) -> None:
-        """Send the head of the stream's first replica."""
-        if self._task.reply.started:
-            return
-        # The length is that of one replica's part, if the stream goes on
-        # at another.
-        headers = [
-            header
-            for header in head.headers
-            if header[0].lower() != b"content-length"
-        ]
-        await self._task.reply.start(head.status, headers)
-
-    def _finish(self, head: platform.AnswerHead) -> None:
-        self.reusable = self._connection.finish() and not head.closes
-
-    def _note_first_event(self) -> None:
-        if not self._prefilling:
-            return
-        now = self._clock.now()
-        took_ms = now - self._sent_at
-        self._replica.note_lag(took_ms - self._expected_ms, now)
-        self._replica.remember_parts(self._task.request)
-        self._end_prefill()
-
-    def _end_prefill(self) -> None:
-        self._replica.prefilling[self._rank] -= self._prefilling
-        self._prefilling = 0
-
-    async def _heard(self, step: Callable[[], Awaitable[_T]]) -> _T:
-        """Wait for the replica, as long as there is hope.
-
-        :raises SilentError: if the request can be repeated, and nothing was
-            heard of the replica for too long.
-        """
-        silence_ms = self._silence_ms()
-        if silence_ms is None:
-            result = await step()
-            self._replica.note_heard(self._clock.now())
-            return result
-        while True:
-            now = self._clock.now()
-            due = max(self._replica.last_heard, self._sent_at) + silence_ms
-            if due <= now:
-                raise SilentError
-            with anyio.move_on_after((due - now) / 1000):
-                result = await step()
-                self._replica.note_heard(self._clock.now())
-                return result
-
-    def _silence_ms(self) -> int | None:
-        route = self._task.route
-        if not route.repeatable or self._task.attempts >= route.max_attempts:
-            return None
-        if self._task.reply.started and route.gap_target_ms:
-            silence_ms = SILENCE_PAUSES * route.gap_target_ms
-        else:
-            silence_ms = SILENCE_TARGETS * route.target_ms
-        return max(SHORTEST_SILENCE_MS, min(LONGEST_SILENCE_MS, silence_ms))
-
-
-def _first_event_ms(route: _types.Route) -> int:
-    if route.kind is not _types.RouteKind.STREAM:
-        return route.timeout_ms
-    return max(
-        LEAST_ABANDON_MS,
-        ABANDON_TARGETS * route.target_ms,
-        ABANDON_PAUSES * route.gap_target_ms,
-    )
-
-
-def _fingerprint(request: _types.Request) -> str:
-    """Recognise a request that is sent again, under whatever id."""
-    digest = hashlib.blake2b(request.body, digest_size=16).hexdigest()
-    target = request.target.decode("latin-1")
-    return _suspicions.fingerprint(request.host, target, digest)
