Pause when a placed model isn't known here yet; bound a body's time

Found by reading: where the controller says that a replica holds a model and the instance's own table doesn't, a request asked again in a loop, which on the controller's own instance never gave way. And what a replica had said of a model outlived the controller's newer word on its adapter. A client that stopped within its body was waited for without end. A test for each, which fails without the change (the last by its time limit, not run before).

--- a/src/geraniumlink/hosting/_application.py
+++ b/src/geraniumlink/hosting/_application.py
@@ -114,9 +114,14 @@
             if size > current.limits.header_bytes:
                 await _reject(reply, 431, "the head is too large")
                 return
+        body = b""
         try:
-            most = current.limits.body_bytes if current else 0
-            body = await _read(receive, most) if current else b""
+            if current is not None:
+                with anyio.fail_after(current.limits.idle_ms / 1000):
+                    body = await _read(receive, current.limits.body_bytes)
+        except TimeoutError:
+            await _reject(reply, 408, "the body takes too long")
+            return
         except TooLargeError:
             await _reject(reply, 413, "the body is too large")
             return
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -36,6 +36,8 @@
 # Time to come back when no replica is known to be free soon.
 RETRY_AFTER_MS = 500
 LONGEST_RETRY_AFTER_MS = 4000
+# Changes of the replicas arrive a few times a second.
+LOOK_AGAIN_MS = 50
 # What is left for the answer after a model was loaded.
 SERVE_MS = 400
 _BAD_GATEWAY = 502
@@ -206,6 +208,17 @@
             )
             if refusal is not None:
                 return refusal
+            if not self._is_held(task, avoid):
+                # The controller knows of a replica that isn't known here yet.
+                await self._clock.sleep(LOOK_AGAIN_MS)
+
+    def _is_held(self, task: _task.Task, avoid: set[str]) -> bool:
+        now = self._clock.now()
+        return any(
+            replica.holds(task.request.model, task.request.adapter, now)
+            for replica in self._replicas.serving(task.service)
+            if replica.entry.name not in avoid
+        )
 
     def _choose(
         self,
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -92,6 +92,7 @@
         """Take the controller's word that they were loaded there."""
         self._placed[model, adapter] = now + PLACED_MS
         self._absent.pop((model, adapter), None)
+        self._absent.pop((model, ""), None)
 
     def update(self, entry: _types.ReplicaEntry) -> None:
         if entry.residents != self.entry.residents:
--- a/tests/test_hosted_bad_input.py
+++ b/tests/test_hosted_bad_input.py
@@ -72,6 +72,13 @@
     assert not (await site.runs())["r-1"]
 
 
+async def test_a_body_that_takes_too_long_is_given_up(fleet):
+    site, port = await _site(fleet)
+    answer = await hosts.send(port, _head("Content-Length: 10") + b"half")
+    assert answer.status == 408
+    assert not (await site.runs())["r-1"]
+
+
 def _settings(**changes):
     settings = {
         "node_name": "i-1",
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -2,6 +2,7 @@
 
 import random
 
+import anyio
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -10,11 +11,17 @@
 from geraniumlink import _objects
 from geraniumlink import _settings
 from geraniumlink.hosting import _follower
+from geraniumlink import platform
 from geraniumlink.serving import _balance
 from geraniumlink.serving import _budget
+from geraniumlink.serving import _catalogue
 from geraniumlink.serving import _events
+from geraniumlink.serving import _forward
 from geraniumlink.serving import _replicas
+from geraniumlink.serving import _reply
 from geraniumlink.serving import _types
+from geraniumlink.suspicion import _suspicions
+from tests import hosts
 
 
 def _replica(name="r1", data_centre="dc1", slots=8):
@@ -205,6 +212,63 @@
     assert splitter.rest == b""
 
 
+class _Residency:
+    """Says that everything is placed, and counts."""
+
+    def __init__(self):
+        self.asked = 0
+
+    async def ensure(self, *_args):
+        self.asked += 1
+        await anyio.sleep(0)
+
+    def note_demand(self, *_args):
+        pass
+
+
+@pytest.mark.anyio
+async def test_what_is_placed_where_nobody_knows_is_not_asked_for_in_a_loop():
+    clock, residency = _clock.Clock(), _Residency()
+    replicas = _replicas.Replicas(clock, 2000)
+    replicas.replace([_entry("r1")])
+    catalogue = _catalogue.Catalogue()
+    spec = hosts.configuration(1, hosts.route("x", "stream", service="s"))
+    catalogue.accept(platform.decode_configuration(spec))
+    forwarder = _forward.Forwarder(
+        catalogue=catalogue,
+        replicas=replicas,
+        residency=residency,
+        budgets=_budget.RepeatBudgets(_budget.Bound(0.2, 8, 1000), clock),
+        suspicions=_suspicions.Suspicions(clock),
+        clock=clock,
+        data_centre="dc1",
+        random_source=random.Random(1),
+    )
+    request = _request()._replace(
+        host=hosts.HOST,
+        target=b"/x/",
+        model="m9",
+        received_at=clock.now(),
+        patience_ms=300,
+    )
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    await forwarder.serve(request, _reply.Reply(send, lambda: False))
+    assert sent[0]["status"] == 503
+    assert residency.asked <= 300 / _forward.LOOK_AGAIN_MS + 1
+
+
+def test_a_placed_adapter_clears_what_was_said_of_its_model():
+    replica = _replica()
+    replica.note_absent("m1", "", now=0)
+    assert not replica.holds("m1", "a1", 10)
+    replica.note_placed("m1", "a1", now=10)
+    assert replica.holds("m1", "a1", 20)
+
+
 class _Store:
     """Answers lists and watches from scripts."""
 
