Date a taken lease from before its write; never retake a released one

A machine that was suspended between writing the lease and reading the answer took it for fresh; an instance that drains took the lease that it had just released again, and left it behind at its end.

--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -42,6 +42,7 @@
         self._orders_from = 0
         self._leader = ""
         self._led_until = 0
+        self._stopped = False
         self._reachable = True
         self._on_regained: Callable[[], None] = lambda: None
 
@@ -95,6 +96,8 @@
             await self._clock.sleep(RENEW_MS if held else LOOK_MS)
 
     async def _look_or_renew(self) -> None:
+        if self._stopped:
+            return
         try:
             if self._held is None:
                 await self._look()
@@ -110,6 +113,7 @@
 
     async def release(self) -> None:
         """Let another instance take over; used before the process ends."""
+        self._stopped = True
         held, self._held = self._held, None
         if held is not None:
             await self._leases.release(held)
@@ -122,7 +126,8 @@
             return
         self._held = held
         self._leader = held.lease.holder
-        self._renewed_at = self._clock.since_boot()
+        # The machine may have been suspended since it was written.
+        self._renewed_at = before
         # A holder that released it may have ordered just before.
         released = held.previous is not None and not held.previous.holder
         self._orders_from = before + (self._guard_ms if released else 0)
@@ -130,9 +135,11 @@
     async def _renew(self, held: _leases.Held) -> None:
         sent_at = self._clock.since_boot()
         try:
-            self._held = await self._leases.renew(held)
+            renewed = await self._leases.renew(held)
         except _leases.LostError:
             _logs.event("lease_lost", epoch=held.lease.epoch)
             self._held = None
             return
-        self._renewed_at = sent_at
+        if self._held is not None:
+            self._held = renewed
+            self._renewed_at = sent_at
--- a/tests/test_residency_accounts.py
+++ b/tests/test_residency_accounts.py
@@ -244,6 +244,34 @@
     assert store.found == current
 
 
+@pytest.mark.anyio
+async def test_a_lease_taken_before_a_suspension_is_not_fresh():
+    clock, store = _clock.ManualClock(start=10_000), _Store()
+    first = _leadership_of(store, clock, "10.0.0.1:1")
+    put = store.put
+
+    async def put_and_suspend(*args):
+        written = await put(*args)
+        clock.advance(2 * _DURATION_MS)
+        return written
+
+    store.put = put_and_suspend
+    await _step(first)
+    assert first.is_leader
+    assert not first.may_order()
+
+
+@pytest.mark.anyio
+async def test_who_released_the_lease_doesnt_take_it_again():
+    clock, store = _clock.ManualClock(start=10_000), _Store()
+    first = _leadership_of(store, clock, "10.0.0.1:1")
+    await _step(first)
+    await first.release()
+    await first._look_or_renew()
+    assert not first.is_leader
+    assert store.found.value["holder"] == ""
+
+
 @pytest.mark.anyio
 async def test_renewals_keep_the_lease():
     clock, store = _clock.ManualClock(start=10_000), _Store()
