Tell the loss of a replica's answer to a long body as it is

Found by reading: beside a body over 64 KiB the answer is read in a task group, which wrapped the error, so the request ended with a failure of our own instead of 502 or a repeat. The test got 500 before.

--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -76,13 +76,21 @@
         if len(body) <= _connections.SMALL_BODY_BYTES:
             await self._connection.send(self._head() + body)
             return await self._receive()
+        failure: Exception | None = None
+        outcome: _outcomes.Outcome = _outcomes.Interrupted("no answer")
         async with anyio.create_task_group() as group:
             group.start_soon(self._send_large, self._head() + body)
-            outcome = await self._receive()
+            try:
+                outcome = await self._receive()
+            except (_http.BrokenError, SilentError) as error:
+                # A task group would wrap it.
+                failure = error
             if not self._body_sent:
                 # What follows on this connection would be taken for it.
                 self.reusable = False
             group.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
         return outcome
 
     async def _send_large(self, data: bytes) -> None:
--- a/tests/test_hosted_requests.py
+++ b/tests/test_hosted_requests.py
@@ -92,6 +92,22 @@
     assert answer.headers["x-response-seal"].startswith("of-r-")
 
 
+async def test_a_long_body_is_passed_on_and_its_loss_is_told(fleet):
+    site, port = await _site(fleet)
+    body = b"x" * 90_000
+    answer = await hosts.send(port, hosts.request_bytes("/once/x", body))
+    assert answer.status == 200
+    (run,) = await _all_runs(site)
+    assert len(run["body"]) == len(body)
+    for name in site.replicas:
+        await site.faults(name, garbage=True)
+    answer = await hosts.send(port, hosts.request_bytes("/once/x", body))
+    assert answer.status == 502
+    answer = await hosts.send(port, hosts.request_bytes("/safe/x", body))
+    assert answer.status == 502
+    assert len(await _all_runs(site)) == 4
+
+
 async def test_an_answer_without_its_seal_is_no_success(fleet):
     site, port = await _site(fleet, replicas=1)
     await site.faults("r-1", unsealed=True)
