Order a model again where its order was lost

Now it takes room and is no copy; the same order is sent again, and whichever is accepted ends the doubt. Ruled out: the repeats of an order (all four were ignored by the replica, as the test asks).

--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -396,8 +396,9 @@
 def _view(holding: _holdings.Holding) -> _planner.View:
     return _planner.View(
         holding.name,
-        holding.staying_models(),
+        holding.staying_models() - holding.doubtful_models(),
         holding.ready_models(),
         holding.near,
         holding.moving or not holding.settled,
+        holding.doubtful_models(),
     )
--- a/src/geraniumlink/residency/_holdings.py
+++ b/src/geraniumlink/residency/_holdings.py
@@ -107,6 +107,11 @@
         leaving = {m for m, a in self.leaving if not a}
         return self.charged_models() - leaving
 
+    def doubtful_models(self) -> frozenset[str]:
+        """Return the models that a lost order may still bring in."""
+        doubtful = {model for model, adapter in self.doubtful if not adapter}
+        return frozenset(doubtful - self.models.keys())
+
     def ready_models(self) -> frozenset[str]:
         """Return the models that serve requests."""
         return frozenset(m for m in self.models if self.holds(m, ""))
--- a/src/geraniumlink/residency/_planner.py
+++ b/src/geraniumlink/residency/_planner.py
@@ -53,8 +53,10 @@
     ready: frozenset[str]
     # Load from the replica's own memory or disk, not the weight store.
     near: frozenset[str]
-    # An order is in progress, or its outcome is unknown.
+    # An order is in progress.
     busy: bool
+    # A lost order may still bring these in: they take room, and are no copy.
+    doubtful: frozenset[str] = frozenset()
 
 
 class Move(typing.NamedTuple):
@@ -109,6 +111,7 @@
         self._near = {view.name: view.near for view in views}
         self._demand = demand
         self._models = {view.name: set(view.models) for view in views}
+        self._doubtful = {view.name: view.doubtful for view in views}
         self._ready = {view.name: set(view.ready) for view in views}
         self._free = {view.name for view in views if not view.busy}
         # Replicas that may still be kept busy by moves of little gain.
@@ -222,11 +225,12 @@
         self, replica: str, model: str
     ) -> tuple[str | None, float] | None:
         """Return what to evict, if anything, and what its loss costs."""
-        if self._fits(self._models[replica], model):
+        doubtful = self._doubtful[replica]
+        if self._fits(self._models[replica] | doubtful, model):
             return None, 0.0
         options = []
         for held in sorted(self._models[replica]):
-            rest = self._models[replica] - {held}
+            rest = (self._models[replica] | doubtful) - {held}
             cost = self._loss(held)
             if cost is not None and self._fits(rest, model):
                 options.append((cost, held))
