Tell news of a crash again to peers that did not answer

An instance tells its peers of a crash with 0.4 s for each, counted by its own clock. One that got no processor for that long gave all of them up before a byte was sent, answered its caller, and the next instance ran the prompt.

Ruled out: a peer that pauses (its message waits in its socket and is read when it goes on: test_an_instance_that_pauses_briefly_is_told_at_once).

--- a/src/geraniumlink/suspicion/_suspects.py
+++ b/src/geraniumlink/suspicion/_suspects.py
@@ -250,7 +250,11 @@
             entries = self._entries(fresh[: _suspicions.MAX_SENT])
             del fresh[: _suspicions.MAX_SENT]
             message = self._message(entries)
-            self._take_answers(await self._teller.tell(_PATH, message))
+            self._take_answers(
+                await self._teller.tell(
+                    _PATH, message, sends=_telling.NEWS_SENDS
+                )
+            )
 
     def _counts(self, fingerprint: str, trial: _trials.Trial | None) -> bool:
         """Whether a crash counts against a request that was present.
--- a/src/geraniumlink/suspicion/_telling.py
+++ b/src/geraniumlink/suspicion/_telling.py
@@ -16,6 +16,9 @@
 MAX_TOLD = 64
 # A peer that has not answered by then is taken to be unreachable.
 TELL_MS = 400
+# News that must not be missed goes again to peers that did not answer: this
+# process may itself have had no processor while the time ran out.
+NEWS_SENDS = 3
 
 
 class Teller:
@@ -43,20 +46,44 @@
         )
 
     async def tell(
-        self, path: str, message: typing.Any, count: int = MAX_TOLD
+        self,
+        path: str,
+        message: typing.Any,
+        count: int = MAX_TOLD,
+        sends: int = 1,
     ) -> list[typing.Any]:
-        """Send to up to ``count`` peers; return the answers that came."""
+        """Send to up to ``count`` peers; return the answers that came.
+
+        A peer that does not answer is sent to ``sends`` times in all.
+        """
         peers = self._membership.peers()
         if len(peers) > count:
             peers = self._random.sample(peers, count)
         answers: list[typing.Any] = []
+        for _ in range(sends):
+            peers = await self._send_to_all(peers, path, message, answers)
+            if not peers:
+                break
+        return answers
+
+    async def _send_to_all(
+        self,
+        peers: list[_settings.Address],
+        path: str,
+        message: typing.Any,
+        answers: list[typing.Any],
+    ) -> list[_settings.Address]:
+        """Collect the answers; return the peers that gave none."""
+        silent: list[_settings.Address] = []
 
         async def send(peer: _settings.Address) -> None:
+            silent.append(peer)
             with anyio.move_on_after(TELL_MS / 1000):
                 try:
                     answer = await self._client.post_json(
                         peer, path, message, timeout_ms=TELL_MS
                     )
+                    silent.remove(peer)
                     if answer.status == 200:
                         answers.append(answer.json())
                 except (_http.NotSentError, _http.BrokenError) as error:
@@ -67,4 +94,4 @@
         async with anyio.create_task_group() as group:
             for peer in peers:
                 group.start_soon(send, peer)
-        return answers
+        return silent
