Leave alone a replica that refuses a model with room to spare

Cause: a replica lists a model that it unloads until its last run has ended, and refuses new requests for it.

Ruled out: full queues (the stated load), late entries alone (421 answers were 37).

Change: such a refusal counts for 1.5 s as the replica's word that it lacks the model, as its 421 does. One log line for each attempt that failed.

--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -124,14 +124,22 @@
         body = await self._read_whole()
         self._finish(head)
         if head.not_run:
-            if head.status == 421:
-                request = self._task.request
-                self._replica.note_absent(
-                    request.model, request.adapter, self._clock.now()
-                )
+            self._note_refusal(head)
             return _outcomes.NotRun(f"the replica answered {head.status}")
         return _outcomes.Failed(head.status, head.headers, body)
 
+    def _note_refusal(self, head: platform.AnswerHead) -> None:
+        """Learn that the replica doesn't serve a model, or an adapter.
+
+        One that is moving a model refuses requests for it, though it has
+        room, and lists it until the model's last run has ended.
+        """
+        request, now = self._task.request, self._clock.now()
+        if head.status == 421:
+            self._replica.note_absent(request.model, request.adapter, now)
+        elif head.load is not None and head.load.has_room:
+            self._replica.note_absent(request.model, "", now)
+
     async def _read_head(self) -> platform.AnswerHead:
         """Return the head of the own answer; skip those to others."""
         while True:
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -146,6 +146,8 @@
                 await self._refuse(task, choice)
                 return
             outcome = await self._attempt(task, choice)
+            if not isinstance(outcome, _outcomes.Done):
+                self._log_attempt(task, choice, outcome)
             if isinstance(outcome, _outcomes.Done):
                 task.outcome = "done"
                 return
@@ -394,6 +396,29 @@
         headers = platform.refusal_headers(later)
         await reply.answer(status, headers, reason.encode())
 
+    def _log_attempt(
+        self,
+        task: _task.Task,
+        choice: _balance.Choice,
+        outcome: _outcomes.Outcome,
+    ) -> None:
+        """Say what decided the choice of a replica that did not serve."""
+        replica, now = choice.replica, self._clock.now()
+        foreign = replica.foreign(now)
+        _logs.event(
+            "attempt_failed",
+            request_id=task.request.id.decode("latin-1"),
+            replica=replica.entry.name,
+            attempt=task.attempts,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+            expected_ms=round(choice.expected_ms),
+            in_flight=replica.in_flight,
+            in_flight_elsewhere=foreign.in_flight if foreign else None,
+            load=replica.load,
+            load_age_ms=now - replica.load_at if replica.load else None,
+        )
+
     def _log(self, task: _task.Task) -> None:
         now = self._clock.now()
         _logs.event(
--- a/src/geraniumlink/serving/_types.py
+++ b/src/geraniumlink/serving/_types.py
@@ -173,3 +173,8 @@
     running: int
     waiting: int
     slots: int
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a request could begin at once, as far as slots go."""
+        return not self.waiting and self.running < self.slots
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -9,7 +9,8 @@
 run), ``fail`` (500, run), ``hang`` (no answer), ``event_ms``, ``work_ms``,
 ``lose_orders`` (this many next orders are carried out and not answered),
 ``ignore_orders`` (neither), ``unload_waits`` (an adapter stays until that is
-off).
+off), ``closing`` (a model that is being unloaded: requests for it are refused
+with room to spare).
 """
 
 from __future__ import annotations
@@ -90,6 +91,7 @@
         self._busy = False
         self._born = time.time_ns() // 1_000_000
         self._runs: list[dict] = []
+        self._refused = 0
         self._orders: list[dict] = []
 
     async def serve(self, port: int) -> None:
@@ -140,7 +142,11 @@
         return 200, self.faults
 
     async def _record(self, _: _Request) -> tuple[int, typing.Any]:
-        return 200, {"runs": self._runs, "orders": self._orders}
+        return 200, {
+            "runs": self._runs,
+            "orders": self._orders,
+            "refused": self._refused,
+        }
 
     async def _report(self, _: _Request) -> tuple[int, typing.Any]:
         return 200, {
@@ -214,6 +220,10 @@
             return True
         return bool(adapter) and adapter not in self._models[model]
 
+    def _is_closing(self, request: _Request) -> bool:
+        model = request.headers.get("x-model", "").partition("/")[0]
+        return bool(model) and model == self.faults.closing
+
     async def _run(
         self,
         request: _Request,
@@ -224,6 +234,11 @@
         if expected != self._name or self._lacks(request):
             writer.write(_whole(421, b""))
             return True
+        if self._is_closing(request):
+            self._refused += 1
+            load = "X-Server-Load: 1,0,8"
+            writer.write(_whole(503, b"", "X-Not-Executed: 1", load))
+            return True
         if self.faults.refuse:
             writer.write(_whole(503, b"", "X-Not-Executed: 1"))
             return True
--- a/tests/test_hosted_placement.py
+++ b/tests/test_hosted_placement.py
@@ -1,9 +1,11 @@
 """Models and adapters are loaded where they are asked for, by one holder."""
 
 import itertools
+import time
 
 import pytest
 
+from geraniumlink.serving import _replicas
 from tests import hosts
 
 pytestmark = pytest.mark.anyio
@@ -47,6 +49,18 @@
     assert [order["model"] for order in loads] == ["m2"]
 
 
+async def test_a_replica_that_unloads_a_model_is_left_alone(fleet):
+    """It lists the model until the last run ends, and refuses new ones."""
+    site = await _site(fleet)
+    await site.faults("r-1", closing="m1")
+    began = time.monotonic()
+    for _ in range(12):
+        assert (await _ask(site, "m1")).status == 200
+    took_ms = 1000 * (time.monotonic() - began)
+    refused = (await fleet.record(site.replicas["r-1"]))["refused"]
+    assert refused <= 1 + took_ms // _replicas.ABSENCE_MS
+
+
 async def test_a_model_makes_room_and_is_never_too_much(fleet):
     site = await _site(fleet, replicas=1)
     for model in ("m2", "m3", "m1", "m2"):
