Write log lines through a bounded buffer that never blocks

Cause: eliot wrote each line to standard output, so a reader that stopped would have stopped the event loop, and with it every request. Lines had no bound in a storm of refusals.

Change: a line goes to a non-blocking descriptor; what it doesn't take is kept up to 1 MiB, half of it for lines about single requests, of which 200 of a kind go out in a second. What is left out is counted and told. The kinds of lines and their fields stand in one module; a test holds code and docs to it.

Tests: a pipe that nobody reads misses no change of belief; a storm is summed; a reader that has gone harms nobody.

--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -27,6 +27,7 @@
 
 from geraniumlink import _clock
 from geraniumlink import _http
+from geraniumlink import _log_buffer
 from geraniumlink import _logs
 from geraniumlink import _metrics
 from geraniumlink import _objects
@@ -67,9 +68,15 @@
 class Instance:
     """Builds the parts of one instance and runs them."""
 
-    def __init__(self, settings: _settings.Settings) -> None:
+    def __init__(
+        self,
+        settings: _settings.Settings,
+        clock: _clock.Clock,
+        log_lines: _log_buffer.LogBuffer,
+    ) -> None:
         self._settings = settings
-        self._clock = _clock.Clock()
+        self._clock = clock
+        self._log_lines = log_lines
         source = random.Random()
         self._metrics = _metrics.Metrics()
         self._client = _http.Client()
@@ -229,6 +236,7 @@
                 lambda: self._leaving.keep_told(settings.heartbeat_ms),
             ),
             child("controller", self._controller.run),
+            child("log_lines", self._log_lines.run),
         ]
 
     def _live_names(self) -> list[str]:
--- /dev/null
+++ b/src/geraniumlink/_log_messages.py
@@ -0,0 +1,386 @@
+"""The messages that log lines carry, with their fields.
+
+``docs/log-messages.md`` is made from this table by ``markdown``. A field's
+name carries its unit. Prompts, bodies and headers are never logged.
+"""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+
+class Scope(enum.Enum):
+    """What a message is about."""
+
+    # Bounded in number, and left out before the others.
+    REQUEST = "one request"
+    # What the process is, does or believes.
+    STATE = "the process"
+
+
+class Message(typing.NamedTuple):
+    """A kind of log line."""
+
+    scope: Scope
+    meaning: str
+    fields: tuple[str, ...]
+
+
+_REQUEST = Scope.REQUEST
+_STATE = Scope.STATE
+MESSAGES: dict[str, Message] = {
+    "answers_not_read": Message(
+        _STATE,
+        "clients did not read their answers before the process ended",
+        (),
+    ),
+    "attempt_failed": Message(
+        _REQUEST,
+        "a replica did not serve a request; what its choice was based on",
+        (
+            "attempt",
+            "expected_ms",
+            "in_flight",
+            "in_flight_elsewhere",
+            "load",
+            "load_age_ms",
+            "outcome",
+            "reason",
+            "replica",
+            "request_id",
+        ),
+    ),
+    "bad_claim_message": Message(
+        _STATE,
+        "a peer's message about a claim made no sense",
+        ("error", "peer"),
+    ),
+    "bad_configuration_page": Message(
+        _STATE,
+        "a peer's page of the configuration made no sense",
+        ("error", "peer"),
+    ),
+    "bad_exchange": Message(
+        _STATE, "a peer's heartbeat made no sense", ("error", "peer")
+    ),
+    "bad_instance_list": Message(
+        _STATE, "the platform's instance list made no sense", ("error",)
+    ),
+    "bad_leaving": Message(
+        _STATE, "word of a leaving server made no sense", ("error",)
+    ),
+    "bad_message": Message(
+        _STATE, "another instance's message made no sense", ("error", "path")
+    ),
+    "bad_relay": Message(
+        _STATE,
+        "what the controller told of the store made no sense",
+        ("error",),
+    ),
+    "bad_report": Message(
+        _STATE,
+        "an engine's report made no sense",
+        ("deployment", "error", "replica"),
+    ),
+    "bad_report_answer": Message(
+        _STATE, "the controller's answer to a report made no sense", ("error",)
+    ),
+    "bad_suspicions": Message(
+        _STATE, "a peer's suspicions made no sense", ("error",)
+    ),
+    "bad_want_answer": Message(
+        _STATE, "the controller's answer to a want made no sense", ("error",)
+    ),
+    "body_not_taken": Message(
+        _REQUEST, "a replica did not read a whole body", ("error",)
+    ),
+    "change": Message(
+        _STATE,
+        "a change of a declaration was accepted or refused",
+        ("action", "author", "change_id", "deployment", "outcome"),
+    ),
+    "child_failed": Message(
+        _STATE, "a supervised task failed", ("child", "error")
+    ),
+    "claim_lost": Message(
+        _STATE,
+        "a claim was gone before its outcome was recorded",
+        ("claim", "nonce"),
+    ),
+    "claim_unreadable": Message(
+        _STATE, "a claim in the object API made no sense", ("claim", "error")
+    ),
+    "configuration_finding": Message(
+        _STATE, "an accepted declaration has a fault", ("place", "problem")
+    ),
+    "configuration_in_force": Message(
+        _STATE,
+        "a newer configuration is in force here",
+        (
+            "deployments",
+            "newest",
+            "previous_version",
+            "revision",
+            "routes",
+            "source",
+            "version",
+        ),
+    ),
+    "configuration_loaded": Message(
+        _STATE, "the first configuration after a start", ("revision", "source")
+    ),
+    "configuration_unreadable": Message(
+        _STATE,
+        "a configuration made no sense; the former stays",
+        ("deployment", "error", "version"),
+    ),
+    "controller_unreachable": Message(
+        _STATE, "the controller did not answer", ("controller", "error")
+    ),
+    "crash_probe_failed": Message(
+        _STATE,
+        "whether a server has gone is not known yet",
+        ("error", "server"),
+    ),
+    "drained": Message(_STATE, "the drain is over", ("in_flight",)),
+    "draining": Message(
+        _STATE, "SIGTERM came; new connections go elsewhere", ("in_flight",)
+    ),
+    "entry_unreadable": Message(
+        _STATE, "a replica's entry made no sense", ("error", "replica")
+    ),
+    "foreign_answer": Message(
+        _REQUEST,
+        "an answer to another request was dropped",
+        ("replica", "request_id"),
+    ),
+    "instance_left": Message(
+        _STATE, "another instance closed its connection early", ("path",)
+    ),
+    "instance_list_unavailable": Message(
+        _STATE, "the platform's instance list did not answer", ("error",)
+    ),
+    "internal_error": Message(
+        _STATE,
+        "a fault of geraniumlink; the request got an error",
+        ("claim", "error", "request_id"),
+    ),
+    "isolated": Message(
+        _STATE, "neither the object API nor a peer is heard", ()
+    ),
+    "isolation_over": Message(
+        _STATE, "the object API or a peer is heard again", ()
+    ),
+    "late_write_recognised": Message(
+        _STATE, "a write whose answer was lost had taken effect", ("replica",)
+    ),
+    "lease_lost": Message(
+        _STATE, "another instance controls now", ("deployment", "epoch")
+    ),
+    "lease_not_released": Message(
+        _STATE,
+        "a lease could not be given back; it lapses",
+        ("error", "shard"),
+    ),
+    "lease_released": Message(
+        _STATE, "a lease was given back", ("deployment", "epoch")
+    ),
+    "lease_taken": Message(
+        _STATE, "this instance controls", ("deployment", "epoch")
+    ),
+    "lease_unavailable": Message(
+        _STATE, "the lease could not be read or renewed", ("error",)
+    ),
+    "lease_unreadable": Message(
+        _STATE, "a lease made no sense", ("error", "shard")
+    ),
+    "leaving": Message(
+        _STATE,
+        "a backend server says that it leaves",
+        ("deployment", "replica"),
+    ),
+    "ledger_unreadable": Message(
+        _STATE,
+        "a ledger made no sense; its replica gets no orders",
+        ("findings", "replica", "version"),
+    ),
+    "lines_left_out": Message(
+        _STATE,
+        "log lines left out since the last such line, by message",
+        ("counts",),
+    ),
+    "listed_as_leaving": Message(
+        _STATE,
+        "the instance list says that a server leaves",
+        ("deployment", "leaving", "replica"),
+    ),
+    "move": Message(
+        _STATE,
+        "a model is to be loaded, and what makes room for it",
+        ("evicted", "model", "near", "rates", "replica"),
+    ),
+    "move_ended": Message(
+        _STATE,
+        "a move is over; what is resident",
+        ("evicted", "model", "near", "replica", "resident"),
+    ),
+    "name_in_use": Message(
+        _STATE, "another instance has the same name", ("name", "other_address")
+    ),
+    "no_crash": Message(
+        _STATE, "a broken connection was no crash", ("server",)
+    ),
+    "object_api_unavailable": Message(
+        _STATE, "the object API did not answer", ("error",)
+    ),
+    "order": Message(
+        _STATE,
+        "an order to a replica and what came of it",
+        (
+            "adapter",
+            "address",
+            "epoch",
+            "holder",
+            "load",
+            "model",
+            "order_count",
+            "replica",
+            "verdict",
+        ),
+    ),
+    "overcharge_refused": Message(
+        _STATE,
+        "an order was not given: it would overcommit memory",
+        ("error",),
+    ),
+    "peer_not_told": Message(
+        _STATE, "a peer did not answer in time", ("error", "peer")
+    ),
+    "repeat_budget_used": Message(
+        _REQUEST,
+        "a request was not repeated, to keep to the budget",
+        ("repeats", "requests", "service"),
+    ),
+    "replica_forgotten": Message(
+        _STATE, "an entry was missing for too long", ("replica",)
+    ),
+    "replica_leaving": Message(
+        _STATE, "a replica gets no new requests", ("replica",)
+    ),
+    "replica_seen": Message(
+        _STATE,
+        "a replica, or a new process of one, is known",
+        ("address", "incarnation", "replica", "service"),
+    ),
+    "replica_vanished": Message(
+        _STATE, "an entry is missing", ("leaving", "replica")
+    ),
+    "report_missing": Message(
+        _STATE, "a replica did not report what it holds", ("error", "replica")
+    ),
+    "request": Message(
+        _REQUEST,
+        "a request has its final answer",
+        (
+            "adapter",
+            "attempts",
+            "duration_ms",
+            "method",
+            "model",
+            "outcome",
+            "replica",
+            "request_id",
+            "route",
+            "service",
+            "status",
+            "took_ms",
+        ),
+    ),
+    "settings_kept": Message(
+        _STATE, "SIGHUP came and the settings made no sense", ("error",)
+    ),
+    "settings_read": Message(
+        _STATE, "SIGHUP came and the settings were read", ("changed",)
+    ),
+    "shard_lost": Message(
+        _STATE, "the lease of a shard was lost", ("deployment", "error")
+    ),
+    "signal": Message(_STATE, "a signal came", ("number",)),
+    "started": Message(_STATE, "the process runs", ("data_centre",)),
+    "starting": Message(_STATE, "the process starts", ("address",)),
+    "step_not_finished": Message(
+        _STATE,
+        "a step of control failed and is tried again",
+        ("deployment", "error"),
+    ),
+    "stopped": Message(_STATE, "the process ends", ()),
+    "store_history_gone": Message(
+        _STATE, "a watch was too far behind; all is listed again", ("kind",)
+    ),
+    "store_lost": Message(
+        _STATE, "the platform's store does not answer", ("error", "kind")
+    ),
+    "store_regained": Message(
+        _STATE, "the platform's store answers again", ("error", "kind")
+    ),
+    "suspect_cleared": Message(
+        _STATE, "a suspect completed", ("fingerprint",)
+    ),
+    "suspected": Message(
+        _STATE,
+        "a request was in flight where a server ended, or a member is silent",
+        (
+            "fingerprint",
+            "member",
+            "passed_on",
+            "replica",
+            "server",
+            "standing",
+        ),
+    ),
+    "suspicion_learned": Message(
+        _STATE,
+        "another instance told of a suspect",
+        ("fingerprint", "standing"),
+    ),
+    "told_leaving": Message(
+        _STATE, "a peer says that a server leaves", ("deployment", "replica")
+    ),
+    "tombstone_removed": Message(
+        _STATE,
+        "the record of a retired deployment was removed",
+        ("deployment", "version"),
+    ),
+    "tombstones_kept": Message(
+        _STATE,
+        "records of retired deployments could not be removed",
+        ("error",),
+    ),
+    "unreachable": Message(
+        _STATE,
+        "replicas that half of the instances cannot connect to",
+        ("replicas",),
+    ),
+    "watch_compacted": Message(
+        _STATE, "the history that a watch needed is gone", ("cursor",)
+    ),
+}
+
+
+def is_about_request(message: str) -> bool:
+    """Whether lines of that kind are bounded in number."""
+    known = MESSAGES.get(message)
+    return known is not None and known.scope is Scope.REQUEST
+
+
+def markdown() -> str:
+    """Return the table for the docs."""
+    lines = ["| message | about | meaning | fields |"]
+    lines.append("| --- | --- | --- | --- |")
+    for name, known in sorted(MESSAGES.items()):
+        fields = ", ".join(f"`{field}`" for field in known.fields)
+        lines.append(
+            f"| `{name}` | {known.scope.value} | {known.meaning} | {fields} |"
+        )
+    return "\n".join(lines) + "\n"
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -10,6 +10,7 @@
     +- controller        places models while the lease is held
     +- reports           tells the controller what is asked for
     +- connections       closes idle connections to replicas
+    +- log lines         writes what standard output did not take at once
     +- signals           SIGTERM begins the drain, SIGHUP reads settings
 """
 
@@ -21,10 +22,10 @@
 import sys
 
 import anyio
-import eliot
 
 from geraniumlink import _clock
 from geraniumlink import _http
+from geraniumlink import _log_buffer
 from geraniumlink import _logs
 from geraniumlink import _objects
 from geraniumlink import _server
@@ -72,18 +73,28 @@
     :raises OSError: if they can't be read, or an address is taken.
     """
     settings = platform.read_settings(path)
-    eliot.to_file(sys.stdout)
-    eliot.add_global_fields(instance=settings.instance)
-    await _Instance(settings, path).run()
+    clock = _clock.Clock()
+    log_lines = _log_buffer.start(
+        sys.stdout.fileno(), settings.instance, clock
+    )
+    try:
+        await _Instance(settings, path, clock, log_lines).run()
+    finally:
+        log_lines.close()
 
 
 class _Instance:
     def __init__(
-        self, settings: platform.NodeSettings, path: pathlib.Path
+        self,
+        settings: platform.NodeSettings,
+        path: pathlib.Path,
+        clock: _clock.Clock,
+        log_lines: _log_buffer.LogBuffer,
     ) -> None:
         self._settings = settings
         self._path = path
-        self._clock = _clock.Clock()
+        self._clock = clock
+        self._log_lines = log_lines
         self._random = random.Random()
         self._draining = False
         self._client = _http.Client()
@@ -197,6 +208,7 @@
             _supervisor.Child("controller", self._controller.run),
             _supervisor.Child("reports", self._exchange.report_always),
             _supervisor.Child("connections", self._close_stale),
+            _supervisor.Child("log lines", self._log_lines.run),
         ]
         async with anyio.create_task_group() as group:
             group.start_soon(_supervisor.supervise, children, self._clock)
--- a/src/geraniumlink/interface/_cli.py
+++ b/src/geraniumlink/interface/_cli.py
@@ -16,8 +16,9 @@
 import anyio
 
 import geraniumlink
+from geraniumlink import _clock
 from geraniumlink import _instance
-from geraniumlink import _logs
+from geraniumlink import _log_buffer
 from geraniumlink import _settings
 from geraniumlink.interface import _client
 from geraniumlink.interface import _commands
@@ -180,12 +181,21 @@
 
 def _serve(options: argparse.Namespace) -> int:
     settings = _read_settings(options.settings)
-    _logs.start(settings.log_file, settings.name)
-    instance = _instance.Instance(settings)
+    clock = _clock.Clock()
+    try:
+        descriptor = _log_buffer.descriptor_of(settings.log_file)
+    except OSError as error:
+        raise _client.CommandError(
+            f"can't write the log: {error}", _client.Exit.BAD_INPUT
+        ) from error
+    log_lines = _log_buffer.start(descriptor, settings.name, clock)
+    instance = _instance.Instance(settings, clock, log_lines)
     try:
         anyio.run(instance.run)
     except* OSError as group:
         raise _client.CommandError(
             f"stopped: {group.exceptions[0]}", _client.Exit.REFUSED
         ) from group
+    finally:
+        log_lines.close()
     return _client.Exit.DONE
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -415,7 +415,7 @@
             expected_ms=round(choice.expected_ms),
             in_flight=replica.in_flight,
             in_flight_elsewhere=foreign.in_flight if foreign else None,
-            load=replica.load,
+            load=list(replica.load) if replica.load else None,
             load_age_ms=now - replica.load_at if replica.load else None,
         )
 
