Tell a request's story, and serve metrics on the users' platform

Cause: a complaint names a request, and only its end was logged; nothing of the platform path was counted.

Tests (test_hosted_logs.py): stories of requests that were repeated, resumed, killed, and served in an outage; an output that nobody reads delays none.

--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -30,27 +30,48 @@
 _REQUEST = Scope.REQUEST
 _STATE = Scope.STATE
 MESSAGES: dict[str, Message] = {
+    "admitted": Message(
+        _REQUEST,
+        "a request goes by a route of a configuration",
+        (
+            "adapter",
+            "configuration_version",
+            "last_event_id",
+            "left_ms",
+            "model",
+            "priority",
+            "request_id",
+            "route",
+            "service",
+        ),
+    ),
     "answers_not_read": Message(
         _STATE,
         "clients did not read their answers before the process ended",
         (),
     ),
-    "attempt_failed": Message(
+    "attempt": Message(
         _REQUEST,
-        "a replica did not serve a request; what its choice was based on",
+        "a replica was chosen, and what decided it",
         (
             "attempt",
             "expected_ms",
+            "failures",
             "in_flight",
             "in_flight_elsewhere",
+            "last_event_id",
+            "left_ms",
             "load",
             "load_age_ms",
-            "outcome",
-            "reason",
             "replica",
             "request_id",
         ),
     ),
+    "attempt_failed": Message(
+        _REQUEST,
+        "a replica did not serve a request",
+        ("attempt", "outcome", "reason", "replica", "request_id"),
+    ),
     "bad_claim_message": Message(
         _STATE,
         "a peer's message about a claim made no sense",
@@ -93,7 +114,9 @@
         _STATE, "the controller's answer to a want made no sense", ("error",)
     ),
     "body_not_taken": Message(
-        _REQUEST, "a replica did not read a whole body", ("error",)
+        _REQUEST,
+        "a replica did not read a whole body",
+        ("error", "request_id"),
     ),
     "change": Message(
         _STATE,
@@ -260,7 +283,7 @@
     "repeat_budget_used": Message(
         _REQUEST,
         "a request was not repeated, to keep to the budget",
-        ("repeats", "requests", "service"),
+        ("repeats", "request_id", "requests", "service"),
     ),
     "replica_forgotten": Message(
         _STATE, "an entry was missing for too long", ("replica",)
@@ -335,6 +358,7 @@
             "member",
             "passed_on",
             "replica",
+            "request_id",
             "server",
             "standing",
         ),
@@ -362,6 +386,16 @@
         "replicas that half of the instances cannot connect to",
         ("replicas",),
     ),
+    "waited": Message(
+        _REQUEST,
+        "a wait is over; `reason` is empty when it is held now",
+        ("reason", "request_id", "took_ms"),
+    ),
+    "waiting": Message(
+        _REQUEST,
+        "no replica known here holds what a request needs",
+        ("adapter", "model", "replicas", "request_id", "wait_ms"),
+    ),
     "watch_compacted": Message(
         _STATE, "the history that a watch needed is gone", ("cursor",)
     ),
--- a/src/geraniumlink/hosting/_application.py
+++ b/src/geraniumlink/hosting/_application.py
@@ -11,10 +11,12 @@
 from geraniumlink import _logs
 from geraniumlink import _settings
 from geraniumlink import platform
+from geraniumlink.hosting import _host_metrics
 from geraniumlink.residency import _exchange
 from geraniumlink.serving import _catalogue
 from geraniumlink.serving import _forward
 from geraniumlink.serving import _reply
+from geraniumlink.serving import _types
 
 Scope = dict[str, typing.Any]
 Receive = typing.Callable[[], typing.Awaitable[typing.Any]]
@@ -35,6 +37,8 @@
     clients: _settings.Address
     readiness: _settings.Address
     instances: _settings.Address
+    # None when nobody asks for metrics.
+    metrics: _settings.Address | None
 
 
 class Application:
@@ -48,6 +52,7 @@
         forwarder: _forward.Forwarder,
         exchange: _exchange.Exchange,
         clock: _clock.Clock,
+        metrics: _host_metrics.HostMetrics,
         is_ready: typing.Callable[[], bool],
     ) -> None:
         self._addresses = addresses
@@ -55,6 +60,7 @@
         self._forwarder = forwarder
         self._exchange = exchange
         self._clock = clock
+        self._metrics = metrics
         self._is_ready = is_ready
         self._draining = False
         self._in_flight = 0
@@ -77,6 +83,9 @@
         if port == self._addresses.readiness.port:
             status = 200 if self._is_ready() else 503
             await reply.answer(status, [], b"")
+        elif self._is_for_metrics(port):
+            content, headers = self._metrics.render()
+            await reply.answer(200, _encoded(headers), content)
         elif port == self._addresses.instances.port:
             await self._serve_instance(scope, receive, reply)
         else:
@@ -86,6 +95,10 @@
             finally:
                 self._in_flight -= 1
 
+    def _is_for_metrics(self, port: int) -> bool:
+        address = self._addresses.metrics
+        return address is not None and address.port == port
+
     async def _serve_instance(
         self, scope: Scope, receive: Receive, reply: _reply.Reply
     ) -> None:
@@ -147,6 +160,10 @@
             group.cancel_scope.cancel()
 
 
+def _encoded(headers: dict[str, str]) -> _types.Headers:
+    return [(k.lower().encode(), v.encode()) for k, v in headers.items()]
+
+
 async def _reject(reply: _reply.Reply, status: int, reason: str) -> None:
     """Answer what is not read to its end, and close the connection."""
     await reply.answer(status, [(b"connection", b"close")], reason.encode())
--- a/src/geraniumlink/hosting/_follower.py
+++ b/src/geraniumlink/hosting/_follower.py
@@ -83,6 +83,7 @@
         self._forgotten = 0
         self._relayed_until = 0
         self._reachable = True
+        self._confirmed_at = clock.now()
 
     @property
     def kind(self) -> str:
@@ -93,6 +94,16 @@
         """The revision up to which all is known; 0 before the first list."""
         return self._revision or 0
 
+    @property
+    def reachable(self) -> bool:
+        """Whether the last call to the store was answered."""
+        return self._reachable
+
+    @property
+    def age_ms(self) -> int:
+        """Since what is known was last confirmed, by store or relay."""
+        return self._clock.now() - self._confirmed_at
+
     def renew(self) -> None:
         """Begin another watch; the connection of this one may be dead."""
         if self._watching is not None:
@@ -121,7 +132,8 @@
             self._take_changes(listing)
         if self._clock.now() >= self._relayed_until:
             self.renew()
-        self._relayed_until = self._clock.now() + RELAYED_MS
+        self._confirmed_at = self._clock.now()
+        self._relayed_until = self._confirmed_at + RELAYED_MS
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -138,6 +150,7 @@
                 await self._clock.sleep(retry_ms)
                 retry_ms = min(2 * retry_ms, LONGEST_RETRY_MS)
             else:
+                self._confirmed_at = self._clock.now()
                 self._note_reachable(True, "")
                 retry_ms = FIRST_RETRY_MS
 
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -29,10 +29,13 @@
 from geraniumlink import _logs
 from geraniumlink import _objects
 from geraniumlink import _server
+from geraniumlink import _settings
 from geraniumlink import _supervisor
 from geraniumlink.control import _leases
 from geraniumlink.hosting import _application
 from geraniumlink.hosting import _follower
+from geraniumlink.hosting import _gauges
+from geraniumlink.hosting import _host_metrics
 from geraniumlink.hosting import _protocol
 from geraniumlink.hosting import _relay
 from geraniumlink import platform
@@ -45,6 +48,7 @@
 from geraniumlink.serving import _catalogue
 from geraniumlink.serving import _forward
 from geraniumlink.serving import _replicas
+from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _types
 from geraniumlink.suspicion import _suspicions
 
@@ -66,8 +70,8 @@
 GATHER_REPLICAS_SHARE = 0.25
 
 
-async def serve(path: pathlib.Path) -> None:
-    """Run one instance until SIGTERM.
+async def serve(path: pathlib.Path, metrics_port: int | None = None) -> None:
+    """Run one instance until SIGTERM; serve metrics if a port is given.
 
     :raises platform.FormatError: if the settings make no sense.
     :raises OSError: if they can't be read, or an address is taken.
@@ -78,7 +82,8 @@
         sys.stdout.fileno(), settings.instance, clock
     )
     try:
-        await _Instance(settings, path, clock, log_lines).run()
+        instance = _Instance(settings, path, clock, log_lines, metrics_port)
+        await instance.run()
     finally:
         log_lines.close()
 
@@ -90,11 +95,14 @@
         path: pathlib.Path,
         clock: _clock.Clock,
         log_lines: _log_buffer.LogBuffer,
+        metrics_port: int | None,
     ) -> None:
         self._settings = settings
         self._path = path
         self._clock = clock
         self._log_lines = log_lines
+        self._metrics_port = metrics_port
+        self._metrics = _host_metrics.HostMetrics()
         self._random = random.Random()
         self._draining = False
         self._client = _http.Client()
@@ -128,12 +136,25 @@
         self._application = self._make_application()
         self._listener = _server.Listener(
             self._application,
-            list(self._addresses()),
+            [address for address in self._addresses() if address],
             self._clock,
             http=_protocol.limited_protocol(
                 self._catalogue, lambda: self._draining
             ),
         )
+        _gauges.add(
+            self._metrics,
+            _gauges.Parts(
+                application=self._application,
+                store=self._store,
+                followers=self._followers,
+                catalogue=self._catalogue,
+                replicas=self._replicas,
+                leadership=self._leadership,
+                budgets=self._budgets,
+                log_lines=self._log_lines,
+            ),
+        )
 
     def _make_leadership(self) -> _leadership.Leadership:
         leases = _leases.Leases(
@@ -167,6 +188,7 @@
             residency=self._exchange,
             budgets=self._budgets,
             suspicions=self._suspicions,
+            metrics=_request_metrics.RequestMetrics(self._metrics.registry),
             clock=self._clock,
             data_centre=self._settings.data_centre,
             random_source=self._random,
@@ -179,6 +201,7 @@
             forwarder=self._forwarder,
             exchange=self._exchange,
             clock=self._clock,
+            metrics=self._metrics,
             is_ready=self._is_ready,
         )
 
@@ -187,8 +210,21 @@
             clients=self._settings.client_address,
             readiness=self._settings.ready_address,
             instances=self._settings.peer_address,
+            metrics=self._metrics_address(),
         )
 
+    def _metrics_address(self) -> _settings.Address | None:
+        """Return where metrics are served, unless the port is taken."""
+        port, settings = self._metrics_port, self._settings
+        taken = (
+            settings.client_address,
+            settings.ready_address,
+            settings.peer_address,
+        )
+        if port is None or port in {address.port for address in taken}:
+            return None
+        return _settings.Address(settings.peer_address.host, port)
+
     def _is_ready(self) -> bool:
         return (
             not self._draining
--- a/src/geraniumlink/interface/_cli.py
+++ b/src/geraniumlink/interface/_cli.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import argparse
+import math
 import pathlib
 import sys
 import typing
@@ -22,6 +23,8 @@
 from geraniumlink import _settings
 from geraniumlink.interface import _client
 from geraniumlink.interface import _commands
+from geraniumlink.interface import _log_commands
+from geraniumlink import platform
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -48,6 +51,7 @@
     )
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
     _add_local_commands(commands)
+    _add_log_commands(commands)
     _add_reading_commands(commands)
     _add_changing_commands(commands)
     _add_call_command(commands)
@@ -57,13 +61,46 @@
 def _add_local_commands(commands: typing.Any) -> None:
     for name, run, text in (
         ("serve", _serve, "run one instance until SIGTERM"),
-        ("check", _check, "check a settings file and start nothing"),
+        (
+            "check",
+            _check,
+            "check a settings file, ours (INI) or the users' platform's"
+            " (.json), and start nothing",
+        ),
     ):
         command = commands.add_parser(name, help=text, description=text)
         command.add_argument("settings", type=pathlib.Path)
         command.set_defaults(run=run)
 
 
+def _add_log_commands(commands: typing.Any) -> None:
+    story = commands.add_parser(
+        "story",
+        help="tell from log files how a request fared",
+        description="Prints what touched a request, and marks by | what its"
+        " instance believed at the time. Times are seconds after it came.",
+    )
+    story.add_argument("request_id")
+    story.add_argument("files", nargs="+", type=pathlib.Path)
+    story.set_defaults(run=_log_commands.story)
+    summary = commands.add_parser(
+        "summary",
+        help="sum up a stretch of log files",
+        description="Prints requests by outcome, and changes of belief.",
+    )
+    summary.add_argument("files", nargs="+", type=pathlib.Path)
+    for name, default in (("--from", 0.0), ("--to", math.inf)):
+        summary.add_argument(
+            name,
+            dest=f"{name[2:]}_s",
+            type=float,
+            default=default,
+            metavar="SECONDS",
+            help="after the first line of all files",
+        )
+    summary.set_defaults(run=_log_commands.summary)
+
+
 def _add_reading_commands(commands: typing.Any) -> None:
     status = _remote(
         commands, "status", _commands.status, "show what is in force"
@@ -174,11 +211,23 @@
 
 
 def _check(options: argparse.Namespace) -> int:
-    settings = _read_settings(options.settings)
-    print(f"{options.settings}: instance {settings.name!r} is well set up")
+    if options.settings.suffix == ".json":
+        name = _read_platform_settings(options.settings).instance
+    else:
+        name = _read_settings(options.settings).name
+    print(f"{options.settings}: instance {name!r} is well set up")
     return _client.Exit.DONE
 
 
+def _read_platform_settings(path: pathlib.Path) -> platform.NodeSettings:
+    try:
+        return platform.read_settings(path)
+    except (platform.FormatError, OSError) as error:
+        raise _client.CommandError(
+            f"the settings can't be used\n{error}", _client.Exit.BAD_INPUT
+        ) from error
+
+
 def _serve(options: argparse.Namespace) -> int:
     settings = _read_settings(options.settings)
     clock = _clock.Clock()
--- /dev/null
+++ b/src/geraniumlink/interface/_log_commands.py
@@ -0,0 +1,40 @@
+"""The commands that read log files."""
+
+from __future__ import annotations
+
+import argparse
+
+from geraniumlink.interface import _client
+from geraniumlink.interface import _log_reader
+from geraniumlink.interface import _story
+
+
+def story(options: argparse.Namespace) -> int:
+    """Print what touched a request."""
+    found = False
+    for text in _story.story(_read(options), options.request_id):
+        found = True
+        print(text)
+    if not found:
+        raise _client.CommandError(
+            f"no log line has the request id {options.request_id!r}",
+            _client.Exit.REFUSED,
+        )
+    return _client.Exit.DONE
+
+
+def summary(options: argparse.Namespace) -> int:
+    """Print what happened in a stretch of time."""
+    lines = _read(options)
+    for text in _story.summary(lines, options.from_s, options.to_s):
+        print(text)
+    return _client.Exit.DONE
+
+
+def _read(options: argparse.Namespace) -> list[_log_reader.Line]:
+    try:
+        return _log_reader.read(options.files)
+    except OSError as error:
+        raise _client.CommandError(
+            f"can't read the log: {error}", _client.Exit.BAD_INPUT
+        ) from error
--- /dev/null
+++ b/src/geraniumlink/interface/_log_reader.py
@@ -0,0 +1,56 @@
+"""Reads log lines back from files, whatever stands before each object."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+import pathlib
+import typing
+
+import orjson
+
+# Of each line; what eliot adds is of no use to a reader.
+_COMMON = ("timestamp", "instance", "message_type", "task_uuid", "task_level")
+
+
+class Line(typing.NamedTuple):
+    """One log line."""
+
+    # Seconds since 1970, by the clock of that instance.
+    timestamp: float
+    instance: str
+    message: str
+    fields: dict[str, typing.Any]
+
+
+def read(paths: Iterable[pathlib.Path]) -> list[Line]:
+    """Return the lines of some files in the order of their times.
+
+    What is no log line is passed over: files hold what else a process or
+    its platform printed.
+
+    :raises OSError: if a file can't be read.
+    """
+    lines: list[Line] = []
+    for path in paths:
+        with path.open("rb") as file:
+            lines += _parse(file)
+    return sorted(lines, key=lambda line: line.timestamp)
+
+
+def _parse(file: Iterable[bytes]) -> Iterator[Line]:
+    for raw in file:
+        start = raw.find(b"{")
+        if start < 0:
+            continue
+        try:
+            found = orjson.loads(raw[start:])
+        except orjson.JSONDecodeError:
+            continue
+        if not isinstance(found, dict) or "message_type" not in found:
+            continue
+        yield Line(
+            float(found.get("timestamp", 0.0)),
+            str(found.get("instance", "")),
+            str(found["message_type"]),
+            {k: v for k, v in found.items() if k not in _COMMON},
+        )
--- a/src/geraniumlink/platform/_settings.py
+++ b/src/geraniumlink/platform/_settings.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from geraniumlink import _findings
 from geraniumlink import _settings
 from geraniumlink.platform import _fields
 
@@ -41,31 +42,69 @@
 def read_settings(path: pathlib.Path) -> NodeSettings:
     """Read the settings; fields that aren't needed are ignored.
 
-    :raises _fields.FormatError: naming the field that is missing or wrong.
+    :raises _fields.FormatError: naming every field that is missing or wrong,
+        a line each.
     :raises OSError: if the file can't be read.
     """
     try:
         message = orjson.loads(path.read_bytes())
     except orjson.JSONDecodeError as error:
         raise _fields.FormatError(f"{path} is not JSON: {error}") from error
-    listen = _fields.table(message, "listen")
-    bounds = _fields.table(message, "bounds")
-    ports = _fields.listed(message, "internal_ports")
-    if not ports or type(ports[0]) is not int:
-        raise _fields.FormatError(f"internal_ports is {ports!r:.60}")
-    return NodeSettings(
-        instance=_fields.text(message, "node_name"),
-        data_centre=_fields.text(message, "zone"),
-        client_address=_fields.address(listen, "front"),
-        ready_address=_fields.address(listen, "ready"),
-        peer_address=_settings.Address(_fields.text(message, "ip"), ports[0]),
-        store_address=_fields.address(
-            _fields.table(message, "platform"), "address"
+    reader = _Reader(message)
+    settings = NodeSettings(
+        instance=reader.read("", "node_name", _fields.text),
+        data_centre=reader.read("", "zone", _fields.text),
+        client_address=reader.read("listen", "front", _fields.address),
+        ready_address=reader.read("listen", "ready", _fields.address),
+        peer_address=_settings.Address(
+            reader.read("", "ip", _fields.text),
+            reader.read("", "internal_ports", _first_port),
         ),
-        grace_ms=int(1000 * _fields.number(bounds, "grace_s")),
-        leaving_bound_ms=_fields.whole(bounds, "drain_ms"),
-        lease_ms=_fields.whole(bounds, "lease_ms"),
-        retry_ratio=_fields.number(bounds, "retry_ratio"),
-        retry_window_ms=int(1000 * _fields.number(bounds, "retry_window_s")),
-        retry_constant=_fields.whole(bounds, "retry_slack"),
+        store_address=reader.read("platform", "address", _fields.address),
+        grace_ms=reader.read("bounds", "grace_s", _milliseconds),
+        leaving_bound_ms=reader.read("bounds", "drain_ms", _fields.whole),
+        lease_ms=reader.read("bounds", "lease_ms", _fields.whole),
+        retry_ratio=reader.read("bounds", "retry_ratio", _fields.number),
+        retry_window_ms=reader.read("bounds", "retry_window_s", _milliseconds),
+        retry_constant=reader.read("bounds", "retry_slack", _fields.whole),
     )
+    if reader.findings:
+        raise _fields.FormatError(str(reader.findings))
+    return settings
+
+
+class _Reader:
+    """Reads fields and collects the faults of those that can't be used."""
+
+    def __init__(self, message: typing.Any) -> None:
+        self.findings = _findings.Findings()
+        self._message = message
+
+    def read(
+        self,
+        table: str,
+        name: str,
+        read: typing.Callable[[typing.Any, str], typing.Any],
+    ) -> typing.Any:
+        """Return a field; None, and a finding, when it can't be used."""
+        place = f"{table}.{name}" if table else name
+        try:
+            message = self._message
+            if table:
+                message = _fields.table(message, table)
+            return read(message, name)
+        except _fields.FormatError as error:
+            self.findings.add(place, str(error))
+            return None
+
+
+def _first_port(message: typing.Any, name: str) -> int:
+    ports = _fields.listed(message, name)
+    if not ports or type(ports[0]) is not int:
+        raise _fields.FormatError(f"{name} is {ports!r:.60}")
+    return int(ports[0])
+
+
+def _milliseconds(message: typing.Any, name: str) -> int:
+    """Return seconds of the platform as milliseconds."""
+    return int(1000 * _fields.number(message, name))
--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -99,7 +99,11 @@
             self._body_sent = True
         except _http.BrokenError as error:
             # The answer may have come before; reading tells.
-            _logs.event("body_not_taken", error=str(error))
+            _logs.event(
+                "body_not_taken",
+                request_id=self._task.log_id,
+                error=str(error),
+            )
 
     def _head(self) -> bytes:
         task = self._task
@@ -216,6 +220,8 @@
         self.reusable = self._connection.finish() and not head.closes
 
     def _note_first_event(self) -> None:
+        if self._task.first_event_at is None:
+            self._task.first_event_at = self._clock.now()
         if not self._prefilling:
             return
         now = self._clock.now()
--- a/src/geraniumlink/serving/_budget.py
+++ b/src/geraniumlink/serving/_budget.py
@@ -41,6 +41,12 @@
         self._requests: dict[str, collections.deque[int]] = {}
         self._repeats: dict[str, collections.deque[int]] = {}
 
+    def used(self) -> int:
+        """Return the repeats in the window, of all services."""
+        return sum(
+            len(self._window(self._repeats, name)) for name in self._repeats
+        )
+
     def set_instances(self, count: int) -> None:
         """Note how many instances share the budget."""
         self._instances = max(1, count)
@@ -53,7 +59,7 @@
         """Count a client's request."""
         self._window(self._requests, service).append(self._clock.now())
 
-    def withdraw(self, service: str) -> bool:
+    def withdraw(self, service: str, request_id: str = "") -> bool:
         """Return whether a repeat may be sent, and count it if so."""
         requests = len(self._window(self._requests, service))
         repeats = self._window(self._repeats, service)
@@ -62,6 +68,7 @@
         if len(repeats) + 1 > allowed:
             _logs.event(
                 "repeat_budget_used",
+                request_id=request_id,
                 service=service,
                 repeats=len(repeats),
                 requests=requests,
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -22,9 +22,11 @@
 from geraniumlink.serving import _budget
 from geraniumlink.serving import _catalogue
 from geraniumlink.serving import _connections
+from geraniumlink.serving import _decision_log
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _reply
+from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _task
 from geraniumlink.serving import _types
 from geraniumlink.suspicion import _suspicions
@@ -72,6 +74,7 @@
         residency: Residency,
         budgets: _budget.RepeatBudgets,
         suspicions: _suspicions.Suspicions,
+        metrics: _request_metrics.RequestMetrics,
         clock: _clock.Clock,
         data_centre: str,
         random_source: random.Random,
@@ -81,6 +84,7 @@
         self._residency = residency
         self._budgets = budgets
         self._suspicions = suspicions
+        self._metrics = metrics
         self._clock = clock
         self._data_centre = data_centre
         self._random = random_source
@@ -95,7 +99,8 @@
         self, request: _types.Request, reply: _reply.Reply
     ) -> None:
         """Answer a request; nothing is left running when this ends."""
-        if self._catalogue.current is None:
+        current = self._catalogue.current
+        if current is None:
             await self._answer_own(reply, _UNAVAILABLE, "not started yet")
             return
         route = self._catalogue.route(request.host, request.target)
@@ -106,7 +111,9 @@
         self._budgets.deposit(task.service)
         if request.model:
             self._residency.note_demand(task.service, request)
-        left_ms = task.until - self._clock.now()
+        now = self._clock.now()
+        _decision_log.admitted(task, current.version, now)
+        left_ms = task.until - now
         try:
             with anyio.move_on_after(left_ms / 1000) as scope:
                 await self._serve(task)
@@ -117,7 +124,9 @@
             task.outcome = task.outcome or "client left"
             raise
         finally:
-            self._log(task)
+            now = self._clock.now()
+            _decision_log.finished(task, now)
+            self._metrics.finished(task, now)
 
     def _make_task(
         self,
@@ -146,8 +155,11 @@
                 await self._refuse(task, choice)
                 return
             outcome = await self._attempt(task, choice)
+            self._metrics.attempted(
+                task.service, type(outcome).__name__.lower()
+            )
             if not isinstance(outcome, _outcomes.Done):
-                self._log_attempt(task, choice, outcome)
+                _decision_log.attempt_failed(task, outcome)
             if isinstance(outcome, _outcomes.Done):
                 task.outcome = "done"
                 return
@@ -177,7 +189,7 @@
             return False
         if self._is_confirmed(task):
             return False
-        return self._budgets.withdraw(task.service)
+        return self._budgets.withdraw(task.service, task.log_id)
 
     async def _place(
         self, task: _task.Task
@@ -205,9 +217,12 @@
                 return self._choose(task, holders, left_ms, now)
             wait_ms = min(left_ms, task.first_by - now) - SERVE_MS
             avoid = task.tried | self._replicas.unreachable()
+            _decision_log.waiting(task, len(serving), wait_ms)
             refusal = await self._residency.ensure(
                 task.service, request, avoid, wait_ms
             )
+            reason = refusal.reason if refusal else ""
+            _decision_log.waited(task, reason, self._clock.now() - now)
             if refusal is not None:
                 return refusal
             if not self._is_held(task, avoid):
@@ -259,6 +274,7 @@
         replica = choice.replica
         entry = replica.entry
         task.last_replica = entry.name
+        _decision_log.attempt(task, choice, self._clock.now())
         try:
             connection = await self._connections.take(
                 entry.name, entry.address, careful=not task.route.repeatable
@@ -321,6 +337,7 @@
             self._suspicions.add(task.fingerprint, crash)
             _logs.event(
                 "suspected",
+                request_id=task.log_id,
                 fingerprint=task.fingerprint,
                 replica=entry.name,
                 standing=self._suspicions.standing(task.fingerprint).name,
@@ -395,42 +412,3 @@
         later = self._refusal(reason).retry_after_ms if retry else None
         headers = platform.refusal_headers(later)
         await reply.answer(status, headers, reason.encode())
-
-    def _log_attempt(
-        self,
-        task: _task.Task,
-        choice: _balance.Choice,
-        outcome: _outcomes.Outcome,
-    ) -> None:
-        """Say what decided the choice of a replica that did not serve."""
-        replica, now = choice.replica, self._clock.now()
-        foreign = replica.foreign(now)
-        _logs.event(
-            "attempt_failed",
-            request_id=task.request.id.decode("latin-1"),
-            replica=replica.entry.name,
-            attempt=task.attempts,
-            outcome=type(outcome).__name__,
-            reason=getattr(outcome, "reason", ""),
-            expected_ms=round(choice.expected_ms),
-            in_flight=replica.in_flight,
-            in_flight_elsewhere=foreign.in_flight if foreign else None,
-            load=list(replica.load) if replica.load else None,
-            load_age_ms=now - replica.load_at if replica.load else None,
-        )
-
-    def _log(self, task: _task.Task) -> None:
-        now = self._clock.now()
-        _logs.event(
-            "request",
-            request_id=task.request.id.decode("latin-1"),
-            route=task.route.name,
-            service=task.service,
-            model=task.request.model,
-            adapter=task.request.adapter,
-            replica=task.last_replica,
-            attempts=task.attempts,
-            status=task.reply.status,
-            outcome=task.outcome,
-            took_ms=now - task.request.received_at,
-        )
--- a/src/geraniumlink/serving/_outcomes.py
+++ b/src/geraniumlink/serving/_outcomes.py
@@ -45,6 +45,19 @@
 Outcome = Done | Unsent | NotRun | Interrupted | Failed
 
 
+def reason_of(outcome: Outcome) -> str:
+    """Return why a request was not served; empty when it was."""
+    match outcome:
+        case Done():
+            return ""
+        case Failed(status=status):
+            return f"the replica answered {status}"
+        case Unsent(reason) | NotRun(reason):
+            return reason
+        case Interrupted(reason=reason):
+            return reason
+
+
 @dataclasses.dataclass(frozen=True)
 class Refusal:
     """A final answer to a request that was not run."""
--- a/src/geraniumlink/serving/_task.py
+++ b/src/geraniumlink/serving/_task.py
@@ -41,8 +41,15 @@
         self.last_event_id = request.last_event_id
         self.fingerprint = _fingerprint(request)
         self.last_replica = ""
+        # Our clock's time of the first event sent; None before.
+        self.first_event_at: int | None = None
         self.outcome = ""
 
+    @property
+    def log_id(self) -> str:
+        """The id of the client's attempt, as log lines have it."""
+        return self.request.id.decode("latin-1")
+
 
 def _first_event_ms(route: _types.Route) -> int:
     if route.kind is not _types.RouteKind.STREAM:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -181,14 +181,16 @@
         self.instances.append(process)
         return process
 
-    def hosted(self, settings: dict[str, typing.Any]) -> Process:
+    def hosted(
+        self, settings: dict[str, typing.Any], *arguments: str
+    ) -> Process:
         """Start an instance as the users' platform does."""
         name = settings["node_name"]
         path = self._folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         return self._start(
             name,
-            [sys.executable, "-m", "geraniumlink.hosting"],
+            [sys.executable, "-m", "geraniumlink.hosting", *arguments],
             int(settings["listen"]["front"].rpartition(":")[2]),
             environment={"GERANIUMLINK_NODE_FILE": str(path)},
         )
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -151,9 +151,9 @@
             ],
         }
 
-    async def add_instance(self) -> fleets.Process:
+    async def add_instance(self, *arguments: str) -> fleets.Process:
         settings = node_settings(self.store, f"i-{len(self.hosts) + 1}")
-        process = self.fleet.hosted(settings)
+        process = self.fleet.hosted(settings, *arguments)
         self.hosts.append(process)
         self._settings.append(settings)
         await self.is_ready(len(self.hosts) - 1)
--- a/tests/test_hosted_bad_input.py
+++ b/tests/test_hosted_bad_input.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from geraniumlink import cli
 from geraniumlink import platform
 from tests import hosts
 
@@ -118,6 +119,18 @@
         platform.read_settings(path)
 
 
+def test_check_reports_every_fault_of_the_platforms_settings(tmp_path, capsys):
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(_settings(zone=7, internal_ports=["x"])))
+    assert cli.main(["check", str(path)]) == 2
+    told = capsys.readouterr().err
+    assert "zone: zone is 7" in told
+    assert "internal_ports: internal_ports is ['x']" in told
+    path.write_text(json.dumps(_settings()))
+    assert cli.main(["check", str(path)]) == 0
+    assert "'i-1'" in capsys.readouterr().out
+
+
 def test_settings_that_are_no_json_are_said_to_be_none(tmp_path):
     path = tmp_path / "node.json"
     path.write_text("{")
--- /dev/null
+++ b/tests/test_hosted_logs.py
@@ -0,0 +1,152 @@
+"""What an instance tells of itself: a request's story, lines, metrics."""
+
+import os
+import select
+import time
+
+import anyio
+import pytest
+
+from geraniumlink.interface import _log_reader
+from geraniumlink.interface import _story
+from standins import fleet as fleets
+from tests import hosts
+
+pytestmark = pytest.mark.anyio
+
+
+async def _site(fleet, **fields):
+    site = await hosts.Site(fleet).start(**fields)
+    return site, site.hosts[0].port
+
+
+def _lines(site):
+    return _log_reader.read([host.log for host in site.hosts])
+
+
+def _told(site, request_id):
+    """Return the messages that a request's story has of it, in order."""
+    told = []
+    for text in _story.story(_lines(site), request_id):
+        _, _, rest = text.partition(" s ")
+        mark, _, message = rest.strip().partition(" ")
+        told.append(message if mark == "|" else rest.strip())
+    return [text.split()[1] for text in told if "request_id=" in text]
+
+
+async def _ask(port, target, request_id):
+    return await hosts.ask(port, target, X_Request_Id=request_id)
+
+
+async def test_the_story_of_a_request_that_was_served(fleet):
+    site, port = await _site(fleet)
+    await _ask(port, "/safe/x", "plain")
+    assert _told(site, "plain") == ["admitted", "attempt", "request"]
+
+
+async def test_the_story_of_a_request_that_was_repeated(fleet):
+    site, port = await _site(fleet)
+    await site.faults("r-1", fail=True)
+    for number in range(4):
+        await _ask(port, "/safe/x", f"again-{number}")
+    stories = [_told(site, f"again-{number}") for number in range(4)]
+    failed = ["attempt", "attempt_failed"]
+    assert ["admitted", *failed, "attempt", "request"] in stories
+
+
+async def test_the_story_of_a_stream_that_was_resumed(fleet):
+    site, port = await _site(fleet)
+    for name in site.replicas:
+        await site.faults(name, cut_after=3)
+    await _ask(port, "/stream/x", "resumed")
+    lines = _lines(site)
+    attempts = [
+        line.fields["last_event_id"]
+        for line in lines
+        if line.message == "attempt" and line.fields["request_id"] == "resumed"
+    ]
+    assert attempts == ["", "3"]
+
+
+async def test_the_story_of_a_request_whose_instance_was_killed(fleet):
+    site, port = await _site(fleet, replicas=1)
+    await site.faults("r-1", hang=True)
+    async with anyio.create_task_group() as group:
+
+        async def ask():
+            await _ask(port, "/once/x", "cut")
+
+        group.start_soon(ask)
+
+        async def sent():
+            return any((await site.runs()).values())
+
+        await fleet.until(sent, "the request runs")
+        site.hosts[0].kill()
+    assert _told(site, "cut") == ["admitted", "attempt"]
+
+
+async def test_the_story_tells_of_a_store_that_was_down(fleet):
+    site, port = await _site(fleet)
+    await fleet.faults(site.store, outage=True)
+
+    async def lost():
+        return bool(hosts.logged(site.hosts[0], "store_lost"))
+
+    await fleet.until(lost, "the outage is noticed")
+    await _ask(port, "/safe/x", "in-outage")
+    story = list(_story.story(_lines(site), "in-outage"))
+    assert any(" | " in text and "store_lost" in text for text in story)
+
+
+def test_an_unknown_request_has_no_story():
+    assert not list(_story.story([], "nobody"))
+
+
+async def test_a_summary_counts_requests_and_lists_beliefs(fleet):
+    site, port = await _site(fleet)
+    for number in range(3):
+        await _ask(port, "/safe/x", f"counted-{number}")
+    text = "\n".join(_story.summary(_lines(site), 0, 1000))
+    assert "3 requests" in text
+    assert "3 assistant 200 done" in text
+    assert "replica_seen" in text
+
+
+async def test_an_output_that_nobody_reads_delays_no_request(fleet, tmp_path):
+    site = await hosts.Site(fleet).start(instances=0)
+    # The instance's output goes there; nobody reads it.
+    path = tmp_path / "i-1.log"
+    os.mkfifo(path)
+    reader = os.open(path, os.O_RDONLY | os.O_NONBLOCK)
+    try:
+        host = await site.add_instance()
+        for number in range(300):
+            began = time.monotonic()
+            answer = await hosts.ask(host.port, f"/safe/{number}")
+            assert answer.status == 200
+            # Its deadline.
+            assert time.monotonic() - began < 4
+        # The pipe was full, or nothing was shown: no line fitted any more.
+        room = 2**16 - len(os.read(reader, 2**20))
+        assert room < select.PIPE_BUF
+    finally:
+        os.close(reader)
+
+
+async def test_metrics_are_served(fleet):
+    site = await hosts.Site(fleet).start(instances=0)
+    metrics_port = fleets.free_port()
+    host = await site.add_instance("--metrics-port", str(metrics_port))
+    assert (await hosts.ask(host.port, "/safe/x")).status == 200
+    request = hosts.request_bytes("/metrics", method="GET")
+    answer = await hosts.send(metrics_port, request)
+    assert answer.status == 200
+    text = answer.body.decode()
+    assert (
+        'geraniumlink_requests_total{kind="idempotent",outcome="done",'
+        'service="assistant"} 1' in text
+    )
+    assert "geraniumlink_request_seconds_bucket" in text
+    for gauge in ("replicas 2", "configuration_version 1", "controller "):
+        assert f"geraniumlink_{gauge}" in text
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -2,6 +2,7 @@
 
 import random
 
+import aioprometheus
 import anyio
 import hypothesis
 from hypothesis import strategies as st
@@ -19,6 +20,7 @@
 from geraniumlink.serving import _forward
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _reply
+from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _types
 from geraniumlink.suspicion import _suspicions
 from tests import hosts
@@ -240,6 +242,7 @@
         residency=residency,
         budgets=_budget.RepeatBudgets(_budget.Bound(0.2, 8, 1000), clock),
         suspicions=_suspicions.Suspicions(clock),
+        metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
         clock=clock,
         data_centre="dc1",
         random_source=random.Random(1),
