Order nothing where an order that isn't accounted for is carried out

The report was taken for the whole account, doubt about lost orders was dropped, and the room was given to another model as soon as the replica was at rest. Likewise after a takeover, when a former controller's order arrives after the first report. Adapters on their way took no place.

Ruled out: other holders' orders (the lease lines show one at a time).

Change: while a busy replica counts an order that isn't accounted for, it is asked until it is at rest, and gets no order; adapters in transit are read and charged.

Tests fail before: test_a_lost_order_that_is_carried_out_late_stays_charged, test_a_former_controllers_order_in_progress_is_waited_for.

--- a/src/geraniumlink/hosting/_application.py
+++ b/src/geraniumlink/hosting/_application.py
@@ -10,8 +10,8 @@
 from geraniumlink import _clock
 from geraniumlink import _logs
 from geraniumlink import _settings
-from geraniumlink import platform
 from geraniumlink.hosting import _host_metrics
+from geraniumlink import platform
 from geraniumlink.residency import _exchange
 from geraniumlink.serving import _catalogue
 from geraniumlink.serving import _forward
--- a/src/geraniumlink/hosting/_gauges.py
+++ b/src/geraniumlink/hosting/_gauges.py
@@ -12,6 +12,7 @@
 from geraniumlink.residency import _leadership
 from geraniumlink.serving import _budget
 from geraniumlink.serving import _catalogue
+from geraniumlink.serving import _forward
 from geraniumlink.serving import _replicas
 
 
@@ -19,6 +20,7 @@
     """What the gauges are read from."""
 
     application: _application.Application
+    forwarder: _forward.Forwarder
     store: platform.Store
     followers: list[_follower.Follower]
     catalogue: _catalogue.Catalogue
@@ -36,6 +38,11 @@
         "Requests that have no final answer yet",
         lambda: parts.application.in_flight,
     )
+    watch(
+        "geraniumlink_requests_waiting",
+        "Requests that wait for a model or an adapter to be loaded",
+        lambda: parts.forwarder.waiting,
+    )
     watch(
         "geraniumlink_store_calls_total",
         "Calls to the platform's store; a waiting watch is one",
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -146,6 +146,7 @@
             self._metrics,
             _gauges.Parts(
                 application=self._application,
+                forwarder=self._forwarder,
                 store=self._store,
                 followers=self._followers,
                 catalogue=self._catalogue,
--- a/src/geraniumlink/platform/_replicas.py
+++ b/src/geraniumlink/platform/_replicas.py
@@ -57,9 +57,22 @@
         busy=_fields.flag(message, "busy", False),
         order_count=_fields.whole(message, "sequence"),
         near=_near(message.get("available")),
+        arriving=_arriving(message.get("pending")),
     )
 
 
+def _arriving(pending: typing.Any) -> frozenset[tuple[str, str]]:
+    """Return the adapters of entries such as ``m1/a3@2``."""
+    if not isinstance(pending, list):
+        return frozenset()
+    found = set()
+    for entry in pending:
+        model, slash, adapter = str(entry).partition("/")
+        if slash:
+            found.add((model, adapter.partition("@")[0]))
+    return frozenset(found)
+
+
 def _near(available: typing.Any) -> frozenset[str]:
     """Return the models that load without the weight store."""
     if not isinstance(available, dict):
--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -17,6 +17,7 @@
 from geraniumlink.residency import _load_budget
 from geraniumlink.residency import _order_desk
 from geraniumlink.residency import _planner
+from geraniumlink.residency import _wants
 from geraniumlink.serving import _catalogue
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _types
@@ -41,33 +42,6 @@
 WANT_MS = 1500
 
 
-class Want(typing.NamedTuple):
-    """A model, or an adapter of it, that requests wait for."""
-
-    service: str
-    model: str
-    adapter: str
-
-
-class Placed(typing.NamedTuple):
-    """Replicas that hold what was wanted."""
-
-    replicas: tuple[str, ...]
-
-
-class Pending(typing.NamedTuple):
-    """It is on its way; ask again at once."""
-
-
-class Later(typing.NamedTuple):
-    """When to ask again for what can't be had in time."""
-
-    retry_ms: int
-
-
-Answer = Placed | Pending | Later
-
-
 class _Wanted(typing.NamedTuple):
     """Since when a model is waited for, and until when that stands."""
 
@@ -131,7 +105,9 @@
                     await self._wanting.wait()
                 self._wanting = anyio.Event()
 
-    async def want(self, want: Want, avoid: set[str], wait_ms: int) -> Answer:
+    async def want(
+        self, want: _wants.Want, avoid: set[str], wait_ms: int
+    ) -> _wants.Answer:
         """Have a model or adapter loaded; return where it is resident.
 
         ``wait_ms`` is how long the request can wait in all. The answer
@@ -142,21 +118,21 @@
             self._begin_term()
             placed = self._placed(want, avoid)
             if placed:
-                return Placed(placed)
+                return _wants.Placed(placed)
             if not self._leadership.may_order():
-                return Later(RETRY_MS)
+                return _wants.Later(RETRY_MS)
             later = await self._pursue(want, avoid, began + wait_ms)
             if later is not None:
                 return later
-        return Pending()
+        return _wants.Pending()
 
     async def _pursue(
-        self, want: Want, avoid: set[str], until: int
-    ) -> Later | None:
+        self, want: _wants.Want, avoid: set[str], until: int
+    ) -> _wants.Later | None:
         """Do what brings a want closer; None to look again."""
         engine = self._engine(want.service)
         if engine is None or want.model not in engine.models:
-            return Later(RETRY_MS)
+            return _wants.Later(RETRY_MS)
         if not want.adapter:
             return await self._await_model(want, engine, until)
         holders = [
@@ -173,11 +149,11 @@
         there = await self._adapters.bring(
             *want, hosts=hosts, places=engine.adapter_slots
         )
-        return None if there else Later(NO_PLACE_MS)
+        return None if there else _wants.Later(NO_PLACE_MS)
 
     async def _await_model(
-        self, want: Want, engine: _types.Engine, until: int
-    ) -> Later | None:
+        self, want: _wants.Want, engine: _types.Engine, until: int
+    ) -> _wants.Later | None:
         """Wait for a change if the model can be there in time."""
         now = self._clock.now()
         key = (want.service, want.model)
@@ -190,17 +166,17 @@
         if ready_at is None:
             ready_at = now + self._load_ms(want, engine)
         if ready_at > until:
-            return Later(max(RETRY_MS, ready_at - now))
+            return _wants.Later(max(RETRY_MS, ready_at - now))
         return await self._await_change(until)
 
-    async def _await_change(self, until: int) -> Later | None:
+    async def _await_change(self, until: int) -> _wants.Later | None:
         with anyio.move_on_after(TICK_MS / 1000):
             await self._changed.wait()
         if self._clock.now() >= until:
-            return Later(RETRY_MS)
+            return _wants.Later(RETRY_MS)
         return None
 
-    def _load_ms(self, want: Want, engine: _types.Engine) -> int:
+    def _load_ms(self, want: _wants.Want, engine: _types.Engine) -> int:
         """Return how long a load would take if it were begun now."""
         model = engine.models[want.model]
         near = any(
@@ -217,11 +193,7 @@
                 group.start_soon(self._settle, holding)
 
     async def _settle(self, holding: _holdings.Holding) -> None:
-        new = not holding.known
         await self._desk.ask(holding)
-        if new and holding.busy:
-            # What a former controller ordered doesn't show in the report.
-            holding.order_count = None
         holding.moving = False
 
     def _begin_term(self) -> None:
@@ -259,7 +231,7 @@
             and replica.entry.name not in self._unreachable
         ]
 
-    def _placed(self, want: Want, avoid: set[str]) -> tuple[str, ...]:
+    def _placed(self, want: _wants.Want, avoid: set[str]) -> tuple[str, ...]:
         return tuple(
             holding.name
             for holding in self._serving(want.service)
--- a/src/geraniumlink/residency/_exchange.py
+++ b/src/geraniumlink/residency/_exchange.py
@@ -24,6 +24,7 @@
 from geraniumlink.residency import _leadership
 from geraniumlink.residency import _load_totals
 from geraniumlink.residency import _messages
+from geraniumlink.residency import _wants
 from geraniumlink.serving import _budget
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _replicas
@@ -88,7 +89,7 @@
         self._totals = _load_totals.LoadTotals(clock)
         # What each instance last reported here.
         self._reported: dict[str, _messages.Reported] = {}
-        self._asking: dict[_controller.Want, anyio.Event] = {}
+        self._asking: dict[_wants.Want, anyio.Event] = {}
 
     def note_demand(self, service: str, request: _types.Request) -> None:
         """Count a request for the next report."""
@@ -104,7 +105,7 @@
         wait_ms: int,
     ) -> _outcomes.Refusal | None:
         """Return once some replica holds what a request needs."""
-        want = _controller.Want(service, request.model, request.adapter)
+        want = _wants.Want(service, request.model, request.adapter)
         asking = self._asking.get(want)
         if asking is not None and not avoid:
             await asking.wait()
@@ -118,10 +119,10 @@
             if self._asking.get(want) is done:
                 del self._asking[want]
         match answer:
-            case _controller.Placed(names):
+            case _wants.Placed(names):
                 self._note_placed(want, names)
                 return None
-            case _controller.Later(retry_ms):
+            case _wants.Later(retry_ms):
                 what = "adapter" if request.adapter else "model"
                 return _outcomes.Refusal(f"the {what} isn't loaded", retry_ms)
 
@@ -250,7 +251,7 @@
             )
 
     async def _answer_want(self, message: typing.Any) -> typing.Any:
-        want = _controller.Want(
+        want = _wants.Want(
             str(message["service"]),
             str(message["model"]),
             str(message["adapter"]),
@@ -259,16 +260,16 @@
         wait_ms = int(message["wait_ms"])
         answer = await self._controller.want(want, avoid, wait_ms)
         match answer:
-            case _controller.Placed(names):
+            case _wants.Placed(names):
                 return {"replicas": list(names)}
-            case _controller.Pending():
+            case _wants.Pending():
                 return {"pending": True}
-            case _controller.Later(retry_ms):
+            case _wants.Later(retry_ms):
                 return {"retry_ms": retry_ms}
 
     async def _ask(
-        self, want: _controller.Want, avoid: set[str], wait_ms: int
-    ) -> _controller.Placed | _controller.Later:
+        self, want: _wants.Want, avoid: set[str], wait_ms: int
+    ) -> _wants.Placed | _wants.Later:
         until = self._clock.now() + wait_ms
         while True:
             left_ms = max(0, until - self._clock.now())
@@ -277,15 +278,15 @@
                 case None if left_ms > TAKEOVER_MS:
                     await self._clock.sleep(REPORT_MS)
                 case None:
-                    return _controller.Later(NO_CONTROLLER_MS)
-                case _controller.Pending():
+                    return _wants.Later(NO_CONTROLLER_MS)
+                case _wants.Pending():
                     pass
                 case _:
                     return answer
 
     async def _ask_once(
-        self, want: _controller.Want, avoid: set[str], wait_ms: int
-    ) -> _controller.Answer | None:
+        self, want: _wants.Want, avoid: set[str], wait_ms: int
+    ) -> _wants.Answer | None:
         """Ask the controller; None when there is none."""
         if self._leadership.is_leader:
             return await self._controller.want(want, avoid, wait_ms)
@@ -300,25 +301,23 @@
             if answer is None:
                 return None
             if "pending" in answer:
-                return _controller.Pending()
+                return _wants.Pending()
             if "retry_ms" in answer:
-                return _controller.Later(int(answer["retry_ms"]))
+                return _wants.Later(int(answer["retry_ms"]))
             names = tuple(str(name) for name in answer["replicas"])
-            return _controller.Placed(names)
+            return _wants.Placed(names)
         except (KeyError, TypeError, ValueError) as error:
             _logs.event("bad_want_answer", error=repr(error))
             return None
 
-    def _is_placed(self, want: _controller.Want) -> bool:
+    def _is_placed(self, want: _wants.Want) -> bool:
         now = self._clock.now()
         return any(
             replica.holds(want.model, want.adapter, now)
             for replica in self._replicas.serving(want.service)
         )
 
-    def _note_placed(
-        self, want: _controller.Want, names: Iterable[str]
-    ) -> None:
+    def _note_placed(self, want: _wants.Want, names: Iterable[str]) -> None:
         now = self._clock.now()
         for name in names:
             replica = self._replicas.get(name)
--- a/src/geraniumlink/residency/_holdings.py
+++ b/src/geraniumlink/residency/_holdings.py
@@ -28,7 +28,7 @@
         self.name = entry.name
         self.address = entry.address
         self.started_at = entry.started_at
-        # None until a report told what it holds.
+        # None until a report tells all that it holds or will hold.
         self.order_count: int | None = None
         self.models: dict[str, set[str]] = {}
         # Models that load from the replica's own memory or disk.
@@ -38,19 +38,19 @@
         # What an order without an answer may bring in, until a newer order
         # is accepted.
         self.doubtful: set[tuple[str, str]] = set()
+        # Adapters that were on their way there when it last reported.
+        self.arriving: frozenset[tuple[str, str]] = frozenset()
         # What is being unloaded; still resident.
         self.leaving: set[tuple[str, str]] = set()
         # A model is being moved, or what it holds is being asked for.
         self.moving = False
-        # A model was being loaded or unloaded when it last reported.
-        self.busy = False
         # One order at a time, since each names the count before it.
         self.ordering = anyio.Lock()
         self._ordered_at = 0
 
     @property
     def known(self) -> bool:
-        """Whether its own report was read."""
+        """Whether a report told all that it holds or will hold."""
         return self.order_count is not None
 
     @property
@@ -67,12 +67,18 @@
             lagging = report.order_count < self.order_count
             if lagging and now - self._ordered_at < REPORT_LAG_MS:
                 return
-            if report.order_count > self.order_count:
+        if report.busy and report.order_count != self.order_count:
+            # An order is carried out that isn't accounted for: a lost one
+            # that came late, or a former controller's. What it brings in
+            # doesn't show in the report.
+            self.order_count = None
+        else:
+            if self.order_count != report.order_count:
                 # What was in doubt has been carried out, or never will be.
                 self.doubtful.clear()
-        self.order_count = report.order_count
-        self.busy = report.busy
+            self.order_count = report.order_count
         self.near = report.near
+        self.arriving = report.arriving
         self.models = {m: set(a) for m, a in report.residents.items()}
         self.leaving &= self._resident()
         self.pending -= self._resident()
@@ -87,11 +93,13 @@
     def note_loaded(self, model: str, adapter: str) -> None:
         """Take it that an accepted order has been carried out."""
         self.pending.discard((model, adapter))
+        self.arriving -= {(model, adapter)}
         self.models.setdefault(model, set()).add(adapter)
 
     def note_unloaded(self, model: str, adapter: str) -> None:
         """Take it that an accepted order has been carried out."""
         self.leaving.discard((model, adapter))
+        self.arriving -= {(model, adapter)}
         self.models.get(model, set()).discard(adapter)
 
     def charged_models(self) -> frozenset[str]:
@@ -132,4 +140,5 @@
         return resident
 
     def _charged(self) -> set[tuple[str, str]]:
-        return self._resident() | self.pending | self.doubtful
+        in_transit = self.pending | self.arriving
+        return self._resident() | in_transit | self.doubtful
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -16,13 +16,13 @@
 from geraniumlink import _clock
 from geraniumlink import _http
 from geraniumlink import _logs
-from geraniumlink import platform
 from geraniumlink.serving import _attempt
 from geraniumlink.serving import _balance
 from geraniumlink.serving import _budget
 from geraniumlink.serving import _catalogue
 from geraniumlink.serving import _connections
 from geraniumlink.serving import _decision_log
+from geraniumlink.serving import _final_answers
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _reply
@@ -35,16 +35,10 @@
 MAX_UNSENT = 4
 # With less time left, a replica could not answer.
 LEAST_LEFT_MS = 20
-# Time to come back when no replica is known to be free soon.
-RETRY_AFTER_MS = 500
-LONGEST_RETRY_AFTER_MS = 4000
 # Changes of the replicas arrive a few times a second.
 LOOK_AGAIN_MS = 50
 # What is left for the answer after a model was loaded.
 SERVE_MS = 400
-_BAD_GATEWAY = 502
-_UNAVAILABLE = 503
-_TIMED_OUT = 504
 
 
 class Residency(typing.Protocol):
@@ -88,7 +82,14 @@
         self._clock = clock
         self._data_centre = data_centre
         self._random = random_source
+        self._final = _final_answers.FinalAnswers(random_source)
         self._connections = _connections.Connections(clock)
+        self._waiting = 0
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for a model or an adapter."""
+        return self._waiting
 
     @property
     def connections(self) -> _connections.Connections:
@@ -101,11 +102,15 @@
         """Answer a request; nothing is left running when this ends."""
         current = self._catalogue.current
         if current is None:
-            await self._answer_own(reply, _UNAVAILABLE, "not started yet")
+            await self._final.answer_own(
+                reply, _final_answers.UNAVAILABLE, "not started yet"
+            )
             return
         route = self._catalogue.route(request.host, request.target)
         if route is None:
-            await self._answer_own(reply, 404, "no such route", retry=False)
+            await self._final.answer_own(
+                reply, 404, "no such route", retry=False
+            )
             return
         task = self._make_task(request, reply, route)
         self._budgets.deposit(task.service)
@@ -119,7 +124,7 @@
                 await self._serve(task)
             if scope.cancelled_caught:
                 task.outcome = "timed out"
-                await self._conclude_timeout(task)
+                await self._final.conclude_timeout(task)
         except BaseException:
             task.outcome = task.outcome or "client left"
             raise
@@ -152,7 +157,7 @@
         while True:
             choice = await self._place(task)
             if isinstance(choice, _outcomes.Refusal):
-                await self._refuse(task, choice)
+                await self._final.refuse(task, choice)
                 return
             outcome = await self._attempt(task, choice)
             self._metrics.attempted(
@@ -165,7 +170,7 @@
                 return
             task.tried.add(choice.replica.entry.name)
             if not self._may_repeat(task, outcome):
-                await self._conclude(task, outcome)
+                await self._final.conclude(task, outcome)
                 return
 
     def _may_repeat(
@@ -206,7 +211,7 @@
                 if replica.entry.name not in task.tried
             ]
             if not serving:
-                return self._refusal("no replica is in service")
+                return self._final.refusal("no replica is in service")
             request = task.request
             holders = [
                 replica
@@ -218,9 +223,13 @@
             wait_ms = min(left_ms, task.first_by - now) - SERVE_MS
             avoid = task.tried | self._replicas.unreachable()
             _decision_log.waiting(task, len(serving), wait_ms)
-            refusal = await self._residency.ensure(
-                task.service, request, avoid, wait_ms
-            )
+            self._waiting += 1
+            try:
+                refusal = await self._residency.ensure(
+                    task.service, request, avoid, wait_ms
+                )
+            finally:
+                self._waiting -= 1
             reason = refusal.reason if refusal else ""
             _decision_log.waited(task, reason, self._clock.now() - now)
             if refusal is not None:
@@ -254,19 +263,11 @@
         )
         late_ms = choice.expected_ms - min(left_ms, task.first_by - now)
         if late_ms > 0:
-            return self._refusal("no replica can answer in time", late_ms)
+            return self._final.refusal(
+                "no replica can answer in time", late_ms
+            )
         return choice
 
-    def _refusal(
-        self, reason: str, free_in_ms: float = RETRY_AFTER_MS
-    ) -> _outcomes.Refusal:
-        # Spread, so that clients refused together don't return in step.
-        later_ms = max(RETRY_AFTER_MS, free_in_ms)
-        later_ms *= self._random.uniform(1, 2)
-        return _outcomes.Refusal(
-            reason, int(min(LONGEST_RETRY_AFTER_MS, later_ms))
-        )
-
     async def _attempt(
         self, task: _task.Task, choice: _balance.Choice
     ) -> _outcomes.Outcome:
@@ -350,65 +351,3 @@
     def _is_confirmed(self, task: _task.Task) -> bool:
         standing = self._suspicions.standing(task.fingerprint)
         return standing is _suspicions.Standing.CONFIRMED
-
-    async def _conclude(
-        self, task: _task.Task, outcome: _outcomes.Outcome
-    ) -> None:
-        """Give the final answer to what isn't repeated."""
-        if task.reply.started:
-            task.outcome = "cut off"
-            return
-        match outcome:
-            case _outcomes.Failed(status, headers, body):
-                task.outcome = f"failed with {status}"
-                await task.reply.answer(status, headers, body)
-            case _outcomes.Interrupted(reason=reason) if task.may_have_run:
-                task.outcome = reason
-                await self._answer_own(
-                    task.reply, _BAD_GATEWAY, reason, retry=False
-                )
-            case _ if task.may_have_run:
-                task.outcome = "may have run"
-                await self._answer_own(
-                    task.reply, _BAD_GATEWAY, "may have run", retry=False
-                )
-            case _outcomes.Unsent(reason) | _outcomes.NotRun(reason):
-                await self._refuse(task, self._refusal(reason))
-
-    async def _conclude_timeout(self, task: _task.Task) -> None:
-        if task.reply.started:
-            return
-        if task.attempts:
-            await self._answer_own(
-                task.reply, _TIMED_OUT, "no answer in time", retry=False
-            )
-        else:
-            await self._answer_own(task.reply, _UNAVAILABLE, "not run in time")
-
-    async def _refuse(
-        self, task: _task.Task, refusal: _outcomes.Refusal
-    ) -> None:
-        task.outcome = f"refused: {refusal.reason}"
-        if task.reply.started:
-            return
-        if task.may_have_run or refusal.retry_after_ms is None:
-            await self._answer_own(
-                task.reply, _BAD_GATEWAY, refusal.reason, retry=False
-            )
-            return
-        await task.reply.answer(
-            _UNAVAILABLE,
-            platform.refusal_headers(refusal.retry_after_ms),
-            refusal.reason.encode(),
-        )
-
-    async def _answer_own(
-        self,
-        reply: _reply.Reply,
-        status: int,
-        reason: str,
-        retry: bool = True,
-    ) -> None:
-        later = self._refusal(reason).retry_after_ms if retry else None
-        headers = platform.refusal_headers(later)
-        await reply.answer(status, headers, reason.encode())
--- a/src/geraniumlink/serving/_types.py
+++ b/src/geraniumlink/serving/_types.py
@@ -134,6 +134,8 @@
     order_count: int
     # Models with a copy in its own memory or on its disk, resident or not.
     near: frozenset[str]
+    # Adapters on their way there, each after its model.
+    arriving: frozenset[tuple[str, str]] = frozenset()
 
 
 class Part(typing.NamedTuple):
--- a/tests/test_hosted_logs.py
+++ b/tests/test_hosted_logs.py
@@ -144,9 +144,9 @@
     assert answer.status == 200
     text = answer.body.decode()
     assert (
-        'geraniumlink_requests_total{kind="idempotent",outcome="done",'
+        'geraniumlink_requests_total{outcome="done",route="safe",'
         'service="assistant"} 1' in text
     )
     assert "geraniumlink_request_seconds_bucket" in text
-    for gauge in ("replicas 2", "configuration_version 1", "controller "):
+    for gauge in ("replicas 2", "requests_waiting 0", "controller "):
         assert f"geraniumlink_{gauge}" in text
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,9 +6,18 @@
 import pytest
 
 from geraniumlink import platform
+from geraniumlink.platform import _replicas
 from geraniumlink.serving import _types
 from tests import hosts
 
+_REPORT = {
+    "born": 7,
+    "models": [{"name": "m1", "version": 1, "adapters": ["a1"]}],
+    "busy": False,
+    "sequence": 3,
+    "available": {"in_memory": ["m1"], "on_disk": ["m1", "m2"]},
+    "pending": ["m1/a2@1", "m1/a3@4", "nonsense"],
+}
 _SOURCES = pathlib.Path(__file__).parent.parent / "src" / "geraniumlink"
 # Headers, fields, words and calls of the platform that are not everyday
 # words of the language or of our own schema.
@@ -188,3 +197,11 @@
 def test_a_configuration_that_makes_no_sense_is_refused(spec):
     with pytest.raises(platform.FormatError):
         platform.decode_configuration(spec)
+
+
+def test_a_replicas_report_is_decoded_whole():
+    report = _replicas.decode_report(_REPORT)
+    assert report.residents == {"m1": {"a1"}}
+    assert report.near == {"m1", "m2"}
+    assert report.arriving == {("m1", "a2"), ("m1", "a3")}
+    assert (report.order_count, report.started_at) == (3, 7)
--- a/tests/test_residency_accounts.py
+++ b/tests/test_residency_accounts.py
@@ -60,6 +60,43 @@
     assert holding.charged_models() == {"m1"}
 
 
+def test_a_lost_order_that_is_carried_out_late_stays_charged():
+    """The replica was ordered to load more than it had room for."""
+    holding = _holdings.Holding(_entry())
+    holding.take_report(_report(0, "m1"), now=0)
+    # The order for m2 has no answer, and is given up.
+    holding.doubtful.add(("m2", ""))
+    holding.take_report(_report(1, "m1", busy=True), now=3000)
+    assert not holding.settled
+    assert holding.charged_models() == {"m1", "m2"}
+    holding.take_report(_report(1, "m1", busy=True), now=3500)
+    assert not holding.settled
+    holding.take_report(_report(1, "m1", "m2"), now=7000)
+    assert holding.settled
+    assert holding.charged_models() == {"m1", "m2"}
+    assert not holding.doubtful
+
+
+def test_an_adapter_on_its_way_takes_a_place():
+    holding = _holdings.Holding(_entry())
+    report = _report(4, "m1")._replace(arriving=frozenset({("m1", "a1")}))
+    holding.take_report(report, now=0)
+    assert holding.charged_adapters() == {("m1", "a1")}
+    assert not holding.holds("m1", "a1")
+    assert holding.charged_models() == {"m1"}
+
+
+def test_a_former_controllers_order_in_progress_is_waited_for():
+    holding = _holdings.Holding(_entry())
+    holding.take_report(_report(4, "m1", busy=True), now=0)
+    assert not holding.settled
+    holding.take_report(_report(4, "m1", busy=True), now=200)
+    assert not holding.settled
+    holding.take_report(_report(4, "m1", "m2"), now=4000)
+    assert holding.settled
+    assert holding.charged_models() == {"m1", "m2"}
+
+
 def test_a_count_that_ran_ahead_is_corrected():
     holding = _holdings.Holding(_entry())
     holding.take_report(_report(1, "m1"), now=0)
