Tell when replicas, suspects and the controller are believed in again

Cause: log lines told when a replica was no longer sent to only by a gauge, and nothing told when it was trusted again, when an entry that had gone came back, when a request left suspicion on the platform path, or when the controller answered again; a controller that was away was told with each call.

Ruled out: a line for each outcome of a replica; 'failures' on each 'attempt' line has that.

Change: replica_paused, replica_trusted, replica_back, controller_reached; suspicion_learned and suspect_cleared come from the one table of suspicions, so that both paths tell them. Calls to the controller have a module of their own. Lines lost with the reader of the log are counted without a kind that is none.

--- a/src/geraniumlink/_log_buffer.py
+++ b/src/geraniumlink/_log_buffer.py
@@ -113,8 +113,7 @@
             except BlockingIOError:
                 written = 0
             except OSError:
-                # The reader has gone, and there is nowhere to say so.
-                self._left_out["closed"] += len(self._lines) + 1
+                # The reader has gone: only the metrics tell of these lines.
                 self._left_out_in_all += len(self._lines) + 1
                 self._lines.clear()
                 self._size = 0
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -158,6 +158,11 @@
         "a configuration made no sense; the former stays",
         ("deployment", "error", "version"),
     ),
+    "controller_reached": Message(
+        _STATE,
+        "the controller answers, the first time or again",
+        ("controller",),
+    ),
     "controller_unreachable": Message(
         _STATE, "the controller did not answer", ("controller", "error")
     ),
@@ -295,14 +300,27 @@
     "replica_forgotten": Message(
         _STATE, "an entry was missing for too long", ("replica",)
     ),
+    "replica_back": Message(
+        _STATE,
+        "an entry that had gone is there again",
+        ("missing_ms", "replica"),
+    ),
     "replica_leaving": Message(
         _STATE, "a replica gets no new requests", ("replica",)
     ),
+    "replica_paused": Message(
+        _STATE,
+        "nothing is sent to a replica for some time",
+        ("pause_ms", "reason", "replica"),
+    ),
     "replica_seen": Message(
         _STATE,
         "a replica, or a new process of one, is known",
         ("address", "incarnation", "replica", "service"),
     ),
+    "replica_trusted": Message(
+        _STATE, "a replica that was paused has answered", ("replica",)
+    ),
     "replica_vanished": Message(
         _STATE, "an entry is missing", ("leaving", "replica")
     ),
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -42,6 +42,7 @@
 from geraniumlink.platform import _configuration
 from geraniumlink.platform import _replicas as _replica_entries
 from geraniumlink.residency import _controller
+from geraniumlink.residency import _controller_link
 from geraniumlink.residency import _exchange
 from geraniumlink.residency import _leadership
 from geraniumlink.serving import _budget
@@ -177,7 +178,7 @@
             budgets=self._budgets,
             suspicions=self._suspicions,
             relay=_relay.Relay(self._followers),
-            client=_http.Client(),
+            link=_controller_link.ControllerLink(_http.Client()),
             clock=self._clock,
             instance=self._settings.instance,
         )
--- a/src/geraniumlink/residency/_exchange.py
+++ b/src/geraniumlink/residency/_exchange.py
@@ -16,10 +16,9 @@
 import orjson
 
 from geraniumlink import _clock
-from geraniumlink import _http
 from geraniumlink import _logs
-from geraniumlink import _settings
 from geraniumlink.residency import _controller
+from geraniumlink.residency import _controller_link
 from geraniumlink.residency import _demand
 from geraniumlink.residency import _leadership
 from geraniumlink.residency import _load_totals
@@ -34,8 +33,6 @@
 REPORT_PATH = "/instances/report"
 WANT_PATH = "/instances/want"
 REPORT_MS = 250
-# A call to another instance is answered within some ms.
-CALL_MS = 600
 # An instance that has reported within this is counted.
 COUNTED_MS = 3000
 # Time to come back when the controller isn't known or doesn't answer: it is
@@ -72,7 +69,7 @@
         budgets: _budget.RepeatBudgets,
         suspicions: _suspicions.Suspicions,
         relay: Relay,
-        client: _http.Client,
+        link: _controller_link.ControllerLink,
         clock: _clock.Clock,
         instance: str,
     ) -> None:
@@ -82,7 +79,7 @@
         self._budgets = budgets
         self._suspicions = suspicions
         self._relay = relay
-        self._client = client
+        self._link = link
         self._clock = clock
         self._instance = instance
         self._uses: dict[tuple[str, str, str], int] = {}
@@ -142,7 +139,9 @@
             if self._leadership.is_leader:
                 self._take_answer(self._answer_report(report))
                 continue
-            answer = await self._call(REPORT_PATH, report, CALL_MS)
+            answer = await self._link.call(
+                self._leadership.leader, REPORT_PATH, report
+            )
             if answer is not None:
                 self._take_answer(answer)
 
@@ -295,8 +294,12 @@
             "avoid": sorted(avoid),
             "wait_ms": wait_ms,
         }
-        timeout_ms = _controller.ANSWER_MS + CALL_MS
-        answer = await self._call(WANT_PATH, message, timeout_ms)
+        answer = await self._link.call(
+            self._leadership.leader,
+            WANT_PATH,
+            message,
+            thinks_ms=_controller.ANSWER_MS,
+        )
         try:
             if answer is None:
                 return None
@@ -323,37 +326,3 @@
             replica = self._replicas.get(name)
             if replica is not None:
                 replica.note_placed(want.model, want.adapter, now)
-
-    async def _call(
-        self, path: str, message: typing.Any, timeout_ms: int
-    ) -> typing.Any:
-        """Return the controller's answer; None when there is none."""
-        try:
-            address = _settings.parse_address(self._leadership.leader)
-        except ValueError:
-            # Nobody has taken the lease yet, or it was released.
-            return None
-        try:
-            with anyio.fail_after(timeout_ms / 1000):
-                answer = await self._client.request(
-                    "POST",
-                    address,
-                    path,
-                    body=orjson.dumps(message),
-                    connect_ms=CALL_MS,
-                    read_ms=timeout_ms,
-                )
-            if answer.status != 200:
-                raise _http.BrokenError(f"answered {answer.status}")
-            return answer.json()
-        except (
-            _http.NotSentError,
-            _http.BrokenError,
-            TimeoutError,
-        ) as error:
-            _logs.event(
-                "controller_unreachable",
-                controller=str(address),
-                error=repr(error),
-            )
-            return None
--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -65,8 +65,9 @@
         except _http.BrokenError as error:
             return _outcomes.Interrupted(str(error))
         except SilentError:
-            replica.note_unreachable(self._clock.now())
-            return _outcomes.Interrupted("the replica is silent")
+            reason = "the replica is silent"
+            replica.note_unreachable(self._clock.now(), reason)
+            return _outcomes.Interrupted(reason)
         finally:
             replica.in_flight -= 1
             self._end_prefill()
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -281,7 +281,7 @@
                 entry.name, entry.address, careful=not task.route.repeatable
             )
         except _http.NotSentError as error:
-            replica.note_unreachable(self._clock.now())
+            replica.note_unreachable(self._clock.now(), str(error))
             return _outcomes.Unsent(str(error))
         task.attempts += 1
         attempt = _attempt.Attempt(
@@ -308,8 +308,7 @@
         match outcome:
             case _outcomes.Done():
                 replica.note_outcome(False, now)
-                if self._suspicions.get(task.fingerprint):
-                    self._suspicions.clear(task.fingerprint)
+                self._suspicions.clear(task.fingerprint)
             case _outcomes.NotRun():
                 pass
             case _outcomes.Failed(status=status):
@@ -330,8 +329,8 @@
             probe = await self._connections.take(
                 entry.name, entry.address, careful=False
             )
-        except _http.GoneError:
-            replica.note_unreachable(self._clock.now())
+        except _http.GoneError as error:
+            replica.note_unreachable(self._clock.now(), str(error))
             crash = _suspicions.Crash(
                 str(entry.address), str(entry.started_at)
             )
@@ -343,8 +342,8 @@
                 replica=entry.name,
                 standing=self._suspicions.standing(task.fingerprint).name,
             )
-        except _http.NotSentError:
-            replica.note_unreachable(self._clock.now())
+        except _http.NotSentError as error:
+            replica.note_unreachable(self._clock.now(), str(error))
         else:
             self._connections.give_back(entry.name, probe)
 
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -118,13 +118,22 @@
         self._age(now)
         self._lag_ms += 2 * OUTCOME_WEIGHT * (max(0, lag_ms) - self._lag_ms)
 
-    def note_unreachable(self, now: int) -> None:
+    def note_unreachable(self, now: int, reason: str) -> None:
         """Stop sending for a while, longer each time."""
+        if now >= self.paused_until:
+            _logs.event(
+                "replica_paused",
+                replica=self.entry.name,
+                pause_ms=self._pause_ms,
+                reason=reason,
+            )
         self.paused_until = now + self._pause_ms
         self._pause_ms = min(2 * self._pause_ms, LONGEST_PAUSE_MS)
 
     def note_heard(self, now: int) -> None:
         self.last_heard = now
+        if self.paused_until:
+            _logs.event("replica_trusted", replica=self.entry.name)
         self.paused_until = 0
         self._pause_ms = FIRST_PAUSE_MS
 
@@ -253,6 +262,11 @@
                 incarnation=entry.started_at,
             )
             return
+        if known.vanished_at is not None:
+            missing_ms = self._clock.now() - known.vanished_at
+            _logs.event(
+                "replica_back", replica=entry.name, missing_ms=missing_ms
+            )
         if entry.leaving and not known.leaving:
             _logs.event("replica_leaving", replica=entry.name)
         known.update(entry)
--- a/src/geraniumlink/suspicion/_suspects.py
+++ b/src/geraniumlink/suspicion/_suspects.py
@@ -125,7 +125,6 @@
         if self.standing(run.fingerprint) is Standing.CLEAR:
             return
         self._suspicions.clear(run.fingerprint)
-        _logs.event("suspect_cleared", fingerprint=run.fingerprint)
         self._unsent.append(run.fingerprint)
         self._wake.set()
 
@@ -348,21 +347,9 @@
             except (ValueError, KeyError, TypeError) as error:
                 _logs.event("bad_suspicions", error=str(error))
             else:
-                self._merge(entries)
+                self._suspicions.merge(entries)
         return granted
 
-    def _merge(self, entries: list[_suspicions.Suspicion]) -> None:
-        for entry in entries:
-            before = self.standing(entry.fingerprint)
-            self._suspicions.merge([entry])
-            standing = self.standing(entry.fingerprint)
-            if standing is not before:
-                _logs.event(
-                    "suspicion_learned",
-                    fingerprint=entry.fingerprint,
-                    standing=standing.name,
-                )
-
     async def _receive(self, request: requests.Request) -> responses.Response:
         try:
             message = json.loads(await _peers.bounded_body(request))
@@ -375,7 +362,7 @@
     def _answer(self, message: Message) -> Answer:
         sender = message["sender"]
         received = _suspicions.from_json(message["suspicions"])
-        self._merge(received)
+        self._suspicions.merge(received)
         for over in _suspect_messages.read_asked(
             message["ended"], _suspect_messages.MAX_ENDED
         ):
--- a/src/geraniumlink/suspicion/_suspicions.py
+++ b/src/geraniumlink/suspicion/_suspicions.py
@@ -15,6 +15,7 @@
 import typing
 
 from geraniumlink import _clock
+from geraniumlink import _logs
 
 # Crashes in common after which a request is refused.
 CONFIRMED_AT = 2
@@ -97,13 +98,24 @@
     def clear(self, found: str) -> None:
         """Note that a request with this fingerprint completed."""
         entry = self.get(found)
-        if entry is not None:
-            self._entries[found] = entry._replace(cleared=entry.crashes)
+        if entry is None:
+            return
+        if entry.counted:
+            _logs.event("suspect_cleared", fingerprint=found)
+        self._entries[found] = entry._replace(cleared=entry.crashes)
 
     def merge(self, entries: list[Suspicion]) -> None:
         """Take in what a peer sent."""
         for entry in entries:
+            before = self.standing(entry.fingerprint)
             self._merge_one(entry)
+            standing = self.standing(entry.fingerprint)
+            if standing is not before:
+                _logs.event(
+                    "suspicion_learned",
+                    fingerprint=entry.fingerprint,
+                    standing=standing.name,
+                )
 
     def latest(self) -> list[Suspicion]:
         """Return the entries that last longest, as many as a message has."""
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,6 +6,8 @@
 import itertools
 import time
 
+from geraniumlink import _settings
+from geraniumlink.serving import _types
 from standins import fleet as fleets
 
 _numbers = itertools.count(1)
@@ -28,6 +30,17 @@
     } | fields
 
 
+def replica_entry(
+    name: str = "r1", data_centre: str = "dc1", models: tuple = ("m1",)
+) -> _types.ReplicaEntry:
+    """Return a registered replica of a service, which holds some models."""
+    address = _settings.Address("127.0.0.1", 1)
+    held = {model: frozenset() for model in models}
+    return _types.ReplicaEntry(
+        name, "s", address, data_centre, 8, False, 1, held
+    )
+
+
 def engines(
     processes, models=("notes",), name="assistant", size_mb=100, **fields
 ) -> dict:
--- a/tests/test_hosted_logs.py
+++ b/tests/test_hosted_logs.py
@@ -24,14 +24,17 @@
     return _log_reader.read([host.log for host in site.hosts])
 
 
-def _told(site, request_id):
-    """Return the messages that a request's story has of it, in order."""
-    told = []
-    for text in _story.story(_lines(site), request_id):
-        _, _, rest = text.partition(" s ")
-        mark, _, message = rest.strip().partition(" ")
-        told.append(message if mark == "|" else rest.strip())
-    return [text.split()[1] for text in told if "request_id=" in text]
+def _messages(site, request_id):
+    """Return the messages about a request, as its story orders them."""
+    story = _story.story(_lines(site), request_id)
+    # After the time: the instance, the message and its fields. A line that
+    # begins with a mark is about the instance.
+    about = [text.partition(" s ")[2] for text in story]
+    return [
+        text.split()[1]
+        for text in about
+        if "request_id=" in text and not text.startswith("|")
+    ]
 
 
 async def _ask(port, target, request_id):
@@ -41,7 +44,7 @@
 async def test_the_story_of_a_request_that_was_served(fleet):
     site, port = await _site(fleet)
     await _ask(port, "/safe/x", "plain")
-    assert _told(site, "plain") == ["admitted", "attempt", "request"]
+    assert _messages(site, "plain") == ["admitted", "attempt", "request"]
 
 
 async def test_the_story_of_a_request_that_was_repeated(fleet):
@@ -49,7 +52,7 @@
     await site.faults("r-1", fail=True)
     for number in range(4):
         await _ask(port, "/safe/x", f"again-{number}")
-    stories = [_told(site, f"again-{number}") for number in range(4)]
+    stories = [_messages(site, f"again-{number}") for number in range(4)]
     failed = ["attempt", "attempt_failed"]
     assert ["admitted", *failed, "attempt", "request"] in stories
 
@@ -83,7 +86,7 @@
 
         await fleet.until(sent, "the request runs")
         site.hosts[0].kill()
-    assert _told(site, "cut") == ["admitted", "attempt"]
+    assert _messages(site, "cut") == ["admitted", "attempt"]
 
 
 async def test_the_story_tells_of_a_store_that_was_down(fleet):
--- a/tests/test_residency_accounts.py
+++ b/tests/test_residency_accounts.py
@@ -8,7 +8,6 @@
 
 from geraniumlink import _clock
 from geraniumlink import _objects
-from geraniumlink import _settings
 from geraniumlink.control import _leases
 from geraniumlink.residency import _adapters
 from geraniumlink.residency import _demand
@@ -16,11 +15,11 @@
 from geraniumlink.residency import _leadership
 from geraniumlink.residency import _load_budget
 from geraniumlink.serving import _types
+from tests import builders
 
 
 def _entry():
-    address = _settings.Address("127.0.0.1", 1)
-    return _types.ReplicaEntry("r1", "s", address, "dc", 8, False, 1, {})
+    return builders.replica_entry(models=())
 
 
 def _report(count, *models, busy=False):
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -10,7 +10,6 @@
 
 from geraniumlink import _clock
 from geraniumlink import _objects
-from geraniumlink import _settings
 from geraniumlink.hosting import _follower
 from geraniumlink import platform
 from geraniumlink.serving import _balance
@@ -23,21 +22,12 @@
 from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _types
 from geraniumlink.suspicion import _suspicions
+from tests import builders
 from tests import hosts
 
 
-def _replica(name="r1", data_centre="dc1", slots=8):
-    entry = _types.ReplicaEntry(
-        name,
-        "s",
-        _settings.Address("127.0.0.1", 1),
-        data_centre,
-        slots,
-        False,
-        1,
-        {"m1": frozenset()},
-    )
-    return _replicas.Replica(entry)
+def _replica(name="r1", **fields):
+    return _replicas.Replica(builders.replica_entry(name, **fields))
 
 
 def _request(tokens=1000, parts=()):
@@ -105,7 +95,7 @@
 
 
 def test_the_own_data_centre_is_preferred_when_all_else_is_equal():
-    near, far = _replica("near", "dc1"), _replica("far", "dc2")
+    near, far = _replica("near"), _replica("far", data_centre="dc2")
     assert _choose([far, near]) is near
 
 
@@ -120,9 +110,9 @@
 
 def test_a_pause_after_failed_connections_grows_and_ends():
     replica = _replica()
-    replica.note_unreachable(0)
+    replica.note_unreachable(0, "refused")
     first = replica.paused_until
-    replica.note_unreachable(first)
+    replica.note_unreachable(first, "refused")
     assert replica.paused_until - first > first
     replica.note_heard(first)
     assert replica.paused_until == 0
