Report the line of each fault of the platform's settings

Cause: 'check' named the field of a fault, not where it stands, and said what was there but not what should be.

Ruled out: a JSON parser that keeps positions: a field is found by its name, after that of its table.

Before: test_faults_of_the_platforms_settings_come_with_their_lines fails. After: passes. Conclusion: both kinds of settings are reported whole, with line and what to write.

--- a/src/geraniumlink/platform/_fields.py
+++ b/src/geraniumlink/platform/_fields.py
@@ -12,6 +12,15 @@
 
 
 _MISSING: typing.Any = object()
+# What a field has to be, as its fault says it.
+_EXPECTED: dict[typing.Any, str] = {
+    str: "a text",
+    int: "a whole number",
+    (int, float): "a number",
+    (bool,): "true or false",
+    list: "a list",
+    dict: "an object",
+}
 
 
 def text(message: typing.Any, name: str, default: str = _MISSING) -> str:
@@ -68,8 +77,8 @@
         raise FormatError(f"{name} is missing")
     if value is default:
         return value
-    if isinstance(value, bool) and kinds != (bool,):
-        raise FormatError(f"{name} is {value!r}")
-    if not isinstance(value, kinds):
-        raise FormatError(f"{name} is {value!r:.60}")
+    # To the language, true and false are whole numbers.
+    is_flag = isinstance(value, bool)
+    if is_flag is not (kinds == (bool,)) or not isinstance(value, kinds):
+        raise FormatError(f"{name} is {value!r:.60}, not {_EXPECTED[kinds]}")
     return value
--- a/src/geraniumlink/platform/_settings.py
+++ b/src/geraniumlink/platform/_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+import re
 import typing
 
 import orjson
@@ -43,14 +44,17 @@
     """Read the settings; fields that aren't needed are ignored.
 
     :raises _fields.FormatError: naming every field that is missing or wrong,
-        a line each.
+        each with its line in the file.
     :raises OSError: if the file can't be read.
     """
+    data = path.read_bytes()
     try:
-        message = orjson.loads(path.read_bytes())
+        message = orjson.loads(data)
     except orjson.JSONDecodeError as error:
-        raise _fields.FormatError(f"{path} is not JSON: {error}") from error
-    reader = _Reader(message)
+        raise _fields.FormatError(
+            f"{path}:{error.lineno}: not JSON: {error.msg}"
+        ) from error
+    reader = _Reader(path, data.decode(), message)
     settings = NodeSettings(
         instance=reader.read("", "node_name", _fields.text),
         data_centre=reader.read("", "zone", _fields.text),
@@ -76,8 +80,12 @@
 class _Reader:
     """Reads fields and collects the faults of those that can't be used."""
 
-    def __init__(self, message: typing.Any) -> None:
+    def __init__(
+        self, path: pathlib.Path, text: str, message: typing.Any
+    ) -> None:
         self.findings = _findings.Findings()
+        self._path = path
+        self._text = text
         self._message = message
 
     def read(
@@ -87,21 +95,35 @@
         read: typing.Callable[[typing.Any, str], typing.Any],
     ) -> typing.Any:
         """Return a field; None, and a finding, when it can't be used."""
-        place = f"{table}.{name}" if table else name
         try:
             message = self._message
             if table:
                 message = _fields.table(message, table)
             return read(message, name)
         except _fields.FormatError as error:
+            field = f"{table}.{name}" if table else name
+            place = f"{self._path}:{self._line_of(table, name)}: {field}"
             self.findings.add(place, str(error))
             return None
 
+    def _line_of(self, table: str, name: str) -> int:
+        """Return the line of a field, or of the last known thing around."""
+        position = 0
+        for key in filter(None, (table, name)):
+            # No two tables of the file have a field of the same name.
+            found = re.search(rf'"{key}"\s*:', self._text[position:])
+            if found is None:
+                break
+            position += found.start()
+        return self._text.count("\n", 0, position) + 1
+
 
 def _first_port(message: typing.Any, name: str) -> int:
     ports = _fields.listed(message, name)
     if not ports or type(ports[0]) is not int:
-        raise _fields.FormatError(f"{name} is {ports!r:.60}")
+        raise _fields.FormatError(
+            f"{name} is {ports!r:.60}, not a list of port numbers"
+        )
     return int(ports[0])
 
 
--- a/tests/test_hosted_bad_input.py
+++ b/tests/test_hosted_bad_input.py
@@ -124,17 +124,35 @@
     path.write_text(json.dumps(_settings(zone=7, internal_ports=["x"])))
     assert cli.main(["check", str(path)]) == 2
     told = capsys.readouterr().err
-    assert "zone: zone is 7" in told
+    assert "zone: zone is 7, not a text" in told
     assert "internal_ports: internal_ports is ['x']" in told
     path.write_text(json.dumps(_settings()))
     assert cli.main(["check", str(path)]) == 0
     assert "'i-1'" in capsys.readouterr().out
 
 
+def test_faults_of_the_platforms_settings_come_with_their_lines(tmp_path):
+    path = tmp_path / "node.json"
+    settings = _settings(zone=7)
+    del settings["bounds"]["lease_ms"]
+    settings["platform"]["address"] = "here"
+    path.write_text(json.dumps(settings, indent=1))
+    lines = path.read_text().splitlines()
+    with pytest.raises(platform.FormatError) as raised:
+        platform.read_settings(path)
+    found = [text.split(":") for text in str(raised.value).splitlines()]
+    # What is missing is told with the line of the table around it.
+    assert [(lines[int(f[1]) - 1].strip(), f[2].strip()) for f in found] == [
+        ('"zone": 7,', "zone"),
+        ('"address": "here"', "platform.address"),
+        ('"bounds": {', "bounds.lease_ms"),
+    ]
+
+
 def test_settings_that_are_no_json_are_said_to_be_none(tmp_path):
     path = tmp_path / "node.json"
     path.write_text("{")
-    with pytest.raises(platform.FormatError, match="JSON"):
+    with pytest.raises(platform.FormatError, match=":1: not JSON"):
         platform.read_settings(path)
 
 
