Do not take the end of a leaving replica for a crash

Ruled out: a crash in between (the replica's end is that of its notice); the repeat budget (no repeat_budget_used); the attempts (one was used).

Change: the end of a replica that is known to leave is not counted. One more replica may then end under a request that crashes replicas, if it waited there; docs/design/platform.md says so. attempt_failed says why a request is not sent again.

--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -69,8 +69,16 @@
     ),
     "attempt_failed": Message(
         _REQUEST,
-        "a replica did not serve a request",
-        ("attempt", "outcome", "reason", "replica", "request_id"),
+        "a replica did not serve a request; `why_final` says why it isn't"
+        " sent again, and is empty when it is",
+        (
+            "attempt",
+            "outcome",
+            "reason",
+            "replica",
+            "request_id",
+            "why_final",
+        ),
     ),
     "bad_claim_message": Message(
         _STATE,
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -63,8 +63,13 @@
     )
 
 
-def attempt_failed(task: _task.Task, outcome: _outcomes.Outcome) -> None:
-    """Tell why a replica did not serve a request."""
+def attempt_failed(
+    task: _task.Task, outcome: _outcomes.Outcome, why_final: str
+) -> None:
+    """Tell why a replica did not serve a request, and what follows.
+
+    :param why_final: why it isn't sent again; "" when it is.
+    """
     _logs.event(
         "attempt_failed",
         request_id=task.log_id,
@@ -72,6 +77,7 @@
         attempt=task.attempts,
         outcome=type(outcome).__name__,
         reason=_outcomes.reason_of(outcome),
+        why_final=why_final,
     )
 
 
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -163,38 +163,32 @@
             self._metrics.attempted(
                 task.service, type(outcome).__name__.lower()
             )
-            if not isinstance(outcome, _outcomes.Done):
-                _decision_log.attempt_failed(task, outcome)
             if isinstance(outcome, _outcomes.Done):
                 task.outcome = "done"
                 return
             task.tried.add(choice.replica.entry.name)
-            if not self._may_repeat(task, outcome):
+            why_final = self._why_final(task, outcome)
+            _decision_log.attempt_failed(task, outcome, why_final)
+            if why_final:
                 await self._final.conclude(task, outcome)
                 return
 
-    def _may_repeat(
-        self, task: _task.Task, outcome: _outcomes.Outcome
-    ) -> bool:
+    def _why_final(self, task: _task.Task, outcome: _outcomes.Outcome) -> str:
+        """Return why a request isn't sent again; "" when it is."""
         if task.until - self._clock.now() < LEAST_LEFT_MS:
-            return False
-        match outcome:
-            case _outcomes.Unsent():
-                task.unsent += 1
-                return task.unsent <= MAX_UNSENT
-            case _outcomes.NotRun():
-                allowed = True
-            case _outcomes.Interrupted():
-                allowed = task.route.repeatable
-            case _outcomes.Failed(status=status):
-                allowed = task.route.repeatable and status >= 500
-            case _:
-                allowed = False
-        if not allowed or task.attempts >= task.route.max_attempts:
-            return False
+            return "no time left"
+        if isinstance(outcome, _outcomes.Unsent):
+            task.unsent += 1
+            return "" if task.unsent <= MAX_UNSENT else "not connected"
+        if not _may_repeat(task.route, outcome):
+            return "the route does not allow it after this"
+        if task.attempts >= task.route.max_attempts:
+            return "no attempts left"
         if self._is_confirmed(task):
-            return False
-        return self._budgets.withdraw(task.service, task.log_id)
+            return "it crashed replicas before"
+        if not self._budgets.withdraw(task.service, task.log_id):
+            return "no repeat budget left"
+        return ""
 
     async def _place(
         self, task: _task.Task
@@ -323,8 +317,13 @@
     async def _suspect_if_crashed(
         self, task: _task.Task, replica: _replicas.Replica
     ) -> None:
-        """Count a crash against the request if nobody listens any more."""
+        """Count a crash against the request if nobody listens any more.
+
+        A replica that was to leave has ended as it was announced.
+        """
         entry = replica.entry
+        if replica.leaving:
+            return
         try:
             probe = await self._connections.take(
                 entry.name, entry.address, careful=False
@@ -350,3 +349,13 @@
     def _is_confirmed(self, task: _task.Task) -> bool:
         standing = self._suspicions.standing(task.fingerprint)
         return standing is _suspicions.Standing.CONFIRMED
+
+
+def _may_repeat(route: _types.Route, outcome: _outcomes.Outcome) -> bool:
+    match outcome:
+        case _outcomes.NotRun():
+            return True
+        case _outcomes.Failed(status=status):
+            return route.repeatable and status >= 500
+        case _:
+            return route.repeatable
--- a/tests/test_hosted_logs.py
+++ b/tests/test_hosted_logs.py
@@ -71,6 +71,33 @@
     assert attempts == ["", "3"]
 
 
+@pytest.mark.parametrize(
+    ("path", "switches", "why_final"),
+    (
+        ("safe", {"fail": True}, "no attempts left"),
+        ("once", {"fail": True}, "the route does not allow it after this"),
+        (
+            "stream-once",
+            {"cut_after": 3},
+            "the route does not allow it after this",
+        ),
+        ("once", {"refuse": True}, "no attempts left"),
+    ),
+)
+async def test_the_log_says_why_a_request_was_given_up(
+    fleet, path, switches, why_final
+):
+    site, port = await _site(fleet)
+    for name in site.replicas:
+        await site.faults(name, **switches)
+    await _ask(port, f"/{path}/x", "given-up")
+    failed = [
+        line for line in _lines(site) if line.message == "attempt_failed"
+    ]
+    assert failed[-1].fields["why_final"] == why_final
+    assert not any(line.fields["why_final"] for line in failed[:-1])
+
+
 async def test_the_story_of_a_request_whose_instance_was_killed(fleet):
     site, port = await _site(fleet, replicas=1)
     await site.faults("r-1", hang=True)
--- a/tests/test_hosted_streams.py
+++ b/tests/test_hosted_streams.py
@@ -73,3 +73,54 @@
         return runs and runs[0]["ended"] == "cancelled"
 
     await fleet.until(cancelled, "the replica's run is cancelled")
+
+
+async def _end_the_one_that_serves(site, *, announced):
+    """End the replica that runs a stream; return its name."""
+    running = []
+
+    async def serves():
+        running[:] = [
+            name
+            for name, runs in (await site.runs()).items()
+            if any(run["ended"] == "" for run in runs)
+        ]
+        return running
+
+    await site.fleet.until(serves, "a replica serves the stream")
+    (name,) = running
+    if announced:
+        await site.register(name, "draining")
+
+        async def known():
+            told = hosts.logged(site.hosts[0], "replica_leaving")
+            return any(line["replica"] == name for line in told)
+
+        await site.fleet.until(known, "the replica is known to leave")
+    site.replicas[name].kill()
+
+
+@pytest.mark.parametrize("announced", (True, False))
+async def test_a_stream_outlives_replicas_that_leave(fleet, announced):
+    """What ends as it was announced has not been crashed by a request."""
+    site = await hosts.Site(fleet).start(replicas=3)
+    route = hosts.route(
+        "stream-long", "stream", resumable=True, max_attempts=3
+    )
+    await site.configure(hosts.configuration(2, route))
+    for name in site.replicas:
+        await site.faults(name, event_ms=300)
+    answers = []
+    async with hosts.anyio.create_task_group() as group:
+
+        async def ask():
+            port = site.hosts[0].port
+            answers.append(
+                await hosts.ask(port, "/stream-long/x", X_Deadline_Ms="9000")
+            )
+
+        group.start_soon(ask)
+        for _ in range(2):
+            await _end_the_one_that_serves(site, announced=announced)
+    # Two replicas that end without notice under it may be crashed by it.
+    assert (answers[0].body == _ALL) is announced
