Tell the times of requests by outcome too

Cause: the histogram of times mixed refusals, which take milliseconds, with answers. Ruled out: a histogram for each outcome, as one label does. Before: the metrics test, asking for the label, fails. After: it passes.

--- a/src/geraniumlink/serving/_request_metrics.py
+++ b/src/geraniumlink/serving/_request_metrics.py
@@ -45,9 +45,9 @@
 
     def finished(self, task: _task.Task, now: int) -> None:
         """Count a request that has its final answer."""
-        labels = self._labels(task)
+        labels = {**self._labels(task), "outcome": _outcome(task)}
         took_s = (now - task.request.received_at) / 1000
-        self._requests.inc({**labels, "outcome": _outcome(task)})
+        self._requests.inc(labels)
         self._seconds.observe(labels, took_s)
         if task.first_event_at is not None:
             first_s = (task.first_event_at - task.request.received_at) / 1000
--- a/tests/test_hosted_logs.py
+++ b/tests/test_hosted_logs.py
@@ -177,6 +177,9 @@
         'geraniumlink_requests_total{outcome="done",route="safe",'
         'service="assistant"} 1' in text
     )
-    assert "geraniumlink_request_seconds_bucket" in text
+    assert (
+        'geraniumlink_request_seconds_count{outcome="done",route="safe",'
+        'service="assistant"} 1' in text
+    )
     for gauge in ("replicas 2", "requests_waiting 0", "controller "):
         assert f"geraniumlink_{gauge}" in text
