Let a test choose the connections and the choice of a replica

Cause: the emulator has to run the code that decides, over replicas of its own, and compare ways to choose one; the forwarder made its connections itself and called one function.

Change: it is given both. No behaviour changed.

Ruled out: sockets on loopback under the emulator, which would tie its time to that of the machine.

--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -47,6 +47,7 @@
 from geraniumlink.residency import _leadership
 from geraniumlink.serving import _budget
 from geraniumlink.serving import _catalogue
+from geraniumlink.serving import _connections
 from geraniumlink.serving import _forward
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_metrics
@@ -133,6 +134,7 @@
             instance=settings.instance,
         )
         self._exchange = self._make_exchange()
+        self._connections = _connections.Connections(clock)
         self._forwarder = self._make_forwarder()
         self._application = self._make_application()
         self._listener = _server.Listener(
@@ -191,6 +193,7 @@
             budgets=self._budgets,
             suspicions=self._suspicions,
             metrics=_request_metrics.RequestMetrics(self._metrics.registry),
+            connections=self._connections,
             clock=self._clock,
             data_centre=self._settings.data_centre,
             random_source=self._random,
@@ -360,4 +363,4 @@
     async def _close_stale(self) -> None:
         while True:
             await self._clock.sleep(CLOSE_STALE_MS)
-            await self._forwarder.connections.close_stale()
+            await self._connections.close_stale()
--- a/src/geraniumlink/serving/_balance.py
+++ b/src/geraniumlink/serving/_balance.py
@@ -49,6 +49,20 @@
     expected_ms: float
 
 
+class Choose(typing.Protocol):
+    """Chooses one of some replicas, of which there is at least one."""
+
+    def __call__(
+        self,
+        replicas: list[_replicas.Replica],
+        request: _types.Request,
+        priority: int,
+        data_centre: str,
+        now: int,
+        random_source: random.Random,
+    ) -> Choice: ...
+
+
 def choose(
     replicas: list[_replicas.Replica],
     request: _types.Request,
--- a/src/geraniumlink/serving/_connections.py
+++ b/src/geraniumlink/serving/_connections.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Awaitable, Callable
 import select
 import socket
 import typing
@@ -182,11 +183,16 @@
         self._messages[-1].complete = True
 
 
+# Opens a connection; raises ``_http.NotSentError`` when it can't be opened.
+Dial = Callable[[_settings.Address], Awaitable[Connection]]
+
+
 class Connections:
     """Keeps idle connections to the replicas by address and name."""
 
-    def __init__(self, clock: _clock.Clock) -> None:
+    def __init__(self, clock: _clock.Clock, dial: Dial | None = None) -> None:
         self._clock = clock
+        self._dial = dial or _dial
         # The most recently used is last.
         self._idle: dict[str, list[Connection]] = {}
 
@@ -210,7 +216,7 @@
             ):
                 return connection
             await connection.close()
-        return await self._open(address)
+        return await self._dial(address)
 
     def give_back(self, replica: str, connection: Connection) -> None:
         """Keep a connection after a whole answer."""
@@ -236,14 +242,15 @@
             limit /= 2
         return self._clock.now() - connection.idle_since < limit
 
-    async def _open(self, address: _settings.Address) -> Connection:
-        try:
-            with anyio.fail_after(CONNECT_MS / 1000):
-                stream = await anyio.connect_tcp(address.host, address.port)
-        except TimeoutError as error:
-            raise _http.NotSentError(f"{address} is silent") from error
-        except OSError as error:
-            raise _http.GoneError(f"{address}: {error}") from error
-        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return Connection(stream, address)
+
+async def _dial(address: _settings.Address) -> Connection:
+    try:
+        with anyio.fail_after(CONNECT_MS / 1000):
+            stream = await anyio.connect_tcp(address.host, address.port)
+    except TimeoutError as error:
+        raise _http.NotSentError(f"{address} is silent") from error
+    except OSError as error:
+        raise _http.GoneError(f"{address}: {error}") from error
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return Connection(stream, address)
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -19,6 +19,8 @@
         model=task.request.model,
         adapter=task.request.adapter,
         priority=task.route.priority,
+        prompt_tokens=task.request.prompt_tokens,
+        output_tokens=task.request.output_tokens,
         left_ms=task.until - now,
         last_event_id=task.last_event_id.decode("latin-1"),
     )
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -69,9 +69,11 @@
         budgets: _budget.RepeatBudgets,
         suspicions: _suspicions.Suspicions,
         metrics: _request_metrics.RequestMetrics,
+        connections: _connections.Connections,
         clock: _clock.Clock,
         data_centre: str,
         random_source: random.Random,
+        choose: _balance.Choose = _balance.choose,
     ) -> None:
         self._catalogue = catalogue
         self._replicas = replicas
@@ -83,7 +85,8 @@
         self._data_centre = data_centre
         self._random = random_source
         self._final = _final_answers.FinalAnswers(random_source)
-        self._connections = _connections.Connections(clock)
+        self._connections = connections
+        self._choose_replica = choose
         self._waiting = 0
 
     @property
@@ -91,11 +94,6 @@
         """Requests that wait for a model or an adapter."""
         return self._waiting
 
-    @property
-    def connections(self) -> _connections.Connections:
-        """The idle connections to replicas."""
-        return self._connections
-
     async def serve(
         self, request: _types.Request, reply: _reply.Reply
     ) -> None:
@@ -247,7 +245,7 @@
         left_ms: int,
         now: int,
     ) -> _balance.Choice | _outcomes.Refusal:
-        choice = _balance.choose(
+        choice = self._choose_replica(
             holders,
             task.request,
             task.route.priority,
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -15,6 +15,7 @@
 from geraniumlink.serving import _balance
 from geraniumlink.serving import _budget
 from geraniumlink.serving import _catalogue
+from geraniumlink.serving import _connections
 from geraniumlink.serving import _events
 from geraniumlink.serving import _forward
 from geraniumlink.serving import _replicas
@@ -233,6 +234,7 @@
         budgets=_budget.RepeatBudgets(_budget.Bound(0.2, 8, 1000), clock),
         suspicions=_suspicions.Suspicions(clock),
         metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
+        connections=_connections.Connections(clock),
         clock=clock,
         data_centre="dc1",
         random_source=random.Random(1),
