Let a model that is asked for a lot displace one that hardly is

Meanwhile a wanted model took whatever cost least, also a copy of a model asked for 50 times as much (pura50 at 1,042 tokens a second took that of nyti24 at 51,521).

Ruled out: no controller (moves went on); the store's rate (two loads a second were allowed, one or two a second were made).

Change: losing a last copy in use costs twice its demand and a load from the weight store, where it had been forbidden; a wanted model displaces nothing that costs more than it gains.

--- a/src/geraniumlink/residency/_planner.py
+++ b/src/geraniumlink/residency/_planner.py
@@ -31,8 +31,11 @@
 # replica that loads a model can't load another for seconds.
 LARGE_GAIN = 4000.0
 SMALL_MOVES_SHARE = 0.4
-# The last copy of a model is kept for this long after it was asked for.
-KEEP_LAST_MS = 6000
+# A model that was asked for within this is likely to be in use.
+IN_USE_MS = 6000
+# Losing the last copy of a model in use costs this many times its demand:
+# it is missed until it is loaded again, and so is what makes room then.
+IN_USE_FACTOR = 2.0
 # Cost of losing a last copy that is idle, in tokens a second: it will have
 # to be loaded again when it is asked for.
 LAST_COPY_COST = 800.0
@@ -138,7 +141,7 @@
                 break
             move = self._copy(model) if self.copies(model) else None
             if not self.copies(model):
-                move = self._load_first(model)
+                move = self._load_first(model, gains[model])
             if move is not None:
                 return move
         return None
@@ -151,15 +154,19 @@
         load = max(self._load(replica) for replica in holders)
         return load - BUSY_SHARE * REPLICA_TOKENS_PER_S
 
-    def _load_first(self, model: str) -> Move | None:
-        """Load a model that is nowhere, where it costs least."""
+    def _load_first(self, model: str, gain: float) -> Move | None:
+        """Load a model that is nowhere, where it costs least.
+
+        What it displaces costs no more than it gains.
+        """
         options = []
         for replica in self._hosts(model):
             room = self._room(replica, model)
-            if room is not None:
-                evicted, cost = room
-                cost += self._load(replica) + self._source_cost(replica, model)
-                options.append((cost, replica, evicted))
+            if room is None or room[1] > gain:
+                continue
+            evicted, cost = room
+            cost += self._load(replica) + self._source_cost(replica, model)
+            options.append((cost, replica, evicted))
         if not options:
             return None
         _, replica, evicted = min(options, key=lambda option: option[0])
@@ -260,7 +267,9 @@
         if ready > 1:
             return rate / (ready - 1)
         idle_ms = self._demand.idle_ms.get(model, RECENT_MS)
-        if idle_ms < KEEP_LAST_MS or model in self._demand.wanted:
+        if model in self._demand.wanted:
             return None
+        if idle_ms < IN_USE_MS:
+            return IN_USE_FACTOR * rate + STORE_LOAD_COST
         recency = max(0.0, 1 - idle_ms / RECENT_MS)
         return rate + LAST_COPY_COST * (1 + recency)
