Add the emulator: instances over emulated engines in virtual time

Forwarding, choice, exchange, lease, planner and orders are the product's own code. matplotlib draws the reports; it is a requirement of development only.

--- /dev/null
+++ b/emulator/__main__.py
@@ -0,0 +1,112 @@
+"""Runs experiments: ``python -m emulator compare --out FOLDER``."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Callable
+import os
+import pathlib
+
+from emulator import _experiments
+from emulator import _replay
+from emulator import _report
+
+
+def main() -> None:
+    """Play what was asked for, and write the reports."""
+    options = _read_arguments()
+    options.out.mkdir(parents=True, exist_ok=True)
+    run: Callable[[argparse.Namespace], None] = options.run
+    run(options)
+
+
+def _read_arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(
+        prog="python -m emulator", description=__doc__
+    )
+    commands = parser.add_subparsers(required=True)
+    for name, run, text in (
+        ("compare", _compare, "compare policies over seeds"),
+        ("recover", _recover, "time recoveries at several sizes"),
+    ):
+        command = commands.add_parser(name, help=text, description=text)
+        command.set_defaults(run=run)
+        command.add_argument(
+            "--seeds", type=_positive, default=5, help="how many"
+        )
+        command.add_argument(
+            "--jobs",
+            type=_positive,
+            default=os.cpu_count() or 1,
+            help="processes at a time",
+        )
+        _add_out(command)
+    text = "play a logged day again and say the difference"
+    command = commands.add_parser("replay", help=text, description=text)
+    command.set_defaults(run=_replay_log)
+    command.add_argument(
+        "log", type=pathlib.Path, help="log lines, as a bench prints them"
+    )
+    _add_out(command)
+    return parser.parse_args()
+
+
+def _add_out(command: argparse.ArgumentParser) -> None:
+    command.add_argument(
+        "--out",
+        type=pathlib.Path,
+        required=True,
+        help="folder of the reports; it is made if need be",
+    )
+
+
+def _positive(text: str) -> int:
+    number = int(text)
+    if number < 1:
+        raise argparse.ArgumentTypeError("1 or more")
+    return number
+
+
+def _compare(options: argparse.Namespace) -> None:
+    found = _experiments.compare(range(options.seeds), options.jobs)
+    _report.write_json(options.out / "compare.json", found)
+    _report.plot_comparison(options.out / "compare.png", found)
+    for entry in found:
+        print(
+            f"{entry['scenario']:30} {entry['policy']:22}"
+            f" in time {entry['in_time']['mean']:.3f}"
+            f" +- {entry['in_time']['deviation']:.3f}"
+            f" refused {entry['refused']['mean']:.3f}"
+        )
+
+
+def _recover(options: argparse.Namespace) -> None:
+    found = _experiments.recover(range(options.seeds), options.jobs)
+    _report.write_json(options.out / "recover.json", found)
+    _report.plot_recovery(options.out / "recover.png", found)
+    for run in found:
+        moves = [entry["first_move_ms"] for entry in run["recoveries"]]
+        again = [entry["placed_again_ms"] for entry in run["recoveries"]]
+        calls = [round(day["store_calls_per_s"], 1) for day in run["days"]]
+        print(
+            f"{run['instances']:4} {run['trouble']:30} next move {moves} ms,"
+            f" placed as before {again} ms, store calls {calls} a second"
+        )
+
+
+def _replay_log(options: argparse.Namespace) -> None:
+    found = _replay.check(options.log)
+    name = options.log.with_suffix(".json").name
+    _report.write_json(options.out / name, found)
+    logged, emulated = found["logged"], found["emulated"]
+    print(f"{'':24}{'logged':>10}{'emulated':>10}")
+    for outcome, share in logged["outcomes"].items():
+        print(
+            f"{outcome:24}{share:10.3f}{emulated['outcomes'][outcome]:10.3f}"
+        )
+    for field in ("done_p50_ms", "done_p90_ms", "moves", "near_moves"):
+        print(f"{field:24}{logged[field]:10.0f}{emulated[field]:10.0f}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/emulator/_instances.py
@@ -0,0 +1,162 @@
+"""An instance of the product, put together over emulated surroundings."""
+
+from __future__ import annotations
+
+import random
+
+import aioprometheus
+import anyio
+
+from emulator import _control
+from emulator import _policies
+from emulator import _sites
+from emulator import _time
+from emulator import _wire
+from geraniumlink.control import _leases
+from geraniumlink.hosting import _instance
+from geraniumlink.residency import _controller
+from geraniumlink.residency import _controller_link
+from geraniumlink.residency import _exchange
+from geraniumlink.residency import _leadership
+from geraniumlink.serving import _budget
+from geraniumlink.serving import _catalogue
+from geraniumlink.serving import _connections
+from geraniumlink.serving import _forward
+from geraniumlink.serving import _replicas
+from geraniumlink.serving import _request_metrics
+from geraniumlink.serving import _types
+from geraniumlink.suspicion import _suspicions
+
+# The platform's bounds, as its deployments state them, in ms.
+_LEAVING_MS = 2000
+_GUARD_MS = 1000
+_BUDGET = _budget.Bound(0.2, 56, 10_000)
+
+
+class _NoRelay:
+    """Entries come to every instance by itself here."""
+
+    def known(self) -> dict[str, int]:
+        return {}
+
+    def tell(self, known: dict[str, int]) -> dict[str, object]:
+        return {}
+
+    def take(self, told: object) -> None:
+        pass
+
+
+class Surroundings:
+    """What all instances of a played day share."""
+
+    def __init__(
+        self,
+        site: _sites.Site,
+        clock: _time.VirtualClock,
+        network: _wire.Network,
+        orders: _control.Orders,
+    ) -> None:
+        self.site = site
+        self.clock = clock
+        self.network = network
+        self.orders = orders
+        self.store = _control.Store(clock)
+        self.mail = _control.Mail(clock)
+        self.configuration = _sites.configuration(site)
+
+
+class Instance:
+    """One instance, from its start to its end."""
+
+    def __init__(
+        self,
+        number: int,
+        around: Surroundings,
+        policy: _policies.Policy,
+        seed: int,
+    ) -> None:
+        self.address = _sites.instance_address(number)
+        self._around = around
+        self._random = random.Random(f"{seed}-{number}")
+        self._scope = anyio.CancelScope()
+        centres = around.site.data_centres
+        clock = around.clock
+        self._catalogue = _catalogue.Catalogue()
+        self._replicas = _replicas.Replicas(clock, _LEAVING_MS)
+        self._budgets = _budget.RepeatBudgets(_BUDGET, clock)
+        self._suspicions = _suspicions.Suspicions(clock)
+        self._leadership = self._make_leadership()
+        self._controller = _controller.Controller(
+            catalogue=self._catalogue,
+            replicas=self._replicas,
+            leadership=self._leadership,
+            orders=around.orders,
+            clock=clock,
+            instance=str(self.address),
+        )
+        self._places = policy.places
+        self._exchange = self._make_exchange()
+        self._forwarder = _forward.Forwarder(
+            catalogue=self._catalogue,
+            replicas=self._replicas,
+            residency=self._exchange,
+            budgets=self._budgets,
+            suspicions=self._suspicions,
+            metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
+            connections=_connections.Connections(clock, around.network.dial),
+            clock=clock,
+            data_centre=centres[number % len(centres)],
+            random_source=self._random,
+            choose=policy.choose,
+        )
+        self._catalogue.accept(around.configuration)
+
+    @property
+    def forwarder(self) -> _forward.Forwarder:
+        return self._forwarder
+
+    @property
+    def is_controller(self) -> bool:
+        return self._leadership.is_leader
+
+    def take_entry(self, entry: _types.ReplicaEntry) -> None:
+        """Take what the store tells of an engine."""
+        self._replicas.update(entry)
+
+    async def run(self) -> None:
+        """Work until ``kill``."""
+        self._around.mail.register(self.address, self._exchange.receive)
+        with self._scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._leadership.keep)
+                group.start_soon(self._exchange.report_always)
+                if self._places:
+                    group.start_soon(self._controller.run)
+
+    def kill(self) -> None:
+        """End at once, as by SIGKILL."""
+        self._around.mail.remove(self.address)
+        self._scope.cancel()
+
+    def _make_leadership(self) -> _leadership.Leadership:
+        leases = _leases.Leases(
+            self._around.store,
+            str(self.address),
+            _instance.LEASE_MS + _GUARD_MS,
+            self._around.clock,
+            self._random,
+        )
+        return _leadership.Leadership(leases, _GUARD_MS, self._around.clock)
+
+    def _make_exchange(self) -> _exchange.Exchange:
+        return _exchange.Exchange(
+            controller=self._controller,
+            leadership=self._leadership,
+            replicas=self._replicas,
+            budgets=self._budgets,
+            suspicions=self._suspicions,
+            relay=_NoRelay(),
+            link=_controller_link.ControllerLink(self._around.mail),
+            clock=self._around.clock,
+            instance=str(self.address),
+        )
--- /dev/null
+++ b/emulator/_policies.py
@@ -0,0 +1,77 @@
+"""Ways to choose a replica, and whether models are moved."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from geraniumlink.serving import _balance
+from geraniumlink.serving import _replicas
+from geraniumlink.serving import _types
+
+
+class Policy(typing.NamedTuple):
+    """What is compared."""
+
+    name: str
+    choose: _balance.Choose
+    # Whether the controller moves models.
+    places: bool = True
+
+
+def _choice(
+    replica: _replicas.Replica,
+    request: _types.Request,
+    priority: int,
+    now: int,
+) -> _balance.Choice:
+    # The expected time decides on refusals, which are not compared.
+    expected_ms = _balance.expected_ms(replica, request, priority, now)
+    return _balance.Choice(replica, expected_ms)
+
+
+def _random_of_two(
+    replicas: list[_replicas.Replica],
+    request: _types.Request,
+    priority: int,
+    data_centre: str,
+    now: int,
+    random_source: random.Random,
+) -> _balance.Choice:
+    """Draw two, and take that with fewer own requests.
+
+    Source: M. Mitzenmacher, "The Power of Two Choices in Randomized Load
+    Balancing", IEEE TPDS 2001.
+    """
+    drawn = random_source.sample(replicas, min(2, len(replicas)))
+    best = min(drawn, key=lambda replica: replica.in_flight)
+    return _choice(best, request, priority, now)
+
+
+def _least_reported(
+    replicas: list[_replicas.Replica],
+    request: _types.Request,
+    priority: int,
+    data_centre: str,
+    now: int,
+    random_source: random.Random,
+) -> _balance.Choice:
+    """Take the replica that last stated the least load."""
+    best = min(
+        replicas,
+        key=lambda replica: (_stated(replica), random_source.random()),
+    )
+    return _choice(best, request, priority, now)
+
+
+def _stated(replica: _replicas.Replica) -> int:
+    load = replica.load
+    return load.running + load.waiting if load else 0
+
+
+POLICIES = (
+    Policy("geraniumlink", _balance.choose),
+    Policy("random of two", _random_of_two),
+    Policy("least reported load", _least_reported),
+    Policy("no moves of models", _balance.choose, places=False),
+)
--- /dev/null
+++ b/emulator/_time.py
@@ -0,0 +1,74 @@
+"""Virtual time: an event loop that jumps to what is due next."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+import selectors
+import typing
+
+from geraniumlink import _clock
+
+# 2026-01-01T00:00Z; any date serves, and the same one on every run.
+_EPOCH_MS = 1_767_225_600_000
+
+
+class _Selector(selectors.SelectSelector):
+    """Passes the time that the loop would have waited."""
+
+    def __init__(self, advance: Callable[[float], None]) -> None:
+        super().__init__()
+        self._advance = advance
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout is None:
+            raise RuntimeError("all tasks wait for each other")
+        self._advance(max(0.0, timeout))
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop without input, whose time is that of its timers."""
+
+    def __init__(self) -> None:
+        self._now_s = 0.0
+        super().__init__(_Selector(self._pass))
+
+    def time(self) -> float:
+        return self._now_s
+
+    def _pass(self, seconds: float) -> None:
+        self._now_s += seconds
+
+
+class VirtualClock(_clock.Clock):
+    """Reads the time of a loop; all instances share it."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+
+    def now(self) -> int:
+        # The loop calls timers that are due within its resolution.
+        return round(self._loop.time() * 1000)
+
+    def since_boot(self) -> int:
+        return self.now()
+
+    def wall(self) -> int:
+        return _EPOCH_MS + self.now()
+
+
+_T = typing.TypeVar("_T")
+
+
+def run(
+    main: Callable[[VirtualClock], Coroutine[typing.Any, typing.Any, _T]],
+) -> _T:
+    """Run a coroutine to its end in virtual time."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(main(VirtualClock(loop)))
+    finally:
+        loop.close()
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,267 @@
+"""The emulator: the same day twice, its engines, what is compared."""
+
+import asyncio
+import dataclasses
+import json
+
+import pytest
+
+from emulator import _clients
+from emulator import _demand
+from emulator import _engines
+from emulator import _play
+from emulator import _policies
+from emulator import _replay
+from emulator import _results
+from emulator import _sites
+from emulator import _tally
+from emulator import _time
+from geraniumlink.serving import _types
+
+_SITE = _sites.Site(instances=3, engines=4, models=_sites.model_names(14))
+_LOAD = _demand.Load("short", duration_s=6.0, rate_per_s=20.0, shift_s=2.0)
+_PRODUCT, *_, _NO_MOVES = _policies.POLICIES
+
+
+def _day(policy=_PRODUCT, **fields):
+    return _play.Day(_SITE, _LOAD, policy, seed=7, **fields)
+
+
+def test_a_day_is_the_same_each_time():
+    first, second = _play.play(_day()), _play.play(_day())
+    assert first.results == second.results
+    assert first.samples == second.samples
+    assert first.tally.shares() == second.tally.shares()
+
+
+def test_seeds_differ():
+    first = _demand.arrivals(_SITE, _LOAD, 1)
+    assert first == _demand.arrivals(_SITE, _LOAD, 1)
+    assert first != _demand.arrivals(_SITE, _LOAD, 2)
+
+
+def test_each_request_has_one_result_and_a_place_in_the_numbers():
+    outcome = _play.play(_day())
+    arrivals = _demand.arrivals(_SITE, _LOAD, 7)
+    assert sorted(r.arrival for r in outcome.results) == sorted(arrivals)
+    found = _results.numbers(_SITE, outcome)
+    shares = [found[name] for name in _SHARES]
+    assert sum(shares) == pytest.approx(1)
+    assert found["requests"] == len(arrivals)
+
+
+_SHARES = ("in_time", "late", "refused", "failed", "gave_up")
+
+
+def test_moving_models_serves_more_than_leaving_them():
+    moved = _results.numbers(_SITE, _play.play(_day()))
+    left = _results.numbers(_SITE, _play.play(_day(_NO_MOVES)))
+    assert moved["moves"] > 0
+    assert left["moves"] == 0
+    assert left["refused"] > moved["refused"]
+
+
+def test_a_controller_that_is_killed_is_replaced():
+    site = _SITE._replace(instances=4)
+    load = _LOAD._replace(duration_s=14.0)
+    trouble = _play.Trouble(killed_share=0.01, at_ms=3000)
+    day = _play.Day(site, load, _PRODUCT, seed=3, trouble=trouble)
+    found = _results.recovery(_play.play(day), trouble)
+    assert found["first_move_ms"] is not None
+    # Between two holders' orders is more than the platform's bound.
+    assert found["first_move_ms"] > 1000
+
+
+async def _engine(**fields):
+    spec = _SITE.engine._replace(**fields)
+    return _engines.Engine(0, spec, _SITE, ["m0", "m1", "m2"], [])
+
+
+class _Told:
+    """What an engine told of a run."""
+
+    def __init__(self):
+        self.tokens = []
+        self.ended = False
+        self.refused = False
+
+    def take(self, made, ended):
+        self.tokens.append(made)
+        self.ended = ended
+
+    def refuse(self):
+        self.refused = True
+
+
+@dataclasses.dataclass
+class _Asked:
+    model: str = "m0"
+    prompt_tokens: int = 2210
+    output_tokens: int = 10
+    adapter: str = ""
+    parts: tuple = ()
+    last_event_id: bytes = b""
+
+
+def _submit(engine, priority=0, **fields):
+    told = _Told()
+    run = _engines.Run(_Asked(**fields), priority, told.take, told.refuse)
+    engine.submit(run)
+    return told
+
+
+def test_a_prompt_takes_the_time_that_its_tokens_take():
+    async def main(clock):
+        engine = await _engine()
+        told = _submit(engine)
+        await clock.sleep(100)
+        assert not told.tokens
+        await clock.sleep(200)
+        assert told.ended
+        assert told.tokens[0] == 1
+        assert told.tokens[-1] == 10
+
+    _time.run(main)
+
+
+def test_a_kept_part_is_not_read_again():
+    async def main(clock):
+        engine = await _engine()
+        parts = (_types.Part("shared", 2000),)
+        for _ in range(2):
+            _submit(engine, parts=parts)
+            await clock.sleep(1000)
+        assert engine.read_tokens == 2210 + 210
+
+    _time.run(main)
+
+
+def test_the_least_urgent_is_put_back_when_memory_runs_out():
+    async def main(clock):
+        engine = await _engine(kv_tokens=4450, stride=1)
+        urgent = _submit(engine, output_tokens=40)
+        patient = _submit(engine, priority=5, output_tokens=40)
+        await clock.sleep(400)
+        assert engine.put_back == 1
+        assert len(urgent.tokens) > len(patient.tokens)
+        await clock.sleep(2000)
+        assert urgent.ended
+        assert patient.ended
+
+    _time.run(main)
+
+
+def test_an_unload_refuses_what_waits_and_ends_what_runs():
+    async def main(clock):
+        engine = await _engine(slots=1)
+        running = _submit(engine)
+        waiting = _submit(engine)
+        await clock.sleep(50)
+        assert engine.order(False, "m0", "", 0).accepted
+        assert waiting.refused
+        await clock.sleep(1000)
+        assert running.ended
+        assert "m0" not in engine.residents
+
+    _time.run(main)
+
+
+def test_an_order_for_another_count_or_too_many_models_is_not_taken():
+    async def main(clock):
+        engine = await _engine()
+        assert not engine.order(True, "m5", "", 3).accepted
+        with pytest.raises(RuntimeError):
+            engine.order(True, "m5", "", 0)
+        assert engine.order(False, "m0", "", 0).accepted
+        await clock.sleep(50)
+        assert engine.order(True, "m5", "", 1).accepted
+        assert not engine.order(True, "m6", "", 2).accepted
+
+    _time.run(main)
+
+
+def test_virtual_time_passes_only_when_all_wait():
+    async def main(clock):
+        began = clock.now()
+        await asyncio.gather(clock.sleep(60_000), clock.sleep(30_000))
+        return clock.now() - began
+
+    assert _time.run(main) == 60_000
+
+
+def test_tasks_that_wait_for_each_other_are_an_error():
+    async def main(_clock):
+        await asyncio.Event().wait()
+
+    with pytest.raises(RuntimeError, match="wait for each other"):
+        _time.run(main)
+
+
+def _logged(tmp_path, lines):
+    path = tmp_path / "day.log"
+    texts = [f" 1.0 i1 {json.dumps(line)}" for line in lines]
+    path.write_text("a bench's words\n" + "\n".join(texts))
+    return path
+
+
+def _admitted(at_s, model="m0"):
+    return {
+        "message_type": "admitted",
+        "timestamp": at_s,
+        "instance": "i1",
+        "route": "search",
+        "service": "s",
+        "model": model,
+        "adapter": "",
+        "priority": 0,
+        "prompt_tokens": 1000,
+        "output_tokens": 50,
+        "left_ms": 4000,
+    }
+
+
+def _finished(at_s, outcome="done"):
+    return {
+        "message_type": "request",
+        "timestamp": at_s,
+        "instance": "i1",
+        "model": "m0",
+        "outcome": outcome,
+        "took_ms": 400,
+    }
+
+
+def test_a_logged_day_is_played_again(tmp_path):
+    seen = {"message_type": "replica_seen", "timestamp": 0.0, "service": "s"}
+    lines = [{**seen, "instance": "i1", "replica": f"r{n}"} for n in range(3)]
+    for number in range(20):
+        lines += [_admitted(1 + number / 10), _finished(1.4 + number / 10)]
+    found = _replay.check(_logged(tmp_path, lines))
+    assert found["logged"]["outcomes"]["done"] == 1
+    assert found["emulated"]["requests"] == 20
+    assert found["emulated"]["outcomes"]["done"] == 1
+
+
+def test_a_log_without_requests_is_refused(tmp_path):
+    with pytest.raises(ValueError, match="no requests"):
+        _replay.check(_logged(tmp_path, []))
+
+
+def test_outcomes_are_told_apart():
+    tally = _tally.Tally()
+    for outcome in ("done", "done", "refused: the model isn't loaded", "odd"):
+        tally.note("request", _finished(0, outcome))
+    shares = tally.shares()["outcomes"]
+    assert shares["done"] == 0.5
+    assert shares["refused: the model"] == 0.25
+    assert shares["other"] == 0.25
+
+
+def test_a_client_that_comes_back_is_told_when():
+    outcome = _play.play(_day(_NO_MOVES))
+    refused = [
+        result
+        for result in outcome.results
+        if result.outcome is _clients.Outcome.REFUSED
+    ]
+    assert any(result.tries > 1 for result in refused)
