--- a/emulator/_experiments.py
+++ b/emulator/_experiments.py
@@ -36,7 +36,7 @@
 # Sizes at which the recovery is measured.
 INSTANCES = (8, 40, 100)
 TROUBLES = {
-    "controller killed": _play.Trouble(killed_share=0.0001),
+    "controller killed": _play.Trouble(kills_controller=True),
     "half of the instances killed": _play.Trouble(killed_share=0.5),
     "store down for 5 s": _play.Trouble(store_down_ms=5000),
     "none": _play.Trouble(),
--- a/emulator/_play.py
+++ b/emulator/_play.py
@@ -32,7 +32,8 @@
 class Trouble(typing.NamedTuple):
     """What happens to instances or the store, and when."""
 
-    # A share of all instances is killed; the controller is among them.
+    kills_controller: bool = False
+    # A share of all instances is killed, the controller among them.
     killed_share: float = 0.0
     # The store does not answer for this long.
     store_down_ms: int = 0
@@ -167,19 +168,21 @@
     async def _make_trouble(self, group: anyio.abc.TaskGroup) -> None:
         trouble = self._day.trouble
         await self._clock.sleep(trouble.at_ms)
-        if trouble.killed_share:
-            group.start_soon(self._kill, trouble.killed_share, group)
+        if trouble.killed_share or trouble.kills_controller:
+            group.start_soon(self._kill, group)
         if trouble.store_down_ms:
             self._around.store.down = True
             await self._clock.sleep(trouble.store_down_ms)
             self._around.store.down = False
 
-    async def _kill(self, share: float, group: anyio.abc.TaskGroup) -> None:
+    async def _kill(self, group: anyio.abc.TaskGroup) -> None:
+        trouble = self._day.trouble
         numbers = sorted(
             self._instances,
             key=lambda number: not self._instances[number].is_controller,
         )
-        killed = numbers[: max(1, round(share * len(numbers)))]
+        count = round(trouble.killed_share * len(numbers))
+        killed = numbers[: max(count, int(trouble.kills_controller))]
         for number in killed:
             self._instances.pop(number).kill()
         await self._clock.sleep(RESTART_MS)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -64,7 +64,7 @@
 def test_a_controller_that_is_killed_is_replaced():
     site = _SITE._replace(instances=4)
     load = _LOAD._replace(duration_s=14.0)
-    trouble = _play.Trouble(killed_share=0.01, at_ms=3000)
+    trouble = _play.Trouble(kills_controller=True, at_ms=3000)
     day = _play.Day(site, load, _PRODUCT, seed=3, trouble=trouble)
     found = _results.recovery(_play.play(day), trouble)
     assert found["first_move_ms"] is not None
