End what a killed instance serves in the emulator too

Cause: clients of a killed instance were served on, since its requests ran in tasks of their own. Before: the new test fails (no request that was asked once comes again). After: it passes.

--- a/emulator/_clients.py
+++ b/emulator/_clients.py
@@ -15,6 +15,8 @@
 from geraniumlink.serving import _reply
 from geraniumlink.serving import _types
 
+# Clients that are told nothing, or don't keep to it, come back after this.
+BROKEN_PAUSE_MS = 100
 ABUSIVE_PAUSE_MS = 60
 # With less time left a client doesn't come back.
 LEAST_LEFT_MS = 200
@@ -90,9 +92,7 @@
                 return self._result(Outcome.FAILED, None)
             answer = await self._try(instance)
             pause_ms = self._pause_ms(answer)
-            if answer.status != 503 or pause_ms is None:
-                return self._judge(answer)
-            if self._tries >= self._arrival.most_tries:
+            if pause_ms is None or self._tries >= self._arrival.most_tries:
                 return self._judge(answer)
             await self._clock.sleep(pause_ms)
 
@@ -104,7 +104,7 @@
         answer = _Answer(self._clock)
         reply = _reply.Reply(answer.take, lambda: False)
         with anyio.move_on_after(self._left_ms / 1000):
-            await instance.forwarder.serve(self._request(), reply)
+            await instance.serve(self._request(), reply)
         return answer
 
     def _request(self) -> _types.Request:
@@ -141,7 +141,11 @@
 
     def _pause_ms(self, answer: _Answer) -> float | None:
         """Return when to come back; None when there is no use in it."""
-        if self._arrival.abusive:
+        if answer.status not in (None, 503):
+            return None
+        if answer.status is None:
+            pause_ms = float(BROKEN_PAUSE_MS)
+        elif self._arrival.abusive:
             pause_ms = float(ABUSIVE_PAUSE_MS)
         elif answer.retry_after_ms is not None:
             pause_ms = answer.retry_after_ms
--- a/emulator/_instances.py
+++ b/emulator/_instances.py
@@ -23,6 +23,7 @@
 from geraniumlink.serving import _connections
 from geraniumlink.serving import _forward
 from geraniumlink.serving import _replicas
+from geraniumlink.serving import _reply
 from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _types
 from geraniumlink.suspicion import _suspicions
@@ -79,6 +80,8 @@
         self._around = around
         self._random = random.Random(f"{seed}-{number}")
         self._scope = anyio.CancelScope()
+        # One for each request in progress.
+        self._requests: set[anyio.CancelScope] = set()
         centres = around.site.data_centres
         clock = around.clock
         self._catalogue = _catalogue.Catalogue()
@@ -111,10 +114,6 @@
         )
         self._catalogue.accept(around.configuration)
 
-    @property
-    def forwarder(self) -> _forward.Forwarder:
-        return self._forwarder
-
     @property
     def is_controller(self) -> bool:
         return self._leadership.is_leader
@@ -133,10 +132,23 @@
                 if self._places:
                     group.start_soon(self._controller.run)
 
+    async def serve(
+        self, request: _types.Request, reply: _reply.Reply
+    ) -> None:
+        """Answer a request; ends without an answer when this is killed."""
+        with anyio.CancelScope() as scope:
+            self._requests.add(scope)
+            try:
+                await self._forwarder.serve(request, reply)
+            finally:
+                self._requests.discard(scope)
+
     def kill(self) -> None:
         """End at once, as by SIGKILL."""
         self._around.mail.remove(self.address)
         self._scope.cancel()
+        for scope in list(self._requests):
+            scope.cancel()
 
     def _make_leadership(self) -> _leadership.Leadership:
         leases = _leases.Leases(
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -265,3 +265,20 @@
         if result.outcome is _clients.Outcome.REFUSED
     ]
     assert any(result.tries > 1 for result in refused)
+
+
+def test_what_a_killed_instance_serves_is_asked_of_another():
+    trouble = _play.Trouble(killed_share=0.7, at_ms=3000)
+    asked_once = {
+        result.arrival
+        for result in _play.play(_day()).results
+        if result.tries == 1
+    }
+    served = (_clients.Outcome.IN_TIME, _clients.Outcome.LATE)
+    # Until then the two days are the same.
+    assert any(
+        result.tries > 1 and result.outcome in served
+        for result in _play.play(_day(trouble=trouble)).results
+        if result.arrival in asked_once
+        and result.arrival.at_ms < trouble.at_ms
+    )
