Give the fields of log lines types, and hold every test's lines to them

Cause: the table had names only; nothing held what a process logs to it but the names at each call.

Change: _log_fields has a type for each field, with two exceptions by message; each test that starts processes ends with a look at all their lines. Found so: 'load' and 'replicas' mean different things in two messages each; they stand as exceptions.

Ruled out: checking at run time, which costs on a request's way. Nothing that runs in an instance imports the new module.

Before: no such test.

--- /dev/null
+++ b/src/geraniumlink/_log_fields.py
@@ -0,0 +1,197 @@
+"""The types of the fields of log lines; a field's name carries its unit."""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+
+class Kind(enum.Enum):
+    """What a field holds, in JSON."""
+
+    TEXT = "text"
+    WHOLE = "whole number"
+    NUMBER = "number"
+    FLAG = "true or false"
+    TEXTS = "list of texts"
+    WHOLES = "list of whole numbers"
+    COUNTS = "whole numbers by name"
+
+
+class Field(typing.NamedTuple):
+    """The type of a field."""
+
+    kind: Kind
+    # It is null where there is nothing to tell.
+    nullable: bool = False
+
+
+_TEXT = Field(Kind.TEXT)
+_WHOLE = Field(Kind.WHOLE)
+_FLAG = Field(Kind.FLAG)
+_TEXTS = Field(Kind.TEXTS)
+FIELDS: dict[str, Field] = {
+    "action": _TEXT,
+    "adapter": _TEXT,
+    "address": _TEXT,
+    "attempt": _WHOLE,
+    "attempts": _WHOLE,
+    "author": _TEXT,
+    "change_id": _TEXT,
+    "changed": _FLAG,
+    "child": _TEXT,
+    "claim": _TEXT,
+    "configuration_version": _WHOLE,
+    "controller": _TEXT,
+    "counts": Field(Kind.COUNTS),
+    "cursor": _WHOLE,
+    "data_centre": _TEXT,
+    "deployment": _TEXT,
+    "deployments": _WHOLE,
+    "duration_ms": _WHOLE,
+    "epoch": _WHOLE,
+    "error": _TEXT,
+    "evicted": Field(Kind.TEXT, nullable=True),
+    "evicted_tokens_per_s": _WHOLE,
+    "expected_ms": _WHOLE,
+    "failures": Field(Kind.NUMBER),
+    "findings": _TEXTS,
+    "fingerprint": _TEXT,
+    "holder": _TEXT,
+    "in_flight": _WHOLE,
+    "in_flight_elsewhere": Field(Kind.WHOLE, nullable=True),
+    "incarnation": _WHOLE,
+    "kind": _TEXT,
+    "last_event_id": _TEXT,
+    "leaving": _FLAG,
+    "left_ms": _WHOLE,
+    # Running, waiting and places, as the replica stated them.
+    "load": Field(Kind.WHOLES, nullable=True),
+    "load_age_ms": Field(Kind.WHOLE, nullable=True),
+    "member": _TEXT,
+    "method": _TEXT,
+    "missing_ms": _WHOLE,
+    "model": _TEXT,
+    "name": _TEXT,
+    "near": _FLAG,
+    "newest": _WHOLE,
+    "nonce": _TEXT,
+    "number": _WHOLE,
+    "order_count": _WHOLE,
+    "other_address": _TEXT,
+    "outcome": _TEXT,
+    "output_tokens": _WHOLE,
+    "passed_on": _FLAG,
+    "path": _TEXT,
+    "pause_ms": _WHOLE,
+    "peer": _TEXT,
+    "place": _TEXT,
+    "previous_version": Field(Kind.WHOLE, nullable=True),
+    "priority": _WHOLE,
+    "problem": _TEXT,
+    "prompt_tokens": _WHOLE,
+    "reason": _TEXT,
+    "repeats": _WHOLE,
+    "replica": _TEXT,
+    "replicas": _TEXTS,
+    "request_id": _TEXT,
+    "requests": _WHOLE,
+    "resident": _TEXTS,
+    "revision": _WHOLE,
+    "route": _TEXT,
+    "routes": _WHOLE,
+    "server": _TEXT,
+    "service": _TEXT,
+    "shard": _TEXT,
+    "source": _TEXT,
+    "standing": _TEXT,
+    # None when the client left before an answer.
+    "status": Field(Kind.WHOLE, nullable=True),
+    "tokens_per_s": _WHOLE,
+    "took_ms": _WHOLE,
+    "verdict": _TEXT,
+    "version": _WHOLE,
+    "wait_ms": _WHOLE,
+    "why_final": _TEXT,
+}
+# Where a message has a field of another type than the others.
+OTHERWISE: dict[tuple[str, str], Field] = {
+    ("order", "load"): _FLAG,
+    ("waiting", "replicas"): _WHOLE,
+}
+
+
+def field_of(message: str, name: str) -> Field:
+    """Return the type of a message's field.
+
+    :raises KeyError: if no message has such a field.
+    """
+    return OTHERWISE.get((message, name), FIELDS[name])
+
+
+def markdown() -> str:
+    """Return the table for the docs."""
+    lines = ["| field | type |", "| --- | --- |"]
+    lines += [
+        f"| `{name}` | {_text_of(field)} |" for name, field in FIELDS.items()
+    ]
+    lines += [
+        f"| `{name}` of `{message}` | {_text_of(field)} |"
+        for (message, name), field in OTHERWISE.items()
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def _text_of(field: Field) -> str:
+    return field.kind.value + (" or null" if field.nullable else "")
+
+
+def fits(message: str, name: str, value: object) -> bool:
+    """Whether a value, as read from JSON, is of the field's type."""
+    field = field_of(message, name)
+    if value is None:
+        return field.nullable
+    return _CHECKS[field.kind](value)
+
+
+def _is_text(value: object) -> bool:
+    return isinstance(value, str)
+
+
+def _is_whole(value: object) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _is_number(value: object) -> bool:
+    return _is_whole(value) or isinstance(value, float)
+
+
+def _is_flag(value: object) -> bool:
+    return isinstance(value, bool)
+
+
+def _are_texts(value: object) -> bool:
+    return isinstance(value, list) and all(map(_is_text, value))
+
+
+def _are_wholes(value: object) -> bool:
+    return isinstance(value, list) and all(map(_is_whole, value))
+
+
+def _are_counts(value: object) -> bool:
+    return (
+        isinstance(value, dict)
+        and all(map(_is_text, value))
+        and all(map(_is_whole, value.values()))
+    )
+
+
+_CHECKS: dict[Kind, typing.Callable[[object], bool]] = {
+    Kind.TEXT: _is_text,
+    Kind.WHOLE: _is_whole,
+    Kind.NUMBER: _is_number,
+    Kind.FLAG: _is_flag,
+    Kind.TEXTS: _are_texts,
+    Kind.WHOLES: _are_wholes,
+    Kind.COUNTS: _are_counts,
+}
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 import pytest
 
 from standins import fleet as fleets
+from tests import log_judge
 
 # The same verdict on every run: the same examples, and no timed limits.
 hypothesis.settings.register_profile(
@@ -46,3 +47,4 @@
     """Start the platform's stand-ins; what a test adds is ended after it."""
     async with fleets.start(tmp_path) as started:
         yield started
+    assert not log_judge.faults(tmp_path.glob("*.log"))
--- a/tests/test_log_messages.py
+++ b/tests/test_log_messages.py
@@ -3,6 +3,9 @@
 import ast
 import pathlib
 
+import pytest
+
+from geraniumlink import _log_fields
 from geraniumlink import _log_messages
 
 _ROOT = pathlib.Path(__file__).parent.parent
@@ -42,9 +45,43 @@
     assert unused <= _PASSED_ON
 
 
+def test_each_field_has_a_type():
+    listed = {
+        name
+        for known in _log_messages.MESSAGES.values()
+        for name in known.fields
+    }
+    assert listed == _log_fields.FIELDS.keys()
+    for message, name in _log_fields.OTHERWISE:
+        assert name in _log_messages.MESSAGES[message].fields
+
+
+@pytest.mark.parametrize(
+    ("message", "name", "value", "fits"),
+    (
+        ("attempt", "load", [1, 0, 8], True),
+        ("attempt", "load", None, True),
+        ("attempt", "load", [1, "0", 8], False),
+        ("order", "load", True, True),
+        ("order", "load", [1, 0, 8], False),
+        ("waiting", "replicas", 3, True),
+        ("unreachable", "replicas", ["r-1"], True),
+        ("attempt", "failures", 1, True),
+        ("attempt", "failures", "1", False),
+        ("attempt", "attempt", True, False),
+        ("attempt", "request_id", None, False),
+        ("lines_left_out", "counts", {"request": 2}, True),
+        ("lines_left_out", "counts", {"request": 0.5}, False),
+    ),
+)
+def test_a_value_is_judged_by_its_type(message, name, value, fits):
+    assert _log_fields.fits(message, name, value) is fits
+
+
 def test_the_docs_list_them():
     listed = (_ROOT / "docs" / "log-messages.md").read_text()
     assert listed.endswith(_log_messages.markdown())
+    assert _log_fields.markdown() in listed
 
 
 def test_nothing_secret_is_logged():
