List the steps of claims among the log messages, with their types

Change: the table has them, and a test holds it to the names in the code.

Before: test_each_step_of_a_claim_is_in_the_table fails, and each test that serves a non-idempotent call.

--- a/emulator/_play.py
+++ b/emulator/_play.py
@@ -196,9 +196,11 @@
                 model for at, model in self._asked if now - at <= PLACEMENT_MS
             ]
             held = {m for engine in self._engines for m in engine.residents}
-            placed = sum(model in held for model in late) / max(1, len(late))
-            at_ms = now - self._began
-            self._samples.append(Sample(at_ms, placed, self._tally.moves))
+            # Without demand there is nothing to be placed well.
+            if late:
+                placed = sum(model in held for model in late) / len(late)
+                at_ms = now - self._began
+                self._samples.append(Sample(at_ms, placed, self._tally.moves))
             await self._clock.sleep(SAMPLE_MS)
 
     def _note_line(self, line: dict[str, typing.Any]) -> None:
--- a/emulator/_results.py
+++ b/emulator/_results.py
@@ -105,7 +105,7 @@
     after = [s for s in samples if s.at_ms >= trouble.at_ms]
     placed_before = statistics.fmean(sample.placed for sample in before)
     worst = min(after, key=lambda sample: sample.placed)
-    moved = [s.at_ms for s in after if s.moves > before[-1].moves]
+    moved = [s.at_ms for s in after if s.moves > after[0].moves]
     back = [
         sample.at_ms
         for sample in after
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -29,6 +29,13 @@
 
 _REQUEST = Scope.REQUEST
 _STATE = Scope.STATE
+
+
+def _step(meaning: str, *fields: str) -> Message:
+    """Return a step on the way of a claim, as specs/claims.py names it."""
+    return Message(_STATE, meaning, tuple(sorted(("claim", "nonce", *fields))))
+
+
 MESSAGES: dict[str, Message] = {
     "admitted": Message(
         _REQUEST,
@@ -47,6 +54,7 @@
             "service",
         ),
     ),
+    "another_request": _step("a key is in use for another request", "found"),
     "answers_not_read": Message(
         _STATE,
         "clients did not read their answers before the process ended",
@@ -128,6 +136,8 @@
         "a replica did not read a whole body",
         ("error", "request_id"),
     ),
+    "call_abandoned": _step("a call was given up before it was sent"),
+    "call_dispatched": _step("a call is being sent to a server"),
     "change": Message(
         _STATE,
         "a change of a declaration was accepted or refused",
@@ -136,11 +146,21 @@
     "child_failed": Message(
         _STATE, "a supervised task failed", ("child", "error")
     ),
+    "claim_found": _step(
+        "a claim was there already, without an outcome", "found"
+    ),
+    "claim_held": _step("a claim was taken for a call"),
     "claim_lost": Message(
         _STATE,
         "a claim was gone before its outcome was recorded",
         ("claim", "nonce"),
     ),
+    "claim_taken_over": _step(
+        "a claim that nobody uses was taken over", "found"
+    ),
+    "claim_unavailable": _step(
+        "a claim could not be taken or read", "problem"
+    ),
     "claim_unreadable": Message(
         _STATE, "a claim in the object API made no sense", ("claim", "error")
     ),
@@ -168,6 +188,7 @@
         "a configuration made no sense; the former stays",
         ("deployment", "error", "version"),
     ),
+    "connection_breaks": _step("a call's connection broke; it may have run"),
     "controller_reached": Message(
         _STATE,
         "the controller answers, the first time or again",
@@ -181,6 +202,9 @@
         "whether a server has gone is not known yet",
         ("error", "server"),
     ),
+    "deadline_unclaimed": _step(
+        "a deadline passed while another held the claim"
+    ),
     "drained": Message(_STATE, "the drain is over", ("in_flight",)),
     "draining": Message(
         _STATE, "SIGTERM came; new connections go elsewhere", ("in_flight",)
@@ -210,6 +234,7 @@
     "isolation_over": Message(
         _STATE, "the object API or a peer is heard again", ()
     ),
+    "key_expired": _step("a key is too old for a claim"),
     "late_write_recognised": Message(
         _STATE, "a write whose answer was lost had taken effect", ("replica",)
     ),
@@ -299,14 +324,22 @@
         "an order was not given: it would overcommit memory",
         ("error",),
     ),
+    "owner_says_absent": _step("a claim's owner does not run the call"),
+    "owner_says_ran": _step("a claim's owner has the answer"),
+    "owner_says_unknown": _step("a claim's owner does not know the outcome"),
+    "owner_silent": _step("a claim's owner did not answer"),
     "peer_not_told": Message(
         _STATE, "a peer did not answer in time", ("error", "peer")
     ),
+    "peer_says_ran": _step("another instance has the answer"),
+    "record": _step("an outcome was recorded with its claim"),
     "repeat_budget_used": Message(
         _REQUEST,
         "a request was not repeated, to keep to the budget",
         ("repeats", "request_id", "requests", "service"),
     ),
+    "replay": _step("a recorded answer was given again", "found"),
+    "replay_unknown": _step("an unknown outcome was told again", "found"),
     "replica_forgotten": Message(
         _STATE, "an entry was missing for too long", ("replica",)
     ),
@@ -355,6 +388,8 @@
             "took_ms",
         ),
     ),
+    "server_answers": _step("a server answered a call"),
+    "server_refuses": _step("a server did not run a call"),
     "settings_kept": Message(
         _STATE, "SIGHUP came and the settings made no sense", ("error",)
     ),
--- a/tests/test_log_messages.py
+++ b/tests/test_log_messages.py
@@ -42,7 +42,35 @@
         assert fields <= known, (name, fields - known)
         logged.setdefault(name, set()).update(fields)
     unused = _log_messages.MESSAGES.keys() - logged.keys()
-    assert unused <= _PASSED_ON
+    assert unused <= _PASSED_ON | _claim_steps()
+
+
+def _claim_steps():
+    """Return the names of the steps of claims, as the code has them."""
+    source = _ROOT / "src" / "geraniumlink" / "once"
+    named = set()
+    for path in (source / "_once.py", source / "_resolution.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            match node:
+                case ast.Call(
+                    func=ast.Name(id="log") | ast.Attribute(attr="log"),
+                    args=[ast.Constant(value=name), *_],
+                ):
+                    named.add(name)
+                case ast.FunctionDef(name="_step_of"):
+                    named |= {
+                        part.value.value
+                        for part in ast.walk(node)
+                        if isinstance(part, ast.Return)
+                    }
+    return named
+
+
+def test_each_step_of_a_claim_is_in_the_table():
+    steps = _claim_steps()
+    assert "owner_silent" in steps
+    assert "call_dispatched" in steps
+    assert steps <= _log_messages.MESSAGES.keys()
 
 
 def test_each_field_has_a_type():
