List the steps of ledgers among the log messages, with their types

Change: the table has all that the code names there, 14 in all; the test that holds claims' steps to the code holds these too. A copy's version is a text, a configuration's a number.

Before: tests that move models of the product's own interface fail at their end.

--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -5,6 +5,8 @@
 import enum
 import typing
 
+from geraniumlink import _log_messages
+
 
 class Kind(enum.Enum):
     """What a field holds, in JSON."""
@@ -37,8 +39,11 @@
     "attempt": _WHOLE,
     "attempts": _WHOLE,
     "author": _TEXT,
+    "boot_id": _TEXT,
+    "capacity_mb": _WHOLE,
     "change_id": _TEXT,
     "changed": _FLAG,
+    "charge_mb": _WHOLE,
     "child": _TEXT,
     "claim": _TEXT,
     "configuration_version": _WHOLE,
@@ -55,6 +60,7 @@
     "evicted_tokens_per_s": _WHOLE,
     "expected_ms": _WHOLE,
     "failures": Field(Kind.NUMBER),
+    "fencing_number": _WHOLE,
     "findings": _TEXTS,
     "fingerprint": _TEXT,
     "found": _TEXT,
@@ -95,15 +101,18 @@
     "repeats": _WHOLE,
     "replica": _TEXT,
     "replicas": _TEXTS,
+    "reply": _TEXT,
     "request_id": _TEXT,
     "requests": _WHOLE,
     "resident": _TEXTS,
     "revision": _WHOLE,
     "route": _TEXT,
     "routes": _WHOLE,
+    "seen": _TEXT,
     "server": _TEXT,
     "service": _TEXT,
     "shard": _TEXT,
+    "size_mb": _WHOLE,
     "source": _TEXT,
     "standing": _TEXT,
     # None when the client left before an answer.
@@ -119,6 +128,12 @@
 OTHERWISE: dict[tuple[str, str], Field] = {
     ("order", "load"): _FLAG,
     ("waiting", "replicas"): _WHOLE,
+    # A copy's version is a name; a configuration's is a number.
+    **{
+        (message, "version"): _TEXT
+        for message, known in _log_messages.MESSAGES.items()
+        if {"fencing_number", "version"} <= set(known.fields)
+    },
 }
 
 
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -36,6 +36,22 @@
     return Message(_STATE, meaning, tuple(sorted(("claim", "nonce", *fields))))
 
 
+def _ledger_step(meaning: str, *fields: str) -> Message:
+    """Return a step on the way of a replica's ledger."""
+    known = ("deployment", "epoch", "replica", *fields)
+    return Message(_STATE, meaning, tuple(sorted(known)))
+
+
+def _note_step(meaning: str) -> Message:
+    return _ledger_step(meaning, *_COPY, "seen")
+
+
+def _order_step(meaning: str, *fields: str) -> Message:
+    return _ledger_step(meaning, *_COPY, "action", "size_mb", *fields)
+
+
+# A copy of a model or an adapter, and the order that brought it.
+_COPY = ("adapter", "fencing_number", "model", "version")
 MESSAGES: dict[str, Message] = {
     "admitted": Message(
         _REQUEST,
@@ -54,12 +70,18 @@
             "service",
         ),
     ),
+    "adopted": _note_step(
+        "a copy that was on no record was taken into the ledger"
+    ),
     "another_request": _step("a key is in use for another request", "found"),
     "answers_not_read": Message(
         _STATE,
         "clients did not read their answers before the process ended",
         (),
     ),
+    "arrived_late": _note_step(
+        "an order was carried out after it was given up"
+    ),
     "attempt": Message(
         _REQUEST,
         "a replica was chosen, and what decided it",
@@ -109,6 +131,9 @@
     "bad_leaving": Message(
         _STATE, "word of a leaving server made no sense", ("error",)
     ),
+    "bad_memory_report": _ledger_step(
+        "an engine's report of its memory made no sense", "error"
+    ),
     "bad_message": Message(
         _STATE, "another instance's message made no sense", ("error", "path")
     ),
@@ -143,6 +168,12 @@
         "a change of a declaration was accepted or refused",
         ("action", "author", "change_id", "deployment", "outcome"),
     ),
+    "charge_kept": _note_step(
+        "a copy is gone, and an order may still bring it back"
+    ),
+    "charge_released": _note_step(
+        "a copy is gone, and no order can bring it back"
+    ),
     "child_failed": Message(
         _STATE, "a supervised task failed", ("child", "error")
     ),
@@ -197,6 +228,7 @@
     "controller_unreachable": Message(
         _STATE, "the controller did not answer", ("controller", "error")
     ),
+    "copy_lost": _note_step("a copy is gone that had been there"),
     "crash_probe_failed": Message(
         _STATE,
         "whether a server has gone is not known yet",
@@ -209,6 +241,9 @@
     "draining": Message(
         _STATE, "SIGTERM came; new connections go elsewhere", ("in_flight",)
     ),
+    "engine_restarted": _ledger_step(
+        "an engine runs as another process", "boot_id"
+    ),
     "entry_unreadable": Message(
         _STATE, "a replica's entry made no sense", ("error", "replica")
     ),
@@ -223,6 +258,12 @@
     "instance_list_unavailable": Message(
         _STATE, "the platform's instance list did not answer", ("error",)
     ),
+    "intent_retired": _note_step("a copy is there as was intended"),
+    "intent_written": _order_step(
+        "an order was written down before it is sent",
+        "charge_mb",
+        "capacity_mb",
+    ),
     "internal_error": Message(
         _STATE,
         "a fault of geraniumlink; the request got an error",
@@ -263,6 +304,9 @@
         "a backend server says that it leaves",
         ("deployment", "replica"),
     ),
+    "ledger_claimed": _ledger_step(
+        "the ledger of a replica was taken over", "charge_mb"
+    ),
     "ledger_unreadable": Message(
         _STATE,
         "a ledger made no sense; its replica gets no orders",
@@ -304,6 +348,7 @@
     "object_api_unavailable": Message(
         _STATE, "the object API did not answer", ("error",)
     ),
+    "observed": _note_step("what an engine reported of a copy"),
     "order": Message(
         _STATE,
         "an order to a replica and what came of it",
@@ -319,6 +364,13 @@
             "verdict",
         ),
     ),
+    "order_reply": _order_step(
+        "an engine answered an order, or did not", "reply"
+    ),
+    "order_sent": _order_step("an order is being sent to an engine"),
+    "order_too_old": _order_step(
+        "an order was written down too long ago to be sent"
+    ),
     "overcharge_refused": Message(
         _STATE,
         "an order was not given: it would overcommit memory",
--- a/tests/test_log_messages.py
+++ b/tests/test_log_messages.py
@@ -42,34 +42,49 @@
         assert fields <= known, (name, fields - known)
         logged.setdefault(name, set()).update(fields)
     unused = _log_messages.MESSAGES.keys() - logged.keys()
-    assert unused <= _PASSED_ON | _claim_steps()
+    assert unused <= _PASSED_ON | _steps()
 
 
-def _claim_steps():
-    """Return the names of the steps of claims, as the code has them."""
-    source = _ROOT / "src" / "geraniumlink" / "once"
+# Functions that pass the name of a step on to one call.
+_STEP_LOGS = ("log", "_log", "_log_note", "_log_order", "Note")
+
+
+def _steps():
+    """Return the names of the steps of claims and ledgers in the code."""
     named = set()
-    for path in (source / "_once.py", source / "_resolution.py"):
-        for node in ast.walk(ast.parse(path.read_text())):
-            match node:
-                case ast.Call(
-                    func=ast.Name(id="log") | ast.Attribute(attr="log"),
-                    args=[ast.Constant(value=name), *_],
-                ):
-                    named.add(name)
-                case ast.FunctionDef(name="_step_of"):
-                    named |= {
-                        part.value.value
-                        for part in ast.walk(node)
-                        if isinstance(part, ast.Return)
-                    }
+    for folder in ("once", "control"):
+        for path in (_ROOT / "src" / "geraniumlink" / folder).glob("*.py"):
+            for node in ast.walk(ast.parse(path.read_text())):
+                named |= _steps_of(node)
     return named
 
 
-def test_each_step_of_a_claim_is_in_the_table():
-    steps = _claim_steps()
+def _steps_of(node):
+    match node:
+        case ast.Call(
+            func=ast.Name(id=name) | ast.Attribute(attr=name),
+            args=[ast.Constant(value=str(step)), *_],
+        ) if name in _STEP_LOGS:
+            return {step}
+        case ast.Assign(
+            targets=[ast.Name(id="step")], value=ast.Constant(value=step)
+        ):
+            return {step}
+        case ast.FunctionDef(name="_step_of"):
+            return {
+                part.value.value
+                for part in ast.walk(node)
+                if isinstance(part, ast.Return)
+            }
+    return set()
+
+
+def test_each_step_of_a_claim_or_a_ledger_is_in_the_table():
+    steps = _steps()
     assert "owner_silent" in steps
     assert "call_dispatched" in steps
+    assert "intent_retired" in steps
+    assert "order_sent" in steps
     assert steps <= _log_messages.MESSAGES.keys()
 
 
