Hold no request past its time to wait when the controller is silent

Ruled out: the forwarder's own limit (it is the client's deadline, too late for a refusal); the controller, which answers in time when it answers.

Change: a wait ends 200 ms after the request's time to wait, half of what is kept for serving it; while the controller does not answer reports, requests that need it are refused at once, with a time to come back.

--- a/src/geraniumlink/residency/_controller_link.py
+++ b/src/geraniumlink/residency/_controller_link.py
@@ -25,6 +25,10 @@
         self._reached = ""
         self._lost = ""
 
+    def is_lost(self, controller: str) -> bool:
+        """Whether that controller did not answer the last call."""
+        return bool(controller) and controller == self._lost
+
     async def call(
         self,
         controller: str,
--- a/src/geraniumlink/residency/_exchange.py
+++ b/src/geraniumlink/residency/_exchange.py
@@ -38,6 +38,9 @@
 # Time to come back when the controller isn't known or doesn't answer: it is
 # replaced within seconds.
 NO_CONTROLLER_MS = 1000
+# A request that waits in vain is refused this much after its time to wait,
+# while there is some left of what is kept for serving it.
+ANSWER_MARGIN_MS = 200
 # A new controller is at work, and has loaded what is near, within this.
 TAKEOVER_MS = 7000
 # Wants and reports are short; anything longer is no message of ours.
@@ -101,8 +104,29 @@
         avoid: set[str],
         wait_ms: int,
     ) -> _outcomes.Refusal | None:
-        """Return once some replica holds what a request needs."""
+        """Return once some replica holds what a request needs.
+
+        Returns in time for a refusal, whether the controller answers or not.
+        """
         want = _wants.Want(service, request.model, request.adapter)
+        answer: _wants.Placed | _wants.Later | None = _wants.Later(
+            NO_CONTROLLER_MS
+        )
+        limit_ms = max(0, wait_ms) + ANSWER_MARGIN_MS
+        with anyio.move_on_after(limit_ms / 1000):
+            answer = await self._ask_with_others(want, avoid, wait_ms)
+        match answer:
+            case _wants.Later(retry_ms):
+                what = "adapter" if request.adapter else "model"
+                return _outcomes.Refusal(f"the {what} isn't loaded", retry_ms)
+            case _wants.Placed(names):
+                self._note_placed(want, names)
+        return None
+
+    async def _ask_with_others(
+        self, want: _wants.Want, avoid: set[str], wait_ms: int
+    ) -> _wants.Placed | _wants.Later | None:
+        """Ask unless another request just did; None if it is placed."""
         asking = self._asking.get(want)
         if asking is not None and not avoid:
             await asking.wait()
@@ -110,18 +134,11 @@
                 return None
         done = self._asking.setdefault(want, anyio.Event())
         try:
-            answer = await self._ask(want, avoid, max(0, wait_ms))
+            return await self._ask(want, avoid, max(0, wait_ms))
         finally:
             done.set()
             if self._asking.get(want) is done:
                 del self._asking[want]
-        match answer:
-            case _wants.Placed(names):
-                self._note_placed(want, names)
-                return None
-            case _wants.Later(retry_ms):
-                what = "adapter" if request.adapter else "model"
-                return _outcomes.Refusal(f"the {what} isn't loaded", retry_ms)
 
     async def report_always(self) -> None:
         """Report to the controller for ever."""
@@ -286,9 +303,12 @@
     async def _ask_once(
         self, want: _wants.Want, avoid: set[str], wait_ms: int
     ) -> _wants.Answer | None:
-        """Ask the controller; None when there is none."""
+        """Ask the controller; None when there is none, or it is silent."""
         if self._leadership.is_leader:
             return await self._controller.want(want, avoid, wait_ms)
+        if self._link.is_lost(self._leadership.leader):
+            # Reports go on, and tell when it answers again.
+            return None
         message = {
             **want._asdict(),
             "avoid": sorted(avoid),
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -41,6 +41,27 @@
     )
 
 
+def model_request(model: str = "m1", **fields) -> _types.Request:
+    """Return a request for a model, as the platform's adapter decodes it."""
+    request = _types.Request(
+        id=b"1",
+        method=b"POST",
+        target=b"/",
+        host="h",
+        headers=[],
+        body=b"",
+        received_at=0,
+        patience_ms=None,
+        model=model,
+        adapter="",
+        prompt_tokens=1000,
+        output_tokens=10,
+        parts=(),
+        last_event_id=b"",
+    )
+    return request._replace(**fields)
+
+
 def engines(
     processes, models=("notes",), name="assistant", size_mb=100, **fields
 ) -> dict:
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -32,22 +32,7 @@
 
 
 def _request(tokens=1000, parts=()):
-    return _types.Request(
-        id=b"1",
-        method=b"POST",
-        target=b"/",
-        host="h",
-        headers=[],
-        body=b"",
-        received_at=0,
-        patience_ms=None,
-        model="m1",
-        adapter="",
-        prompt_tokens=tokens,
-        output_tokens=10,
-        parts=tuple(parts),
-        last_event_id=b"",
-    )
+    return builders.model_request(prompt_tokens=tokens, parts=tuple(parts))
 
 
 def _choose(replicas, request=None, priority=1, now=0):
