Log how late the event loop is and what a controller's messages weigh

The logs could not tell an engine that is silent from a controller that is late or whose link is full.

Change: a monitor measures the event loop's lateness each 100 ms and counts the messages of other instances and the answers to them. It writes one line a second where there is something to tell, and gauges. An order's line says how long it took. No logic is changed.

--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -274,6 +274,12 @@
         "another instance closed its connection before the response",
         ("path",),
     ),
+    "instance_load": Message(
+        _STATE,
+        "how late the event loop was at most in the last second, and the"
+        " messages of other instances that were answered in it",
+        ("late_ms", "messages", "received_bytes", "sent_bytes"),
+    ),
     "instance_list_unavailable": Message(
         _STATE, "the platform's instance list could not be read", ("error",)
     ),
@@ -390,6 +396,7 @@
             "model",
             "order_count",
             "replica",
+            "took_ms",
             "verdict",
         ),
     ),
--- a/src/geraniumlink/hosting/_application.py
+++ b/src/geraniumlink/hosting/_application.py
@@ -11,6 +11,7 @@
 from geraniumlink import _logs
 from geraniumlink import _settings
 from geraniumlink.hosting import _host_metrics
+from geraniumlink.hosting import _load_monitor
 from geraniumlink import platform
 from geraniumlink.residency import _controller_protocol
 from geraniumlink.serving import _active_configuration
@@ -56,6 +57,7 @@
         controller_protocol: _controller_protocol.ControllerProtocol,
         clock: _clock.Clock,
         metrics: _host_metrics.HostMetrics,
+        load_monitor: _load_monitor.LoadMonitor,
         is_ready: typing.Callable[[], bool],
     ) -> None:
         self._addresses = addresses
@@ -64,6 +66,7 @@
         self._controller_protocol = controller_protocol
         self._clock = clock
         self._metrics = metrics
+        self._load_monitor = load_monitor
         self._is_ready = is_ready
         self._draining = False
         self._in_flight = 0
@@ -129,7 +132,9 @@
         except ClientDisconnectedError:
             _logs.event("instance_left", path=scope["path"])
         else:
-            await response.send_complete(200, [], orjson.dumps(answer))
+            encoded = orjson.dumps(answer)
+            self._load_monitor.count_message(len(body), len(encoded))
+            await response.send_complete(200, [], encoded)
 
     async def _serve_client(
         self,
--- a/src/geraniumlink/hosting/_gauges.py
+++ b/src/geraniumlink/hosting/_gauges.py
@@ -7,6 +7,7 @@
 from geraniumlink import _log_buffer
 from geraniumlink.hosting import _application
 from geraniumlink.hosting import _host_metrics
+from geraniumlink.hosting import _load_monitor
 from geraniumlink.hosting import _object_watcher
 from geraniumlink import platform
 from geraniumlink.residency import _leadership
@@ -28,6 +29,7 @@
     leadership: _leadership.Leadership
     budgets: _retry_budgets.RetryBudgets
     log_buffer: _log_buffer.LogBuffer
+    load_monitor: _load_monitor.LoadMonitor
 
 
 def add_gauges(
@@ -99,6 +101,21 @@
         "Log lines left out in storms, or because nobody read them",
         lambda: sources.log_buffer.dropped_count,
     )
+    add_gauge(
+        "geraniumlink_event_loop_late_seconds",
+        "Greatest lateness of the event loop in the last second",
+        lambda: sources.load_monitor.late_ms / 1000,
+    )
+    add_gauge(
+        "geraniumlink_message_received_bytes_total",
+        "Bytes of messages received from other instances",
+        lambda: sources.load_monitor.total_received_bytes,
+    )
+    add_gauge(
+        "geraniumlink_message_sent_bytes_total",
+        "Bytes of answers sent to other instances",
+        lambda: sources.load_monitor.total_sent_bytes,
+    )
 
 
 def _configuration_version(
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -11,6 +11,7 @@
     +- reports           sends this instance's demand to the controller
     +- connections       closes stale idle connections to replicas
     +- log lines         writes buffered log lines to standard output
+    +- load monitor      logs how late the event loop is, and messages
     +- signals           SIGTERM starts draining, SIGHUP reloads settings
 """
 
@@ -36,6 +37,7 @@
 from geraniumlink.hosting import _gauges
 from geraniumlink.hosting import _host_metrics
 from geraniumlink.hosting import _http_protocol
+from geraniumlink.hosting import _load_monitor
 from geraniumlink.hosting import _object_watcher
 from geraniumlink.hosting import _relay
 from geraniumlink import platform
@@ -118,6 +120,7 @@
         self._log_buffer = log_buffer
         self._metrics_port = metrics_port
         self._metrics = _host_metrics.HostMetrics()
+        self._load_monitor = _load_monitor.LoadMonitor(clock)
         self._random = random.Random()
         self._draining = False
         self._client = _http.Client()
@@ -174,6 +177,7 @@
                 leadership=self._leadership,
                 budgets=self._budgets,
                 log_buffer=self._log_buffer,
+                load_monitor=self._load_monitor,
             ),
         )
 
@@ -226,6 +230,7 @@
             controller_protocol=self._controller_protocol,
             clock=self._clock,
             metrics=self._metrics,
+            load_monitor=self._load_monitor,
             is_ready=self._is_ready,
         )
 
@@ -276,6 +281,7 @@
             ),
             _supervisor.Child("connections", self._close_stale),
             _supervisor.Child("log lines", self._log_buffer.run),
+            _supervisor.Child("load monitor", self._load_monitor.run),
         ]
         async with anyio.create_task_group() as group:
             group.start_soon(_supervisor.supervise, children, self._clock)
--- a/src/geraniumlink/residency/_order_sender.py
+++ b/src/geraniumlink/residency/_order_sender.py
@@ -190,7 +190,9 @@
             holder=self._instance,
             epoch=self._leadership.epoch,
         )
+        sent_at = self._clock.now()
         verdict = await self._calls.send(order)
+        took_ms = self._clock.now() - sent_at
         # An unload of an adapter that no request uses is completed at once,
         # and the replica counts it as accepted.
         completed_at_once = (
@@ -200,7 +202,12 @@
             state.record_accepted_order(self._clock.now())
         if verdict is platform.OrderResult.UNKNOWN and load:
             state.unconfirmed.add((model, adapter))
-        _logs.event("order", **order._asdict(), verdict=verdict.name)
+        _logs.event(
+            "order",
+            **order._asdict(),
+            verdict=verdict.name,
+            took_ms=took_ms,
+        )
         if verdict is platform.OrderResult.CONFLICT and adapter:
             await self.fetch_report(state)
         return verdict
