Exchange changed suspicions only, not the whole table

On a small machine the controller's link is full; its orders and reports time out, the instances' calls too, and nothing is loaded any more. Class of fault: a periodic exchange of whole state, whose cost grows with the faults that it is meant to help with, and doesn't end with them.

Change: instances report what changed at them until it is acknowledged; the answer has what changed at the controller since the last one.

--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -27,6 +27,7 @@
 from geraniumlink.serving import _retry_budgets
 from geraniumlink.serving import _types
 from geraniumlink.suspicion import _suspicions
+from geraniumlink.suspicion import _table_sync
 
 # The platform's bounds, as its deployments state them: how long a replica
 # takes to leave at most, and least time between the orders of two leaders.
@@ -180,7 +181,7 @@
             leadership=self._leadership,
             replicas=self._replicas,
             budgets=self._budgets,
-            suspicions=self._suspicions,
+            table_sync=_table_sync.TableSync(self._suspicions),
             relay=_NoRelay(),
             link=_controller_link.ControllerLink(
                 self._environment.peer_transport
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -55,6 +55,7 @@
 from geraniumlink.serving import _retry_budgets
 from geraniumlink.serving import _types
 from geraniumlink.suspicion import _suspicions
+from geraniumlink.suspicion import _table_sync
 
 # How long after SIGTERM new connections are accepted. The load balancer
 # checks readiness once a second and stops sending connections after two
@@ -201,7 +202,7 @@
             leadership=self._leadership,
             replicas=self._replicas,
             budgets=self._budgets,
-            suspicions=self._suspicions,
+            table_sync=_table_sync.TableSync(self._suspicions),
             relay=_relay.Relay(self._watchers),
             link=_controller_link.ControllerLink(_http.Client()),
             clock=self._clock,
--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -30,7 +30,7 @@
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _retry_budgets
 from geraniumlink.serving import _types
-from geraniumlink.suspicion import _suspicions
+from geraniumlink.suspicion import _table_sync
 
 REPORT_PATH = "/instances/report"
 WANT_PATH = "/instances/want"
@@ -78,7 +78,7 @@
         leadership: _leadership.Leadership,
         replicas: _replicas.Replicas,
         budgets: _retry_budgets.RetryBudgets,
-        suspicions: _suspicions.SuspicionTable,
+        table_sync: _table_sync.TableSync,
         relay: Relay,
         link: _controller_link.ControllerLink,
         clock: _clock.Clock,
@@ -88,7 +88,7 @@
         self._leadership = leadership
         self._replicas = replicas
         self._budgets = budgets
-        self._suspicions = suspicions
+        self._table_sync = table_sync
         self._relay = relay
         self._link = link
         self._clock = clock
@@ -183,7 +183,7 @@
                 known=self._relay.known_revisions(),
                 loads=self._own_loads(),
                 unreachable=sorted(self._replicas.unreachable_names()),
-                suspicions=_suspicions.to_json(self._suspicions.latest()),
+                suspicions=self._table_sync.make_report(),
             )
             if self._leadership.is_leader:
                 self._apply_answer(self._answer_report(report))
@@ -235,17 +235,11 @@
             self._controller.record_demand(
                 _demand.DemandSample(service, model, adapter, int(tokens))
             )
-        self._suspicions.merge(
-            [
-                entry
-                for entry in _suspicions.from_json(report["suspicions"])
-                if entry.fingerprint
-            ]
-        )
+        suspicions = self._table_sync.answer_report(report["suspicions"])
         answer = {
             "instances": len(self._last_reports),
             "loads": _messages.loads_to_json(self._totals.excluding(sender)),
-            "suspicions": _suspicions.to_json(self._suspicions.latest()),
+            "suspicions": suspicions,
         }
         # A leader that renewed its lease recently has reached the store, so
         # what it knows of the store is up to date. Others must not pass it
@@ -260,7 +254,7 @@
         try:
             self._budgets.set_instances(int(answer["instances"]))
             self._apply_other_loads(answer["loads"])
-            entries = _suspicions.from_json(answer["suspicions"])
+            self._table_sync.apply_answer(answer["suspicions"])
             if "objects" in answer:
                 self._leadership.record_leader_renewal(
                     int(answer["lease_version"])
@@ -269,7 +263,6 @@
         except (KeyError, TypeError, ValueError) as error:
             _logs.event("bad_report_answer", error=repr(error))
             return
-        self._suspicions.merge(entries)
 
     def _own_loads(self) -> dict[str, list[typing.Any]]:
         """Return this instance's load on each replica with models."""
--- a/src/geraniumlink/residency/_messages.py
+++ b/src/geraniumlink/residency/_messages.py
@@ -4,6 +4,8 @@
 
 import typing
 
+from geraniumlink.suspicion import _table_sync
+
 
 class ReplicaLoad(typing.NamedTuple):
     """Load of requests on a replica."""
@@ -71,4 +73,4 @@
     # Replicas that it recently failed to connect to.
     unreachable: list[str]
     # Requests that may have crashed replicas.
-    suspicions: list[typing.Any]
+    suspicions: _table_sync.News
--- a/src/geraniumlink/suspicion/_suspicions.py
+++ b/src/geraniumlink/suspicion/_suspicions.py
@@ -53,6 +53,14 @@
         return self.crashes - self.cleared
 
 
+class Changes(typing.NamedTuple):
+    """Entries that changed after some change of a table."""
+
+    entries: list[Suspicion]
+    # Number of the last change among them, or the one asked for.
+    last_change: int
+
+
 class Standing(enum.Enum):
     """How a request may run, given the crashes recorded for it."""
 
@@ -82,7 +90,19 @@
 
     def __init__(self, clock: _clock.Clock) -> None:
         self._clock = clock
+        # Ordered by their last change, the most recent last.
         self._entries: dict[str, Suspicion] = {}
+        # Number of the last change of each entry, and of all.
+        self._change_numbers: dict[str, int] = {}
+        self._last_change = 0
+        # Entries that changed here and not only by a merge, by fingerprint,
+        # and whether the last change was reported to a peer.
+        self._own_changes: dict[str, bool] = {}
+
+    @property
+    def last_change(self) -> int:
+        """Number of changes so far."""
+        return self._last_change
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -110,6 +130,7 @@
         self._merge_entry(
             Suspicion(fingerprint, crashes, frozenset(), expires_at_ms)
         )
+        self._own_changes[fingerprint] = False
 
     def clear_crashes(self, fingerprint: str) -> None:
         """Clear a request that completed of all crashes recorded so far."""
@@ -118,7 +139,8 @@
             return
         if entry.uncleared:
             _logs.event("suspect_cleared", fingerprint=fingerprint)
-        self._entries[fingerprint] = entry._replace(cleared=entry.crashes)
+            self._own_changes[fingerprint] = False
+        self._set_entry(entry._replace(cleared=entry.crashes))
 
     def merge(self, entries: list[Suspicion]) -> None:
         """Merge a peer's entries, and log each change of standing."""
@@ -139,16 +161,73 @@
         There are at most as many as fit into one message.
         """
         now = self._clock.wall()
-        self._entries = {
-            entry.fingerprint: entry
-            for entry in self._entries.values()
-            if entry.expires_at_ms >= now
-        }
+        for entry in list(self._entries.values()):
+            if entry.expires_at_ms < now:
+                self._remove_entry(entry.fingerprint)
         ordered = sorted(
             self._entries.values(), key=lambda e: -e.expires_at_ms
         )
         return ordered[:MAX_ENTRIES_PER_MESSAGE]
 
+    def entries(self) -> list[Suspicion]:
+        """Return all entries that have not expired."""
+        return [
+            entry
+            for name in self._entries
+            if (entry := self.get(name)) is not None
+        ]
+
+    def changes_since(self, change: int) -> Changes:
+        """Return the entries that changed after a change, the oldest first.
+
+        There are at most as many as fit into one message.
+        """
+        changed: list[Suspicion] = []
+        for fingerprint in reversed(self._entries):
+            if self._change_numbers[fingerprint] <= change:
+                break
+            changed.append(self._entries[fingerprint])
+        oldest = changed[::-1][:MAX_ENTRIES_PER_MESSAGE]
+        if oldest:
+            change = self._change_numbers[oldest[-1].fingerprint]
+        return Changes(oldest, change)
+
+    def unreported(self) -> list[Suspicion]:
+        """Return the entries that changed here and weren't reported since.
+
+        There are at most as many as fit into one message.
+        """
+        found = [
+            self._entries[fingerprint]
+            for fingerprint, is_reported in self._own_changes.items()
+            if not is_reported
+        ]
+        return found[:MAX_ENTRIES_PER_MESSAGE]
+
+    def mark_reported(self, entries: list[Suspicion]) -> None:
+        """Record that a peer has these entries as they were reported."""
+        for entry in entries:
+            if self._entries.get(entry.fingerprint) == entry:
+                self._own_changes[entry.fingerprint] = True
+
+    def forget_reports(self) -> None:
+        """Record that no peer is known to have what changed here."""
+        self._own_changes = dict.fromkeys(self._own_changes, False)
+
+    def _set_entry(self, entry: Suspicion) -> None:
+        """Store an entry, as the latest change unless it is the same."""
+        if self._entries.get(entry.fingerprint) == entry:
+            return
+        self._entries.pop(entry.fingerprint, None)
+        self._entries[entry.fingerprint] = entry
+        self._last_change += 1
+        self._change_numbers[entry.fingerprint] = self._last_change
+
+    def _remove_entry(self, fingerprint: str) -> None:
+        del self._entries[fingerprint]
+        del self._change_numbers[fingerprint]
+        self._own_changes.pop(fingerprint, None)
+
     def _merge_entry(self, entry: Suspicion) -> None:
         now = self._clock.wall()
         # Bounded, so that a peer whose clock is ahead can't keep an entry
@@ -157,12 +236,14 @@
         if expires_at_ms < now:
             return
         known = self.get(entry.fingerprint) or entry
-        self._entries[entry.fingerprint] = _truncate(
-            Suspicion(
-                entry.fingerprint,
-                known.crashes | entry.crashes,
-                known.cleared | entry.cleared,
-                max(known.expires_at_ms, expires_at_ms),
+        self._set_entry(
+            _truncate(
+                Suspicion(
+                    entry.fingerprint,
+                    known.crashes | entry.crashes,
+                    known.cleared | entry.cleared,
+                    max(known.expires_at_ms, expires_at_ms),
+                )
             )
         )
         if len(self._entries) > MAX_ENTRIES:
@@ -177,7 +258,7 @@
             self._entries.values(),
             key=lambda entry: (len(entry.uncleared), entry.expires_at_ms),
         )
-        del self._entries[evicted.fingerprint]
+        self._remove_entry(evicted.fingerprint)
 
 
 def _truncate(entry: Suspicion) -> Suspicion:
--- a/tests/test_controller_protocol.py
+++ b/tests/test_controller_protocol.py
@@ -43,7 +43,7 @@
         leadership=_Leadership(),
         replicas=_replicas.Replicas(clock, 2000),
         budgets=None,
-        suspicions=None,
+        table_sync=None,
         relay=None,
         link=link,
         clock=clock,
