Look up the holders of a model once for many waiting calls

Cause: each call that waits for a model looked at every replica five times a second, and at the end of any move, in several passes. With hundreds of calls the controller's event loop is late again, and orders seem unanswered.

Change: the replicas that hold each model are listed once for 10 ms. A call wakes when a move of its model begins or ends, or when a load that is decided then would end too late, instead of every 200 ms.

--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 import anyio
@@ -48,6 +49,8 @@
 # Time from the decision to load a model until the order is sent, with an
 # unload before it.
 ORDER_DELAY_MS = 400
+# How long the list of the replicas that hold each model is reused.
+HOLDERS_REUSE_MS = 10
 # When a client may retry if the model can't be loaded soon; also the pause
 # after an unload that failed.
 RETRY_AFTER_MS = 1000
@@ -101,6 +104,11 @@
         self._expected_ready_at: dict[tuple[str, str], int] = {}
         self._requirement_added = anyio.Event()
         self._move_ended = anyio.Event()
+        # The replicas that hold each model, and until when that is reused.
+        self._holders: dict[str, list[_replica_states.ReplicaState]] = {}
+        self._holders_valid_until = 0
+        # Set when a move of a model has begun or ended, by service and model.
+        self._move_changed: dict[tuple[str, str], anyio.Event] = {}
         self._epoch = 0
         # Replicas that instances can't connect to. Their registered entries
         # expire only seconds later.
@@ -147,10 +155,12 @@
         """
         began = self._clock.now()
         while self._clock.now() - began < ANSWER_TIMEOUT_MS:
-            self._sync_with_term()
-            resident_at = self._find_resident(requirement, avoid)
-            if resident_at:
-                return _requirements.Resident(resident_at)
+            if self._epoch != self._leadership.epoch:
+                self._sync_with_term()
+            serving = self._find_serving(requirement, avoid)
+            if serving:
+                names = tuple(state.name for state in serving)
+                return _requirements.Resident(names)
             if not self._leadership.may_order():
                 return _requirements.RetryLater(RETRY_AFTER_MS)
             retry_later = await self._advance(
@@ -176,12 +186,9 @@
             return _requirements.RetryLater(RETRY_AFTER_MS)
         if not requirement.adapter:
             return await self._wait_for_model(requirement, engine, deadline)
-        serving_model = [
-            state
-            for state in self._available_states(requirement.service)
-            if state.name not in avoid
-            and state.can_serve(requirement.model, "")
-        ]
+        serving_model = self._find_serving(
+            requirement._replace(adapter=""), avoid
+        )
         if not serving_model:
             return await self._wait_for_model(requirement, engine, deadline)
         # A replica refuses other orders while it loads a model.
@@ -191,7 +198,9 @@
             if state.ready_for_orders and not state.task_running
         ]
         if not candidates:
-            return await self._wait_for_move(deadline)
+            return await self._wait_for(
+                self._move_ended, deadline, PLAN_INTERVAL_MS
+            )
         loaded = await self._adapters.ensure_loaded(
             *requirement, candidates=candidates, slots=engine.adapter_slots
         )
@@ -217,23 +226,29 @@
         since = known.since if known else now
         self._waiting[key] = _Waiting(since, now + WAITING_EXPIRY_MS)
         expected_at = self._expected_ready_at.get(key)
+        wait_ms = ANSWER_TIMEOUT_MS
         if expected_at is None:
             expected_at = now + self._estimated_load_ms(requirement, engine)
+            # After this a load that is decided then would end too late.
+            wait_ms = min(wait_ms, deadline - expected_at + 1)
         if expected_at > deadline:
             return _requirements.RetryLater(
                 max(RETRY_AFTER_MS, expected_at - now)
             )
-        return await self._wait_for_move(deadline)
+        # Not for the end of any move: with many models waited for, each end
+        # would wake all calls.
+        changed = self._move_changed.setdefault(key, anyio.Event())
+        return await self._wait_for(changed, deadline, wait_ms)
 
-    async def _wait_for_move(
-        self, deadline: int
+    async def _wait_for(
+        self, changed: anyio.Event, deadline: int, wait_ms: int
     ) -> _requirements.RetryLater | None:
-        """Wait for the end of any move, at most PLAN_INTERVAL_MS.
+        """Wait for an event, for a limited time.
 
         Returns None unless the deadline has passed.
         """
-        with anyio.move_on_after(PLAN_INTERVAL_MS / 1000):
-            await self._move_ended.wait()
+        with anyio.move_on_after(wait_ms / 1000):
+            await changed.wait()
         if self._clock.now() >= deadline:
             return _requirements.RetryLater(RETRY_AFTER_MS)
         return None
@@ -244,8 +259,9 @@
         """Return the time until a load that is decided now would end."""
         model = engine.models[requirement.model]
         near = any(
-            requirement.model in state.local_models
-            for state in self._available_states(requirement.service)
+            self._is_available(state.name, requirement.service)
+            for state in self._replica_states.values()
+            if requirement.model in state.local_models
         )
         return ORDER_DELAY_MS + int(
             model.local_load_ms if near else model.load_ms
@@ -307,17 +323,43 @@
             and replica.entry.name not in self._unreachable
         ]
 
-    def _find_resident(
-        self, requirement: _requirements.Requirement, avoid: set[str]
-    ) -> tuple[str, ...]:
-        """Return the names of the replicas that can serve a requirement."""
-        return tuple(
-            state.name
-            for state in self._available_states(requirement.service)
-            if state.name not in avoid
-            and state.can_serve(requirement.model, requirement.adapter)
+    def _is_available(self, replica: str, service: str) -> bool:
+        """Whether a replica of a service may get requests now."""
+        known = self._replicas.get(replica)
+        return (
+            known is not None
+            and known.entry.service == service
+            and replica not in self._unreachable
+            and self._replicas.is_available(replica)
         )
 
+    def _holders_of(self, model: str) -> list[_replica_states.ReplicaState]:
+        """Return the replicas that hold a model, as of HOLDERS_REUSE_MS ago.
+
+        Hundreds of calls may wait for models, each of which looks again
+        several times a second.
+        """
+        now = self._clock.now()
+        if now >= self._holders_valid_until:
+            self._holders_valid_until = now + HOLDERS_REUSE_MS
+            self._holders = collections.defaultdict(list)
+            for state in self._replica_states.values():
+                for held in state.models:
+                    self._holders[held].append(state)
+        return self._holders.get(model, [])
+
+    def _find_serving(
+        self, requirement: _requirements.Requirement, avoid: set[str]
+    ) -> list[_replica_states.ReplicaState]:
+        """Return the replicas that can serve a requirement."""
+        return [
+            state
+            for state in self._holders_of(requirement.model)
+            if state.can_serve(requirement.model, requirement.adapter)
+            and state.name not in avoid
+            and self._is_available(state.name, requirement.service)
+        ]
+
     def _start_moves(self, group: anyio.abc.TaskGroup) -> None:
         """Plan the moves of all model services and start them."""
         configuration = self._active_configuration.current
@@ -415,6 +457,7 @@
         load_ms = model.local_load_ms if move.near else model.load_ms
         expected_ms = ORDER_DELAY_MS + LOAD_TIME_FACTOR * load_ms
         self._expected_ready_at[key] = self._clock.now() + int(expected_ms)
+        self._wake_waiting_calls(key)
         try:
             if await self._evict(state, move.evicted):
                 await self._load(state, move.model, load_ms)
@@ -434,8 +477,14 @@
             if not move.near:
                 budget.finish_load()
             self._expected_ready_at.pop(key, None)
+            self._holders_valid_until = 0
             self._move_ended.set()
             self._move_ended = anyio.Event()
+            self._wake_waiting_calls(key)
+
+    def _wake_waiting_calls(self, key: tuple[str, str]) -> None:
+        """Have the calls that wait for a model look at its state again."""
+        self._move_changed.pop(key, anyio.Event()).set()
 
     async def _evict(
         self, state: _replica_states.ReplicaState, model: str | None
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -273,15 +273,23 @@
 
         Replicas with a missing entry are returned only if there is no other.
         """
-        now = self._clock.now()
         usable = [
             replica
             for replica in self.registered(service)
-            if not replica.leaving and replica.paused_until <= now
+            if self._is_usable(replica)
         ]
         not_missing = [r for r in usable if r.missing_since is None]
         return not_missing or usable
 
+    def is_available(self, name: str) -> bool:
+        """Whether ``available`` returns a replica, without listing all."""
+        replica = self._known.get(name)
+        if replica is None:
+            return False
+        if replica.missing_since is not None:
+            return replica in self.available(replica.entry.service)
+        return self._is_usable(replica)
+
     def unreachable_names(self) -> set[str]:
         """Return the names of replicas paused because of a failure."""
         now = self._clock.now()
@@ -330,6 +338,12 @@
         known.missing_since = self._clock.now()
         _logs.event("replica_vanished", replica=name, leaving=known.leaving)
 
+    def _is_usable(self, replica: Replica) -> bool:
+        """Whether it is neither leaving nor paused after a failure."""
+        return not replica.leaving and (
+            replica.paused_until <= self._clock.now()
+        )
+
     def _forget_missing(self) -> None:
         now = self._clock.now()
         for name, replica in list(self._known.items()):
