Let the controller's answers fit through a small instance's link

Cause: every answer to a report repeated the names of all replicas with their loads, and the whole entries of replicas that had changed, encoded anew for each instance. When a small machine is the controller, that is more than its link carries, so orders and the others' calls time out.

Change: loads go as columns of numbers in the order of a list of names that is sent once; changes of entries are compressed, once for all instances that lack the same ones, and left out if there are none.

--- a/src/geraniumlink/hosting/_relay.py
+++ b/src/geraniumlink/hosting/_relay.py
@@ -1,22 +1,39 @@
 """Relays changes in the store from the controller to other instances.
 
 The changes are part of the responses to the other instances' demand reports.
+Most instances lack the same changes, so these are encoded and compressed
+once.
 """
 
 from __future__ import annotations
 
+import base64
 import typing
+import zlib
+
+import orjson
 
 from geraniumlink import _logs
 from geraniumlink import _objects
 from geraniumlink.hosting import _object_watcher
 
+# Limit on the changes of one kind in one message, when decompressed.
+MAX_CHANGES_BYTES = 16 * 2**20
+# Changes are encoded once for many instances, so a high level pays off.
+_COMPRESSION_LEVEL = 6
+# Encoded changes that are kept for reuse, for each kind.
+_MAX_ENCODED = 32
+
 
 class Relay:
     """Encodes and applies the watched objects' changes in messages."""
 
     def __init__(self, watchers: list[_object_watcher.ObjectWatcher]) -> None:
         self._watchers = {watcher.kind: watcher for watcher in watchers}
+        self._encoders = {
+            kind: _ChangesEncoder(watcher)
+            for kind, watcher in self._watchers.items()
+        }
 
     def known_revisions(self) -> dict[str, int]:
         """Return the revision of each kind up to which all is known."""
@@ -24,20 +41,15 @@
             kind: watcher.revision for kind, watcher in self._watchers.items()
         }
 
-    def encode_changes(self, known: dict[str, int]) -> dict[str, typing.Any]:
-        """Return the changes after the revisions that an instance knows."""
-        encoded = {}
-        for kind, watcher in self._watchers.items():
-            changes = watcher.changes_since(int(known.get(kind, 0)))
-            encoded[kind] = [
-                changes.revision,
-                changes.is_snapshot,
-                [
-                    [item.name, item.version, item.value]
-                    for item in changes.objects
-                ],
-            ]
-        return encoded
+    def encode_changes(self, known: dict[str, int]) -> dict[str, str]:
+        """Return the changes after the revisions that an instance knows.
+
+        They are text, by kind of object; empty if that revision is the last.
+        """
+        return {
+            kind: encoder.encode_since(int(known.get(kind, 0)))
+            for kind, encoder in self._encoders.items()
+        }
 
     def apply_changes(self, encoded: typing.Any) -> None:
         """Apply another instance's ``encode_changes``.
@@ -47,15 +59,63 @@
         """
         try:
             for kind, watcher in self._watchers.items():
-                revision, is_snapshot, rows = encoded[kind]
-                objects = [
-                    _objects.Object(kind, str(name), int(version), value)
-                    for name, version, value in rows
-                ]
-                watcher.apply_relayed(
-                    _object_watcher.Changes(
-                        int(revision), bool(is_snapshot), objects
-                    )
+                text = encoded[kind]
+                changes = (
+                    _decode(kind, text)
+                    if text
+                    else _object_watcher.Changes(watcher.revision, False, [])
                 )
+                watcher.apply_relayed(changes)
         except (KeyError, TypeError, ValueError) as error:
             _logs.event("bad_relay", error=repr(error))
+
+
+class _ChangesEncoder:
+    """Encodes the changes of one watcher's objects, each only once."""
+
+    def __init__(self, watcher: _object_watcher.ObjectWatcher) -> None:
+        self._watcher = watcher
+        # By the revision after which they are; all end at _revision.
+        self._encoded: dict[int, str] = {}
+        self._revision = 0
+
+    def encode_since(self, revision: int) -> str:
+        """Return the changes after a revision; empty if it is the last."""
+        if revision and revision == self._watcher.revision:
+            return ""
+        if (
+            self._revision != self._watcher.revision
+            or len(self._encoded) >= _MAX_ENCODED
+        ):
+            self._encoded.clear()
+            self._revision = self._watcher.revision
+        if revision not in self._encoded:
+            changes = self._watcher.changes_since(revision)
+            self._encoded[revision] = _encode(changes)
+        return self._encoded[revision]
+
+
+def _encode(changes: _object_watcher.Changes) -> str:
+    rows = [[item.name, item.version, item.value] for item in changes.objects]
+    data = orjson.dumps([changes.revision, changes.is_snapshot, rows])
+    compressed = zlib.compress(data, _COMPRESSION_LEVEL)
+    return base64.b64encode(compressed).decode()
+
+
+def _decode(kind: str, text: str) -> _object_watcher.Changes:
+    """Decode changes.
+
+    :raises ValueError: if they are malformed or too large.
+    """
+    try:
+        data = zlib.decompressobj().decompress(
+            base64.b64decode(text), MAX_CHANGES_BYTES
+        )
+    except zlib.error as error:
+        raise ValueError(f"not compressed changes: {error}") from error
+    revision, is_snapshot, rows = orjson.loads(data)
+    objects = [
+        _objects.Object(kind, str(name), int(version), value)
+        for name, version, value in rows
+    ]
+    return _object_watcher.Changes(int(revision), bool(is_snapshot), objects)
--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -23,6 +23,7 @@
 from geraniumlink.residency import _controller_link
 from geraniumlink.residency import _demand
 from geraniumlink.residency import _leadership
+from geraniumlink.residency import _load_columns
 from geraniumlink.residency import _load_totals
 from geraniumlink.residency import _messages
 from geraniumlink.residency import _requirements
@@ -96,6 +97,8 @@
         # Prompt tokens since the last report, by service, model and adapter.
         self._prompt_tokens: dict[tuple[str, str, str], int] = {}
         self._totals = _load_totals.LoadTotals(clock)
+        self._load_encoder = _load_columns.LoadEncoder()
+        self._load_decoder = _load_columns.LoadDecoder()
         # Last report of each running instance; kept by the controller.
         self._last_reports: dict[str, _messages.LastReport] = {}
         # Requirements that were sent to the controller, and what is set when
@@ -182,6 +185,7 @@
                 uses=[[*key, tokens] for key, tokens in prompt_tokens.items()],
                 known=self._relay.known_revisions(),
                 loads=self._own_loads(),
+                load_order=self._load_decoder.order,
                 unreachable=sorted(self._replicas.unreachable_names()),
                 suspicions=self._table_sync.make_report(),
             )
@@ -238,7 +242,9 @@
         suspicions = self._table_sync.answer_report(report["suspicions"])
         answer = {
             "instances": len(self._last_reports),
-            "loads": _messages.loads_to_json(self._totals.excluding(sender)),
+            "loads": self._load_encoder.encode(
+                self._totals.excluding(sender), str(report["load_order"])
+            ),
             "suspicions": suspicions,
         }
         # A leader that renewed its lease recently has reached the store, so
@@ -253,7 +259,7 @@
         """Apply the controller's answer to a report; log a malformed one."""
         try:
             self._budgets.set_instances(int(answer["instances"]))
-            self._apply_other_loads(answer["loads"])
+            self._apply_other_loads(self._load_decoder.decode(answer["loads"]))
             self._table_sync.apply_answer(answer["suspicions"])
             if "objects" in answer:
                 self._leadership.record_leader_renewal(
@@ -288,16 +294,16 @@
         needed = len(self._last_reports) / 2
         return {replica for replica, n in votes.items() if n >= needed}
 
-    def _apply_other_loads(self, loads: dict[str, list[typing.Any]]) -> None:
+    def _apply_other_loads(
+        self, loads: dict[str, _messages.ReplicaLoad]
+    ) -> None:
         """Set the other instances' load on each replica known here."""
         now = self._clock.now()
+        nothing = _messages.ReplicaLoad(0, {})
         for replica in self._replicas.all():
-            in_flight, by_priority = loads.get(replica.entry.name, (0, ()))
-            prefill_tokens = {
-                int(priority): int(tokens) for priority, tokens in by_priority
-            }
+            load = loads.get(replica.entry.name, nothing)
             replica.note_peer_load(
-                _replicas.PeerLoad(int(in_flight), prefill_tokens, now)
+                _replicas.PeerLoad(load.in_flight, load.prefill_tokens, now)
             )
 
     async def _answer_requirement(self, message: typing.Any) -> typing.Any:
--- a/src/geraniumlink/residency/_messages.py
+++ b/src/geraniumlink/residency/_messages.py
@@ -70,6 +70,8 @@
     known: dict[str, int]
     # Its load on each replica, as loads_to_json returns it.
     loads: dict[str, list[typing.Any]]
+    # List of replicas that it knows, for the loads in the answer.
+    load_order: str
     # Replicas that it recently failed to connect to.
     unreachable: list[str]
     # Requests that may have crashed replicas.
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -161,3 +161,24 @@
     await fleet.faults(site.store, outage=True)
     await fleet.faults(site.store, outage=False)
     await add("third", 4)
+
+
+def test_changes_for_many_instances_are_encoded_once(monkeypatch):
+    sender = _WatchedCopy()
+    _apply(sender, 1, [_object("a", 1, {})])
+    _apply(sender, 2, [_object("b", 2, {})])
+    encoded = []
+    encode = _relay._encode
+    monkeypatch.setattr(
+        _relay, "_encode", lambda changes: encoded.append(1) or encode(changes)
+    )
+    first = [sender.relay.encode_changes({"servers": 1}) for _ in range(80)]
+    assert len(encoded) == 1
+    _apply(sender, 3, [_object("c", 3, {})])
+    assert sender.relay.encode_changes({"servers": 1}) != first[0]
+
+
+def test_an_instance_without_new_changes_is_sent_none():
+    sender = _WatchedCopy()
+    _apply(sender, 1, [_object("a", 1, {"x": "y" * 10_000})])
+    assert sender.relay.encode_changes({"servers": 1}) == {"servers": ""}
