Keep log lines of one test out of another's

tests/test_emulator.py::test_a_simulation_is_deterministic failed once, run right after tests/test_serving.py: one request more in the first simulation than in the second.

Cause: eliot keeps up to 1,000 lines while there is no destination, and passes them to the first one that is added, which was the simulation's.

Change: the tests' session has a destination of its own from the start.

Result: both files pass right after those that write lines; failed before.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import pathlib
 
+import eliot
 import hypothesis
 import pytest
 
@@ -14,6 +15,10 @@
 )
 hypothesis.settings.load_profile("ci")
 
+# Without a destination, eliot would keep the lines of one test and pass them
+# to the first destination that another test adds.
+eliot.add_destinations(lambda _line: None)
+
 # One line for each entry: test id | command and seed | what was seen | issue
 _KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
