Refuse prompts with a part that crashes engine after engine

Cause: suspicion went by the digest of the whole request. Requests that share a part of their prompts, and are not alike otherwise, are each new to it. Class of fault: an identity that is too narrow for what it guards against.

Change: a second table counts crashes by part of the prompt. A completed request clears its parts. Crashes are attributed to as few parts as possible; parts at the same crashes are a group, whose requests are refused from the third crash on while requests with only some of it go on. Instances exchange the table like the one of requests.

--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -26,6 +26,7 @@
 from geraniumlink.serving import _response_writer
 from geraniumlink.serving import _retry_budgets
 from geraniumlink.serving import _types
+from geraniumlink.suspicion import _prompt_parts
 from geraniumlink.suspicion import _suspicions
 from geraniumlink.suspicion import _table_sync
 
@@ -93,6 +94,7 @@
         self._replicas = _replicas.Replicas(clock, _LEAVING_BOUND_MS)
         self._budgets = _retry_budgets.RetryBudgets(_RETRY_LIMIT, clock)
         self._suspicions = _suspicions.SuspicionTable(clock)
+        self._prompt_parts = _prompt_parts.PromptParts(clock, self._random)
         self._leadership = self._make_leadership()
         self._controller = _controller.Controller(
             active_configuration=self._active_configuration,
@@ -110,6 +112,7 @@
             residency=self._controller_protocol,
             budgets=self._budgets,
             suspicions=self._suspicions,
+            prompt_parts=self._prompt_parts,
             metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
             connections=_connections.ConnectionPool(
                 clock, environment.network.dial
@@ -181,7 +184,8 @@
             leadership=self._leadership,
             replicas=self._replicas,
             budgets=self._budgets,
-            table_sync=_table_sync.TableSync(self._suspicions),
+            request_sync=_table_sync.TableSync(self._suspicions),
+            part_sync=_table_sync.TableSync(self._prompt_parts.table),
             relay=_NoRelay(),
             link=_controller_link.ControllerLink(
                 self._environment.peer_transport
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -407,6 +407,23 @@
     "order_too_old": _order_step(
         "an order was recorded too long ago to be sent"
     ),
+    "part_blocked": Message(
+        _STATE,
+        "requests whose prompts have all of these `parts` are refused:"
+        " as many replicas as `crashes` crashed while they started on them",
+        ("crashes", "parts"),
+    ),
+    "part_tried": Message(
+        _STATE,
+        "one request with blocked `parts` of a prompt is let through",
+        ("parts",),
+    ),
+    "part_unblocked": Message(
+        _STATE,
+        "requests with these `parts` are no longer refused, or other parts"
+        " are to blame",
+        ("crashes", "parts"),
+    ),
     "overcharge_refused": Message(
         _STATE,
         "an order was not recorded, as it would overcommit memory",
@@ -539,6 +556,7 @@
         (
             "fingerprint",
             "member",
+            "parts",
             "passed_on",
             "replica",
             "request_id",
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -54,6 +54,7 @@
 from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _retry_budgets
 from geraniumlink.serving import _types
+from geraniumlink.suspicion import _prompt_parts
 from geraniumlink.suspicion import _suspicions
 from geraniumlink.suspicion import _table_sync
 
@@ -135,6 +136,9 @@
             self._clock, settings.leaving_bound_ms
         )
         self._suspicions = _suspicions.SuspicionTable(self._clock)
+        self._prompt_parts = _prompt_parts.PromptParts(
+            self._clock, self._random
+        )
         self._budgets = _retry_budgets.RetryBudgets(
             _retry_budgets.RetryLimit(
                 settings.retry_ratio,
@@ -202,7 +206,8 @@
             leadership=self._leadership,
             replicas=self._replicas,
             budgets=self._budgets,
-            table_sync=_table_sync.TableSync(self._suspicions),
+            request_sync=_table_sync.TableSync(self._suspicions),
+            part_sync=_table_sync.TableSync(self._prompt_parts.table),
             relay=_relay.Relay(self._watchers),
             link=_controller_link.ControllerLink(_http.Client()),
             clock=self._clock,
@@ -216,6 +221,7 @@
             residency=self._controller_protocol,
             budgets=self._budgets,
             suspicions=self._suspicions,
+            prompt_parts=self._prompt_parts,
             metrics=_request_metrics.RequestMetrics(self._metrics.registry),
             connections=self._connections,
             clock=self._clock,
--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -79,7 +79,8 @@
         leadership: _leadership.Leadership,
         replicas: _replicas.Replicas,
         budgets: _retry_budgets.RetryBudgets,
-        table_sync: _table_sync.TableSync,
+        request_sync: _table_sync.TableSync,
+        part_sync: _table_sync.TableSync,
         relay: Relay,
         link: _controller_link.ControllerLink,
         clock: _clock.Clock,
@@ -89,7 +90,9 @@
         self._leadership = leadership
         self._replicas = replicas
         self._budgets = budgets
-        self._table_sync = table_sync
+        # Exchange the suspicions of requests and of prompt parts.
+        self._request_sync = request_sync
+        self._part_sync = part_sync
         self._relay = relay
         self._link = link
         self._clock = clock
@@ -187,7 +190,8 @@
                 loads=self._own_loads(),
                 load_order=self._load_decoder.order,
                 unreachable=sorted(self._replicas.unreachable_names()),
-                suspicions=self._table_sync.make_report(),
+                suspicions=self._request_sync.make_report(),
+                suspected_parts=self._part_sync.make_report(),
             )
             if self._leadership.is_leader:
                 self._apply_answer(self._answer_report(report))
@@ -239,13 +243,17 @@
             self._controller.record_demand(
                 _demand.DemandSample(service, model, adapter, int(tokens))
             )
-        suspicions = self._table_sync.answer_report(report["suspicions"])
+        suspicions = self._request_sync.answer_report(report["suspicions"])
+        suspected_parts = self._part_sync.answer_report(
+            report["suspected_parts"]
+        )
         answer = {
             "instances": len(self._last_reports),
             "loads": self._load_encoder.encode(
                 self._totals.excluding(sender), str(report["load_order"])
             ),
             "suspicions": suspicions,
+            "suspected_parts": suspected_parts,
         }
         # A leader that renewed its lease recently has reached the store, so
         # what it knows of the store is up to date. Others must not pass it
@@ -260,7 +268,8 @@
         try:
             self._budgets.set_instances(int(answer["instances"]))
             self._apply_other_loads(self._load_decoder.decode(answer["loads"]))
-            self._table_sync.apply_answer(answer["suspicions"])
+            self._request_sync.apply_answer(answer["suspicions"])
+            self._part_sync.apply_answer(answer["suspected_parts"])
             if "objects" in answer:
                 self._leadership.record_leader_renewal(
                     int(answer["lease_version"])
--- a/src/geraniumlink/residency/_messages.py
+++ b/src/geraniumlink/residency/_messages.py
@@ -76,3 +76,5 @@
     unreachable: list[str]
     # Requests that may have crashed replicas.
     suspicions: _table_sync.News
+    # Parts of prompts that may have crashed replicas.
+    suspected_parts: _table_sync.News
--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -28,6 +28,10 @@
 # events.
 STALL_TIMEOUT_GAPS = 4
 
+# A response counts as starting for this long after its first event, since
+# that of a replica that crashes may have been received.
+START_MS = 500
+
 _T = typing.TypeVar("_T")
 
 
@@ -57,6 +61,18 @@
         self._body_sent = False
         # Whether the connection may carry another request.
         self.reusable = False
+        # When the first event, or the whole body, was received; None before.
+        self._first_event_at: int | None = None
+
+    def is_starting(self) -> bool:
+        """Whether the replica has only begun with its response, if at all.
+
+        The response is then a likely cause if the replica has crashed.
+        """
+        return (
+            self._first_event_at is None
+            or self._clock.now() - self._first_event_at < START_MS
+        )
 
     async def run(self) -> _outcomes.Outcome:
         """Run the attempt, and count its load while it lasts."""
@@ -255,8 +271,10 @@
 
     def _record_first_event(self) -> None:
         """Record the time to first event; the prompt has been read."""
+        if self._first_event_at is None:
+            self._first_event_at = self._clock.now()
         if self._state.first_event_at is None:
-            self._state.first_event_at = self._clock.now()
+            self._state.first_event_at = self._first_event_at
         if not self._prefill_tokens:
             return
         now = self._clock.now()
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -29,6 +29,7 @@
 from geraniumlink.serving import _response_writer
 from geraniumlink.serving import _retry_budgets
 from geraniumlink.serving import _types
+from geraniumlink.suspicion import _prompt_parts
 from geraniumlink.suspicion import _suspicions
 
 # A request is refused once more connections than this could not be opened
@@ -45,6 +46,9 @@
 # loaded. A refusal after the wait uses up to REFUSAL_MARGIN_MS (200) of it;
 # see ``residency._controller_protocol``.
 SERVE_RESERVE_MS = 400
+# Why a request is refused or not retried.
+_CRASHED_BEFORE = "it crashed replicas before"
+_PART_CRASHED_BEFORE = "a part of its prompt crashed replicas before"
 
 
 class Residency(typing.Protocol):
@@ -79,6 +83,7 @@
         residency: Residency,
         budgets: _retry_budgets.RetryBudgets,
         suspicions: _suspicions.SuspicionTable,
+        prompt_parts: _prompt_parts.PromptParts,
         metrics: _request_metrics.RequestMetrics,
         connections: _connections.ConnectionPool,
         clock: _clock.Clock,
@@ -91,6 +96,7 @@
         self._residency = residency
         self._budgets = budgets
         self._suspicions = suspicions
+        self._prompt_parts = prompt_parts
         self._metrics = metrics
         self._clock = clock
         self._data_centre = data_centre
@@ -216,7 +222,9 @@
         if state.attempts >= state.route.max_attempts:
             return "no attempts left"
         if self._is_confirmed_crasher(state):
-            return "it crashed replicas before"
+            return _CRASHED_BEFORE
+        if self._prompt_parts.is_blocked(state.shared_parts):
+            return _PART_CRASHED_BEFORE
         if not self._budgets.try_withdraw(state.service, state.log_id):
             return "no repeat budget left"
         return ""
@@ -225,9 +233,10 @@
         self, state: _request_state.RequestState
     ) -> _balance.Choice | _outcomes.Refusal:
         """Choose a replica; wait for the model to be loaded if need be."""
-        if self._is_confirmed_crasher(state):
-            return _outcomes.Refusal("it crashed replicas before", None)
         while True:
+            why_refused = self._why_crashes_likely(state)
+            if why_refused:
+                return _outcomes.Refusal(why_refused, None)
             now = self._clock.now()
             left_ms = state.deadline - now
             available = [
@@ -334,12 +343,13 @@
                 await connection.close()
             elif outcome is not None:
                 self._connections.release(entry.name, connection)
-        await self._record_outcome(state, replica, outcome)
+        await self._record_outcome(state, attempt, replica, outcome)
         return outcome
 
     async def _record_outcome(
         self,
         state: _request_state.RequestState,
+        attempt: _attempt.Attempt,
         replica: _replicas.Replica,
         outcome: _outcomes.Outcome,
     ) -> None:
@@ -349,6 +359,7 @@
             case _outcomes.Done():
                 replica.note_outcome(False, now)
                 self._suspicions.clear_crashes(state.fingerprint)
+                self._prompt_parts.note_completion(state.shared_parts)
             case _outcomes.NotRun():
                 pass
             case _outcomes.Failed(status=status):
@@ -356,15 +367,21 @@
             case _:  # Interrupted.
                 state.may_have_run = True
                 replica.note_outcome(True, now)
-                await self._suspect_if_crashed(state, replica)
+                suspects = state.shared_parts if attempt.is_starting() else ()
+                await self._suspect_if_crashed(state, suspects, replica)
         if isinstance(outcome, _outcomes.Failed):
             state.may_have_run = True
 
     async def _suspect_if_crashed(
-        self, state: _request_state.RequestState, replica: _replicas.Replica
+        self,
+        state: _request_state.RequestState,
+        parts: tuple[str, ...],
+        replica: _replicas.Replica,
     ) -> None:
         """Record a crash by the request if the replica's port is closed.
 
+        :param parts: parts of its prompt that may have caused the crash.
+
         The end of a replica that was marked as leaving is no crash.
         """
         entry = replica.entry
@@ -380,10 +397,12 @@
                 str(entry.address), str(entry.started_at)
             )
             self._suspicions.add_crash(state.fingerprint, crash)
+            self._prompt_parts.note_crash(parts, crash)
             _logs.event(
                 "suspected",
                 request_id=state.log_id,
                 fingerprint=state.fingerprint,
+                parts=list(parts),
                 replica=entry.name,
                 standing=self._suspicions.standing(state.fingerprint).name,
             )
@@ -392,6 +411,22 @@
         else:
             self._connections.release(entry.name, probe)
 
+    def _why_crashes_likely(self, state: _request_state.RequestState) -> str:
+        """Return why the request must not run as it may crash a replica.
+
+        "" if it may run.
+        """
+        if self._is_confirmed_crasher(state):
+            return _CRASHED_BEFORE
+        if state.is_part_trial:
+            return ""
+        match self._prompt_parts.admit(state.shared_parts):
+            case _prompt_parts.Admission.BLOCKED:
+                return _PART_CRASHED_BEFORE
+            case _prompt_parts.Admission.TRIAL:
+                state.is_part_trial = True
+        return ""
+
     def _is_confirmed_crasher(
         self, state: _request_state.RequestState
     ) -> bool:
--- a/src/geraniumlink/serving/_request_state.py
+++ b/src/geraniumlink/serving/_request_state.py
@@ -6,6 +6,7 @@
 
 from geraniumlink.serving import _response_writer
 from geraniumlink.serving import _types
+from geraniumlink.suspicion import _prompt_parts
 from geraniumlink.suspicion import _suspicions
 
 # The users' clients abandon a stream that has no events after the longest of
@@ -49,6 +50,14 @@
         # it. Empty if there is none.
         self.last_event_id = request.last_event_id
         self.fingerprint = _fingerprint(request)
+        # Fingerprints of the parts of its prompt that other requests may
+        # have too. The last part is the request's own or its session's.
+        self.shared_parts = tuple(
+            _prompt_parts.part_fingerprint(block.key)
+            for block in request.prefix_blocks[:-1]
+        )
+        # Whether it may run although a part of its prompt is blocked.
+        self.is_part_trial = False
         # Name of the replica chosen last; empty before the first choice.
         self.last_replica = ""
         # When the first event, or the whole body, was received; None before.
--- a/src/geraniumlink/suspicion/_suspicions.py
+++ b/src/geraniumlink/suspicion/_suspicions.py
@@ -86,10 +86,14 @@
 
 
 class SuspicionTable:
-    """Suspicions by fingerprint: bounded in number, each with an expiry."""
+    """Suspicions by fingerprint: bounded in number, each with an expiry.
 
-    def __init__(self, clock: _clock.Clock) -> None:
+    :param logs_changes: whether changes of standing are logged.
+    """
+
+    def __init__(self, clock: _clock.Clock, logs_changes: bool = True) -> None:
         self._clock = clock
+        self._logs_changes = logs_changes
         # Ordered by their last change, the most recent last.
         self._entries: dict[str, Suspicion] = {}
         # Number of the last change of each entry, and of all.
@@ -138,7 +142,8 @@
         if entry is None:
             return
         if entry.uncleared:
-            _logs.event("suspect_cleared", fingerprint=fingerprint)
+            if self._logs_changes:
+                _logs.event("suspect_cleared", fingerprint=fingerprint)
             self._own_changes[fingerprint] = False
         self._set_entry(entry._replace(cleared=entry.crashes))
 
@@ -148,7 +153,7 @@
             before = self.standing(entry.fingerprint)
             self._merge_entry(entry)
             standing = self.standing(entry.fingerprint)
-            if standing is not before:
+            if self._logs_changes and standing is not before:
                 _logs.event(
                     "suspicion_learned",
                     fingerprint=entry.fingerprint,
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -10,7 +10,8 @@
 ``lose_orders`` (this many next orders are carried out and not answered),
 ``ignore_orders`` (neither), ``unload_waits`` (an adapter stays until that is
 off), ``closing`` (a model that is being unloaded: requests for it are refused
-with room to spare).
+with room to spare), ``deadly_part`` (the process ends when it begins to
+answer a request whose prompt has this part).
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import time
 import typing
 
@@ -268,6 +270,8 @@
     ) -> bool:
         identity = f"X-Request-Id: {run['id']}"
         seal = "X-Response-Seal: of-" + self._name
+        if self._is_deadly(request):
+            os._exit(1)
         if self.faults.unsealed:
             seal = "X-Unsealed: 1"
         if self.faults.hang:
@@ -285,6 +289,11 @@
             return await self._stream(request, writer, run, identity, seal)
         return await self._call(request, writer, identity, seal)
 
+    def _is_deadly(self, request: _Request) -> bool:
+        parts = request.headers.get("x-prefix-hash", "").split(",")
+        keys = {part.partition(":")[0] for part in parts}
+        return self.faults.deadly_part in keys
+
     async def _call(
         self,
         request: _Request,
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -22,6 +22,7 @@
 from geraniumlink.serving import _response_writer
 from geraniumlink.serving import _retry_budgets
 from geraniumlink.serving import _types
+from geraniumlink.suspicion import _prompt_parts
 from geraniumlink.suspicion import _suspicions
 from tests import builders
 from tests import hosts
@@ -236,6 +237,7 @@
             _retry_budgets.RetryLimit(0.2, 8, 1000), clock
         ),
         suspicions=_suspicions.SuspicionTable(clock),
+        prompt_parts=_prompt_parts.PromptParts(clock, random.Random(1)),
         metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
         connections=_connections.ConnectionPool(clock),
         clock=clock,
