Give no moves to a replica whose process has ended

Cause: a replica that crashed stays registered for seconds. Until half of the instances said that they can't reach it (83 never did), the controller took it for an idle one: its moves failed at once, and the next plan chose it again. Each failed move used up the budget of loads from the weight store, and models that only it held counted as resident. A move to a replica that crashed later was waited for for four times its duration.

Change: a refused connection shows that the process has ended. Such a replica holds nothing and gets nothing until a report can be fetched; its moves end. A load that was not ordered is taken back from the budget; after any refused order the replica rests for a second.

--- a/src/geraniumlink/platform/_orders.py
+++ b/src/geraniumlink/platform/_orders.py
@@ -27,6 +27,7 @@
     HOLDS = "the replica is in the ordered state now"
     CONFLICT = "another order is in progress, or the order count differs"
     REFUSED = "the replica refused it, or could not be connected to"
+    NO_LISTENER = "the replica's process has ended: it refuses connections"
     UNKNOWN = (
         "no clear response; the replica may have accepted it, or still may"
     )
@@ -64,8 +65,8 @@
     async def send(self, order: Order) -> OrderResult:
         """Send an order once and return what is known of it.
 
-        No failure raises: one before the request was sent is ``REFUSED``,
-        and a later one is ``UNKNOWN``.
+        No failure raises: one before the request was sent is ``REFUSED`` or
+        ``NO_LISTENER``, and a later one is ``UNKNOWN``.
         """
         message = {
             "operation": "load" if order.load else "unload",
@@ -91,6 +92,8 @@
                     connect_ms=ORDER_TIMEOUT_MS,
                     read_ms=ORDER_TIMEOUT_MS,
                 )
+        except _http.NoListenerError:
+            return OrderResult.NO_LISTENER
         except _http.NotSentError:
             return OrderResult.REFUSED
         except (_http.BrokenError, TimeoutError):
@@ -102,6 +105,7 @@
     ) -> _types.ReplicaReport:
         """Return a replica's report, which may be some hundred ms old.
 
+        :raises _http.NoListenerError: if the replica refuses connections.
         :raises _http.NotSentError: if the connection could not be opened.
         :raises _http.BrokenError: if no complete, valid report came in time.
         """
--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -49,6 +49,8 @@
 # Time from the decision to load a model until the order is sent, with an
 # unload before it.
 ORDER_DELAY_MS = 400
+# Pause before a replica that refused a connection is looked at again.
+ENDED_CHECK_INTERVAL_MS = 1000
 # How long the list of the replicas that hold each model is reused.
 HOLDERS_REUSE_MS = 10
 # When a client may retry if the model can't be loaded soon; also the pause
@@ -270,13 +272,17 @@
     def _fetch_missing_reports(self, group: anyio.abc.TaskGroup) -> None:
         """Fetch the reports that are needed before orders can be sent."""
         for state in self._replica_states.values():
-            if not state.task_running and not state.ready_for_orders:
+            if not state.task_running and (
+                state.has_ended or not state.ready_for_orders
+            ):
                 state.task_running = True
                 group.start_soon(self._fetch_report, state)
 
     async def _fetch_report(self, state: _replica_states.ReplicaState) -> None:
         """Fetch a replica's report, then free the replica for other tasks."""
         await self._order_sender.fetch_report(state)
+        if state.has_ended:
+            await self._clock.sleep(ENDED_CHECK_INTERVAL_MS)
         state.task_running = False
 
     def _sync_with_term(self) -> None:
@@ -316,18 +322,20 @@
         self, service: str
     ) -> list[_replica_states.ReplicaState]:
         """Return the states of the replicas that may get requests now."""
-        return [
+        states = [
             self._replica_states[replica.entry.name]
             for replica in self._replicas.available(service)
             if replica.entry.name in self._replica_states
             and replica.entry.name not in self._unreachable
         ]
+        return [state for state in states if not state.has_ended]
 
     def _is_available(self, replica: str, service: str) -> bool:
         """Whether a replica of a service may get requests now."""
         known = self._replicas.get(replica)
         return (
             known is not None
+            and not self._replica_states[replica].has_ended
             and known.entry.service == service
             and replica not in self._unreachable
             and self._replicas.is_available(replica)
@@ -385,8 +393,7 @@
         ]
         for move in _planner.plan(engine, views, demand, store_loads):
             self._charge_move(move)
-            if not move.near:
-                budget.start_load()
+            started_at = None if move.near else budget.start_load()
             _logs.event(
                 "move",
                 **move._asdict(),
@@ -396,7 +403,7 @@
                 ),
             )
             group.start_soon(
-                self._carry_out_move, service, engine, move, budget
+                self._carry_out_move, service, engine, move, budget, started_at
             )
 
     def _budget_of(
@@ -449,8 +456,13 @@
         engine: _types.Engine,
         move: _planner.Move,
         budget: _model_load_budget.ModelLoadBudget,
+        started_at: int | None,
     ) -> None:
-        """Evict a model, if the move has one, then load the other."""
+        """Evict a model, if the move has one, then load the other.
+
+        :param started_at: when the load was counted in the budget; None if
+            it needs none.
+        """
         state = self._replica_states[move.replica]
         key = (service, move.model)
         model = engine.models[move.model]
@@ -458,12 +470,14 @@
         expected_ms = ORDER_DELAY_MS + LOAD_TIME_FACTOR * load_ms
         self._expected_ready_at[key] = self._clock.now() + int(expected_ms)
         self._wake_waiting_calls(key)
+        is_ordered = False
         try:
             if await self._evict(state, move.evicted):
-                await self._load(state, move.model, load_ms)
+                is_ordered = await self._load(state, move.model, load_ms)
             else:
                 state.loading.discard((move.model, ""))
-                # Whatever prevented the unload has hardly changed yet.
+            if not is_ordered:
+                # Whatever prevented the move has hardly changed yet.
                 await self._clock.sleep(RETRY_AFTER_MS)
         finally:
             _logs.event(
@@ -474,8 +488,11 @@
             state.task_running = False
             if move.evicted is not None:
                 state.unloading.discard((move.evicted, ""))
-            if not move.near:
-                budget.finish_load()
+            if started_at is not None:
+                if is_ordered or (move.model, "") in state.unconfirmed:
+                    budget.finish_load()
+                else:
+                    budget.cancel_load(started_at)
             self._expected_ready_at.pop(key, None)
             self._holders_valid_until = 0
             self._move_ended.set()
@@ -503,16 +520,20 @@
 
     async def _load(
         self, state: _replica_states.ReplicaState, model: str, load_ms: float
-    ) -> None:
-        """Order a load and wait until the model is resident or overdue."""
+    ) -> bool:
+        """Order a load and wait until the model is resident or overdue.
+
+        Returns whether the order is known to be accepted.
+        """
         if not await self._order_sender.load_model(state, model):
-            return
+            return False
         await self._order_sender.poll_until(
             state,
             lambda: model in state.models,
             initial_delay_ms=load_ms,
             timeout_ms=LOAD_TIMEOUT_FACTOR * load_ms + ORDER_DELAY_MS,
         )
+        return True
 
     def _engine_of(self, service: str) -> _types.Engine | None:
         found = self._active_configuration.find_service(service)
--- a/src/geraniumlink/residency/_model_load_budget.py
+++ b/src/geraniumlink/residency/_model_load_budget.py
@@ -54,11 +54,19 @@
             by_concurrency - self._running_count,
         )
 
-    def start_load(self) -> None:
-        """Count a load that starts now."""
-        self._started_at.append(self._clock.now())
+    def start_load(self) -> int:
+        """Count a load that starts now; return the time of its start."""
+        now = self._clock.now()
+        self._started_at.append(now)
         self._running_count += 1
+        return now
 
     def finish_load(self) -> None:
         """Count a load that has ended; its start stays in the window."""
         self._running_count -= 1
+
+    def cancel_load(self, started_at: int) -> None:
+        """Take back a load that was not ordered after all."""
+        self._running_count -= 1
+        if started_at in self._started_at:
+            self._started_at.remove(started_at)
--- a/src/geraniumlink/residency/_order_sender.py
+++ b/src/geraniumlink/residency/_order_sender.py
@@ -112,12 +112,17 @@
     ) -> bool:
         """Fetch a replica's reports until a condition holds.
 
-        Returns False after ``timeout_ms``, or when the lease was lost.
+        Returns False after ``timeout_ms``, when the lease was lost, or when
+        the replica's process has ended.
         """
         deadline = self._clock.now() + timeout_ms
         await self._clock.sleep(initial_delay_ms)
         while not condition():
-            if self._clock.now() >= deadline or not self._leadership.epoch:
+            if (
+                self._clock.now() >= deadline
+                or not self._leadership.epoch
+                or state.has_ended
+            ):
                 return False
             await self._clock.sleep(POLL_INTERVAL_MS)
             await self.fetch_report(state)
@@ -132,7 +137,10 @@
             report = await self._calls.fetch_report(state.name, state.address)
         except (_http.NotSentError, _http.BrokenError) as error:
             _logs.event("report_missing", replica=state.name, error=str(error))
+            if isinstance(error, _http.NoListenerError):
+                state.has_ended = True
             return
+        state.has_ended = False
         state.apply_report(report, self._clock.now())
 
     async def _send_until_answered(
@@ -157,7 +165,10 @@
                 case platform.OrderResult.UNKNOWN:
                     may_be_accepted = True
                     continue
-                case platform.OrderResult.REFUSED:
+                case (
+                    platform.OrderResult.REFUSED
+                    | platform.OrderResult.NO_LISTENER
+                ):
                     return False
             break
         await self._clock.sleep(_replica_states.REPORT_LAG_MS)
@@ -200,6 +211,8 @@
         )
         if verdict is platform.OrderResult.ACCEPTED or completed_at_once:
             state.record_accepted_order(self._clock.now())
+        if verdict is platform.OrderResult.NO_LISTENER:
+            state.has_ended = True
         if verdict is platform.OrderResult.UNKNOWN and load:
             state.unconfirmed.add((model, adapter))
         _logs.event(
--- a/src/geraniumlink/residency/_replica_states.py
+++ b/src/geraniumlink/residency/_replica_states.py
@@ -48,6 +48,9 @@
         self.adapters_loading: frozenset[tuple[str, str]] = frozenset()
         # What is being unloaded. It is still resident and charged.
         self.unloading: set[tuple[str, str]] = set()
+        # Whether it refused the last connection. Its registered entry may
+        # outlive its process by seconds.
+        self.has_ended = False
         # Whether a task of the controller moves a model here or fetches the
         # replica's report; no other is started meanwhile.
         self.task_running = False
--- a/tests/test_residency_state.py
+++ b/tests/test_residency_state.py
@@ -357,3 +357,18 @@
     await _step(restarted)
     assert restarted.may_order()
     assert restarted.epoch == 2
+
+
+def test_load_that_was_not_ordered_gives_its_budget_back():
+    clock = _clock.ManualClock()
+    budget = _model_load_budget.ModelLoadBudget(clock)
+    before = budget.available(2.0, 4000)
+    first = budget.start_load()
+    clock.advance(100)
+    budget.start_load()
+    budget.cancel_load(first)
+    assert budget.available(2.0, 4000) == before - 1
+    # The other load still counts for the whole window.
+    clock.advance(_model_load_budget.WINDOW_MS - 50)
+    budget.finish_load()
+    assert budget.available(2.0, 100_000) == int(2.0 * 5) + 1 - 1
