Forget the holders of models with the replicas that are replaced

Callers would have seen: a request for a model whose replica restarted less than 10 ms before is sent to the new process, which doesn't hold it.

Cause: the list of holders outlived the replicas' states.

Change: the list is void when a state is dropped or replaced, and whether a replica is available is asked of the state at hand.

Result: test_restarted_replica_is_no_holder_at_once failed before.

--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -261,7 +261,7 @@
         """Return the time until a load that is decided now would end."""
         model = engine.models[requirement.model]
         near = any(
-            self._is_available(state.name, requirement.service)
+            self._is_available(state, requirement.service)
             for state in self._replica_states.values()
             if requirement.model in state.local_models
         )
@@ -295,6 +295,7 @@
         if epoch != self._epoch:
             self._epoch = epoch
             self._replica_states.clear()
+            self._holders_valid_until = 0
             self._budgets.clear()
         self._sync_with_registry()
 
@@ -315,8 +316,10 @@
                     self._replica_states[entry.name] = (
                         _replica_states.ReplicaState(entry)
                     )
+                    self._holders_valid_until = 0
         for name in self._replica_states.keys() - seen:
             del self._replica_states[name]
+            self._holders_valid_until = 0
 
     def _available_states(
         self, service: str
@@ -330,15 +333,17 @@
         ]
         return [state for state in states if not state.has_ended]
 
-    def _is_available(self, replica: str, service: str) -> bool:
+    def _is_available(
+        self, state: _replica_states.ReplicaState, service: str
+    ) -> bool:
         """Whether a replica of a service may get requests now."""
-        known = self._replicas.get(replica)
+        known = self._replicas.get(state.name)
         return (
             known is not None
-            and not self._replica_states[replica].has_ended
+            and not state.has_ended
             and known.entry.service == service
-            and replica not in self._unreachable
-            and self._replicas.is_available(replica)
+            and state.name not in self._unreachable
+            and self._replicas.is_available(state.name)
         )
 
     def _holders_of(self, model: str) -> list[_replica_states.ReplicaState]:
@@ -365,7 +370,7 @@
             for state in self._holders_of(requirement.model)
             if state.can_serve(requirement.model, requirement.adapter)
             and state.name not in avoid
-            and self._is_available(state.name, requirement.service)
+            and self._is_available(state, requirement.service)
         ]
 
     def _start_moves(self, group: anyio.abc.TaskGroup) -> None:
--- a/tests/test_ended_replicas.py
+++ b/tests/test_ended_replicas.py
@@ -121,3 +121,23 @@
 
 def test_model_of_an_ended_replica_is_loaded_elsewhere():
     assert "e0" not in _virtual_time.run(_ask_for_model_of_ended)
+
+
+async def _look_after_restart(clock):
+    requirement = _requirements.Requirement(_sites.SERVICE, "m0", "")
+    async with anyio.create_task_group() as group:
+        controller, _ = await _start(group, clock, ends="e3")
+        before = controller._find_serving(requirement, set())
+        entry = controller._replicas.get("e0").entry
+        controller._replicas.update(entry._replace(started_at=99))
+        controller._sync_with_registry()
+        after = controller._find_serving(requirement, set())
+        group.cancel_scope.cancel()
+    return before, after
+
+
+def test_restarted_replica_is_no_holder_at_once():
+    """Even if the list of holders was made in the same moment."""
+    before, after = _virtual_time.run(_look_after_restart)
+    assert [state.name for state in before] == ["e0"]
+    assert not after
