Keep the controller's records of replicas in a module of their own

The records of the registered replicas, and who of them holds a model, move to ReplicaDirectory. Tests over emulated engines share a builder. No behaviour is changed; the tests of placement, the emulator and the log pass.

--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import collections
 import typing
 
 import anyio
@@ -24,6 +23,7 @@
 from geraniumlink.residency import _order_sender
 from geraniumlink.residency import _packing
 from geraniumlink.residency import _planner
+from geraniumlink.residency import _replica_directory
 from geraniumlink.residency import _replica_states
 from geraniumlink.residency import _requirements
 from geraniumlink.serving import _active_configuration
@@ -51,8 +51,6 @@
 ORDER_DELAY_MS = 400
 # Pause before a replica that refused a connection is looked at again.
 ENDED_CHECK_INTERVAL_MS = 1000
-# How long the list of the replicas that hold each model is reused.
-HOLDERS_REUSE_MS = 10
 # When a client may retry if the model can't be loaded soon; also the pause
 # after an unload that failed.
 RETRY_AFTER_MS = 1000
@@ -87,7 +85,6 @@
         instance: str,
     ) -> None:
         self._active_configuration = active_configuration
-        self._replicas = replicas
         self._leadership = leadership
         self._clock = clock
         self._demands = _demand.DemandTracker(clock)
@@ -97,7 +94,9 @@
         self._adapters = _adapters.AdapterLoader(
             self._order_sender, self._demands, clock
         )
-        self._replica_states: dict[str, _replica_states.ReplicaState] = {}
+        self._directory = _replica_directory.ReplicaDirectory(
+            active_configuration, replicas, clock
+        )
         self._budgets: dict[str, _model_load_budget.ModelLoadBudget] = {}
         # Models that requests wait for, by service and model.
         self._waiting: dict[tuple[str, str], _Waiting] = {}
@@ -106,15 +105,9 @@
         self._expected_ready_at: dict[tuple[str, str], int] = {}
         self._requirement_added = anyio.Event()
         self._move_ended = anyio.Event()
-        # The replicas that hold each model, and until when that is reused.
-        self._holders: dict[str, list[_replica_states.ReplicaState]] = {}
-        self._holders_valid_until = 0
         # Set when a move of a model has begun or ended, by service and model.
         self._move_changed: dict[tuple[str, str], anyio.Event] = {}
         self._epoch = 0
-        # Replicas that instances can't connect to. Their registered entries
-        # expire only seconds later.
-        self._unreachable: set[str] = set()
 
     def record_demand(self, sample: _demand.DemandSample) -> None:
         """Add the demand that an instance reported for one model."""
@@ -122,9 +115,7 @@
 
     def set_unreachable(self, replicas: set[str]) -> None:
         """Set the replicas to leave out, even if they are registered."""
-        if replicas != self._unreachable:
-            _logs.event("unreachable", replicas=sorted(replicas))
-        self._unreachable = replicas
+        self._directory.set_unreachable(replicas)
 
     async def run(self) -> None:
         """Plan and start moves, for ever; orders need the lease."""
@@ -159,7 +150,7 @@
         while self._clock.now() - began < ANSWER_TIMEOUT_MS:
             if self._epoch != self._leadership.epoch:
                 self._sync_with_term()
-            serving = self._find_serving(requirement, avoid)
+            serving = self._directory.find_serving(requirement, avoid)
             if serving:
                 names = tuple(state.name for state in serving)
                 return _requirements.Resident(names)
@@ -188,7 +179,7 @@
             return _requirements.RetryLater(RETRY_AFTER_MS)
         if not requirement.adapter:
             return await self._wait_for_model(requirement, engine, deadline)
-        serving_model = self._find_serving(
+        serving_model = self._directory.find_serving(
             requirement._replace(adapter=""), avoid
         )
         if not serving_model:
@@ -261,8 +252,8 @@
         """Return the time until a load that is decided now would end."""
         model = engine.models[requirement.model]
         near = any(
-            self._is_available(state, requirement.service)
-            for state in self._replica_states.values()
+            self._directory.is_available(state, requirement.service)
+            for state in self._directory.states()
             if requirement.model in state.local_models
         )
         return ORDER_DELAY_MS + int(
@@ -271,7 +262,7 @@
 
     def _fetch_missing_reports(self, group: anyio.abc.TaskGroup) -> None:
         """Fetch the reports that are needed before orders can be sent."""
-        for state in self._replica_states.values():
+        for state in self._directory.states():
             if not state.task_running and (
                 state.has_ended or not state.ready_for_orders
             ):
@@ -294,84 +285,9 @@
         epoch = self._leadership.epoch
         if epoch != self._epoch:
             self._epoch = epoch
-            self._replica_states.clear()
-            self._holders_valid_until = 0
+            self._directory.clear()
             self._budgets.clear()
-        self._sync_with_registry()
-
-    def _sync_with_registry(self) -> None:
-        """Keep one state for each registered process of a replica."""
-        configuration = self._active_configuration.current
-        if configuration is None:
-            return
-        seen = set()
-        for service in configuration.services.values():
-            if service.engine is None:
-                continue
-            for replica in self._replicas.registered(service.name):
-                entry = replica.entry
-                seen.add(entry.name)
-                known = self._replica_states.get(entry.name)
-                if known is None or known.started_at != entry.started_at:
-                    self._replica_states[entry.name] = (
-                        _replica_states.ReplicaState(entry)
-                    )
-                    self._holders_valid_until = 0
-        for name in self._replica_states.keys() - seen:
-            del self._replica_states[name]
-            self._holders_valid_until = 0
-
-    def _available_states(
-        self, service: str
-    ) -> list[_replica_states.ReplicaState]:
-        """Return the states of the replicas that may get requests now."""
-        states = [
-            self._replica_states[replica.entry.name]
-            for replica in self._replicas.available(service)
-            if replica.entry.name in self._replica_states
-            and replica.entry.name not in self._unreachable
-        ]
-        return [state for state in states if not state.has_ended]
-
-    def _is_available(
-        self, state: _replica_states.ReplicaState, service: str
-    ) -> bool:
-        """Whether a replica of a service may get requests now."""
-        known = self._replicas.get(state.name)
-        return (
-            known is not None
-            and not state.has_ended
-            and known.entry.service == service
-            and state.name not in self._unreachable
-            and self._replicas.is_available(state.name)
-        )
-
-    def _holders_of(self, model: str) -> list[_replica_states.ReplicaState]:
-        """Return the replicas that hold a model, as of HOLDERS_REUSE_MS ago.
-
-        Hundreds of calls may wait for models, each of which looks again
-        several times a second.
-        """
-        now = self._clock.now()
-        if now >= self._holders_valid_until:
-            self._holders_valid_until = now + HOLDERS_REUSE_MS
-            self._holders = collections.defaultdict(list)
-            for state in self._replica_states.values():
-                for held in state.models:
-                    self._holders[held].append(state)
-        return self._holders.get(model, [])
-
-    def _find_serving(
-        self, requirement: _requirements.Requirement, avoid: set[str]
-    ) -> list[_replica_states.ReplicaState]:
-        """Return the replicas that can serve a requirement."""
-        return [
-            state
-            for state in self._holders_of(requirement.model)
-            if state.can_serve(requirement.model, requirement.adapter)
-            and state.name not in avoid
-            and self._is_available(state, requirement.service)
-        ]
+        self._directory.sync()
 
     def _start_moves(self, group: anyio.abc.TaskGroup) -> None:
         """Plan the moves of all model services and start them."""
@@ -394,7 +310,8 @@
         store_loads = budget.available(engine.loads_per_s, load_ms)
         demand = self._demands.demand_of(service, self._waiting_times(service))
         views = [
-            _replica_view(state) for state in self._available_states(service)
+            _replica_view(state)
+            for state in self._directory.available(service)
         ]
         for move in _planner.plan(engine, views, demand, store_loads):
             self._charge_move(move)
@@ -449,7 +366,7 @@
 
         So the next plan counts it, and doesn't choose it again.
         """
-        state = self._replica_states[move.replica]
+        state = self._directory.get(move.replica)
         state.task_running = True
         state.loading.add((move.model, ""))
         if move.evicted is not None:
@@ -468,7 +385,7 @@
         :param started_at: when the load was counted in the budget; None if
             it needs none.
         """
-        state = self._replica_states[move.replica]
+        state = self._directory.get(move.replica)
         key = (service, move.model)
         model = engine.models[move.model]
         load_ms = model.local_load_ms if move.near else model.load_ms
@@ -499,7 +416,7 @@
                 else:
                     budget.cancel_load(started_at)
             self._expected_ready_at.pop(key, None)
-            self._holders_valid_until = 0
+            self._directory.forget_holders()
             self._move_ended.set()
             self._move_ended = anyio.Event()
             self._wake_waiting_calls(key)
--- /dev/null
+++ b/tests/emulated_controller.py
@@ -0,0 +1,34 @@
+"""Builds a controller over emulated engines, without other instances."""
+
+from emulator import _sites
+from geraniumlink.residency import _controller
+from geraniumlink.serving import _active_configuration
+from geraniumlink.serving import _replicas
+
+
+class Leadership:
+    """A lease that is held all the time."""
+
+    epoch = 1
+    guard_ms = 10_000
+
+    def may_order(self):
+        return True
+
+
+def make_controller(site, engines, orders, clock):
+    """Return a controller that may order the engines, and its replicas."""
+    replicas = _replicas.Replicas(clock, 2000)
+    for engine in engines:
+        replicas.update(engine.registry_entry())
+    active = _active_configuration.ActiveConfiguration()
+    active.apply_if_newer(_sites.make_configuration(site))
+    controller = _controller.Controller(
+        active_configuration=active,
+        replicas=replicas,
+        leadership=Leadership(),
+        orders=orders,
+        clock=clock,
+        instance="i1",
+    )
+    return controller, replicas
--- a/tests/test_ended_replicas.py
+++ b/tests/test_ended_replicas.py
@@ -8,22 +8,12 @@
 from emulator import _virtual_time
 from geraniumlink import _http
 from geraniumlink import platform
-from geraniumlink.residency import _controller
 from geraniumlink.residency import _requirements
-from geraniumlink.serving import _active_configuration
-from geraniumlink.serving import _replicas
+from tests import emulated_controller
 
 _SITE = _sites.Site(engines=4, models=_sites.model_names(12), load_ms=1000.0)
 
 
-class _Leadership:
-    epoch = 1
-    guard_ms = 10_000
-
-    def may_order(self):
-        return True
-
-
 class _Orders(_control_plane.EngineOrderClient):
     """Engines, some of which have ended; records the orders."""
 
@@ -60,24 +50,14 @@
 
 async def _start(group, clock, ends):
     engines = _make_engines()
-    replicas = _replicas.Replicas(clock, 2000)
-    for engine in engines:
-        replicas.update(engine.registry_entry())
-    active = _active_configuration.ActiveConfiguration()
-    active.apply_if_newer(_sites.make_configuration(_SITE))
     orders = _Orders(engines, clock)
-    controller = _controller.Controller(
-        active_configuration=active,
-        replicas=replicas,
-        leadership=_Leadership(),
-        orders=orders,
-        clock=clock,
-        instance="i1",
+    controller, replicas = emulated_controller.make_controller(
+        _SITE, engines, orders, clock
     )
     group.start_soon(controller.run)
     await clock.sleep(1000)
     orders.ended.add(ends)
-    return controller, orders
+    return controller, orders, replicas
 
 
 async def _ask_for(controller, model):
@@ -91,7 +71,7 @@
 
 async def _load_beside_ended(clock):
     async with anyio.create_task_group() as group:
-        controller, orders = await _start(group, clock, ends="e0")
+        controller, orders, _ = await _start(group, clock, ends="e0")
         for model in ("m8", "m9", "m10", "m11"):
             group.start_soon(_ask_for, controller, model)
         await clock.sleep(5000)
@@ -108,7 +88,7 @@
 
 async def _ask_for_model_of_ended(clock):
     async with anyio.create_task_group() as group:
-        controller, orders = await _start(group, clock, ends="e0")
+        controller, orders, _ = await _start(group, clock, ends="e0")
         # An order that fails shows that the replica has ended.
         for model in ("m8", "m9", "m10", "m11"):
             group.start_soon(_ask_for, controller, model)
@@ -126,12 +106,12 @@
 async def _look_after_restart(clock):
     requirement = _requirements.Requirement(_sites.SERVICE, "m0", "")
     async with anyio.create_task_group() as group:
-        controller, _ = await _start(group, clock, ends="e3")
-        before = controller._find_serving(requirement, set())
-        entry = controller._replicas.get("e0").entry
-        controller._replicas.update(entry._replace(started_at=99))
-        controller._sync_with_registry()
-        after = controller._find_serving(requirement, set())
+        controller, _, replicas = await _start(group, clock, ends="e3")
+        before = controller._directory.find_serving(requirement, set())
+        entry = replicas.get("e0").entry
+        replicas.update(entry._replace(started_at=99))
+        controller._directory.sync()
+        after = controller._directory.find_serving(requirement, set())
         group.cancel_scope.cancel()
     return before, after
 
--- a/tests/test_waiting_requirements.py
+++ b/tests/test_waiting_requirements.py
@@ -9,10 +9,8 @@
 from emulator import _engines
 from emulator import _sites
 from emulator import _virtual_time
-from geraniumlink.residency import _controller
 from geraniumlink.residency import _requirements
-from geraniumlink.serving import _active_configuration
-from geraniumlink.serving import _replicas
+from tests import emulated_controller
 
 _SITE = _sites.Site(
     instances=1,
@@ -26,14 +24,6 @@
 _CALLS_PER_MODEL = 10
 
 
-class _Leadership:
-    epoch = 1
-    guard_ms = 0
-
-    def may_order(self):
-        return True
-
-
 def _make_engines():
     """Return engines that hold the models which nobody waits for."""
     held = _SITE.models[_MODELS_WAITED_FOR:]
@@ -49,18 +39,11 @@
 
 async def _play(clock):
     engines = _make_engines()
-    replicas = _replicas.Replicas(clock, 2000)
-    for engine in engines:
-        replicas.update(engine.registry_entry())
-    active = _active_configuration.ActiveConfiguration()
-    active.apply_if_newer(_sites.make_configuration(_SITE))
-    controller = _controller.Controller(
-        active_configuration=active,
-        replicas=replicas,
-        leadership=_Leadership(),
-        orders=_control_plane.EngineOrderClient(engines, clock),
-        clock=clock,
-        instance="i1",
+    controller, _ = emulated_controller.make_controller(
+        _SITE,
+        engines,
+        _control_plane.EngineOrderClient(engines, clock),
+        clock,
     )
 
     async def wait_for(model):
