Clear parts of prompts that completed right before a crash

Callers would have seen: after a crash of several engines at once, all requests of a route are refused for 30 s or more.

Cause: a part in common use was in flight at each of them, and no request with it was left that could complete and clear it, as new ones are refused.

Change: an instance remembers for 2 s which parts completed, and clears these of crashes that it sees or hears of. A part that begins to crash engines after it was served is blocked 2 s later.

Result: test_crash_of_all_replicas_at_once_blocks_no_part_in_common_use failed before: one request a second was let through (TRIAL instead of FREE, with the constant written out).

--- a/src/geraniumlink/suspicion/_prompt_parts.py
+++ b/src/geraniumlink/suspicion/_prompt_parts.py
@@ -16,12 +16,17 @@
 with the whole group is refused. Requests with only some of its parts go on,
 so that innocent parts are cleared: one at a time after further crashes.
 
+When many replicas crash together, no request may be left that could clear
+the parts in common use. So a part that completed here shortly before is
+cleared, too.
+
 A refused group is tried again by a single request after a pause, which
 doubles with each further crash.
 """
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Collection
 from collections.abc import Iterable
 import enum
@@ -39,6 +44,11 @@
 # After this many crashes, requests with only some parts of a group run one
 # at a time.
 MAX_FREE_CRASHES = 5
+# A part that completed within this time is cleared of crashes. Shorter than
+# the time in which a part that begins to crash replicas ends several.
+RECENT_COMPLETION_MS = 2000
+# Parts whose last completion is remembered.
+MAX_COMPLETIONS = 4096
 # Pause before a refused group is tried again; each further crash doubles it.
 # A random factor from 1 to 2 applies to all pauses, so that instances don't
 # all try at the same time.
@@ -81,6 +91,10 @@
         self._table = _suspicions.SuspicionTable(clock, logs_changes=False)
         self._clock = clock
         self._random = random_source
+        # When requests with a part last completed, the latest last.
+        self._completed_at: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         # The groups of a change of the table, and that change's number.
         self._groups: list[_Group] = []
         self._groups_as_of = 0
@@ -130,6 +144,10 @@
         """Clear the parts of a request that completed."""
         for part in parts:
             self._table.clear_crashes(part)
+            self._completed_at[part] = self._clock.now()
+            self._completed_at.move_to_end(part)
+        while len(self._completed_at) > MAX_COMPLETIONS:
+            self._completed_at.popitem(last=False)
 
     def _next_at(self, group: _Group, parts: Collection[str]) -> int:
         """Return when a request with these parts may run, given a group."""
@@ -150,6 +168,7 @@
         """Attribute the crashes anew if the table has changed."""
         if self._groups_as_of == self._table.last_change:
             return
+        self._clear_recently_completed()
         self._groups_as_of = self._table.last_change
         before, self._groups = self._groups, self._attribute_crashes()
         for group in self._groups:
@@ -171,6 +190,18 @@
                 del self._next_whole_at[group]
                 self._next_some_at.pop(group, None)
 
+    def _clear_recently_completed(self) -> None:
+        """Clear suspected parts that completed shortly before."""
+        earliest = self._clock.now() - RECENT_COMPLETION_MS
+        for entry in self._table.entries():
+            completed_at = self._completed_at.get(entry.fingerprint)
+            if (
+                entry.uncleared
+                and completed_at is not None
+                and completed_at >= earliest
+            ):
+                self._table.clear_crashes(entry.fingerprint)
+
     def _attribute_crashes(self) -> list[_Group]:
         """Return the groups to which enough crashes are attributed."""
         groups: list[_Group] = []
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -46,6 +46,28 @@
     assert not parts.is_blocked(["common"])
 
 
+def test_crash_of_all_replicas_at_once_blocks_no_part_in_common_use():
+    """No request is left that could complete and clear the part."""
+    clock = _clock.ManualClock()
+    parts = _make_parts(clock)
+    parts.note_completion(["common"])
+    clock.advance(_prompt_parts.RECENT_COMPLETION_MS - 100)
+    _note_crashes(parts, 8, "common", "bad")
+    assert parts.admit(["common"]) is _Admission.FREE
+    assert parts.admit(["common", "bad"]) is _Admission.BLOCKED
+
+
+def test_part_that_begins_to_crash_replicas_is_blocked_in_the_end():
+    clock = _clock.ManualClock()
+    parts = _make_parts(clock)
+    parts.note_completion(["bad"])
+    _note_crashes(parts, _BLOCKING, "bad")
+    assert not parts.is_blocked(["bad"])
+    clock.advance(_prompt_parts.RECENT_COMPLETION_MS + 1)
+    _note_crashes(parts, _BLOCKING, "bad", first=100)
+    assert parts.is_blocked(["bad"])
+
+
 def test_request_with_all_parts_of_the_crashes_is_refused():
     """The two can't be told apart, but their requests can."""
     parts = _make_parts()
