Load a model that is waited for before its clients give up

Cause: the gain of loading a model that is resident nowhere grew by 0.5 tokens a second for each ms of waiting. It passed that of other moves after 7 s; a load takes 4 to 5 s and clients wait for 10, so they were refused before, and the model was loaded for nobody or not at all.

Change: 2 tokens a second for each ms; past all small moves within 2 s.

The new test failed before.

--- a/src/geraniumlink/residency/_planner.py
+++ b/src/geraniumlink/residency/_planner.py
@@ -30,9 +30,10 @@
 MIN_RELIEF = 0.1 * REPLICA_TOKENS_PER_S
 # Gain of loading a model that requests wait for and that is resident
 # nowhere, in tokens a second, on top of its demand. It grows with each ms of
-# waiting, so that no model starves.
+# waiting, so that no model starves: past LARGE_GAIN within 2 s, since a load
+# takes seconds and has to end before clients give up.
 WAITING_GAIN = 500.0
-WAITING_GAIN_PER_MS = 0.5
+WAITING_GAIN_PER_MS = 2.0
 # Moves that gain less than LARGE_GAIN, in tokens a second, may occupy only
 # this fraction of the replicas. A replica that loads a model can't load
 # another for seconds, so the rest is kept free for moves that gain more.
--- a/tests/test_residency_planner.py
+++ b/tests/test_residency_planner.py
@@ -92,6 +92,19 @@
     assert move.model == "other"
 
 
+def test_model_is_loaded_before_clients_that_wait_for_it_give_up():
+    """The replicas for moves of small gain are all busy."""
+    views = [
+        _view("r1", "idle", busy=True),
+        _view("r2", "idle", busy=True),
+        _view("r3", "idle"),
+        _view("r4", "idle"),
+    ]
+    # Clients wait for 10 s at most, and loads take up to 8 s when many run.
+    (move,) = _plan(views, _demand(waiting_ms={"rare": 2000}))
+    assert move.model == "rare"
+
+
 _rates = st.dictionaries(
     st.sampled_from(_MODELS), st.floats(0, 60_000), max_size=5
 )
