Leave the controller's lease to instances with faster links

Cause: when the controller's machine is lost, any of 83 takes the lease; 77 of them have a link of 5 Mbit/s. The controller's answers with the changes of entries fill it. Instances whose calls time out ask for all changes since the last answer, so the answers grow, and the link stays full.

Change: a candidate waits before it takes a free lease, in inverse proportion to the rate of its link, 1.2 s at most. On links of 1,000 Mbit/s that is 10 ms.

Result: the new test failed without the wait. A fleet of slow links only is not helped by this.

--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -87,7 +87,11 @@
 
 
 class Leases:
-    """Takes, renews and releases the leases of one instance."""
+    """Takes, renews and releases the leases of one instance.
+
+    :param take_delay_ms: how long to leave a free lease to candidates with a
+        shorter delay.
+    """
 
     def __init__(
         self,
@@ -96,7 +100,9 @@
         duration_ms: int,
         clock: _clock.Clock,
         random_source: random.Random,
+        take_delay_ms: int = 0,
     ) -> None:
+        self._take_delay_ms = take_delay_ms
         self._objects = objects
         self._holder = holder
         self._duration_ms = duration_ms
@@ -141,7 +147,8 @@
             return None
         # Candidates may notice the expiry at the same time.
         max_delay_ms = self._duration_ms * TAKE_JITTER
-        await self._clock.sleep(self._random.uniform(0, max_delay_ms))
+        jitter_ms = self._random.uniform(0, max_delay_ms)
+        await self._clock.sleep(self._take_delay_ms + jitter_ms)
         epoch = current.epoch + 1 if current else _first_epoch(found)
         proposed = self._new_lease(epoch)
         try:
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -73,6 +73,10 @@
 MIN_LEASE_EXPIRY_MS = (
     _leadership.ORDERING_WINDOW_MS + _leadership.GUARD_MARGIN_MS
 )
+# The wait of an instance before it takes the controller's lease, for a link
+# of 1 Mbit/s; it is in proportion to the time that a link needs for a message.
+TAKE_DELAY_MS_MBIT = 10_000
+MAX_TAKE_DELAY_MS = 1200
 # Interval at which idle connections to replicas are checked.
 CLOSE_STALE_INTERVAL_MS = 1000
 # Changes within this time are read by one call to the store. A configuration
@@ -193,6 +197,7 @@
             MIN_LEASE_EXPIRY_MS + self._settings.handover_gap_ms,
             self._clock,
             self._random,
+            _take_delay_ms(self._settings.link_mbit_per_s),
         )
         return _leadership.Leadership(
             leases, self._settings.handover_gap_ms, self._clock
@@ -419,3 +424,14 @@
         while True:
             await self._clock.sleep(CLOSE_STALE_INTERVAL_MS)
             await self._connections.close_stale()
+
+
+def _take_delay_ms(link_mbit_per_s: float | None) -> int:
+    """Return how long to leave the controller's lease to others.
+
+    The controller exchanges messages with all instances, so the fewer bytes
+    a link carries, the longer its instance waits for another candidate.
+    """
+    if not link_mbit_per_s:
+        return 0
+    return int(min(MAX_TAKE_DELAY_MS, TAKE_DELAY_MS_MBIT / link_mbit_per_s))
--- a/src/geraniumlink/platform/_settings.py
+++ b/src/geraniumlink/platform/_settings.py
@@ -46,6 +46,8 @@
     retry_ratio: float
     retry_window_ms: int
     retry_constant: int
+    # Rate of this machine's network link; None if it isn't stated.
+    link_mbit_per_s: float | None
 
 
 def read_settings(path: pathlib.Path) -> NodeSettings:
@@ -80,6 +82,7 @@
         retry_ratio=reader.read("bounds", "retry_ratio", _fields.number),
         retry_window_ms=reader.read("bounds", "retry_window_s", _milliseconds),
         retry_constant=reader.read("bounds", "retry_slack", _fields.integer),
+        link_mbit_per_s=reader.read("", "limits", _link_rate),
     )
     if reader.findings:
         raise _fields.FormatError(str(reader.findings))
@@ -146,6 +149,16 @@
     return int(ports[0])
 
 
+def _link_rate(message: typing.Any, name: str) -> float | None:
+    """Return the link's rate in the limits of the machine, if stated."""
+    if name not in message:
+        return None
+    limits = _fields.mapping(message, name)
+    if limits.get("link_mbps") is None:
+        return None
+    return float(_fields.number(limits, "link_mbps"))
+
+
 def _milliseconds(message: typing.Any, name: str) -> int:
     """Return a field in seconds as whole milliseconds, rounded down."""
     return int(1000 * _fields.number(message, name))
--- a/tests/test_residency_state.py
+++ b/tests/test_residency_state.py
@@ -2,13 +2,16 @@
 
 import random
 
+import anyio
 import hypothesis
 from hypothesis import strategies as st
 import pytest
 
+from emulator import _virtual_time
 from geraniumlink import _clock
 from geraniumlink import _objects
 from geraniumlink.control import _leases
+from geraniumlink.hosting import _instance
 from geraniumlink.residency import _adapters
 from geraniumlink.residency import _demand
 from geraniumlink.residency import _leadership
@@ -245,6 +248,37 @@
         return
 
 
+async def _race_for_lease(clock):
+    """Return the holder: the slow link's instance looks first."""
+    store = _Store()
+    leaderships = [
+        _leadership.Leadership(
+            _leases.Leases(
+                store,
+                f"{link_mbit_per_s} Mbit/s",
+                _DURATION_MS,
+                clock,
+                random.Random(1),
+                _instance._take_delay_ms(link_mbit_per_s),
+            ),
+            3000,
+            clock,
+        )
+        for link_mbit_per_s in (10, 200)
+    ]
+    async with anyio.create_task_group() as group:
+        group.start_soon(leaderships[0].run)
+        await clock.sleep(_leadership.CHECK_INTERVAL_MS - 1)
+        group.start_soon(leaderships[1].run)
+        await clock.sleep(5000)
+        group.cancel_scope.cancel()
+    return store.found.value["holder"]
+
+
+def test_instance_with_a_fast_link_becomes_the_controller():
+    assert _virtual_time.run(_race_for_lease) == "200 Mbit/s"
+
+
 @pytest.mark.anyio
 async def test_leader_that_cannot_renew_stops_before_the_next_starts():
     clock, store = _clock.ManualClock(start=10_000), _Store()
