Notice the end of a replica that accepts connections as it ends

Callers saw: engines crashed by a part of prompts that were not counted, so requests with the part crashed more of them than three.

Cause: after a broken connection the replica was asked once, on an idle connection if there was one. A process that ends closes its connections before its listening socket, so the question could still be answered.

Change: the replica is asked three times in 80 ms, each time on a new connection.

--- a/src/geraniumlink/serving/_connections.py
+++ b/src/geraniumlink/serving/_connections.py
@@ -35,6 +35,8 @@
 DEFAULT_IDLE_TIMEOUT_MS = 2000
 # Whatever the replica states: an idle connection may fail without a sign.
 MAX_IDLE_MS = 4000
+# Pauses before the probes that tell whether a process is ending.
+PROBE_PAUSES_MS = (0, 20, 60)
 # Idle connections kept for each replica, the most recently used.
 MAX_IDLE_PER_REPLICA = 16
 # Upper bound on one read from a connection.
@@ -247,6 +249,20 @@
             await connection.close()
         return await self._dial(address)
 
+    async def check_listener(self, address: _settings.Address) -> None:
+        """Return if a process listens at an address, and goes on to.
+
+        A process that ends closes its connections before its listening
+        socket, so new connections may succeed for a moment.
+
+        :raises _http.NoListenerError: if a connection is refused.
+        :raises _http.NotSentError: if one could not be opened otherwise.
+        """
+        for pause_ms in PROBE_PAUSES_MS:
+            await self._clock.sleep(pause_ms)
+            probe = await self._dial(address)
+            await probe.close()
+
     def release(self, replica: str, connection: Connection) -> None:
         """Keep a connection after a complete response."""
         connection.idle_since = self._clock.now()
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -388,9 +388,7 @@
         if replica.leaving:
             return
         try:
-            probe = await self._connections.acquire(
-                entry.name, entry.address, strict_freshness=False
-            )
+            await self._connections.check_listener(entry.address)
         except _http.NoListenerError as error:
             replica.note_unreachable(self._clock.now(), str(error))
             crash = _suspicions.ServerProcess(
@@ -408,8 +406,6 @@
             )
         except _http.NotSentError as error:
             replica.note_unreachable(self._clock.now(), str(error))
-        else:
-            self._connections.release(entry.name, probe)
 
     def _why_crashes_likely(self, state: _request_state.RequestState) -> str:
         """Return why the request must not run as it may crash a replica.
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -9,7 +9,9 @@
 import pytest
 
 from geraniumlink import _clock
+from geraniumlink import _http
 from geraniumlink import _objects
+from geraniumlink import _settings
 from geraniumlink.hosting import _object_watcher
 from geraniumlink import platform
 from geraniumlink.serving import _active_configuration
@@ -336,3 +338,27 @@
         "list",
         "watch 20",
     ]
+
+
+class _OpenConnection:
+    async def close(self):
+        pass
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("accepted", (0, 1, 2))
+async def test_process_that_accepts_connections_as_it_ends_is_noticed(
+    accepted,
+):
+    """It closes its connections before its listening socket."""
+    dialled = []
+
+    async def dial(_address):
+        dialled.append(1)
+        if len(dialled) > accepted:
+            raise _http.NoListenerError("refused")
+        return _OpenConnection()
+
+    pool = _connections.ConnectionPool(_clock.ManualClock(), dial)
+    with pytest.raises(_http.NoListenerError):
+        await pool.check_listener(_settings.Address("127.0.0.1", 1))
