Log how a replica ended a stream, where that may hide a break

A line stream_ended says what marked the end (length, chunks, or the connection's close) and how many bytes of the last event had come, for streams that have neither or end inside an event. It tells the first two hypotheses of the incident apart; the request line alone said "done" for both. Others get no line more.

--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -65,6 +65,8 @@
     "findings": _TEXTS,
     "fingerprint": _TEXT,
     "found": _TEXT,
+    # What marks the end of a body: length, chunks, or connection.
+    "framing": _TEXT,
     "holder": _TEXT,
     "in_flight": _WHOLE,
     "in_flight_elsewhere": Field(Kind.WHOLE, nullable=True),
@@ -92,6 +94,7 @@
     "other_address": _TEXT,
     "outcome": _TEXT,
     "output_tokens": _WHOLE,
+    "partial_bytes": _WHOLE,
     "parts": _TEXTS,
     "passed_on": _FLAG,
     "path": _TEXT,
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -544,6 +544,18 @@
     "store_regained": Message(
         _STATE, "the platform's store responds again", ("error", "kind")
     ),
+    "stream_ended": Message(
+        _REQUEST,
+        "a replica's stream ended in a way that may hide a break:"
+        " unmarked by length or chunks, or inside an event",
+        (
+            "framing",
+            "last_event_id",
+            "partial_bytes",
+            "replica",
+            "request_id",
+        ),
+    ),
     "suspect_cleared": Message(
         _STATE,
         "a suspected request completed, which clears it",
--- a/src/geraniumlink/platform/_heads.py
+++ b/src/geraniumlink/platform/_heads.py
@@ -83,6 +83,13 @@
     # From Content-Length, cut off at _MAX_HEADER_NUMBER.
     content_length: int | None
 
+    @property
+    def framing(self) -> str:
+        """What marks the body's end: chunks, length, or connection."""
+        if self.chunked:
+            return "chunks"
+        return "connection" if self.content_length is None else "length"
+
 
 def decode_request_head(
     method: bytes,
--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -12,6 +12,7 @@
 from geraniumlink import _logs
 from geraniumlink import platform
 from geraniumlink.serving import _connections
+from geraniumlink.serving import _decision_log
 from geraniumlink.serving import _events
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _replicas
@@ -245,6 +246,9 @@
             await self._start_response(head)
             await state.response.write(events)
             state.last_event_id = splitter.last_id or state.last_event_id
+        partial_bytes = len(splitter.partial_event)
+        if partial_bytes or head.framing == "connection":
+            _decision_log.stream_ended(state, head.framing, partial_bytes)
         self._finish_response(head)
         await self._start_response(head)
         await state.response.finish(splitter.partial_event)
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -103,6 +103,24 @@
     )
 
 
+def stream_ended(
+    state: _request_state.RequestState, framing: str, partial_bytes: int
+) -> None:
+    """Log that a replica ended a stream in a way that may hide a break.
+
+    :param framing: what marks the end, as ``ResponseHead.framing`` says.
+    :param partial_bytes: length of the last event, which was not whole.
+    """
+    _logs.event(
+        "stream_ended",
+        request_id=state.log_id,
+        replica=state.last_replica,
+        framing=framing,
+        last_event_id=state.last_event_id.decode("latin-1"),
+        partial_bytes=partial_bytes,
+    )
+
+
 def finished(state: _request_state.RequestState, now: int) -> None:
     """Log the end of a request."""
     _logs.event(
