Add failing tests of streams that end inside an event

The stand-in replica can leave out length and chunks, cut an event at any byte, and send the last chunk after it.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -1,17 +1,18 @@
 """Stand-in for a replica of the users' platform, written byte by byte.
 
 A path that begins with ``/stream`` is answered by events, others by a body.
-Fault switches: ``cut_after`` (events of a run
-from the first, then the connection closes),
-``half_event`` (it is cut within the next event), ``foreign`` (another
+Fault switches: ``cut_after`` (events of a run from the first, then the
+connection closes), ``half_event`` (it is cut within the next event),
+``event_bytes`` (it is cut after so many bytes of the next event),
+``last_chunk`` (a cut stream has its last chunk), ``foreign`` (another
 request's answer comes first), ``extra`` (another answer follows),
-``unsealed``, ``unframed`` (no length), ``garbage``, ``refuse`` (503, not
-run), ``fail`` (500, run), ``hang`` (no answer), ``event_ms``, ``work_ms``,
+``unsealed``, ``unframed`` (no length or chunks), ``garbage``, ``refuse`` (503,
+not run), ``fail`` (500, run), ``hang`` (no answer), ``event_ms``, ``work_ms``,
 ``lose_orders`` (this many next orders are carried out and not answered),
 ``ignore_orders`` (neither), ``unload_waits`` (an adapter stays until that is
 off), ``closing`` (a model that is being unloaded: requests for it are refused
-with room to spare), ``deadly_part`` (the process ends when it begins to
-answer a request whose prompt has this part).
+with room to spare), ``deadly_part`` (the process ends when it begins to answer
+a request whose prompt has this part).
 """
 
 from __future__ import annotations
@@ -321,27 +322,35 @@
         identity: str,
         seal: str,
     ) -> bool:
-        head = (
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            f"Transfer-Encoding: chunked\r\n{identity}\r\n{seal}\r\n\r\n"
-        )
-        writer.write(head.encode())
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+        if not self.faults.unframed:
+            lines.append("Transfer-Encoding: chunked")
+        encode = bytes if self.faults.unframed else _chunk
+        writer.write("\r\n".join([*lines, identity, seal, "", ""]).encode())
         first = int(request.headers.get("last-event-id") or 0) + 1
         cut_after = self.faults.cut_after
         event_ms = self.faults.event_ms or DEFAULT_EVENT_MS
         for number in range(first, EVENTS + 1):
             await asyncio.sleep(event_ms / 1000)
             if cut_after is not None and first == 1 and number > cut_after:
-                if self.faults.half_event:
-                    writer.write(_chunk(event(number)[:7]))
-                    await writer.drain()
+                if size := self._cut_event_bytes():
+                    writer.write(encode(event(number)[:size]))
+                if self.faults.last_chunk:
+                    writer.write(_chunk(b""))
+                await writer.drain()
                 run["ended"] = "cut"
                 return False
-            writer.write(_chunk(event(number)))
+            writer.write(encode(event(number)))
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
+        if self.faults.unframed:
+            return False
+        writer.write(_chunk(b""))
         return True
 
+    def _cut_event_bytes(self) -> int:
+        """Return how many bytes of the event that is cut are sent."""
+        return self.faults.event_bytes or (7 if self.faults.half_event else 0)
+
 
 async def _read(incoming: _Input) -> _Request | None:
     request = _Request()
--- a/tests/test_hosted_streams.py
+++ b/tests/test_hosted_streams.py
@@ -56,6 +56,54 @@
     assert len(runs) == 1
 
 
+# How a replica may mark the end of a stream that it breaks off.
+_ENDS = ({"unframed": True}, {"last_chunk": True})
+# A part of an event's first line; all but the last line feed.
+_CUT_EVENTS = (7, len(replicas.event(4)) - 1)
+
+
+@pytest.mark.parametrize("end", _ENDS, ids=lambda end: next(iter(end)))
+@pytest.mark.parametrize("event_bytes", _CUT_EVENTS)
+async def test_a_stream_that_ends_inside_an_event_is_resumed(
+    fleet, event_bytes, end
+):
+    site, port = await _site(fleet)
+    for name in site.replicas:
+        await site.faults(name, cut_after=3, event_bytes=event_bytes, **end)
+    answer = await hosts.send_request(port, "/stream/x")
+    assert answer.is_complete
+    assert answer.body == _ALL
+
+
+@pytest.mark.parametrize("end", _ENDS, ids=lambda end: next(iter(end)))
+@pytest.mark.parametrize("event_bytes", _CUT_EVENTS)
+async def test_a_stream_that_ends_inside_an_event_is_not_complete(
+    fleet, event_bytes, end
+):
+    site, port = await _site(fleet)
+    for name in site.replicas:
+        await site.faults(name, cut_after=3, event_bytes=event_bytes, **end)
+    answer = await hosts.send_request(port, "/stream-once/x")
+    assert not answer.is_complete
+    assert answer.body == b"".join(replicas.event(n) for n in (1, 2, 3))
+
+
+async def test_an_unframed_stream_without_events_is_not_complete(fleet):
+    site, port = await _site(fleet)
+    for name in site.replicas:
+        await site.faults(name, cut_after=0, unframed=True)
+    assert (await hosts.send_request(port, "/stream-once/x")).status == 502
+
+
+async def test_an_unframed_stream_that_ends_after_an_event_is_complete(fleet):
+    site, port = await _site(fleet)
+    for name in site.replicas:
+        await site.faults(name, unframed=True)
+    answer = await hosts.send_request(port, "/stream/x")
+    assert answer.is_complete
+    assert answer.body == _ALL
+
+
 async def test_a_client_resumes_a_stream_by_the_last_event_id(fleet):
     site, port = await _site(fleet, replicas=1)
     answer = await hosts.send_request(port, "/stream/x", Last_Event_Id="5")
