Take a stream that ends inside an event as broken off

Cause: the end of the body, which the transport marks, was taken as the end of the stream. Now a stream ends only after a whole event, whatever marks the body's end; one without length or chunks has to hold an event. Others are broken off: resumed after the last whole event, or cut towards the caller. Line ends of two kinds in one stream end an event too, or such a stream would now never be complete.

The plain splitter test fails to import on the former code, which had no is_inside_event.

--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -232,9 +232,12 @@
 
         The response starts with the first whole event, so that a stream
         that fails before can still be answered with an error or retried.
+        A stream that ends inside an event was broken off, however the
+        replica marked its end.
         """
         state = self._state
         splitter = _events.EventSplitter()
+        has_events = False
         while True:
             chunk = await self._read_with_timeout(self._connection.read_chunk)
             if chunk is None:
@@ -242,6 +245,7 @@
             events = splitter.feed(chunk)
             if not events:
                 continue
+            has_events = True
             self._record_first_event()
             await self._start_response(head)
             await state.response.write(events)
@@ -250,6 +254,10 @@
         if partial_bytes or head.framing == "connection":
             _decision_log.stream_ended(state, head.framing, partial_bytes)
         self._finish_response(head)
+        if splitter.is_inside_event:
+            return _outcomes.Interrupted("the stream ended inside an event")
+        if head.framing == "connection" and not has_events:
+            return _outcomes.Interrupted("the stream ended without an event")
         await self._start_response(head)
         await state.response.finish(splitter.partial_event)
         return _outcomes.Done()
--- a/src/geraniumlink/serving/_events.py
+++ b/src/geraniumlink/serving/_events.py
@@ -8,8 +8,9 @@
 
 import re
 
-# WHATWG HTML Standard, "Server-sent events": a blank line ends an event.
-_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+# WHATWG HTML Standard, "Server-sent events": a blank line ends an event, and
+# CRLF, LF or CR ends a line. A CR that was received last may be half a CRLF.
+_EVENT_END = re.compile(rb"\n\r?\n|\n\r(?=[^\n])|\r\r")
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
 
@@ -25,6 +26,11 @@
         """The id of the last complete event that has one; else empty."""
         return self._last_id
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether a part of an event was received, but not its end."""
+        return bool(self._partial_event.strip(b"\r\n"))
+
     @property
     def partial_event(self) -> bytes:
         """The bytes received after the last complete event."""
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -204,6 +204,27 @@
     assert splitter.partial_event == b""
 
 
+@pytest.mark.parametrize(
+    "data, inside",
+    (
+        (b"", False),
+        (b"id: 1\ndata: x\n\n", False),
+        (b"id: 1\ndata: x\n\n\n", False),
+        (b"id: 1\r\ndata: x\n\r\n", False),
+        (b"id: 1\r\ndata: x\r\n\n", False),
+        (b"id: 1\rdata: x\r\r", False),
+        (b"id: 1\ndata: x\n", True),
+        (b"id: 1\r\ndata: x\r\n", True),
+        (b"id: 1\ndata: x\n\ni", True),
+    ),
+)
+def test_an_event_without_its_blank_line_is_not_whole(data, inside):
+    splitter = _events.EventSplitter()
+    relayed = splitter.feed(data)
+    assert splitter.is_inside_event is inside
+    assert relayed + splitter.partial_event == data
+
+
 class _Residency:
     """Reports every model as loaded at once, and counts the calls."""
 
