Log the software versions of replicas and what a client resumes

The adapter decodes a replica's software version and the request that a resumed stream began with; replica_seen, attempt and admitted have them. Nothing depends on them yet.

--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -114,6 +114,7 @@
     "request_id": _TEXT,
     "requests": _WHOLE,
     "resident": _TEXTS,
+    "resumes": _TEXT,
     "revision": _WHOLE,
     "route": _TEXT,
     "routes": _WHOLE,
@@ -123,6 +124,7 @@
     "service": _TEXT,
     "shard": _TEXT,
     "size_mb": _WHOLE,
+    "software_version": _TEXT,
     "source": _TEXT,
     "standing": _TEXT,
     # Null if the client disconnected before a response.
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -69,6 +69,7 @@
             "priority",
             "prompt_tokens",
             "request_id",
+            "resumes",
             "route",
             "service",
         ),
@@ -102,6 +103,7 @@
             "load_age_ms",
             "replica",
             "request_id",
+            "software_version",
         ),
     ),
     "attempt_failed": Message(
@@ -474,7 +476,7 @@
     "replica_seen": Message(
         _STATE,
         "a new replica, or a new process of one, was registered",
-        ("address", "incarnation", "replica", "service"),
+        ("address", "incarnation", "replica", "service", "software_version"),
     ),
     "replica_trusted": Message(
         _STATE,
--- a/src/geraniumlink/platform/_heads.py
+++ b/src/geraniumlink/platform/_heads.py
@@ -13,6 +13,7 @@
 _REQUEST_ID = b"x-request-id"
 _DEADLINE_MS = b"x-deadline-ms"
 _LAST_EVENT_ID = b"last-event-id"
+_RESUMES = b"resumes"
 _MODEL = b"x-model"
 _TOKEN_USAGE = b"x-token-usage"
 _PREFIX_HASH = b"x-prefix-hash"
@@ -127,6 +128,7 @@
         output_tokens=output,
         prefix_blocks=_prefix_blocks(by_name.get(_PREFIX_HASH, b"")),
         last_event_id=by_name.get(_LAST_EVENT_ID, b""),
+        resumes=by_name.get(_RESUMES, b""),
     )
 
 
--- a/src/geraniumlink/platform/_replicas.py
+++ b/src/geraniumlink/platform/_replicas.py
@@ -41,6 +41,7 @@
         # An entry's "sequence" counts heartbeats and isn't read; that of a
         # report counts the accepted orders.
         residents=_residents(spec),
+        software_version=_fields.string(spec, "version", ""),
     )
 
 
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -29,6 +29,7 @@
         output_tokens=state.request.output_tokens,
         left_ms=state.deadline - now,
         last_event_id=state.last_event_id.decode("latin-1"),
+        resumes=state.request.resumes.decode("latin-1"),
     )
 
 
@@ -71,6 +72,7 @@
         "attempt",
         request_id=state.log_id,
         replica=replica.entry.name,
+        software_version=replica.entry.software_version,
         attempt=state.attempts + 1,
         expected_ms=round(choice.expected_ms),
         in_flight=replica.in_flight,
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -319,6 +319,7 @@
                 service=entry.service,
                 address=str(entry.address),
                 incarnation=entry.started_at,
+                software_version=entry.software_version,
             )
             return
         if known.missing_since is not None:
--- a/src/geraniumlink/serving/_types.py
+++ b/src/geraniumlink/serving/_types.py
@@ -133,6 +133,8 @@
     # Only compared: tells apart successive processes with the same name.
     started_at: int
     residents: Residents
+    # Version of the replica's software, not of its weights.
+    software_version: str = ""
 
 
 class ReplicaReport(typing.NamedTuple):
@@ -188,6 +190,9 @@
     # Id of the event after which the client resumes a stream; empty when it
     # starts one.
     last_event_id: bytes
+    # Id of the request that the stream began with, when the client resumes
+    # it; empty otherwise, and when the client did not say.
+    resumes: bytes = b""
 
 
 class LoadReport(typing.NamedTuple):
