Add failing tests of streams that go on at another software version

Replicas of two versions serve one service; broken streams go on within the answer, and clients take others up at the instance that began them, at another one, and after the first was killed.

--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -108,6 +108,8 @@
         self.instances: list[fleets.Process] = []
         self._settings: list[dict] = []
         self._models: dict[str, list[str]] = {}
+        # Software versions; a replica that isn't here is of "v1".
+        self.versions: dict[str, str] = {}
 
     async def start(
         self,
@@ -148,6 +150,7 @@
             "service": "assistant",
             "address": self.replicas[name].address,
             "zone": "debark",
+            "version": self.versions.get(name, "v1"),
             "slots": 8,
             "state": state,
             "born": 1,
--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,158 @@
+"""Streams and the software versions of the replicas that continue them."""
+
+import anyio
+import pytest
+
+from standins import replica as replicas
+from tests import hosts
+
+pytestmark = pytest.mark.anyio
+
+_ALL = b"".join(replicas.event(n) for n in range(1, replicas.EVENTS + 1))
+_VERSIONS = {"r-1": "v1", "r-2": "v1", "r-3": "v2", "r-4": "v2"}
+# Enough that some stream meets the other version if it isn't avoided.
+_STREAMS = 8
+
+
+async def _start_site(fleet, versions, **fields):
+    site = hosts.Site(fleet)
+    site.versions.update(versions)
+    return await site.start(replicas=len(versions), **fields)
+
+
+async def _break_streams(site, cut_after=3):
+    for name in site.replicas:
+        await site.faults(name, cut_after=cut_after)
+
+
+async def _versions_by_stream(site):
+    """Return the versions that ran each stream, by the id it began with."""
+    versions = {}
+    for name, runs in (await site.runs()).items():
+        for run in runs:
+            stream = run["headers"].get("resumes", run["id"])
+            versions.setdefault(stream, []).append(site.versions[name])
+    return versions
+
+
+async def _begin_streams(site, target="/stream-short/x", instance=0):
+    """Have streams broken that can't be resumed in one answer."""
+    ids = [f"stream-{number}" for number in range(_STREAMS)]
+    port = site.instances[instance].port
+    for request_id in ids:
+        answer = await hosts.send_request(
+            port, target, X_Request_Id=request_id
+        )
+        assert not answer.is_complete
+    return ids
+
+
+async def _resume(site, stream, instance=0):
+    return await hosts.send_request(
+        site.instances[instance].port,
+        "/stream-short/x",
+        Last_Event_Id="3",
+        Resumes=stream,
+    )
+
+
+async def _allow_one_attempt(site):
+    """Add a route whose streams only clients can resume."""
+    route = hosts.route(
+        "stream-short", "stream", resumable=True, max_attempts=1
+    )
+    await site.configure(hosts.configuration(2, route))
+
+    async def is_in_force():
+        answer = await hosts.send_request(
+            site.instances[-1].port, "/stream-short/x"
+        )
+        return answer.status != 404
+
+    await site.fleet.until(is_in_force, "the route is in force")
+
+
+async def _wait_until_connected(site):
+    """Wait until all instances know each other."""
+    await anyio.sleep(3)
+
+
+async def test_a_stream_goes_on_at_the_version_that_began_it(fleet):
+    site = await _start_site(fleet, _VERSIONS)
+    await _break_streams(site)
+    for _ in range(_STREAMS):
+        answer = await hosts.send_request(site.instances[0].port, "/stream/x")
+        assert answer.is_complete
+        assert answer.body == _ALL
+    runs = await _versions_by_stream(site)
+    assert len(runs) == _STREAMS
+    assert all(a == b for a, b in runs.values())
+
+
+async def test_a_stream_ends_where_no_replica_has_its_version(fleet):
+    site = await _start_site(fleet, {"r-1": "v1", "r-2": "v2"})
+    await _break_streams(site)
+    for _ in range(_STREAMS):
+        answer = await hosts.send_request(site.instances[0].port, "/stream/x")
+        assert not answer.is_complete
+    runs = await _versions_by_stream(site)
+    assert all(len(versions) == 1 for versions in runs.values())
+
+
+@pytest.mark.parametrize(
+    "instance, killed",
+    ((0, False), (1, False), (1, True)),
+    ids=("same", "other", "killed"),
+)
+async def test_a_client_takes_a_stream_up_at_its_version(
+    fleet, instance, killed
+):
+    site = await _start_site(fleet, _VERSIONS, instances=3)
+    await _allow_one_attempt(site)
+    await _wait_until_connected(site)
+    await _break_streams(site)
+    streams = await _begin_streams(site)
+    if killed:
+        site.instances[0].kill()
+    for stream in streams:
+        answer = await _resume(site, stream, instance)
+        assert answer.is_complete
+        assert answer.body == b"".join(
+            replicas.event(n) for n in range(4, replicas.EVENTS + 1)
+        )
+    runs = await _versions_by_stream(site)
+    for stream in streams:
+        began, resumed = runs[stream]
+        assert began == resumed
+
+
+async def test_a_stream_of_an_unknown_version_is_not_resumed(fleet):
+    site = await _start_site(fleet, _VERSIONS, instances=2)
+    await _allow_one_attempt(site)
+    await _wait_until_connected(site)
+    before = await _versions_by_stream(site)
+    answer = await _resume(site, "unheard-of")
+    assert answer.status == 503
+    assert await _versions_by_stream(site) == before
+
+
+async def test_a_stream_of_a_version_that_is_gone_is_not_resumed(fleet):
+    site = await _start_site(fleet, {"r-1": "v1"}, instances=2)
+    await _allow_one_attempt(site)
+    await _wait_until_connected(site)
+    await _break_streams(site)
+    streams = await _begin_streams(site)
+    site.versions["r-2"] = "v2"
+    await site.add_replica()
+    await site.remove("r-1")
+    site.replicas["r-1"].kill()
+
+    async def is_known():
+        told = hosts.find_log_lines(site.instances[1], "replica_seen")
+        return any(line["replica"] == "r-2" for line in told)
+
+    await fleet.until(is_known, "the new replica is known")
+    for stream in streams:
+        assert (await _resume(site, stream, 1)).status in (502, 503)
+    runs = await fleet.record(site.replicas["r-2"])
+    assert not runs["runs"]
