Continue a stream within its answer only at the version that began it

Now the version of the replica that sent the first event is kept with the request; replicas of other versions are excluded from then on, also when a model has to be loaded for it. If there is none, the answer is cut off.

--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -247,6 +247,8 @@
                 continue
             has_events = True
             self._record_first_event()
+            if state.software_version is None:
+                state.software_version = self._replica.entry.software_version
             await self._start_response(head)
             await state.response.write(events)
             state.last_event_id = splitter.last_id or state.last_event_id
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -239,10 +239,11 @@
                 return _outcomes.Refusal(why_refused, None)
             now = self._clock.now()
             left_ms = state.deadline - now
+            excluded = self._excluded_names(state)
             available = [
                 replica
                 for replica in self._replicas.available(state.service)
-                if replica.entry.name not in state.tried_replicas
+                if replica.entry.name not in excluded
             ]
             if not available:
                 return self._final_answers.make_refusal(
@@ -260,7 +261,7 @@
                 min(left_ms, state.first_event_deadline - now)
                 - SERVE_RESERVE_MS
             )
-            avoid = state.tried_replicas | self._replicas.unreachable_names()
+            avoid = excluded | self._replicas.unreachable_names()
             _decision_log.waiting(state, len(available), wait_ms)
             self._waiting_count += 1
             try:
@@ -278,6 +279,20 @@
                 # know yet. Without a pause this would loop without waiting.
                 await self._clock.sleep(REPLICA_POLL_MS)
 
+    def _excluded_names(self, state: _request_state.RequestState) -> set[str]:
+        """Return the replicas that must not get the request.
+
+        Those are the ones tried, and for a stream that has begun, those of
+        another software version.
+        """
+        if state.software_version is None:
+            return state.tried_replicas
+        return state.tried_replicas | {
+            replica.entry.name
+            for replica in self._replicas.registered(state.service)
+            if replica.entry.software_version != state.software_version
+        }
+
     def _is_served_somewhere(
         self, state: _request_state.RequestState, avoid: set[str]
     ) -> bool:
--- a/src/geraniumlink/serving/_request_state.py
+++ b/src/geraniumlink/serving/_request_state.py
@@ -49,6 +49,10 @@
         # Id of the last event that the client has; a stream is resumed after
         # it. Empty if there is none.
         self.last_event_id = request.last_event_id
+        # Software version of the replica that sent the stream's first event;
+        # None while there is no event. Only replicas of that version can
+        # continue the stream.
+        self.software_version: str | None = None
         self.fingerprint = _fingerprint(request)
         # Fingerprints of the parts of its prompt that other requests may
         # have too. The last part is the request's own or its session's.
