Continue a client's stream only at the version that began it

Cause: an instance kept nothing of how a stream began, and could not ask. Now the service and version of each resumable stream are recorded under its request id before the client has the first event, and copied by one datagram each to three instances that the id selects. An instance that doesn't know an origin asks these three, then all. Instances learn each other's addresses from the controller's answers; a list is sent only when it has changed. No call to the store is made. Where nobody knows the origin, the stream goes on only if the instance has seen one version alone for as long as the stream can have lasted; otherwise it is refused with 503.

--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -14,9 +14,11 @@
 from emulator import _virtual_time
 from geraniumlink.control import _leases
 from geraniumlink.hosting import _instance
+from geraniumlink.hosting import _origin_exchange
 from geraniumlink.residency import _controller
 from geraniumlink.residency import _controller_link
 from geraniumlink.residency import _controller_protocol
+from geraniumlink.residency import _instance_directory
 from geraniumlink.residency import _leadership
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _connections
@@ -25,6 +27,7 @@
 from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _response_writer
 from geraniumlink.serving import _retry_budgets
+from geraniumlink.serving import _stream_origins
 from geraniumlink.serving import _types
 from geraniumlink.suspicion import _prompt_parts
 from geraniumlink.suspicion import _suspicions
@@ -105,6 +108,9 @@
             instance=str(self.address),
         )
         self._moves_models = policy.moves_models
+        self._directory = _instance_directory.InstanceDirectory(
+            str(self.address), clock
+        )
         self._controller_protocol = self._make_controller_protocol()
         self._forwarder = _forward.Forwarder(
             active_configuration=self._active_configuration,
@@ -113,6 +119,10 @@
             budgets=self._budgets,
             suspicions=self._suspicions,
             prompt_parts=self._prompt_parts,
+            # Without its socket: no stream is resumed by an emulated client.
+            origins=_origin_exchange.OriginExchange(
+                _stream_origins.OriginTable(clock), self._directory, clock
+            ),
             metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
             connections=_connections.ConnectionPool(
                 clock, environment.network.dial
@@ -190,6 +200,7 @@
             link=_controller_link.ControllerLink(
                 self._environment.peer_transport
             ),
+            directory=self._directory,
             clock=self._environment.clock,
             instance=str(self.address),
         )
--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -71,6 +71,7 @@
     "in_flight": _WHOLE,
     "in_flight_elsewhere": Field(Kind.WHOLE, nullable=True),
     "incarnation": _WHOLE,
+    "instances": _WHOLE,
     "kind": _TEXT,
     "last_event_id": _TEXT,
     "late_ms": _WHOLE,
@@ -140,6 +141,7 @@
 # and field.
 TYPE_OVERRIDES: dict[tuple[str, str], Field] = {
     ("order", "load"): _FLAG,
+    ("stream_resumed", "software_version"): Field(Kind.TEXT, nullable=True),
     ("waiting", "replicas"): _WHOLE,
     # The version of a copy is a text; that of a configuration is a number.
     **{
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -129,6 +129,9 @@
         "a peer sent an invalid page of the configuration",
         ("error", "peer"),
     ),
+    "bad_datagram": Message(
+        _STATE, "another instance sent an invalid datagram", ("error", "peer")
+    ),
     "bad_exchange": Message(
         _STATE, "a peer sent an invalid heartbeat message", ("error", "peer")
     ),
@@ -276,6 +279,9 @@
         "another instance closed its connection before the response",
         ("path",),
     ),
+    "instances_known": Message(
+        _STATE, "the list of running instances changed", ("instances",)
+    ),
     "instance_load": Message(
         _STATE,
         "how late the event loop was at most in the last second, and the"
@@ -558,6 +564,19 @@
             "request_id",
         ),
     ),
+    "stream_resumed": Message(
+        _REQUEST,
+        "a client resumes a stream; `software_version` is null if it isn't"
+        " known, so that no replica may continue it",
+        (
+            "request_id",
+            "resumes",
+            "service",
+            "software_version",
+            "source",
+            "took_ms",
+        ),
+    ),
     "suspect_cleared": Message(
         _STATE,
         "a suspected request completed, which clears it",
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -12,6 +12,7 @@
     +- connections       closes stale idle connections to replicas
     +- log lines         writes buffered log lines to standard output
     +- load monitor      logs how late the event loop is, and messages
+    +- stream origins    tells other instances how streams began
     +- signals           SIGTERM starts draining, SIGHUP reloads settings
 """
 
@@ -39,6 +40,7 @@
 from geraniumlink.hosting import _http_protocol
 from geraniumlink.hosting import _load_monitor
 from geraniumlink.hosting import _object_watcher
+from geraniumlink.hosting import _origin_exchange
 from geraniumlink.hosting import _relay
 from geraniumlink import platform
 from geraniumlink.platform import _configuration
@@ -46,6 +48,7 @@
 from geraniumlink.residency import _controller
 from geraniumlink.residency import _controller_link
 from geraniumlink.residency import _controller_protocol
+from geraniumlink.residency import _instance_directory
 from geraniumlink.residency import _leadership
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _connections
@@ -53,6 +56,7 @@
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _retry_budgets
+from geraniumlink.serving import _stream_origins
 from geraniumlink.serving import _types
 from geraniumlink.suspicion import _prompt_parts
 from geraniumlink.suspicion import _suspicions
@@ -162,7 +166,13 @@
             clock=self._clock,
             instance=settings.instance,
         )
+        self._directory = _instance_directory.InstanceDirectory(
+            str(settings.peer_address), clock
+        )
         self._controller_protocol = self._make_controller_protocol()
+        self._origins = _origin_exchange.OriginExchange(
+            _stream_origins.OriginTable(clock), self._directory, clock
+        )
         self._connections = _connections.ConnectionPool(clock)
         self._forwarder = self._make_forwarder()
         self._application = self._make_application()
@@ -215,6 +225,7 @@
             part_sync=_table_sync.TableSync(self._prompt_parts.table),
             relay=_relay.Relay(self._watchers),
             link=_controller_link.ControllerLink(_http.Client()),
+            directory=self._directory,
             clock=self._clock,
             instance=self._settings.instance,
         )
@@ -227,6 +238,7 @@
             budgets=self._budgets,
             suspicions=self._suspicions,
             prompt_parts=self._prompt_parts,
+            origins=self._origins,
             metrics=_request_metrics.RequestMetrics(self._metrics.registry),
             connections=self._connections,
             clock=self._clock,
@@ -294,6 +306,7 @@
             _supervisor.Child("connections", self._close_stale),
             _supervisor.Child("log lines", self._log_buffer.run),
             _supervisor.Child("load monitor", self._load_monitor.run),
+            _supervisor.Child("stream origins", self._origins.run),
         ]
         async with anyio.create_task_group() as group:
             group.start_soon(_supervisor.supervise, children, self._clock)
--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -22,6 +22,7 @@
 from geraniumlink.residency import _controller
 from geraniumlink.residency import _controller_link
 from geraniumlink.residency import _demand
+from geraniumlink.residency import _instance_directory
 from geraniumlink.residency import _leadership
 from geraniumlink.residency import _load_columns
 from geraniumlink.residency import _load_totals
@@ -83,6 +84,7 @@
         part_sync: _table_sync.TableSync,
         relay: Relay,
         link: _controller_link.ControllerLink,
+        directory: _instance_directory.InstanceDirectory,
         clock: _clock.Clock,
         instance: str,
     ) -> None:
@@ -95,6 +97,7 @@
         self._part_sync = part_sync
         self._relay = relay
         self._link = link
+        self._directory = directory
         self._clock = clock
         self._instance = instance
         # Prompt tokens since the last report, by service, model and adapter.
@@ -185,6 +188,8 @@
             prompt_tokens, self._prompt_tokens = self._prompt_tokens, {}
             report = _messages.Report(
                 instance=self._instance,
+                address=self._directory.own_address,
+                instance_list=self._directory.received_digest,
                 uses=[[*key, tokens] for key, tokens in prompt_tokens.items()],
                 known=self._relay.known_revisions(),
                 loads=self._own_loads(),
@@ -247,8 +252,14 @@
         suspected_parts = self._part_sync.answer_report(
             report["suspected_parts"]
         )
-        answer = {
+        self._directory.record_report(str(report["address"]))
+        answer: dict[str, typing.Any] = {
             "instances": len(self._last_reports),
+            "instance_list": (
+                None
+                if sender == self._instance
+                else self._directory.list_for(str(report["instance_list"]))
+            ),
             "loads": self._load_encoder.encode(
                 self._totals.excluding(sender), str(report["load_order"])
             ),
@@ -267,6 +278,7 @@
         """Apply the controller's answer to a report; log a malformed one."""
         try:
             self._budgets.set_instances(int(answer["instances"]))
+            self._directory.apply_list(answer["instance_list"])
             self._apply_other_loads(self._load_decoder.decode(answer["loads"]))
             self._request_sync.apply_answer(answer["suspicions"])
             self._part_sync.apply_answer(answer["suspected_parts"])
--- a/src/geraniumlink/residency/_messages.py
+++ b/src/geraniumlink/residency/_messages.py
@@ -64,6 +64,10 @@
 
     # Name of the reporting instance.
     instance: str
+    # Its address for messages, and the digest of the list of instances that
+    # it received last.
+    address: str
+    instance_list: str
     # Demand since the last report: [service, model, adapter, prompt tokens].
     uses: list[list[typing.Any]]
     # Revision of the store that the instance has, for each kind of object.
--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -17,6 +17,7 @@
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_state
+from geraniumlink.serving import _stream_origins
 from geraniumlink.serving import _types
 
 # A request that can be retried gives up on a replica that has sent nothing,
@@ -50,12 +51,14 @@
         replica: _replicas.Replica,
         connection: _connections.Connection,
         expected_ms: float,
+        origins: _stream_origins.Origins,
     ) -> None:
         self._clock = clock
         self._state = state
         self._replica = replica
         self._connection = connection
         self._expected_ms = expected_ms
+        self._origins = origins
         self._sent_at = clock.now()
         self._priority = state.route.priority
         self._prefill_tokens = replica.uncached_tokens(state.request)
@@ -248,7 +251,7 @@
             has_events = True
             self._record_first_event()
             if state.software_version is None:
-                state.software_version = self._replica.entry.software_version
+                await self._record_origin()
             await self._start_response(head)
             await state.response.write(events)
             state.last_event_id = splitter.last_id or state.last_event_id
@@ -264,6 +267,20 @@
         await state.response.finish(splitter.partial_event)
         return _outcomes.Done()
 
+    async def _record_origin(self) -> None:
+        """Record which software version begins the stream.
+
+        Before the client has its first event, so that the version is known
+        when the client resumes the stream.
+        """
+        state, entry = self._state, self._replica.entry
+        state.software_version = entry.software_version
+        if state.route.resumable:
+            origin = _stream_origins.Origin(
+                state.service, entry.software_version
+            )
+            await self._origins.record(state.request.id, origin)
+
     async def _start_response(self, head: platform.ResponseHead) -> None:
         """Send the head of a stream, unless a previous attempt sent it."""
         if self._state.response.started:
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -10,6 +10,7 @@
 from geraniumlink.serving import _balance
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _request_state
+from geraniumlink.serving import _stream_origins
 
 
 def admitted(
@@ -123,6 +124,28 @@
     )
 
 
+def stream_resumed(
+    state: _request_state.RequestState,
+    origin: _stream_origins.Origin | None,
+    source: str,
+    took_ms: int,
+) -> None:
+    """Log which software version may continue a client's stream.
+
+    :param origin: None if it isn't known.
+    :param source: how it is known, or why not.
+    """
+    _logs.event(
+        "stream_resumed",
+        request_id=state.log_id,
+        resumes=state.request.resumes.decode("latin-1"),
+        service=origin.service if origin else state.service,
+        software_version=origin.software_version if origin else None,
+        source=source,
+        took_ms=took_ms,
+    )
+
+
 def finished(state: _request_state.RequestState, now: int) -> None:
     """Log the end of a request."""
     _logs.event(
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -28,6 +28,7 @@
 from geraniumlink.serving import _request_state
 from geraniumlink.serving import _response_writer
 from geraniumlink.serving import _retry_budgets
+from geraniumlink.serving import _stream_origins
 from geraniumlink.serving import _types
 from geraniumlink.suspicion import _prompt_parts
 from geraniumlink.suspicion import _suspicions
@@ -46,6 +47,10 @@
 # loaded. A refusal after the wait uses up to REFUSAL_MARGIN_MS (200) of it;
 # see ``residency._controller_protocol``.
 SERVE_RESERVE_MS = 400
+# A stream's replicas may have left, and others come, since it began. It began
+# at most this many times the route's timeout ago, as clients retry once or
+# twice within it.
+ORIGIN_WINDOW_TIMEOUTS = 2
 # Why a request is refused or not retried.
 _CRASHED_BEFORE = "it crashed replicas before"
 _PART_CRASHED_BEFORE = "a part of its prompt crashed replicas before"
@@ -84,6 +89,7 @@
         budgets: _retry_budgets.RetryBudgets,
         suspicions: _suspicions.SuspicionTable,
         prompt_parts: _prompt_parts.PromptParts,
+        origins: _stream_origins.Origins,
         metrics: _request_metrics.RequestMetrics,
         connections: _connections.ConnectionPool,
         clock: _clock.Clock,
@@ -97,6 +103,7 @@
         self._budgets = budgets
         self._suspicions = suspicions
         self._prompt_parts = prompt_parts
+        self._origins = origins
         self._metrics = metrics
         self._clock = clock
         self._data_centre = data_centre
@@ -143,7 +150,8 @@
         left_ms = state.deadline - now
         try:
             with anyio.move_on_after(left_ms / 1000) as scope:
-                await self._run_attempts(state)
+                if await self._may_continue(state):
+                    await self._run_attempts(state)
             if scope.cancelled_caught:
                 state.outcome = "timed out"
                 await self._final_answers.send_timeout(state)
@@ -179,6 +187,54 @@
             return route.shares[0].service
         return self._random.choices(route.shares, weights)[0].service
 
+    async def _may_continue(self, state: _request_state.RequestState) -> bool:
+        """Whether a replica may run the request, unless it is refused here.
+
+        A stream that a client resumes is refused if the software version
+        that began it isn't known.
+        """
+        if not state.resumes_stream:
+            return True
+        started_at = self._clock.now()
+        origin, source = await self._find_origin(state)
+        took_ms = self._clock.now() - started_at
+        _decision_log.stream_resumed(state, origin, source, took_ms)
+        if origin is None:
+            refusal = self._final_answers.make_refusal(
+                "it isn't known which software version began the stream"
+            )
+            await self._final_answers.send_refusal(state, refusal)
+            return False
+        state.service = origin.service
+        state.software_version = origin.software_version
+        return True
+
+    async def _find_origin(
+        self, state: _request_state.RequestState
+    ) -> tuple[_stream_origins.Origin | None, str]:
+        """Return how a stream began, None if not known, and how it's known.
+
+        Where no instance knows it, it began at the only software version
+        that has served since, if there was only one. A client that doesn't
+        name the request that the stream began with can't be helped better.
+        """
+        request, route = state.request, state.route
+        window_ms = ORIGIN_WINDOW_TIMEOUTS * route.timeout_ms
+        if request.resumes:
+            origin = await self._origins.find(request.resumes)
+            if origin is not None:
+                services = {share.service for share in route.shares}
+                if origin.service in services:
+                    return origin, "recorded"
+                return None, "service gone"
+            if self._replicas.listed_ms < window_ms:
+                return None, "unknown"
+        version = self._replicas.sole_version(state.service, window_ms)
+        if version is None:
+            return None, "unknown"
+        origin = _stream_origins.Origin(state.service, version)
+        return origin, "sole version"
+
     async def _run_attempts(self, state: _request_state.RequestState) -> None:
         """Send the request to replicas until there is a final response."""
         while True:
@@ -348,7 +404,12 @@
             return _outcomes.Unsent(str(error))
         state.attempts += 1
         attempt = _attempt.Attempt(
-            self._clock, state, replica, connection, choice.expected_ms
+            self._clock,
+            state,
+            replica,
+            connection,
+            choice.expected_ms,
+            self._origins,
         )
         outcome: _outcomes.Outcome | None = None
         try:
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -243,12 +243,22 @@
         self._clock = clock
         self._missing_limit_ms = leaving_bound_ms - MISSING_MARGIN_MS
         self._known: dict[str, Replica] = {}
-        self._has_full_list = False
+        # When the complete list was first read; None before.
+        self._listed_at: int | None = None
+        # When a replica of each service and software version was last known.
+        self._versions_seen: dict[str, dict[str, int]] = {}
 
     @property
     def has_full_list(self) -> bool:
         """Whether the complete list of entries has been read."""
-        return self._has_full_list
+        return self._listed_at is not None
+
+    @property
+    def listed_ms(self) -> int:
+        """For how long the replicas have been known here; 0 before."""
+        if self._listed_at is None:
+            return 0
+        return self._clock.now() - self._listed_at
 
     def get(self, name: str) -> Replica | None:
         return self._known.get(name)
@@ -281,6 +291,17 @@
         not_missing = [r for r in usable if r.missing_since is None]
         return not_missing or usable
 
+    def sole_version(self, service: str, window_ms: int) -> str | None:
+        """Return the software version of all replicas known in a window.
+
+        None if there were several, or no replica.
+        """
+        for replica in self.registered(service):
+            self._note_version(replica)
+        now, seen = self._clock.now(), self._versions_seen.get(service, {})
+        recent = [v for v, at in seen.items() if now - at <= window_ms]
+        return recent[0] if len(recent) == 1 else None
+
     def is_available(self, name: str) -> bool:
         """Whether ``available`` returns a replica, without listing all."""
         replica = self._known.get(name)
@@ -306,11 +327,14 @@
             self.update(entry)
         for name in self._known.keys() - listed.keys():
             self.mark_missing(name)
-        self._has_full_list = True
+        if self._listed_at is None:
+            self._listed_at = self._clock.now()
 
     def update(self, entry: _types.ReplicaEntry) -> None:
         """Apply one entry; that of a new process replaces the replica."""
         known = self._known.get(entry.name)
+        if known is not None:
+            self._note_version(known)
         if known is None or _is_other_process(known.entry, entry):
             self._known[entry.name] = Replica(entry)
             _logs.event(
@@ -350,9 +374,15 @@
         for name, replica in list(self._known.items()):
             since = replica.missing_since
             if since is not None and now - since > self._missing_limit_ms:
+                self._note_version(replica)
                 del self._known[name]
                 _logs.event("replica_forgotten", replica=name)
 
+    def _note_version(self, replica: Replica) -> None:
+        """Record that a replica's version serves, or did until now."""
+        seen = self._versions_seen.setdefault(replica.entry.service, {})
+        seen[replica.entry.software_version] = self._clock.now()
+
 
 def _is_other_process(
     known: _types.ReplicaEntry, entry: _types.ReplicaEntry
--- a/src/geraniumlink/serving/_request_state.py
+++ b/src/geraniumlink/serving/_request_state.py
@@ -69,6 +69,11 @@
         # The final outcome, for log lines and metrics; empty until then.
         self.outcome = ""
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the client has events of the stream already."""
+        return bool(self.request.last_event_id) and self.route.resumable
+
     @property
     def log_id(self) -> str:
         """The request id as it appears in log lines."""
--- a/tests/test_controller_protocol.py
+++ b/tests/test_controller_protocol.py
@@ -47,6 +47,7 @@
         part_sync=None,
         relay=None,
         link=link,
+        directory=None,
         clock=clock,
         instance="i1",
     )
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,6 +1,5 @@
 """Streams and the software versions of the replicas that continue them."""
 
-import anyio
 import pytest
 
 from standins import replica as replicas
@@ -74,7 +73,18 @@
 
 async def _wait_until_connected(site):
     """Wait until all instances know each other."""
-    await anyio.sleep(3)
+
+    def is_connected():
+        lists = [
+            hosts.find_log_lines(instance, "instances_known")
+            for instance in site.instances
+        ]
+        return all(
+            known and known[-1]["instances"] == len(site.instances)
+            for known in lists
+        )
+
+    await site.fleet.until(is_connected, "all instances know each other")
 
 
 async def test_a_stream_goes_on_at_the_version_that_began_it(fleet):
