Send origins of streams by a plain socket, so that none waits

Now a non-blocking socket sends at once, and a datagram without room is dropped.

Besides, instances say when they don't know an origin, so that a stream is refused after a round trip when all have answered, not after 500 ms; a request id that is used again has the newer origin; and instances of a former version, whose reports have no address, are answered.

--- a/src/geraniumlink/hosting/_origin_exchange.py
+++ b/src/geraniumlink/hosting/_origin_exchange.py
@@ -13,10 +13,10 @@
 from __future__ import annotations
 
 import hashlib
+import socket
 import typing
 
 import anyio
-import anyio.abc
 import orjson
 
 from geraniumlink import _clock
@@ -34,10 +34,24 @@
 QUERY_WAITS_MS = (30, 120, 350)
 # Longest request id that is copied.
 MAX_ID_BYTES = 200
+_MAX_DATAGRAM_BYTES = 2048
+
+
+class _Query:
+    """A question that is being asked."""
+
+    def __init__(self) -> None:
+        # Set when the origin is known, or no instance knows it.
+        self.ended = anyio.Event()
+        # Instances that don't know the origin.
+        self.denied: set[_settings.Address] = set()
 
 
 class OriginExchange:
-    """Keeps the origins of streams, with the help of other instances."""
+    """Keeps the origins of streams, with the help of other instances.
+
+    Datagrams that the kernel has no room for are dropped, like lost ones.
+    """
 
     def __init__(
         self,
@@ -48,10 +62,10 @@
         self._table = table
         self._directory = directory
         self._clock = clock
-        # None while the socket isn't open.
-        self._socket: anyio.abc.UDPSocket | None = None
-        # Set when the answer to a question has arrived, by request id.
-        self._asked: dict[bytes, anyio.Event] = {}
+        # None while it isn't open.
+        self._socket: socket.socket | None = None
+        # By the request id of the stream.
+        self._queries: dict[bytes, _Query] = {}
 
     @property
     def is_open(self) -> bool:
@@ -64,47 +78,53 @@
         :raises OSError: if the socket can't be opened.
         """
         own = _settings.parse_address(self._directory.own_address)
-        async with await anyio.create_udp_socket(
-            local_host=own.host, local_port=own.port
-        ) as socket:
-            self._socket = socket
+        family = socket.AF_INET6 if ":" in own.host else socket.AF_INET
+        with socket.socket(family, socket.SOCK_DGRAM) as opened:
+            opened.setblocking(False)
+            opened.bind((own.host, own.port))
+            self._socket = opened
             try:
-                async for data, (host, port) in socket:
-                    await self._handle(data, _settings.Address(host, port))
+                while True:
+                    await anyio.wait_readable(opened)
+                    self._receive(opened)
             finally:
                 self._socket = None
 
-    async def record(
+    def record(
         self, request_id: bytes, origin: _stream_origins.Origin
     ) -> None:
         """Remember how a stream began here, and tell some instances."""
-        if len(request_id) > MAX_ID_BYTES:
+        if not 0 < len(request_id) <= MAX_ID_BYTES:
             return
         self._table.record(request_id, origin)
         message = ["origin", request_id.decode("latin-1"), *origin]
-        await self._send(self._holders(request_id), message)
+        self._send(self._holders(request_id), message)
 
     async def find(self, request_id: bytes) -> _stream_origins.Origin | None:
         """Return how a stream began; None if no instance says so in time."""
-        if len(request_id) > MAX_ID_BYTES:
-            return None
         origin = self._table.get(request_id)
-        if origin is not None or not self._directory.others:
-            return origin
-        answered = self._asked.setdefault(request_id, anyio.Event())
+        if origin is None and len(request_id) <= MAX_ID_BYTES:
+            await self._ask(request_id)
+            origin = self._table.get(request_id)
+        return origin
+
+    async def _ask(self, request_id: bytes) -> None:
+        """Ask other instances until one knows the origin, or none does."""
+        query = self._queries.setdefault(request_id, _Query())
         message = ["query", request_id.decode("latin-1")]
         targets = self._holders(request_id)
         try:
             for wait_ms in QUERY_WAITS_MS:
-                await self._send(targets, message)
+                if len(query.denied) >= len(self._directory.others):
+                    return
+                self._send(targets, message)
                 with anyio.move_on_after(wait_ms / 1000):
-                    await answered.wait()
-                    break
+                    await query.ended.wait()
+                    return
                 targets = self._directory.others
         finally:
-            if self._asked.get(request_id) is answered:
-                del self._asked[request_id]
-        return self._table.get(request_id)
+            if self._queries.get(request_id) is query:
+                del self._queries[request_id]
 
     def _holders(self, request_id: bytes) -> list[str]:
         """Return the instances that should have a copy of an origin."""
@@ -115,31 +135,47 @@
             ).digest(),
         )[:COPIES]
 
-    async def _handle(self, data: bytes, sender: _settings.Address) -> None:
-        """Store what another instance tells, or answer its question."""
+    def _receive(self, opened: socket.socket) -> None:
+        """Handle one datagram."""
         try:
-            match orjson.loads(data):
-                case ["origin", str(name), str(service), str(version)]:
-                    request_id = name.encode("latin-1")
-                    self._table.record(
-                        request_id, _stream_origins.Origin(service, version)
-                    )
-                    if request_id in self._asked:
-                        self._asked[request_id].set()
-                case ["query", str(name)]:
-                    origin = self._table.get(name.encode("latin-1"))
-                    if origin is not None:
-                        await self._send(
-                            [str(sender)], ["origin", name, *origin]
-                        )
-                case _:
-                    raise ValueError("unknown message")
+            data, (host, port, *_) = opened.recvfrom(_MAX_DATAGRAM_BYTES)
+        except OSError:
+            # There is none any more, or it reports that another one was
+            # refused.
+            return
+        sender = _settings.Address(host, port)
+        try:
+            self._handle(orjson.loads(data), sender)
         except ValueError as error:
             _logs.event("bad_datagram", peer=str(sender), error=str(error))
 
-    async def _send(
-        self, addresses: list[str], message: list[typing.Any]
-    ) -> None:
+    def _handle(self, message: typing.Any, sender: _settings.Address) -> None:
+        """Store what another instance tells, or answer its question.
+
+        :raises ValueError: if the message is malformed.
+        """
+        match message:
+            case ["origin", str(name), str(service), str(version)]:
+                request_id = name.encode("latin-1")
+                origin = _stream_origins.Origin(service, version)
+                self._table.record(request_id, origin)
+                query = self._queries.get(request_id)
+                if query is not None:
+                    query.ended.set()
+            case ["unknown", str(name)]:
+                query = self._queries.get(name.encode("latin-1"))
+                if query is not None:
+                    query.denied.add(sender)
+                    if len(query.denied) >= len(self._directory.others):
+                        query.ended.set()
+            case ["query", str(name)]:
+                known = self._table.get(name.encode("latin-1"))
+                answer = ["origin", name, *known] if known else None
+                self._send([str(sender)], answer or ["unknown", name])
+            case _:
+                raise ValueError(f"unknown message: {message!r:.60}")
+
+    def _send(self, addresses: list[str], message: list[typing.Any]) -> None:
         """Send a datagram to each address, without waiting for answers."""
         if self._socket is None:
             return
@@ -147,6 +183,6 @@
         for text in addresses:
             address = _settings.parse_address(text)
             try:
-                await self._socket.sendto(data, address.host, address.port)
-            except (OSError, anyio.ClosedResourceError) as error:
+                self._socket.sendto(data, (address.host, address.port))
+            except OSError as error:
                 _logs.event("peer_not_told", peer=text, error=str(error))
--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -252,13 +252,15 @@
         suspected_parts = self._part_sync.answer_report(
             report["suspected_parts"]
         )
-        self._directory.record_report(str(report["address"]))
+        # Instances of an older version don't send their address.
+        if "address" in report:
+            self._directory.record_report(str(report["address"]))
         answer: dict[str, typing.Any] = {
             "instances": len(self._last_reports),
             "instance_list": (
                 None
                 if sender == self._instance
-                else self._directory.list_for(str(report["instance_list"]))
+                else self._directory.list_for(str(report.get("instance_list")))
             ),
             "loads": self._load_encoder.encode(
                 self._totals.excluding(sender), str(report["load_order"])
@@ -278,7 +280,7 @@
         """Apply the controller's answer to a report; log a malformed one."""
         try:
             self._budgets.set_instances(int(answer["instances"]))
-            self._directory.apply_list(answer["instance_list"])
+            self._directory.apply_list(answer.get("instance_list"))
             self._apply_other_loads(self._load_decoder.decode(answer["loads"]))
             self._request_sync.apply_answer(answer["suspicions"])
             self._part_sync.apply_answer(answer["suspected_parts"])
--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -251,7 +251,7 @@
             has_events = True
             self._record_first_event()
             if state.software_version is None:
-                await self._record_origin()
+                self._record_origin()
             await self._start_response(head)
             await state.response.write(events)
             state.last_event_id = splitter.last_id or state.last_event_id
@@ -267,7 +267,7 @@
         await state.response.finish(splitter.partial_event)
         return _outcomes.Done()
 
-    async def _record_origin(self) -> None:
+    def _record_origin(self) -> None:
         """Record which software version begins the stream.
 
         Before the client has its first event, so that the version is known
@@ -279,7 +279,7 @@
             origin = _stream_origins.Origin(
                 state.service, entry.software_version
             )
-            await self._origins.record(state.request.id, origin)
+            self._origins.record(state.request.id, origin)
 
     async def _start_response(self, head: platform.ResponseHead) -> None:
         """Send the head of a stream, unless a previous attempt sent it."""
--- a/src/geraniumlink/serving/_stream_origins.py
+++ b/src/geraniumlink/serving/_stream_origins.py
@@ -28,7 +28,7 @@
 class Origins(typing.Protocol):
     """Knows how streams began, also at other instances."""
 
-    async def record(self, request_id: bytes, origin: Origin) -> None:
+    def record(self, request_id: bytes, origin: Origin) -> None:
         """Remember how the stream of a request began here."""
 
     async def find(self, request_id: bytes) -> Origin | None:
@@ -49,11 +49,10 @@
         return len(self._origins)
 
     def record(self, request_id: bytes, origin: Origin) -> None:
-        """Remember an origin; the first one that is recorded stays."""
+        """Remember an origin, in place of one with the same id."""
         self._drop_expired()
-        if request_id in self._origins:
-            return
         expires_at = self._clock.now() + ORIGIN_TTL_MS
+        self._origins.pop(request_id, None)
         self._origins[request_id] = (expires_at, origin)
         if len(self._origins) > MAX_ORIGINS:
             self._origins.popitem(last=False)
