Spend less processor time on the origins of streams

Each stream's origin is three datagrams, so at 83 instances there are 1,300 a second. Cause of the cost: two system calls to wait for each datagram, and a hash of every instance's address for each stream. Now asyncio's datagram endpoint keeps its reader registered, and the instances are hashed once, on a ring.

--- a/src/geraniumlink/hosting/_origin_exchange.py
+++ b/src/geraniumlink/hosting/_origin_exchange.py
@@ -2,18 +2,18 @@
 
 A client may resume a stream at any instance, also after the one that began it
 was killed. So each stream's origin is copied to a few other instances, which
-its id selects (rendezvous hashing); an instance that doesn't know an origin
+its id selects by consistent hashing; an instance that doesn't know an origin
 asks these first, and then all. Each message is one datagram, since a stream
 must not wait for an instance that doesn't answer. A lost copy leaves the
 others; a lost question is repeated.
-Source: D. Thaler, C. Ravishankar, "Using Name-Based Mappings to Increase Hit
-Rates", IEEE/ACM Transactions on Networking 1998.
+Source: D. Karger et al., "Consistent Hashing and Random Trees", STOC 1997.
 """
 
 from __future__ import annotations
 
+import asyncio
+import bisect
 import hashlib
-import socket
 import typing
 
 import anyio
@@ -34,7 +34,6 @@
 QUERY_WAITS_MS = (30, 120, 350)
 # Longest request id that is copied.
 MAX_ID_BYTES = 200
-_MAX_DATAGRAM_BYTES = 2048
 
 
 class _Query:
@@ -47,11 +46,8 @@
         self.denied: set[_settings.Address] = set()
 
 
-class OriginExchange:
-    """Keeps the origins of streams, with the help of other instances.
-
-    Datagrams that the kernel has no room for are dropped, like lost ones.
-    """
+class OriginExchange(asyncio.DatagramProtocol):
+    """Keeps the origins of streams, with the help of other instances."""
 
     def __init__(
         self,
@@ -62,15 +58,19 @@
         self._table = table
         self._directory = directory
         self._clock = clock
-        # None while it isn't open.
-        self._socket: socket.socket | None = None
+        # None while the socket isn't open.
+        self._transport: asyncio.DatagramTransport | None = None
         # By the request id of the stream.
         self._queries: dict[bytes, _Query] = {}
+        # The other instances by the hash of their address, and the list that
+        # this was made from.
+        self._ring: list[tuple[bytes, str]] = []
+        self._ring_of: tuple[str, ...] = ()
 
     @property
     def is_open(self) -> bool:
         """Whether messages of other instances are received."""
-        return self._socket is not None
+        return self._transport is not None
 
     async def run(self) -> None:
         """Answer other instances for ever.
@@ -78,17 +78,17 @@
         :raises OSError: if the socket can't be opened.
         """
         own = _settings.parse_address(self._directory.own_address)
-        family = socket.AF_INET6 if ":" in own.host else socket.AF_INET
-        with socket.socket(family, socket.SOCK_DGRAM) as opened:
-            opened.setblocking(False)
-            opened.bind((own.host, own.port))
-            self._socket = opened
-            try:
-                while True:
-                    await anyio.wait_readable(opened)
-                    self._receive(opened)
-            finally:
-                self._socket = None
+        # anyio's sockets allow one sender at a time, and sending waits.
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(own.host, own.port)
+        )
+        self._transport = transport
+        try:
+            await anyio.sleep_forever()
+        finally:
+            self._transport = None
+            transport.close()
 
     def record(
         self, request_id: bytes, origin: _stream_origins.Origin
@@ -112,7 +112,7 @@
         """Ask other instances until one knows the origin, or none does."""
         query = self._queries.setdefault(request_id, _Query())
         message = ["query", request_id.decode("latin-1")]
-        targets = self._holders(request_id)
+        targets: typing.Iterable[str] = self._holders(request_id)
         try:
             for wait_ms in QUERY_WAITS_MS:
                 if len(query.denied) >= len(self._directory.others):
@@ -128,22 +128,22 @@
 
     def _holders(self, request_id: bytes) -> list[str]:
         """Return the instances that should have a copy of an origin."""
-        return sorted(
-            self._directory.others,
-            key=lambda address: hashlib.blake2b(
-                address.encode(), key=request_id[:64], digest_size=8
-            ).digest(),
-        )[:COPIES]
-
-    def _receive(self, opened: socket.socket) -> None:
-        """Handle one datagram."""
-        try:
-            data, (host, port, *_) = opened.recvfrom(_MAX_DATAGRAM_BYTES)
-        except OSError:
-            # There is none any more, or it reports that another one was
-            # refused.
-            return
-        sender = _settings.Address(host, port)
+        others = self._directory.others
+        if self._ring_of is not others:
+            self._ring_of = others
+            self._ring = sorted((_hash(a.encode()), a) for a in others)
+        ring = self._ring
+        first = bisect.bisect(ring, (_hash(request_id), ""))
+        return [
+            ring[(first + step) % len(ring)][1]
+            for step in range(min(COPIES, len(ring)))
+        ]
+
+    # Callback of the transport.
+    def datagram_received(
+        self, data: bytes, addr: tuple[str | typing.Any, int]
+    ) -> None:
+        sender = _settings.Address(addr[0], addr[1])
         try:
             self._handle(orjson.loads(data), sender)
         except ValueError as error:
@@ -175,14 +175,17 @@
             case _:
                 raise ValueError(f"unknown message: {message!r:.60}")
 
-    def _send(self, addresses: list[str], message: list[typing.Any]) -> None:
+    def _send(
+        self, addresses: typing.Iterable[str], message: list[typing.Any]
+    ) -> None:
         """Send a datagram to each address, without waiting for answers."""
-        if self._socket is None:
+        if self._transport is None:
             return
         data = orjson.dumps(message)
         for text in addresses:
-            address = _settings.parse_address(text)
-            try:
-                self._socket.sendto(data, (address.host, address.port))
-            except OSError as error:
-                _logs.event("peer_not_told", peer=text, error=str(error))
+            host, _, port = text.rpartition(":")
+            self._transport.sendto(data, (host.strip("[]"), int(port)))
+
+
+def _hash(data: bytes) -> bytes:
+    return hashlib.blake2b(data, digest_size=8).digest()
--- a/src/geraniumlink/residency/_instance_directory.py
+++ b/src/geraniumlink/residency/_instance_directory.py
@@ -35,6 +35,7 @@
         self._received_digest = ""
         # Digest of the addresses here; empty if it has to be computed.
         self._digest = ""
+        self._others: tuple[str, ...] = ()
 
     @property
     def own_address(self) -> str:
@@ -46,9 +47,12 @@
         return self._received_digest
 
     @property
-    def others(self) -> list[str]:
-        """The addresses of the other instances."""
-        return [a for a in self._heard_at if a != self._own_address]
+    def others(self) -> tuple[str, ...]:
+        """The addresses of the other instances.
+
+        The same object until they change.
+        """
+        return self._others
 
     def record_report(self, address: str) -> None:
         """Record, as the controller, that an instance has reported.
@@ -105,6 +109,11 @@
         }
         if self._heard_at.keys() != before:
             self._digest = ""
+            self._others = tuple(
+                address
+                for address in self._heard_at
+                if address != self._own_address
+            )
             _logs.event("instances_known", instances=len(self._heard_at))
 
 
