Drop an unused parameter of the exchange of origins

The digest of a list of addresses takes the list. No behaviour changes: the tests of origins, of versions and of the emulator pass.

--- a/benches/stream_origins.py
+++ b/benches/stream_origins.py
@@ -66,7 +66,7 @@
             directory = _instance_directory.InstanceDirectory(address, clock)
             directory.apply_list(addresses)
             exchange = _origin_exchange.OriginExchange(
-                _stream_origins.OriginTable(clock), directory, clock
+                _stream_origins.OriginTable(clock), directory
             )
             scope = await group.start(_run, exchange)
             instances.append(_Instance(exchange, scope))
--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -121,7 +121,7 @@
             prompt_parts=self._prompt_parts,
             # Without its socket: no stream is resumed by an emulated client.
             origins=_origin_exchange.OriginExchange(
-                _stream_origins.OriginTable(clock), self._directory, clock
+                _stream_origins.OriginTable(clock), self._directory
             ),
             metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
             connections=_connections.ConnectionPool(
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -171,7 +171,7 @@
         )
         self._controller_protocol = self._make_controller_protocol()
         self._origins = _origin_exchange.OriginExchange(
-            _stream_origins.OriginTable(clock), self._directory, clock
+            _stream_origins.OriginTable(clock), self._directory
         )
         self._connections = _connections.ConnectionPool(clock)
         self._forwarder = self._make_forwarder()
--- a/src/geraniumlink/hosting/_origin_exchange.py
+++ b/src/geraniumlink/hosting/_origin_exchange.py
@@ -19,7 +19,6 @@
 import anyio
 import orjson
 
-from geraniumlink import _clock
 from geraniumlink import _logs
 from geraniumlink import _settings
 from geraniumlink.residency import _instance_directory
@@ -53,11 +52,9 @@
         self,
         table: _stream_origins.OriginTable,
         directory: _instance_directory.InstanceDirectory,
-        clock: _clock.Clock,
     ) -> None:
         self._table = table
         self._directory = directory
-        self._clock = clock
         # None while the socket isn't open.
         self._transport: asyncio.DatagramTransport | None = None
         # By the request id of the stream.
--- a/src/geraniumlink/residency/_instance_directory.py
+++ b/src/geraniumlink/residency/_instance_directory.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import hashlib
 
 from geraniumlink import _clock
@@ -69,8 +70,7 @@
     def list_for(self, received_digest: str) -> list[str] | None:
         """Return all addresses; None if the instance has that list."""
         if not self._digest:
-            text = ",".join(sorted(self._heard_at))
-            self._digest = _compute_digest(text)
+            self._digest = _compute_digest(self._heard_at)
         if received_digest == self._digest:
             return None
         return sorted(self._heard_at)
@@ -90,9 +90,7 @@
             for address in addresses:
                 _settings.parse_address(address)
             self._received = addresses
-            self._received_digest = _compute_digest(
-                ",".join(sorted(addresses))
-            )
+            self._received_digest = _compute_digest(addresses)
         self._hear_of(self._received, now)
 
     def _is_controller(self, now: int) -> bool:
@@ -117,5 +115,6 @@
             _logs.event("instances_known", instances=len(self._heard_at))
 
 
-def _compute_digest(text: str) -> str:
+def _compute_digest(addresses: Iterable[str]) -> str:
+    text = ",".join(sorted(addresses))
     return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -162,7 +162,7 @@
             if number not in without_directory:
                 directory.apply_list(addresses)
             table = _stream_origins.OriginTable(clock)
-            exchange = _origin_exchange.OriginExchange(table, directory, clock)
+            exchange = _origin_exchange.OriginExchange(table, directory)
             scope = await group.start(_run, exchange)
             instances.append(_Instance(address, exchange, scope))
         yield instances
