--- a/src/geraniumlink/_settings.py
+++ b/src/geraniumlink/_settings.py
@@ -8,10 +8,11 @@
 import pathlib
 import typing
 
-import expression
-
 from geraniumlink import _findings
 
+if typing.TYPE_CHECKING:
+    import expression
+
 
 class Address(typing.NamedTuple):
     """An IP address and a port."""
@@ -136,6 +137,10 @@
     path: pathlib.Path,
 ) -> expression.Result[Settings, _findings.Findings]:
     """Read and validate a settings file; return all errors in it at once."""
+    # Not for the whole module: instances on the users' platform use only its
+    # addresses, and would start later.
+    import expression  # noqa: PLC0415
+
     findings = _findings.Findings()
     parser = configparser.ConfigParser(interpolation=None)
     try:
