Test retries of hosted requests without leaving the choice to chance

Cause: in the test. Both replicas are idle, so each of the six requests goes to either with the same chance, and r-1 gets none once in 64 runs.

test_a_request_is_retried_when_a_replica_stalls leaves it to chance as well: once in 16 runs none of its four requests met the stalled replica, and it passed without testing anything.

Changed: requests are sent until the broken replica has run one. Each must succeed, and what the broken one ran must have been run by the other one too, which wasn't checked before.

--- a/tests/test_hosted_requests.py
+++ b/tests/test_hosted_requests.py
@@ -16,6 +16,24 @@
     return [run for runs in (await site.runs()).values() for run in runs]
 
 
+async def _check_retry(site, broken, other):
+    """Check that requests succeed, and that one is retried.
+
+    Either replica may be chosen first, so requests are sent until the broken
+    one has run one of them.
+    """
+
+    async def is_run_by_broken():
+        answer = await hosts.send_request(site.instances[0].port, "/safe/x")
+        assert answer.status == 200
+        return (await site.runs())[broken]
+
+    await site.fleet.until(is_run_by_broken, f"{broken} runs a request")
+    runs = await site.runs()
+    retried = {run["id"] for run in runs[broken]}
+    assert retried <= {run["id"] for run in runs[other]}
+
+
 async def test_a_request_is_forwarded_unchanged(fleet):
     site, port = await _site(fleet)
     target = "/safe/a%20b//c;x=1?"
@@ -57,11 +75,9 @@
 
 
 async def test_an_idempotent_request_is_retried_at_another_replica(fleet):
-    site, port = await _site(fleet)
+    site, _ = await _site(fleet)
     await site.faults("r-1", fail=True)
-    for _ in range(6):
-        assert (await hosts.send_request(port, "/safe/x")).status == 200
-    assert (await site.runs())["r-1"]
+    await _check_retry(site, "r-1", "r-2")
 
 
 async def test_a_request_that_runs_at_most_once_is_not_retried(fleet):
@@ -154,10 +170,9 @@
 
 
 async def test_a_request_is_retried_when_a_replica_stalls(fleet):
-    site, port = await _site(fleet)
+    site, _ = await _site(fleet)
     await site.faults("r-1", hang=True)
-    for _ in range(4):
-        assert (await hosts.send_request(port, "/safe/x")).status == 200
+    await _check_retry(site, "r-1", "r-2")
 
 
 async def test_a_run_is_cancelled_when_its_client_disconnects(fleet):
