Name the admission of resumed streams and the query for an origin

_may_continue also chose the version and sent the refusal, so it is _admit_resumed_stream, with a docstring that says both. Origins are asked for by a query, as the code calls it; "question" said the same in prose.

--- a/benches/stream_origins.py
+++ b/benches/stream_origins.py
@@ -4,7 +4,7 @@
 
 Runs the exchanges of a fleet's instances in one process, on loopback. Prints
 the processor time of a stream's record, with its copies sent and received,
-and of a question about a stream that the asking instance doesn't know; and
+and of a query for a stream that the asking instance doesn't know; and
 for how many streams an origin is found after a share of the instances has
 ended at the same moment.
 """
@@ -100,7 +100,7 @@
     asked_ns = time.process_time_ns() - began
     print(
         f"{len(instances)} instances, {len(ended)} ended: record"
-        f" {recorded_ns / STREAMS / 1000:.0f} us, question"
+        f" {recorded_ns / STREAMS / 1000:.0f} us, query"
         f" {asked_ns / STREAMS / 1000:.0f} us, found {found} of {STREAMS},"
         f" slowest {slowest_ms:.0f} ms"
     )
--- a/src/geraniumlink/hosting/_origin_exchange.py
+++ b/src/geraniumlink/hosting/_origin_exchange.py
@@ -5,7 +5,7 @@
 its id selects by consistent hashing; an instance that doesn't know an origin
 asks these first, and then all. Each message is one datagram, since a stream
 must not wait for an instance that doesn't answer. A lost copy leaves the
-others; a lost question is repeated.
+others; a lost query is repeated.
 Source: D. Karger et al., "Consistent Hashing and Random Trees", STOC 1997.
 """
 
@@ -27,7 +27,7 @@
 # Instances, besides the one that began a stream, that keep its origin. If 6
 # of 10 instances are killed at once, 3 copies leave 8 of 10 origins known.
 COPIES = 3
-# How long answers are waited for after each question: the first goes to the
+# How long answers are waited for after each query: the first goes to the
 # instances that should have a copy, the others to all. Answers take some ms;
 # an event loop that is busy may need 200.
 QUERY_WAITS_MS = (30, 120, 350)
@@ -36,7 +36,7 @@
 
 
 class _Query:
-    """A question that is being asked."""
+    """A query without an answer yet."""
 
     def __init__(self) -> None:
         # Set when the origin is known, or no instance knows it.
@@ -147,7 +147,7 @@
             _logs.event("bad_datagram", peer=str(sender), error=str(error))
 
     def _handle(self, message: typing.Any, sender: _settings.Address) -> None:
-        """Store what another instance tells, or answer its question.
+        """Store what another instance tells, or answer its query.
 
         :raises ValueError: if the message is malformed.
         """
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -150,7 +150,7 @@
         left_ms = state.deadline - now
         try:
             with anyio.move_on_after(left_ms / 1000) as scope:
-                if await self._may_continue(state):
+                if await self._admit_resumed_stream(state):
                     await self._run_attempts(state)
             if scope.cancelled_caught:
                 state.outcome = "timed out"
@@ -187,11 +187,15 @@
             return route.shares[0].service
         return self._random.choices(route.shares, weights)[0].service
 
-    async def _may_continue(self, state: _request_state.RequestState) -> bool:
-        """Whether a replica may run the request, unless it is refused here.
+    async def _admit_resumed_stream(
+        self, state: _request_state.RequestState
+    ) -> bool:
+        """Choose the software version that may continue a client's stream.
+
+        If it isn't known, the request is refused here.
 
-        A stream that a client resumes is refused if the software version
-        that began it isn't known.
+        :returns: whether the request is admitted; true of all requests that
+            don't resume a stream.
         """
         if not state.resumes_stream:
             return True
