Report when the exchange of origins has started through the task group

Only tests read OriginExchange.is_open, in a loop. The method run says by task_status that its socket is open, as anyio's task groups expect. The bench slept for 50 ms instead; it waits for the sockets now.

--- a/benches/stream_origins.py
+++ b/benches/stream_origins.py
@@ -54,8 +54,9 @@
     task_status: anyio.abc.TaskStatus[anyio.CancelScope],
 ) -> None:
     with anyio.CancelScope() as scope:
-        task_status.started(scope)
-        await exchange.run()
+        async with anyio.create_task_group() as group:
+            await group.start(exchange.run)
+            task_status.started(scope)
 
 
 async def _measure(count: int, ended_share: float) -> None:
@@ -70,7 +71,6 @@
             )
             scope = await group.start(_run, exchange)
             instances.append(_Instance(exchange, scope))
-        await anyio.sleep(0.05)
         await _measure_fleet(instances, ended_share)
         group.cancel_scope.cancel()
 
--- a/src/geraniumlink/hosting/_origin_exchange.py
+++ b/src/geraniumlink/hosting/_origin_exchange.py
@@ -17,6 +17,7 @@
 import typing
 
 import anyio
+import anyio.abc
 import orjson
 
 from geraniumlink import _logs
@@ -64,13 +65,12 @@
         self._ring: list[tuple[bytes, str]] = []
         self._ring_of: tuple[str, ...] = ()
 
-    @property
-    def is_open(self) -> bool:
-        """Whether messages of other instances are received."""
-        return self._transport is not None
-
-    async def run(self) -> None:
-        """Answer other instances for ever.
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Answer other instances for ever; started when it can.
 
         :raises OSError: if the socket can't be opened.
         """
@@ -81,6 +81,7 @@
             lambda: self, local_addr=(own.host, own.port)
         )
         self._transport = transport
+        task_status.started()
         try:
             await anyio.sleep_forever()
         finally:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -172,9 +172,7 @@
 async def _run(exchange, task_status):
     with anyio.CancelScope() as scope:
         async with anyio.create_task_group() as group:
-            group.start_soon(exchange.run)
-            while not exchange.is_open:
-                await anyio.sleep(0.001)
+            await group.start(exchange.run)
             task_status.started(scope)
 
 
