Wake an idle instance less often

Cause: an instance without requests ran its event loop 87 times a second.

Changed: the controller's loop waits for the lease, and the server for its end. No test counts wakeups: those of the lease, placement and shutdown hold what the loops are for.

--- a/src/geraniumlink/_server.py
+++ b/src/geraniumlink/_server.py
@@ -34,11 +34,24 @@
     def __init__(self, config: uvicorn.Config, clock: _clock.Clock) -> None:
         super().__init__(config)
         self._clock = clock
+        self._exit_requested = asyncio.Event()
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         yield
 
+    def request_exit(self) -> None:
+        """Have the server shut down."""
+        self.should_exit = True
+        self._exit_requested.set()
+
+    async def main_loop(self) -> None:
+        """Wait for ``request_exit``; uvicorn looks every 100 ms instead.
+
+        What else uvicorn does at that interval is not in use here.
+        """
+        await self._exit_requested.wait()
+
     async def shutdown(
         self, sockets: list[socket.socket] | None = None
     ) -> None:
@@ -144,7 +157,7 @@
 
     def stop(self) -> None:
         """Accept no more connections; finish requests on existing ones."""
-        self._server.should_exit = True
+        self._server.request_exit()
 
     async def stopped(self) -> None:
         """Wait until ``run`` has ended and its sockets are closed."""
--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -121,6 +121,7 @@
         """Plan and start moves, for ever; orders need the lease."""
         async with anyio.create_task_group() as group:
             while True:
+                await self._leadership.wait_until_leader()
                 began = self._clock.now()
                 if self._leadership.may_order():
                     self._sync_with_term()
--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -12,6 +12,8 @@
 
 from collections.abc import Callable
 
+import anyio
+
 from geraniumlink import _clock
 from geraniumlink import _logs
 from geraniumlink import _objects
@@ -54,6 +56,8 @@
         self._renewed_at = 0
         self._may_order_from = 0
         self._leader = ""
+        # Set when the lease is acquired.
+        self._acquired = anyio.Event()
         # Until then the leader's reports stand in for reads of the lease.
         self._leader_confirmed_until = 0
         self._released = False
@@ -88,6 +92,12 @@
         """
         return self._held is not None
 
+    async def wait_until_leader(self) -> None:
+        """Wait until this instance holds the lease."""
+        while self._held is None:
+            self._acquired = anyio.Event()
+            await self._acquired.wait()
+
     def may_order(self) -> bool:
         """Whether orders may be sent now.
 
@@ -155,6 +165,7 @@
             self._leader = self._leases.last_seen_holder(SHARD)
             return
         self._held = held
+        self._acquired.set()
         self._leader = held.lease.holder
         # The time before the write counts: the machine may have been
         # suspended after it.
--- a/tests/emulated_controller.py
+++ b/tests/emulated_controller.py
@@ -12,6 +12,9 @@
     epoch = 1
     guard_ms = 10_000
 
+    async def wait_until_leader(self):
+        pass
+
     def may_order(self):
         return True
 
