Report to the controller by the connections to replicas

Cause: an instance reports four times a second, by httpcore.

Changed: messages between instances are posted by MessageClient, on the pool of connections that requests to replicas use.

--- a/emulator/_control_plane.py
+++ b/emulator/_control_plane.py
@@ -71,11 +71,10 @@
 MessageHandler = Callable[[str, bytes], Awaitable[typing.Any]]
 
 
-class PeerTransport(_http.Client):
-    """Delivers requests between running instances."""
+class PeerTransport:
+    """Delivers messages between running instances."""
 
     def __init__(self, clock: _virtual_time.VirtualClock) -> None:
-        super().__init__()
         self.request_count = 0
         self._clock = clock
         self._handlers: dict[_settings.Address, MessageHandler] = {}
@@ -88,16 +87,10 @@
     def remove(self, address: _settings.Address) -> None:
         self._handlers.pop(address, None)
 
-    async def request(
-        self,
-        method: str,
-        address: _settings.Address,
-        path: str,
-        *,
-        body: bytes = b"",
-        **_limits: typing.Any,
+    async def post(
+        self, address: _settings.Address, path: str, body: bytes
     ) -> _http.Response:
-        """Deliver a request and return its response.
+        """Deliver a message and return the response.
 
         :raises _http.NoListenerError: if no instance runs at the address.
         :raises _http.BrokenError: if the instance ended before it answered.
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -50,6 +50,7 @@
 from geraniumlink.residency import _controller_protocol
 from geraniumlink.residency import _instance_directory
 from geraniumlink.residency import _leadership
+from geraniumlink.residency import _message_client
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _connections
 from geraniumlink.serving import _forward
@@ -224,7 +225,9 @@
             request_sync=_table_sync.TableSync(self._suspicions),
             part_sync=_table_sync.TableSync(self._prompt_parts.table),
             relay=_relay.Relay(self._watchers),
-            link=_controller_link.ControllerLink(_http.Client()),
+            link=_controller_link.ControllerLink(
+                _message_client.MessageClient(self._clock)
+            ),
             directory=self._directory,
             clock=self._clock,
             instance=self._settings.instance,
--- a/src/geraniumlink/residency/_controller_link.py
+++ b/src/geraniumlink/residency/_controller_link.py
@@ -17,13 +17,21 @@
 CALL_TIMEOUT_MS = 600
 
 
+class Client(typing.Protocol):
+    """Posts messages to instances, as ``_message_client`` does."""
+
+    async def post(
+        self, address: _settings.Address, path: str, body: bytes
+    ) -> _http.Response: ...
+
+
 class ControllerLink:
     """Sends messages to the instance that is the controller, by address.
 
     Logs each time when it becomes unreachable or reachable.
     """
 
-    def __init__(self, client: _http.Client) -> None:
+    def __init__(self, client: Client) -> None:
         self._client = client
         # Address of the controller that the last call reached, or failed to
         # reach; the other one is "".
@@ -72,13 +80,8 @@
     ) -> typing.Any:
         timeout_ms = answer_delay_ms + CALL_TIMEOUT_MS
         with anyio.fail_after(timeout_ms / 1000):
-            answer = await self._client.request(
-                "POST",
-                address,
-                path,
-                body=orjson.dumps(message),
-                connect_ms=CALL_TIMEOUT_MS,
-                read_ms=timeout_ms,
+            answer = await self._client.post(
+                address, path, orjson.dumps(message)
             )
         if answer.status != 200:
             raise _http.BrokenError(f"answered {answer.status}")
--- a/tests/test_state_change_logs.py
+++ b/tests/test_state_change_logs.py
@@ -102,7 +102,7 @@
     def __init__(self):
         self.error = None
 
-    async def request(self, *args, **kwargs):
+    async def post(self, *args):
         if self.error is not None:
             raise self.error
         return _http.Response(200, [], b"{}")
