--- a/tests/test_residency_planner.py
+++ b/tests/test_residency_planner.py
@@ -6,7 +6,9 @@
 import hypothesis
 from hypothesis import strategies as st
 
+from geraniumlink import _clock
 from geraniumlink.platform import _orders
+from geraniumlink.residency import _demand as _demands
 from geraniumlink.residency import _packing
 from geraniumlink.residency import _planner
 from geraniumlink.serving import _types
@@ -52,6 +54,19 @@
     assert [move.model for move in moves] == ["rare"]
 
 
+def test_a_new_controller_does_not_take_unknown_models_for_idle():
+    clock = _clock.ManualClock(100_000)
+    tracker = _demands.DemandTracker(clock)
+    views = [_view("r1", "hot", "warm")]
+    waiting_ms = {"rare": 600}
+    assert _plan(views, tracker.demand_of("s", waiting_ms)) == []
+    clock.advance(_packing.MODEL_IN_USE_MS)
+    assert _plan(views, tracker.demand_of("s", waiting_ms))
+    tracker.begin()
+    clock.advance(600)
+    assert _plan(views, tracker.demand_of("s", waiting_ms)) == []
+
+
 def test_overloaded_model_comes_before_a_rare_one():
     """Two replicas are busy, so no move of small gain may be added."""
     rates = {"hot": 30_000.0, "rare": 500.0}
