--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -66,8 +66,12 @@
 async def test_a_request_goes_on_at_another_replica(fleet):
     site, port = await _site(fleet, "head")
     await site.faults("r-2", endless="")
-    for _ in range(6):
+
+    async def is_run_by_broken():
         assert (await hosts.send_request(port, "/safe/x")).status == 200
+        return (await site.runs())["r-1"]
+
+    await fleet.until(is_run_by_broken, "r-1 runs a request")
 
 
 def _peak_kb(process):
@@ -180,7 +184,7 @@
     assert await _read_all(whole) == await _read_all(split)
 
 
-_BOUND = _connections.MAX_FRAMING_BYTES + _connections.MAX_UNREAD_BYTES
+_BOUND_BYTES = _connections.MAX_FRAMING_BYTES + _connections.MAX_UNREAD_BYTES
 
 
 @hypothesis.given(
@@ -198,8 +202,8 @@
     connection.feed(b"".join(parts))
     block = (filler * size)[:size]
     received = 0
-    while not transport.paused and received <= 10 * _BOUND:
+    while not transport.paused and received <= 10 * _BOUND_BYTES:
         connection.feed(block)
         received += len(block)
     assert transport.paused
-    assert received <= _BOUND + len(block)
+    assert received <= _BOUND_BYTES + len(block)
--- a/tests/test_hosted_requests.py
+++ b/tests/test_hosted_requests.py
@@ -16,11 +16,11 @@
     return [run for runs in (await site.runs()).values() for run in runs]
 
 
-async def _check_retry(site, broken, other):
-    """Check that requests succeed, and that one is retried.
+async def _check_retry(site, broken, other, count):
+    """Check that ``count`` requests succeed, and that one is retried.
 
-    Either replica may be chosen first, so requests are sent until the broken
-    one has run one of them.
+    Either replica may be chosen first, so more are sent until the broken one
+    has run one of them.
     """
 
     async def is_run_by_broken():
@@ -28,6 +28,8 @@
         assert answer.status == 200
         return (await site.runs())[broken]
 
+    for _ in range(count):
+        await is_run_by_broken()
     await site.fleet.until(is_run_by_broken, f"{broken} runs a request")
     runs = await site.runs()
     retried = {run["id"] for run in runs[broken]}
@@ -77,7 +79,7 @@
 async def test_an_idempotent_request_is_retried_at_another_replica(fleet):
     site, _ = await _site(fleet)
     await site.faults("r-1", fail=True)
-    await _check_retry(site, "r-1", "r-2")
+    await _check_retry(site, "r-1", "r-2", count=6)
 
 
 async def test_a_request_that_runs_at_most_once_is_not_retried(fleet):
@@ -172,7 +174,7 @@
 async def test_a_request_is_retried_when_a_replica_stalls(fleet):
     site, _ = await _site(fleet)
     await site.faults("r-1", hang=True)
-    await _check_retry(site, "r-1", "r-2")
+    await _check_retry(site, "r-1", "r-2", count=4)
 
 
 async def test_a_run_is_cancelled_when_its_client_disconnects(fleet):
