Leave out of comments how limits were chosen

Found in reading the change as a newcomer: four comments told how a value was found ("3 copies leave 8 of 10 origins known", "the longest requests of the users' clients end within 15 s", "an event loop that is busy may need 200", "usual heads have less than 4 KiB"), and three paraphrased a high-water mark or a buffer's size. No code is changed.

--- a/src/geraniumlink/hosting/_origin_exchange.py
+++ b/src/geraniumlink/hosting/_origin_exchange.py
@@ -25,12 +25,10 @@
 from geraniumlink.residency import _instance_directory
 from geraniumlink.serving import _stream_origins
 
-# Instances, besides the one that began a stream, that keep its origin. If 6
-# of 10 instances are killed at once, 3 copies leave 8 of 10 origins known.
+# Instances, besides the one that began a stream, that keep its origin.
 COPIES = 3
 # How long answers are waited for after each query: the first goes to the
-# instances that should have a copy, the others to all. Answers take some ms;
-# an event loop that is busy may need 200.
+# instances that should have a copy, the others to all.
 QUERY_WAITS_MS = (30, 120, 350)
 # Longest request id that is copied.
 MAX_ID_BYTES = 200
--- a/src/geraniumlink/serving/_connections.py
+++ b/src/geraniumlink/serving/_connections.py
@@ -38,18 +38,17 @@
 PROBE_PAUSES_MS = (0, 20, 60)
 # Idle connections kept for each replica, the most recently used.
 MAX_IDLE_PER_REPLICA = 16
-# Received bytes are parsed in pieces of this size, which is also by how much
-# the bounds below may be exceeded.
+# Size of the receive buffer; the limits below may be exceeded by as much.
 READ_BYTES = 8192
-# Reading from a connection pauses while more than this waits to be relayed.
+# High-water mark of the received and unread body: reading pauses above it.
 MAX_UNREAD_BYTES = 8192
 # Responses after the first one that may be received before it is read.
 MAX_UNREAD_RESPONSES = 16
-# Most bytes of heads, chunk sizes and trailers without a byte of a body
-# between them, and most headers in them. Usual heads have less than 4 KiB.
+# Limit of the bytes of heads, chunk sizes and trailers without a byte of a body
+# between them, and of the headers in one head or trailer.
 MAX_FRAMING_BYTES = 8192
 MAX_HEADERS = 128
-# Most bytes that are dropped of a response to another request.
+# Limit of the body of a response to another request, which is discarded.
 MAX_SKIPPED_BYTES = 1_048_576
 # Up to this length the kernel takes a body in one write; a longer body is sent
 # concurrently with reading the response.
--- a/src/geraniumlink/serving/_stream_origins.py
+++ b/src/geraniumlink/serving/_stream_origins.py
@@ -11,8 +11,7 @@
 
 from geraniumlink import _clock
 
-# No stream is resumed later than this after it began; the longest requests
-# of the users' clients end within 15 s.
+# How long an origin is kept. A stream is resumed before its client's deadline.
 ORIGIN_TTL_MS = 120_000
 # Above this number, the oldest origin is dropped.
 MAX_ORIGINS = 65_536
