--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -288,7 +288,7 @@
             self._epoch = epoch
             self._directory.clear()
             self._budgets.clear()
-            self._demands.begin()
+            self._demands.start_observing()
         self._directory.sync()
 
     def _start_moves(self, group: anyio.abc.TaskGroup) -> None:
--- a/src/geraniumlink/residency/_demand.py
+++ b/src/geraniumlink/residency/_demand.py
@@ -40,13 +40,13 @@
 
     def __init__(self, clock: _clock.Clock) -> None:
         self._clock = clock
-        self._known_since = clock.now()
+        self._observed_since = clock.now()
         self._rates: dict[tuple[str, str], _Rate] = {}
         self._adapter_last_used_at: dict[tuple[str, str, str], int] = {}
 
-    def begin(self) -> None:
+    def start_observing(self) -> None:
         """Record that all demand is reported here from now on."""
-        self._known_since = self._clock.now()
+        self._observed_since = self._clock.now()
 
     def record(self, sample: DemandSample) -> None:
         """Add a sample that was reported just now."""
@@ -76,8 +76,8 @@
             decayed = self._decayed_rate(key, now)
             if decayed > MIN_TOKENS_PER_S:
                 rates[key[1]] = decayed
-        known_ms = now - self._known_since
-        return _packing.Demand(rates, idle_ms, waiting_ms, known_ms)
+        observed_ms = now - self._observed_since
+        return _packing.Demand(rates, idle_ms, waiting_ms, observed_ms)
 
     def adapter_last_used_at(
         self, service: str, model: str, adapter: str
--- a/src/geraniumlink/residency/_packing.py
+++ b/src/geraniumlink/residency/_packing.py
@@ -57,9 +57,9 @@
     idle_ms: dict[str, int]
     # Models that requests wait for now, and for how long they have waited.
     waiting_ms: dict[str, int]
-    # For how long requests have been counted. A model without any is idle
-    # only if that is long enough.
-    known_ms: int = IDLE_DECAY_MS
+    # For how long demand has been observed. A model without a request is not
+    # known to have been idle for longer.
+    observed_ms: int = IDLE_DECAY_MS
 
 
 class Room(typing.NamedTuple):
@@ -201,7 +201,7 @@
         if model in self._demand.waiting_ms:
             return None
         idle_ms = self._demand.idle_ms.get(model, IDLE_DECAY_MS)
-        if min(idle_ms, self._demand.known_ms) < MODEL_IN_USE_MS:
+        if min(idle_ms, self._demand.observed_ms) < MODEL_IN_USE_MS:
             return IN_USE_LOSS_FACTOR * rate + STORE_LOAD_COST
         recency = max(0.0, 1 - idle_ms / IDLE_DECAY_MS)
         return rate + LAST_COPY_COST * (1 + recency)
--- a/tests/test_residency_planner.py
+++ b/tests/test_residency_planner.py
@@ -62,7 +62,7 @@
     assert _plan(views, tracker.demand_of("s", waiting_ms)) == []
     clock.advance(_packing.MODEL_IN_USE_MS)
     assert _plan(views, tracker.demand_of("s", waiting_ms))
-    tracker.begin()
+    tracker.start_observing()
     clock.advance(600)
     assert _plan(views, tracker.demand_of("s", waiting_ms)) == []
 
