--- a/src/geraniumlink/hosting/_http_protocol.py
+++ b/src/geraniumlink/hosting/_http_protocol.py
@@ -16,8 +16,8 @@
 # once it is complete. Above this multiple of it, the parser stops reading
 # the head, so as not to keep it in memory.
 PARSER_HEADER_FACTOR = 4
-# High-water mark of a client's write buffer. A response is not read any further
-# while more than this is unsent.
+# High-water mark of a client's write buffer: above it, no more of the response
+# is read.
 MAX_UNSENT_BYTES = 8192
 # In place of max_header_bytes until the first configuration is in force.
 DEFAULT_MAX_HEADER_BYTES = 65536
--- a/src/geraniumlink/serving/_connections.py
+++ b/src/geraniumlink/serving/_connections.py
@@ -44,8 +44,8 @@
 MAX_UNREAD_BYTES = 8192
 # Responses after the first one that may be received before it is read.
 MAX_UNREAD_RESPONSES = 16
-# Limit of the bytes of heads, chunk sizes and trailers without a byte of a body
-# between them, and of the headers in one head or trailer.
+# Limits of the bytes of heads, chunk sizes and trailers without a byte of a
+# body between them, and of the headers of one response.
 MAX_FRAMING_BYTES = 8192
 MAX_HEADERS = 128
 # Limit of the body of a response to another request, which is discarded.
