--- a/src/geraniumlink/residency/_message_client.py
+++ b/src/geraniumlink/residency/_message_client.py
@@ -1,8 +1,8 @@
 """HTTP client for messages between instances.
 
 It uses the connections to replicas: most of what an idle instance does is to
-report to the controller, and httpcore's connections take four times the
-processor time (``benches.replica_connections``).
+report to the controller, and httpcore's connections take more processor
+time (``benches.replica_connections``).
 """
 
 from __future__ import annotations
