Log the limit that a replica states, and with each attempt

Nothing read Server-Limit, so no log could tell whether an instance knew of a limit when it exceeded it. Its value is decoded now: the lowest of several, and one that is no plain decimal number changes nothing. A change is logged (replica_limit), and each attempt has the limit that was known when its replica was chosen. A response without the header ends a limit only if its request was sent after the limit was stated.

Nothing else uses the limit yet.

--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -77,6 +77,8 @@
     "late_ms": _WHOLE,
     "leaving": _FLAG,
     "left_ms": _WHOLE,
+    # Null if the replica states no limit.
+    "limit_per_s": Field(Kind.NUMBER, nullable=True),
     # Requests running, requests waiting, and capacity, as last stated by the
     # replica.
     "load": Field(Kind.WHOLES, nullable=True),
@@ -101,7 +103,9 @@
     "path": _TEXT,
     "pause_ms": _WHOLE,
     "peer": _TEXT,
+    "per_s": Field(Kind.NUMBER, nullable=True),
     "place": _TEXT,
+    "previous_per_s": Field(Kind.NUMBER, nullable=True),
     "previous_version": Field(Kind.WHOLE, nullable=True),
     "priority": _WHOLE,
     "problem": _TEXT,
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -99,6 +99,7 @@
             "in_flight_elsewhere",
             "last_event_id",
             "left_ms",
+            "limit_per_s",
             "load",
             "load_age_ms",
             "replica",
@@ -474,6 +475,11 @@
     "replica_leaving": Message(
         _STATE, "a replica gets no new requests", ("replica",)
     ),
+    "replica_limit": Message(
+        _STATE,
+        "a replica stated another limit of requests a second, or none",
+        ("per_s", "previous_per_s", "replica"),
+    ),
     "replica_paused": Message(
         _STATE,
         "no requests are sent to a replica for `pause_ms`",
--- a/src/geraniumlink/platform/_heads.py
+++ b/src/geraniumlink/platform/_heads.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 import typing
 
 from geraniumlink.serving import _types
@@ -20,6 +21,7 @@
 _RESPONSE_SEAL = b"x-response-seal"
 _NOT_EXECUTED = b"x-not-executed"
 _SERVER_LOAD = b"x-server-load"
+_SERVER_LIMIT = b"server-limit"
 # Hop-by-hop headers (RFC 9110, section 7.6.1), and Expect: they concern one
 # connection and are not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -58,6 +60,7 @@
 # 24 hours in milliseconds: a client's timeout is cut off there. Token counts
 # and Content-Length, which have other units, are cut off at the same number.
 _MAX_HEADER_NUMBER = 86_400_000
+_DECIMAL_NUMBER = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 
 class ResponseHead(typing.NamedTuple):
@@ -76,6 +79,8 @@
     not_run: bool
     # None when the replica did not say, or not as three numbers.
     load: _types.LoadReport | None
+    # The requests a second that it takes from all instances together.
+    rate_limit: _types.StatedNumber
     closes_connection: bool
     # How long the replica keeps an idle connection open; None when it did not
     # say.
@@ -176,6 +181,7 @@
         from_replica=_RESPONSE_SEAL in by_name,
         not_run=_NOT_EXECUTED in by_name or status == 421,
         load=_load_report(by_name.get(_SERVER_LOAD, b"")),
+        rate_limit=_stated_number(headers, _SERVER_LIMIT),
         closes_connection=b"close" in by_name.get(b"connection", b"").lower(),
         keep_alive_ms=_keep_alive_ms(by_name.get(b"keep-alive", b"")),
         chunked=b"chunked" in by_name.get(b"transfer-encoding", b"").lower(),
@@ -245,6 +251,26 @@
     return _types.LoadReport(*(int(field) for field in fields))
 
 
+def _stated_number(
+    headers: _types.Headers, name: bytes
+) -> _types.StatedNumber:
+    """Return the number that a header states.
+
+    Of several the lowest counts, and those that aren't plain decimal numbers
+    are left out.
+    """
+    fields = [
+        field.strip()
+        for header, value in headers
+        if header.lower() == name
+        for field in value.split(b",")
+    ]
+    numbers = [float(f) for f in fields if _DECIMAL_NUMBER.fullmatch(f)]
+    if numbers:
+        return min(numbers)
+    return _types.Unstated.UNREADABLE if fields else _types.Unstated.ABSENT
+
+
 def _keep_alive_ms(value: bytes) -> int | None:
     """Return the timeout of a Keep-Alive header, which is in seconds."""
     for field in value.lower().split(b","):
--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -226,6 +226,7 @@
         now = self._clock.now()
         if head.load is not None:
             self._replica.note_load(head.load, now)
+        self._replica.note_rate_limit(head.rate_limit, self._sent_at, now)
         if head.keep_alive_ms is not None:
             self._connection.idle_ms = head.keep_alive_ms
 
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -81,6 +81,7 @@
         load=list(replica.load) if replica.load else None,
         load_age_ms=now - replica.load_at if replica.load else None,
         failures=round(replica.failure_rate(now), 2),
+        limit_per_s=replica.rate_limit.per_s if replica.rate_limit else None,
         left_ms=state.deadline - now,
         last_event_id=state.last_event_id.decode("latin-1"),
     )
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -53,6 +53,14 @@
     reported_at: int
 
 
+class RateLimit(typing.NamedTuple):
+    """The requests a second that a replica takes from all instances."""
+
+    per_s: float
+    # When it was last stated, by this instance's clock.
+    stated_at: int
+
+
 class Replica:
     """A replica's entry, its load, and what was observed of it here."""
 
@@ -69,6 +77,8 @@
         # The load that it last stated with a response, and when.
         self.load: _types.LoadReport | None = None
         self.load_at = 0
+        # None while it states none.
+        self.rate_limit: RateLimit | None = None
         # Since when its entry is missing; None while it is there.
         self.missing_since: int | None = None
         self.leaving = entry.leaving
@@ -174,6 +184,39 @@
         self.load = load
         self.load_at = now
 
+    def note_rate_limit(
+        self, stated: _types.StatedNumber, sent_at: int, now: int
+    ) -> None:
+        """Record the limit that it stated with a response, or its absence.
+
+        A response without one ends an earlier limit only if its request was
+        sent after that: responses on different connections may overtake each
+        other.
+
+        :param sent_at: when the request of that response was sent.
+        """
+        known = self.rate_limit
+        match stated:
+            case _types.Unstated.UNREADABLE:
+                return
+            case _types.Unstated.ABSENT:
+                if known is None or sent_at <= known.stated_at:
+                    return
+                self.rate_limit = None
+            case _:
+                self.rate_limit = RateLimit(stated, now)
+        if (
+            known is None
+            or self.rate_limit is None
+            or (known.per_s != self.rate_limit.per_s)
+        ):
+            _logs.event(
+                "replica_limit",
+                replica=self.entry.name,
+                per_s=self.rate_limit.per_s if self.rate_limit else None,
+                previous_per_s=known.per_s if known else None,
+            )
+
     def note_peer_load(self, peer_load: PeerLoad) -> None:
         """Record the load that other instances report to put on it."""
         self._peer_load = peer_load
--- a/src/geraniumlink/serving/_types.py
+++ b/src/geraniumlink/serving/_types.py
@@ -20,6 +20,16 @@
     STREAM = "events; runs once unless it can be resumed"
 
 
+class Unstated(enum.Enum):
+    """Why a response states no number in a header."""
+
+    ABSENT = "the header is absent"
+    UNREADABLE = "the header holds no number"
+
+
+StatedNumber = float | Unstated
+
+
 class Share(typing.NamedTuple):
     """A service and its relative weight in a route's traffic split."""
 
