--- a/standins/replica.py
+++ b/standins/replica.py
@@ -13,7 +13,8 @@
 ``ignore_orders`` (neither), ``unload_waits`` (an adapter stays until that is
 off), ``closing`` (a model that is being unloaded: requests for it are refused
 with room to spare), ``deadly_part`` (the process ends when it begins to answer
-a request whose prompt has this part).
+a request whose prompt has this part), ``limit`` (each answer has this as its
+``Server-Limit``).
 """
 
 from __future__ import annotations
@@ -261,15 +262,15 @@
     ) -> bool:
         expected = request.headers.get("x-expect-instance", self._name)
         if expected != self._name or self._lacks(request):
-            writer.write(_whole(421, b""))
+            writer.write(_whole(421, b"", *self._stated_headers()))
             return True
         if self._is_closing(request):
             self._refused += 1
             load = "X-Server-Load: 1,0,8"
-            writer.write(_whole(503, b"", "X-Not-Executed: 1", load))
+            self._refuse(writer, load)
             return True
         if self.faults.refuse:
-            writer.write(_whole(503, b"", "X-Not-Executed: 1"))
+            self._refuse(writer)
             return True
         run = {
             "id": request.headers.get("x-request-id"),
@@ -295,7 +296,9 @@
     async def _work(
         self, request: _Request, writer: asyncio.StreamWriter, run: dict
     ) -> bool:
-        identity = f"X-Request-Id: {run['id']}"
+        common = "\r\n".join(
+            (f"X-Request-Id: {run['id']}", *self._stated_headers())
+        )
         seal = "X-Response-Seal: of-" + self._name
         if self._is_deadly(request):
             os._exit(1)
@@ -310,13 +313,23 @@
             return False
         if self.faults.endless:
             part = self.faults.endless
-            return await _write_without_end(writer, part, identity, seal)
+            return await _write_without_end(writer, part, common, seal)
         if self.faults.fail:
-            writer.write(_whole(500, b"failed", identity, seal))
+            writer.write(_whole(500, b"failed", common, seal))
             return True
         if request.target.startswith(b"/stream"):
-            return await self._stream(request, writer, run, identity, seal)
-        return await self._call(request, writer, identity, seal)
+            return await self._stream(request, writer, run, common, seal)
+        return await self._call(request, writer, common, seal)
+
+    def _refuse(self, writer: asyncio.StreamWriter, *headers: str) -> None:
+        """Answer that the request was not run."""
+        headers = ("X-Not-Executed: 1", *headers, *self._stated_headers())
+        writer.write(_whole(503, b"", *headers))
+
+    def _stated_headers(self) -> list[str]:
+        """Return the headers by which the replica asks for less load."""
+        limit = self.faults.limit
+        return [] if limit is None else [f"Server-Limit: {limit}"]
 
     def _is_deadly(self, request: _Request) -> bool:
         parts = request.headers.get("x-prefix-hash", "").split(",")
@@ -327,18 +340,18 @@
         self,
         request: _Request,
         writer: asyncio.StreamWriter,
-        identity: str,
+        common: str,
         seal: str,
     ) -> bool:
         await asyncio.sleep((self.faults.work_ms or 0) / 1000)
         body = b"answer to " + request.target
         if self.faults.unframed:
-            head = f"HTTP/1.1 200 OK\r\n{identity}\r\n{seal}\r\n\r\n"
+            head = f"HTTP/1.1 200 OK\r\n{common}\r\n{seal}\r\n\r\n"
             writer.write(head.encode() + body)
             return False
-        writer.write(_whole(200, body, identity, seal))
+        writer.write(_whole(200, body, common, seal))
         if self.faults.extra:
-            writer.write(_whole(200, b"extra", identity, seal))
+            writer.write(_whole(200, b"extra", common, seal))
         await writer.drain()
         return True
 
@@ -347,14 +360,14 @@
         request: _Request,
         writer: asyncio.StreamWriter,
         run: dict,
-        identity: str,
+        common: str,
         seal: str,
     ) -> bool:
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         if not self.faults.unframed:
             lines.append("Transfer-Encoding: chunked")
         encode = bytes if self.faults.unframed else _chunk
-        writer.write("\r\n".join([*lines, identity, seal, "", ""]).encode())
+        writer.write("\r\n".join([*lines, common, seal, "", ""]).encode())
         first = int(request.headers.get("last-event-id") or 0) + 1
         cut_after = self.faults.cut_after
         event_ms = self.faults.event_ms or DEFAULT_EVENT_MS
@@ -392,11 +405,11 @@
 
 
 async def _write_without_end(
-    writer: asyncio.StreamWriter, part: str, identity: str, seal: str
+    writer: asyncio.StreamWriter, part: str, common: str, seal: str
 ) -> bool:
     """Write bytes until the other side closes the connection."""
     start, filler = ENDLESS[part]
-    head = f"HTTP/1.1 200 OK\r\n{identity}\r\n{seal}\r\n"
+    head = f"HTTP/1.1 200 OK\r\n{common}\r\n{seal}\r\n"
     writer.write(start.replace(b"HEAD", head.encode()))
     block = filler * (_ENDLESS_BLOCK_BYTES // len(filler))
     with contextlib.suppress(ConnectionError):
