Give the datagrams between instances a module of their own

The socket and the dispatch of messages move out of the exchange of origins; what is sent and received stays the same.

--- a/benches/stream_origins.py
+++ b/benches/stream_origins.py
@@ -20,6 +20,7 @@
 import anyio.abc
 
 from geraniumlink import _clock
+from geraniumlink.hosting import _datagrams
 from geraniumlink.hosting import _origin_exchange
 from geraniumlink.residency import _instance_directory
 from geraniumlink.serving import _stream_origins
@@ -50,12 +51,12 @@
 
 
 async def _run(
-    exchange: _origin_exchange.OriginExchange,
+    datagrams: _datagrams.Datagrams,
     task_status: anyio.abc.TaskStatus[anyio.CancelScope],
 ) -> None:
     with anyio.CancelScope() as scope:
         async with anyio.create_task_group() as group:
-            await group.start(exchange.run)
+            await group.start(datagrams.run)
             task_status.started(scope)
 
 
@@ -66,10 +67,11 @@
         for address in addresses:
             directory = _instance_directory.InstanceDirectory(address, clock)
             directory.apply_list(addresses)
+            datagrams = _datagrams.Datagrams(address)
             exchange = _origin_exchange.OriginExchange(
-                _stream_origins.OriginTable(clock), directory
+                _stream_origins.OriginTable(clock), directory, datagrams
             )
-            scope = await group.start(_run, exchange)
+            scope = await group.start(_run, datagrams)
             instances.append(_Instance(exchange, scope))
         await _measure_fleet(instances, ended_share)
         group.cancel_scope.cancel()
--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -13,6 +13,7 @@
 from emulator import _sites
 from emulator import _virtual_time
 from geraniumlink.control import _leases
+from geraniumlink.hosting import _datagrams
 from geraniumlink.hosting import _instance
 from geraniumlink.hosting import _origin_exchange
 from geraniumlink.residency import _controller
@@ -121,7 +122,9 @@
             prompt_parts=self._prompt_parts,
             # Without its socket: no stream is resumed by an emulated client.
             origins=_origin_exchange.OriginExchange(
-                _stream_origins.OriginTable(clock), self._directory
+                _stream_origins.OriginTable(clock),
+                self._directory,
+                _datagrams.Datagrams(str(self.address)),
             ),
             metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
             connections=_connections.ConnectionPool(
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -12,7 +12,7 @@
     +- connections       closes stale idle connections to replicas
     +- log lines         writes buffered log lines to standard output
     +- load monitor      logs how late the event loop is, and messages
-    +- stream origins    tells other instances how streams began
+    +- datagrams         exchanges stream origins with other instances
     +- signals           SIGTERM starts draining, SIGHUP reloads settings
 """
 
@@ -35,6 +35,7 @@
 from geraniumlink import _supervisor
 from geraniumlink.control import _leases
 from geraniumlink.hosting import _application
+from geraniumlink.hosting import _datagrams
 from geraniumlink.hosting import _gauges
 from geraniumlink.hosting import _host_metrics
 from geraniumlink.hosting import _http_protocol
@@ -171,8 +172,11 @@
             str(settings.peer_address), clock
         )
         self._controller_protocol = self._make_controller_protocol()
+        self._datagrams = _datagrams.Datagrams(str(settings.peer_address))
         self._origins = _origin_exchange.OriginExchange(
-            _stream_origins.OriginTable(clock), self._directory
+            _stream_origins.OriginTable(clock),
+            self._directory,
+            self._datagrams,
         )
         self._connections = _connections.ConnectionPool(clock)
         self._forwarder = self._make_forwarder()
@@ -309,7 +313,7 @@
             _supervisor.Child("connections", self._close_stale),
             _supervisor.Child("log lines", self._log_buffer.run),
             _supervisor.Child("load monitor", self._load_monitor.run),
-            _supervisor.Child("stream origins", self._origins.run),
+            _supervisor.Child("datagrams", self._datagrams.run),
         ]
         async with anyio.create_task_group() as group:
             group.start_soon(_supervisor.supervise, children, self._clock)
--- a/src/geraniumlink/hosting/_origin_exchange.py
+++ b/src/geraniumlink/hosting/_origin_exchange.py
@@ -11,17 +11,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import bisect
 import hashlib
 import typing
 
 import anyio
-import anyio.abc
-import orjson
 
-from geraniumlink import _logs
 from geraniumlink import _settings
+from geraniumlink.hosting import _datagrams
 from geraniumlink.residency import _instance_directory
 from geraniumlink.serving import _stream_origins
 
@@ -44,18 +41,19 @@
         self.denied: set[_settings.Address] = set()
 
 
-class OriginExchange(asyncio.DatagramProtocol):
+class OriginExchange:
     """Keeps the origins of streams, with the help of other instances."""
 
     def __init__(
         self,
         table: _stream_origins.OriginTable,
         directory: _instance_directory.InstanceDirectory,
+        datagrams: _datagrams.Datagrams,
     ) -> None:
         self._table = table
         self._directory = directory
-        # None while the socket isn't open.
-        self._transport: asyncio.DatagramTransport | None = None
+        self._datagrams = datagrams
+        datagrams.add_handler(("origin", "unknown", "query"), self._handle)
         # By the request id of the stream.
         self._queries: dict[bytes, _Query] = {}
         # The other instances by the hash of their address, and the list that
@@ -63,29 +61,6 @@
         self._ring: list[tuple[bytes, str]] = []
         self._ring_of: tuple[str, ...] = ()
 
-    async def run(
-        self,
-        *,
-        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
-    ) -> None:
-        """Answer other instances for ever; started when it can.
-
-        :raises OSError: if the socket can't be opened.
-        """
-        own = _settings.parse_address(self._directory.own_address)
-        # anyio's sockets allow one sender at a time, and sending waits.
-        loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(own.host, own.port)
-        )
-        self._transport = transport
-        task_status.started()
-        try:
-            await anyio.sleep_forever()
-        finally:
-            self._transport = None
-            transport.close()
-
     def record(
         self, request_id: bytes, origin: _stream_origins.Origin
     ) -> None:
@@ -94,7 +69,7 @@
             return
         self._table.record(request_id, origin)
         message = ["origin", request_id.decode("latin-1"), *origin]
-        self._send(self._holders(request_id), message)
+        self._datagrams.send(self._holders(request_id), message)
 
     async def find(self, request_id: bytes) -> _stream_origins.Origin | None:
         """Return how a stream began; None if no instance says so in time."""
@@ -113,7 +88,7 @@
             for wait_ms in QUERY_WAITS_MS:
                 if len(query.denied) >= len(self._directory.others):
                     return
-                self._send(targets, message)
+                self._datagrams.send(targets, message)
                 with anyio.move_on_after(wait_ms / 1000):
                     await query.ended.wait()
                     return
@@ -135,17 +110,9 @@
             for step in range(min(COPIES, len(ring)))
         ]
 
-    # Callback of the transport.
-    def datagram_received(
-        self, data: bytes, addr: tuple[str | typing.Any, int]
+    def _handle(
+        self, message: list[typing.Any], sender: _settings.Address
     ) -> None:
-        sender = _settings.Address(addr[0], addr[1])
-        try:
-            self._handle(orjson.loads(data), sender)
-        except ValueError as error:
-            _logs.event("bad_datagram", peer=str(sender), error=str(error))
-
-    def _handle(self, message: typing.Any, sender: _settings.Address) -> None:
         """Store what another instance tells, or answer its query.
 
         :raises ValueError: if the message is malformed.
@@ -167,21 +134,12 @@
             case ["query", str(name)]:
                 known = self._table.get(name.encode("latin-1"))
                 answer = ["origin", name, *known] if known else None
-                self._send([str(sender)], answer or ["unknown", name])
+                self._datagrams.send(
+                    [str(sender)], answer or ["unknown", name]
+                )
             case _:
                 raise ValueError(f"unknown message: {message!r:.60}")
 
-    def _send(
-        self, addresses: typing.Iterable[str], message: list[typing.Any]
-    ) -> None:
-        """Send a datagram to each address, without waiting for answers."""
-        if self._transport is None:
-            return
-        data = orjson.dumps(message)
-        for text in addresses:
-            host, _, port = text.rpartition(":")
-            self._transport.sendto(data, (host.strip("[]"), int(port)))
-
 
 def _hash(data: bytes) -> bytes:
     return hashlib.blake2b(data, digest_size=8).digest()
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -7,6 +7,7 @@
 import pytest
 
 from geraniumlink import _clock
+from geraniumlink.hosting import _datagrams
 from geraniumlink.hosting import _origin_exchange
 from geraniumlink.residency import _instance_directory
 from geraniumlink.serving import _replicas
@@ -162,17 +163,20 @@
             if number not in without_directory:
                 directory.apply_list(addresses)
             table = _stream_origins.OriginTable(clock)
-            exchange = _origin_exchange.OriginExchange(table, directory)
-            scope = await group.start(_run, exchange)
+            datagrams = _datagrams.Datagrams(address)
+            exchange = _origin_exchange.OriginExchange(
+                table, directory, datagrams
+            )
+            scope = await group.start(_run, datagrams)
             instances.append(_Instance(address, exchange, scope))
         yield instances
         group.cancel_scope.cancel()
 
 
-async def _run(exchange, task_status):
+async def _run(datagrams, task_status):
     with anyio.CancelScope() as scope:
         async with anyio.create_task_group() as group:
-            await group.start(exchange.run)
+            await group.start(datagrams.run)
             task_status.started(scope)
 
 
