Keep to the limit that a replica states, all instances together

Callers saw: nothing yet; a replica in need got 12 requests in 4 s with a limit of 1 a second, from instances that had seen it (11 allowed).

Cause: nothing read Server-Limit, so the balancer went on choosing the replica. Class of fault: a bound on the sum over all instances, of which each knows only its own part. Evidence: the attempts in the incident's logs come from all instances alike, before and after the limit; logs the limit with each attempt.

Change: a request to a replica with a limit needs a permit. Retries and resumed streams need permits like first attempts. A request goes to a replica without a limit if there is one in time; else it waits for a permit, the less urgent the shorter, or is refused at once with the time of the next permit.

--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -16,6 +16,7 @@
 from geraniumlink.hosting import _datagrams
 from geraniumlink.hosting import _instance
 from geraniumlink.hosting import _origin_exchange
+from geraniumlink.hosting import _permit_exchange
 from geraniumlink.residency import _controller
 from geraniumlink.residency import _controller_link
 from geraniumlink.residency import _controller_protocol
@@ -113,6 +114,7 @@
             str(self.address), clock
         )
         self._controller_protocol = self._make_controller_protocol()
+        datagrams = _datagrams.Datagrams(str(self.address))
         self._forwarder = _forward.Forwarder(
             active_configuration=self._active_configuration,
             replicas=self._replicas,
@@ -122,9 +124,15 @@
             prompt_parts=self._prompt_parts,
             # Without its socket: no stream is resumed by an emulated client.
             origins=_origin_exchange.OriginExchange(
-                _stream_origins.OriginTable(clock),
-                self._directory,
-                _datagrams.Datagrams(str(self.address)),
+                _stream_origins.OriginTable(clock), self._directory, datagrams
+            ),
+            # Without the socket: emulated engines state no limits.
+            permits=_permit_exchange.PermitExchange(
+                leadership=self._leadership,
+                directory=self._directory,
+                datagrams=datagrams,
+                clock=clock,
+                random_source=self._random,
             ),
             metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
             connections=_connections.ConnectionPool(
--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -67,6 +67,7 @@
     "found": _TEXT,
     # What marks the end of a body: length, chunks, or connection.
     "framing": _TEXT,
+    "granted": _FLAG,
     "holder": _TEXT,
     "in_flight": _WHOLE,
     "in_flight_elsewhere": Field(Kind.WHOLE, nullable=True),
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -446,6 +446,24 @@
         "a claim's owner does not know the outcome"
     ),
     "owner_silent": _claim_step("a claim's owner did not respond"),
+    "permit": Message(
+        _REQUEST,
+        "a permit to send a request to a replica that limits its rate was"
+        " granted, to be used in `wait_ms`, or denied until then",
+        (
+            "granted",
+            "limit_per_s",
+            "replica",
+            "request_id",
+            "took_ms",
+            "wait_ms",
+        ),
+    ),
+    "permits_missing": Message(
+        _STATE,
+        "the controller did not answer when asked for a permit",
+        ("controller",),
+    ),
     "peer_not_told": Message(
         _STATE,
         "a peer could not be reached or did not respond in time",
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -12,7 +12,7 @@
     +- connections       closes stale idle connections to replicas
     +- log lines         writes buffered log lines to standard output
     +- load monitor      logs how late the event loop is, and messages
-    +- datagrams         exchanges stream origins with other instances
+    +- datagrams         exchanges stream origins and permits
     +- signals           SIGTERM starts draining, SIGHUP reloads settings
 """
 
@@ -42,6 +42,7 @@
 from geraniumlink.hosting import _load_monitor
 from geraniumlink.hosting import _object_watcher
 from geraniumlink.hosting import _origin_exchange
+from geraniumlink.hosting import _permit_exchange
 from geraniumlink.hosting import _relay
 from geraniumlink import platform
 from geraniumlink.platform import _configuration
@@ -178,6 +179,13 @@
             self._directory,
             self._datagrams,
         )
+        self._permits = _permit_exchange.PermitExchange(
+            leadership=self._leadership,
+            directory=self._directory,
+            datagrams=self._datagrams,
+            clock=clock,
+            random_source=self._random,
+        )
         self._connections = _connections.ConnectionPool(clock)
         self._forwarder = self._make_forwarder()
         self._application = self._make_application()
@@ -246,6 +254,7 @@
             suspicions=self._suspicions,
             prompt_parts=self._prompt_parts,
             origins=self._origins,
+            permits=self._permits,
             metrics=_request_metrics.RequestMetrics(self._metrics.registry),
             connections=self._connections,
             clock=self._clock,
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -9,6 +9,8 @@
 from geraniumlink import _logs
 from geraniumlink.serving import _balance
 from geraniumlink.serving import _outcomes
+from geraniumlink.serving import _permits
+from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_state
 from geraniumlink.serving import _stream_origins
 
@@ -63,6 +65,30 @@
     )
 
 
+def permit(
+    state: _request_state.RequestState,
+    replica: _replicas.Replica,
+    answer: _permits.Answer,
+    took_ms: int,
+) -> None:
+    """Log whether a request may be sent to a replica with a limit, or when."""
+    limit = replica.rate_limit
+    match answer:
+        case _permits.Granted(delay_ms):
+            is_granted, wait_ms = True, delay_ms
+        case _permits.Denied(retry_ms):
+            is_granted, wait_ms = False, retry_ms
+    _logs.event(
+        "permit",
+        request_id=state.log_id,
+        replica=replica.entry.name,
+        granted=is_granted,
+        limit_per_s=limit.per_s if limit else None,
+        wait_ms=wait_ms,
+        took_ms=took_ms,
+    )
+
+
 def attempt(
     state: _request_state.RequestState, choice: _balance.Choice, now: int
 ) -> None:
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -23,6 +23,7 @@
 from geraniumlink.serving import _decision_log
 from geraniumlink.serving import _final_answers
 from geraniumlink.serving import _outcomes
+from geraniumlink.serving import _permits
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _request_state
@@ -51,6 +52,11 @@
 # at most this many times the route's timeout ago, as clients retry once or
 # twice within it.
 ORIGIN_WINDOW_TIMEOUTS = 2
+# Replicas with a limit that one request asks for a permit in turn. Each answer
+# takes a message to another instance and back.
+MAX_PERMIT_REQUESTS = 3
+# A denial counts for this long at most, since a limit may be raised or end.
+MAX_DENIAL_MS = 1000
 # Why a request is refused or not retried.
 _CRASHED_BEFORE = "it crashed replicas before"
 _PART_CRASHED_BEFORE = "a part of its prompt crashed replicas before"
@@ -90,6 +96,7 @@
         suspicions: _suspicions.SuspicionTable,
         prompt_parts: _prompt_parts.PromptParts,
         origins: _stream_origins.Origins,
+        permits: _permits.Permits,
         metrics: _request_metrics.RequestMetrics,
         connections: _connections.ConnectionPool,
         clock: _clock.Clock,
@@ -104,6 +111,7 @@
         self._suspicions = suspicions
         self._prompt_parts = prompt_parts
         self._origins = origins
+        self._permits = permits
         self._metrics = metrics
         self._clock = clock
         self._data_centre = data_centre
@@ -298,7 +306,6 @@
             if why_refused:
                 return _outcomes.Refusal(why_refused, None)
             now = self._clock.now()
-            left_ms = state.deadline - now
             excluded = self._excluded_names(state)
             available = [
                 replica
@@ -315,29 +322,50 @@
                 for replica in available
                 if replica.can_serve(request.model, request.adapter, now)
             ]
+            avoid = excluded | self._replicas.unreachable_names()
             if candidates:
-                return self._choose_in_time(state, candidates, left_ms, now)
-            wait_ms = (
-                min(left_ms, state.first_event_deadline - now)
-                - SERVE_RESERVE_MS
+                choice = await self._choose_with_permit(state, candidates)
+                if not isinstance(choice, _permits.Denied):
+                    return choice
+                if not _can_have_another_copy(request, available):
+                    return self._final_answers.make_refusal(
+                        "the replicas limit their rate", choice.retry_ms
+                    )
+                avoid |= {r.entry.name for r in candidates}
+            refusal = await self._wait_until_loaded(
+                state, len(available), avoid
             )
-            avoid = excluded | self._replicas.unreachable_names()
-            _decision_log.waiting(state, len(available), wait_ms)
-            self._waiting_count += 1
-            try:
-                refusal = await self._residency.ensure_loaded(
-                    state.service, request, avoid, wait_ms
-                )
-            finally:
-                self._waiting_count -= 1
-            reason = refusal.reason if refusal else ""
-            _decision_log.waited(state, reason, self._clock.now() - now)
             if refusal is not None:
                 return refusal
-            if not self._is_served_somewhere(state, avoid):
-                # The controller knows a replica that this instance doesn't
-                # know yet. Without a pause this would loop without waiting.
-                await self._clock.sleep(REPLICA_POLL_MS)
+
+    async def _wait_until_loaded(
+        self,
+        state: _request_state.RequestState,
+        available: int,
+        avoid: set[str],
+    ) -> _outcomes.Refusal | None:
+        """Wait until a replica holds the model; None if one does in time.
+
+        :param available: how many replicas of the service may get requests.
+        :param avoid: names of replicas that don't count.
+        """
+        began = self._clock.now()
+        wait_ms = state.latest_first_event - began - SERVE_RESERVE_MS
+        _decision_log.waiting(state, available, wait_ms)
+        self._waiting_count += 1
+        try:
+            refusal = await self._residency.ensure_loaded(
+                state.service, state.request, avoid, wait_ms
+            )
+        finally:
+            self._waiting_count -= 1
+        reason = refusal.reason if refusal else ""
+        _decision_log.waited(state, reason, self._clock.now() - began)
+        if refusal is None and not self._is_served_somewhere(state, avoid):
+            # The controller knows a replica that this instance doesn't know
+            # yet. Without a pause the caller would loop without waiting.
+            await self._clock.sleep(REPLICA_POLL_MS)
+        return refusal
 
     def _excluded_names(self, state: _request_state.RequestState) -> set[str]:
         """Return the replicas that must not get the request.
@@ -364,11 +392,85 @@
             if replica.entry.name not in avoid
         )
 
+    async def _choose_with_permit(
+        self,
+        state: _request_state.RequestState,
+        candidates: list[_replicas.Replica],
+    ) -> _balance.Choice | _outcomes.Refusal | _permits.Denied:
+        """Choose a candidate, with a permit if it limits its rate.
+
+        :returns: a denial if all limit their rate and none has a permit in
+            time.
+        """
+        for _ in range(MAX_PERMIT_REQUESTS):
+            now = self._clock.now()
+            undenied = [r for r in candidates if r.denied_until <= now]
+            if not undenied:
+                break
+            choice = self._choose_in_time(state, undenied, now)
+            if (
+                isinstance(choice, _outcomes.Refusal)
+                or choice.replica.rate_limit is None
+                or await self._acquire_permit(state, choice.replica, 0) is None
+            ):
+                return choice
+        now = self._clock.now()
+        unlimited = [r for r in candidates if r.rate_limit is None]
+        if unlimited:
+            return self._choose_in_time(state, unlimited, now)
+        return await self._wait_for_permit(state, candidates)
+
+    async def _wait_for_permit(
+        self,
+        state: _request_state.RequestState,
+        candidates: list[_replicas.Replica],
+    ) -> _balance.Choice | _permits.Denied:
+        """Choose the candidate that has a permit first, if that is in time.
+
+        The less urgent a request, the smaller the part of its time that it
+        may wait, so that urgent ones find permits when there are too few.
+        """
+        request, priority = state.request, state.route.priority
+        soonest = sorted(candidates, key=lambda r: r.denied_until)
+        retry_ms = MAX_DENIAL_MS
+        for replica in soonest[:MAX_PERMIT_REQUESTS]:
+            now = self._clock.now()
+            expected_ms = _balance.estimate_first_event_ms(
+                replica, request, priority, now
+            )
+            spare_ms = state.latest_first_event - now - expected_ms
+            if spare_ms <= 0:
+                break
+            max_delay_ms = int(spare_ms / (1 + priority))
+            denied = await self._acquire_permit(state, replica, max_delay_ms)
+            if denied is not None:
+                retry_ms = min(retry_ms, denied.retry_ms)
+            # It may have begun to leave during the wait.
+            elif self._replicas.is_available(replica.entry.name):
+                return _balance.Choice(replica, expected_ms)
+        return _permits.Denied(retry_ms)
+
+    async def _acquire_permit(
+        self,
+        state: _request_state.RequestState,
+        replica: _replicas.Replica,
+        max_delay_ms: int,
+    ) -> _permits.Denied | None:
+        """Get a permit and wait until it is due; return None once it is."""
+        began = self._clock.now()
+        answer = await self._permits.acquire(replica, max_delay_ms)
+        now = self._clock.now()
+        _decision_log.permit(state, replica, answer, now - began)
+        if isinstance(answer, _permits.Denied):
+            replica.denied_until = now + min(answer.retry_ms, MAX_DENIAL_MS)
+            return answer
+        await self._clock.sleep(answer.delay_ms)
+        return None
+
     def _choose_in_time(
         self,
         state: _request_state.RequestState,
         candidates: list[_replicas.Replica],
-        left_ms: int,
         now: int,
     ) -> _balance.Choice | _outcomes.Refusal:
         """Choose a candidate, or refuse if its answer would be too late."""
@@ -380,9 +482,7 @@
             now,
             self._random,
         )
-        late_ms = choice.expected_ms - min(
-            left_ms, state.first_event_deadline - now
-        )
+        late_ms = choice.expected_ms - (state.latest_first_event - now)
         if late_ms > 0:
             return self._final_answers.make_refusal(
                 "no replica can answer in time", late_ms
@@ -511,6 +611,15 @@
         return standing is _suspicions.Standing.CONFIRMED
 
 
+def _can_have_another_copy(
+    request: _types.Request, available: list[_replicas.Replica]
+) -> bool:
+    """Whether a replica without a limit could load the request's model."""
+    return bool(request.model) and any(
+        replica.rate_limit is None for replica in available
+    )
+
+
 def _may_retry(
     state: _request_state.RequestState, outcome: _outcomes.Outcome
 ) -> bool:
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -79,6 +79,8 @@
         self.load_at = 0
         # None while it states none.
         self.rate_limit: RateLimit | None = None
+        # Before this time no permit to send to it is asked for.
+        self.denied_until = 0
         # Since when its entry is missing; None while it is there.
         self.missing_since: int | None = None
         self.leaving = entry.leaving
--- a/src/geraniumlink/serving/_request_state.py
+++ b/src/geraniumlink/serving/_request_state.py
@@ -69,6 +69,11 @@
         # The final outcome, for log lines and metrics; empty until then.
         self.outcome = ""
 
+    @property
+    def latest_first_event(self) -> int:
+        """When a first event, or a whole answer, comes too late."""
+        return min(self.deadline, self.first_event_deadline)
+
     @property
     def resumes_stream(self) -> bool:
         """Whether the client has events of the stream already."""
