Tell all instances the limits that replicas state to some of them

An instance learned of a limit only from an answer of its own, so each one sent a request before it asked for a permit: at 400 instances that is 400 requests to a replica that takes one a second, and as many again after restarts.

The reports to the controller carry what replicas stated to their senders, and the answers the changes since the sender's last one. A statement is passed on with its age; the newest counts, also where it says that the limit has ended. Limits that stay the same cost nothing; a new controller is told all. Seen to fail first: an end that was observed by an instance that had only learned of the limit was not reported.

--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -22,6 +22,7 @@
 from geraniumlink.residency import _controller_protocol
 from geraniumlink.residency import _instance_directory
 from geraniumlink.residency import _leadership
+from geraniumlink.residency import _limit_exchange
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _connections
 from geraniumlink.serving import _forward
@@ -205,6 +206,9 @@
             leadership=self._leadership,
             replicas=self._replicas,
             budgets=self._budgets,
+            limits=_limit_exchange.LimitExchange(
+                self._replicas, self._environment.clock
+            ),
             request_sync=_table_sync.TableSync(self._suspicions),
             part_sync=_table_sync.TableSync(self._prompt_parts.table),
             relay=_NoRelay(),
--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -73,6 +73,8 @@
     "in_flight_elsewhere": Field(Kind.WHOLE, nullable=True),
     "incarnation": _WHOLE,
     "instances": _WHOLE,
+    # False if another instance was told.
+    "is_own": _FLAG,
     "kind": _TEXT,
     "last_event_id": _TEXT,
     "late_ms": _WHOLE,
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -496,7 +496,7 @@
     "replica_limit": Message(
         _STATE,
         "a replica stated another limit of requests a second, or none",
-        ("per_s", "previous_per_s", "replica"),
+        ("is_own", "per_s", "previous_per_s", "replica"),
     ),
     "replica_paused": Message(
         _STATE,
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -52,6 +52,7 @@
 from geraniumlink.residency import _controller_protocol
 from geraniumlink.residency import _instance_directory
 from geraniumlink.residency import _leadership
+from geraniumlink.residency import _limit_exchange
 from geraniumlink.residency import _message_client
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _connections
@@ -234,6 +235,7 @@
             leadership=self._leadership,
             replicas=self._replicas,
             budgets=self._budgets,
+            limits=_limit_exchange.LimitExchange(self._replicas, self._clock),
             request_sync=_table_sync.TableSync(self._suspicions),
             part_sync=_table_sync.TableSync(self._prompt_parts.table),
             relay=_relay.Relay(self._watchers),
--- a/src/geraniumlink/hosting/_permit_exchange.py
+++ b/src/geraniumlink/hosting/_permit_exchange.py
@@ -88,9 +88,9 @@
         self, replica: _replicas.Replica, max_delay_ms: int
     ) -> _permits.Answer:
         """Return a permit for a request to a replica with a limit."""
-        if replica.rate_limit is None:
-            return _permits.Granted(0)
         name, per_s = replica.entry.name, replica.rate_limit.per_s
+        if per_s is None:
+            return _permits.Granted(0)
         if self._leadership.is_leader:
             return self._issue(name, per_s, max_delay_ms)
         answer = await self._ask(name, per_s, max_delay_ms)
--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -24,6 +24,7 @@
 from geraniumlink.residency import _demand
 from geraniumlink.residency import _instance_directory
 from geraniumlink.residency import _leadership
+from geraniumlink.residency import _limit_exchange
 from geraniumlink.residency import _load_columns
 from geraniumlink.residency import _load_totals
 from geraniumlink.residency import _messages
@@ -80,6 +81,7 @@
         leadership: _leadership.Leadership,
         replicas: _replicas.Replicas,
         budgets: _retry_budgets.RetryBudgets,
+        limits: _limit_exchange.LimitExchange,
         request_sync: _table_sync.TableSync,
         part_sync: _table_sync.TableSync,
         relay: Relay,
@@ -92,6 +94,7 @@
         self._leadership = leadership
         self._replicas = replicas
         self._budgets = budgets
+        self._limits = limits
         # Exchange the suspicions of requests and of prompt parts.
         self._request_sync = request_sync
         self._part_sync = part_sync
@@ -195,6 +198,7 @@
                 loads=self._own_loads(),
                 load_order=self._load_decoder.order,
                 unreachable=sorted(self._replicas.unreachable_names()),
+                limits=self._limits.make_report(),
                 suspicions=self._request_sync.make_report(),
                 suspected_parts=self._part_sync.make_report(),
             )
@@ -252,9 +256,12 @@
         suspected_parts = self._part_sync.answer_report(
             report["suspected_parts"]
         )
-        # Instances of an older version don't send their address.
+        # Instances of an older version don't send their address, or limits.
         if "address" in report:
             self._directory.record_report(str(report["address"]))
+        limits = None
+        if "limits" in report:
+            limits = self._limits.answer_report(report["limits"])
         answer: dict[str, typing.Any] = {
             "instances": len(self._last_reports),
             "instance_list": (
@@ -265,6 +272,7 @@
             "loads": self._load_encoder.encode(
                 self._totals.excluding(sender), str(report["load_order"])
             ),
+            "limits": limits,
             "suspicions": suspicions,
             "suspected_parts": suspected_parts,
         }
@@ -282,6 +290,8 @@
             self._budgets.set_instances(int(answer["instances"]))
             self._directory.apply_list(answer.get("instance_list"))
             self._apply_other_loads(self._load_decoder.decode(answer["loads"]))
+            if answer.get("limits") is not None:
+                self._limits.apply_answer(answer["limits"])
             self._request_sync.apply_answer(answer["suspicions"])
             self._part_sync.apply_answer(answer["suspected_parts"])
             if "objects" in answer:
--- a/src/geraniumlink/residency/_messages.py
+++ b/src/geraniumlink/residency/_messages.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from geraniumlink.residency import _limit_exchange
 from geraniumlink.suspicion import _table_sync
 
 
@@ -78,6 +79,8 @@
     load_order: str
     # Replicas that it recently failed to connect to.
     unreachable: list[str]
+    # Limits that replicas stated to it.
+    limits: _limit_exchange.News
     # Requests that may have crashed replicas.
     suspicions: _table_sync.News
     # Parts of prompts that may have crashed replicas.
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -72,7 +72,6 @@
     took_ms: int,
 ) -> None:
     """Log whether a request may be sent to a replica with a limit, or when."""
-    limit = replica.rate_limit
     match answer:
         case _permits.Granted(delay_ms):
             is_granted, wait_ms = True, delay_ms
@@ -83,7 +82,7 @@
         request_id=state.log_id,
         replica=replica.entry.name,
         granted=is_granted,
-        limit_per_s=limit.per_s if limit else None,
+        limit_per_s=replica.rate_limit.per_s,
         wait_ms=wait_ms,
         took_ms=took_ms,
     )
@@ -107,7 +106,7 @@
         load=list(replica.load) if replica.load else None,
         load_age_ms=now - replica.load_at if replica.load else None,
         failures=round(replica.failure_rate(now), 2),
-        limit_per_s=replica.rate_limit.per_s if replica.rate_limit else None,
+        limit_per_s=replica.rate_limit.per_s,
         left_ms=state.deadline - now,
         last_event_id=state.last_event_id.decode("latin-1"),
     )
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -410,12 +410,12 @@
             choice = self._choose_in_time(state, undenied, now)
             if (
                 isinstance(choice, _outcomes.Refusal)
-                or choice.replica.rate_limit is None
+                or choice.replica.rate_limit.per_s is None
                 or await self._acquire_permit(state, choice.replica, 0) is None
             ):
                 return choice
         now = self._clock.now()
-        unlimited = [r for r in candidates if r.rate_limit is None]
+        unlimited = [r for r in candidates if r.rate_limit.per_s is None]
         if unlimited:
             return self._choose_in_time(state, unlimited, now)
         return await self._wait_for_permit(state, candidates)
@@ -616,7 +616,7 @@
 ) -> bool:
     """Whether a replica without a limit could load the request's model."""
     return bool(request.model) and any(
-        replica.rate_limit is None for replica in available
+        replica.rate_limit.per_s is None for replica in available
     )
 
 
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -56,9 +56,16 @@
 class RateLimit(typing.NamedTuple):
     """The requests a second that a replica takes from all instances."""
 
-    per_s: float
+    # None if it states no limit.
+    per_s: float | None
     # When it was last stated, by this instance's clock.
     stated_at: int
+    # Whether the replica stated it here, and not to another instance.
+    is_own: bool
+
+
+# Of a replica that has stated nothing yet; older than any statement.
+NO_LIMIT = RateLimit(None, -(10**12), False)
 
 
 class Replica:
@@ -77,8 +84,7 @@
         # The load that it last stated with a response, and when.
         self.load: _types.LoadReport | None = None
         self.load_at = 0
-        # None while it states none.
-        self.rate_limit: RateLimit | None = None
+        self.rate_limit = NO_LIMIT
         # Before this time no permit to send to it is asked for.
         self.denied_until = 0
         # Since when its entry is missing; None while it is there.
@@ -200,23 +206,27 @@
         known = self.rate_limit
         match stated:
             case _types.Unstated.UNREADABLE:
-                return
+                pass
             case _types.Unstated.ABSENT:
-                if known is None or sent_at <= known.stated_at:
-                    return
-                self.rate_limit = None
+                if known.per_s is not None and sent_at > known.stated_at:
+                    self._set_rate_limit(RateLimit(None, now, True))
             case _:
-                self.rate_limit = RateLimit(stated, now)
-        if (
-            known is None
-            or self.rate_limit is None
-            or (known.per_s != self.rate_limit.per_s)
-        ):
+                self._set_rate_limit(RateLimit(stated, now, True))
+
+    def learn_rate_limit(self, per_s: float | None, stated_at: int) -> None:
+        """Record what it stated to another instance, if that is newer."""
+        if stated_at > self.rate_limit.stated_at:
+            self._set_rate_limit(RateLimit(per_s, stated_at, False))
+
+    def _set_rate_limit(self, limit: RateLimit) -> None:
+        previous, self.rate_limit = self.rate_limit, limit
+        if limit.per_s != previous.per_s:
             _logs.event(
                 "replica_limit",
                 replica=self.entry.name,
-                per_s=self.rate_limit.per_s if self.rate_limit else None,
-                previous_per_s=known.per_s if known else None,
+                per_s=limit.per_s,
+                previous_per_s=previous.per_s,
+                is_own=limit.is_own,
             )
 
     def note_peer_load(self, peer_load: PeerLoad) -> None:
--- a/tests/test_controller_protocol.py
+++ b/tests/test_controller_protocol.py
@@ -43,6 +43,7 @@
         leadership=_Leadership(),
         replicas=_replicas.Replicas(clock, 2000),
         budgets=None,
+        limits=None,
         request_sync=None,
         part_sync=None,
         relay=None,
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -6,7 +6,9 @@
 import anyio
 import pytest
 
+from geraniumlink import _clock
 from geraniumlink import platform
+from geraniumlink.residency import _limit_exchange
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _types
 from tests import builders
@@ -54,7 +56,7 @@
     replica = _replica()
     replica.note_rate_limit(2.0, sent_at=0, now=10)
     replica.note_rate_limit(_types.Unstated.ABSENT, sent_at=11, now=20)
-    assert replica.rate_limit is None
+    assert replica.rate_limit.per_s is None
 
 
 def test_a_response_to_an_earlier_request_does_not_end_a_limit():
@@ -67,7 +69,7 @@
 def test_an_unreadable_limit_changes_nothing():
     replica = _replica()
     replica.note_rate_limit(_types.Unstated.UNREADABLE, sent_at=0, now=10)
-    assert replica.rate_limit is None
+    assert replica.rate_limit.per_s is None
     replica.note_rate_limit(2.0, sent_at=0, now=10)
     replica.note_rate_limit(_types.Unstated.UNREADABLE, sent_at=20, now=30)
     assert replica.rate_limit.per_s == 2.0
@@ -131,3 +133,96 @@
     for answer in refused:
         assert answer.status == 503
         assert float(answer.headers["retry-after"]) > 0
+
+
+def _exchange(clock, names=("r1",), started_at=1):
+    replicas = _replicas.Replicas(clock, 2000)
+    replicas.replace_all(
+        builders.replica_entry(name)._replace(started_at=started_at)
+        for name in names
+    )
+    return replicas, _limit_exchange.LimitExchange(replicas, clock)
+
+
+def _report(sender, controller):
+    """Have an instance report once; return the rows of both messages."""
+    report = sender.make_report()
+    answer = controller.answer_report(report)
+    sender.apply_answer(answer)
+    return len(report["rows"]) + len(answer["rows"])
+
+
+def test_an_instance_that_never_saw_a_limit_learns_it():
+    clock = _clock.ManualClock()
+    first, first_exchange = _exchange(clock)
+    _, controller = _exchange(clock)
+    third, third_exchange = _exchange(clock)
+    first.get("r1").note_rate_limit(2.0, sent_at=0, now=clock.now())
+    clock.advance(100)
+    _report(first_exchange, controller)
+    _report(third_exchange, controller)
+    assert third.get("r1").rate_limit.per_s == 2.0
+    assert third.get("r1").rate_limit.stated_at == clock.now() - 100
+    clock.advance(100)
+    now = clock.now()
+    third.get("r1").note_rate_limit(_types.Unstated.ABSENT, now - 1, now)
+    _report(third_exchange, controller)
+    _report(first_exchange, controller)
+    assert first.get("r1").rate_limit.per_s is None
+
+
+def test_limits_that_stay_the_same_cost_nothing():
+    clock = _clock.ManualClock()
+    first, first_exchange = _exchange(clock)
+    _, controller = _exchange(clock)
+    first.get("r1").note_rate_limit(2.0, sent_at=0, now=clock.now())
+    _report(first_exchange, controller)
+    _report(first_exchange, controller)
+    first.get("r1").note_rate_limit(2.0, sent_at=0, now=clock.now() + 50)
+    assert not _report(first_exchange, controller)
+
+
+def test_a_new_controller_is_told_all_limits():
+    clock = _clock.ManualClock()
+    first, first_exchange = _exchange(clock)
+    first.get("r1").note_rate_limit(2.0, sent_at=0, now=clock.now() + 1)
+    _report(first_exchange, _exchange(clock)[1])
+    replicas, successor = _exchange(clock)
+    clock.advance(100)
+    for _ in range(2):
+        _report(first_exchange, successor)
+    assert replicas.get("r1").rate_limit.per_s == 2.0
+
+
+def test_the_limit_of_a_former_process_is_not_passed_on():
+    clock = _clock.ManualClock()
+    first, first_exchange = _exchange(clock)
+    replicas, controller = _exchange(clock, started_at=2)
+    first.get("r1").note_rate_limit(2.0, sent_at=0, now=clock.now() + 1)
+    _report(first_exchange, controller)
+    assert replicas.get("r1").rate_limit.per_s is None
+
+
+def test_many_limits_are_told_in_several_messages():
+    clock = _clock.ManualClock()
+    names = [f"r{n}" for n in range(3 * _limit_exchange.MAX_ROWS - 1)]
+    first, first_exchange = _exchange(clock, names)
+    _, controller = _exchange(clock, names)
+    third, third_exchange = _exchange(clock, names)
+    clock.advance(100)
+    for name in names:
+        first.get(name).note_rate_limit(2.0, sent_at=0, now=clock.now())
+    for _ in range(3):
+        _report(first_exchange, controller)
+    for _ in range(3):
+        _report(third_exchange, controller)
+    assert all(r.rate_limit.per_s == 2.0 for r in third.all())
+
+
+@pytest.mark.parametrize(
+    "row", (["r1"], ["r1", 1, "2", 0], ["r1", 1, 2.0, None], {}, 3)
+)
+def test_a_malformed_limit_is_rejected(row):
+    _, controller = _exchange(_clock.ManualClock())
+    with pytest.raises(ValueError, match="malformed"):
+        controller.answer_report({"table": "", "change": 0, "rows": [row]})
