Load another copy of a model that only limited replicas hold

Callers of such a model were refused as long as the limit lasted, though replicas without one had room for the model: the planner took it for resident. Replicas with a limit no longer count as holders while they are the smaller part of the service. The new test failed before: refusals among the last 20 of its requests, and no order to load the model.

--- a/src/geraniumlink/residency/_replica_directory.py
+++ b/src/geraniumlink/residency/_replica_directory.py
@@ -81,10 +81,18 @@
         self._unreachable = replicas
 
     def available(self, service: str) -> list[_replica_states.ReplicaState]:
-        """Return the records of the replicas that may get requests now."""
+        """Return the records of the replicas that may get requests now.
+
+        Those that limit their rate are left out while they are the smaller
+        part, so that models which only they hold get another copy.
+        """
+        replicas = self._replicas.available(service)
+        unlimited = [r for r in replicas if r.rate_limit.per_s is None]
+        if 2 * len(unlimited) > len(replicas):
+            replicas = unlimited
         states = [
             self._states[replica.entry.name]
-            for replica in self._replicas.available(service)
+            for replica in replicas
             if replica.entry.name in self._states
             and replica.entry.name not in self._unreachable
         ]
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -86,12 +86,12 @@
     )
 
 
-async def _send_at_rate(site, per_s, seconds, target="/safe/x"):
+async def _send_at_rate(site, per_s, seconds, target="/safe/x", **headers):
     """Send requests to all instances in turn; return the answers."""
     answers = []
 
     async def send(port):
-        answers.append(await hosts.send_request(port, target))
+        answers.append(await hosts.send_request(port, target, **headers))
 
     ports = itertools.cycle([i.port for i in site.instances])
     deadline = time.monotonic() + seconds
@@ -135,6 +135,21 @@
         assert float(answer.headers["retry-after"]) > 0
 
 
+@pytest.mark.anyio
+async def test_a_model_on_a_replica_with_a_limit_gets_another_copy(fleet):
+    site = await hosts.Site(fleet).start(replicas=0)
+    for models in (("m1", "m2"), ("m2",), ("m2",)):
+        await site.add_replica(*models)
+    await site.faults("r-1", limit=0.5)
+    answers = await _send_at_rate(
+        site, 10, _SETTLING_S + _WINDOW_S, "/safe/x", X_Model="m1"
+    )
+    assert [answer.status for answer in answers[-20:]] == [200] * 20
+    arrivals = await _arrivals(site, "r-1")
+    assert len(arrivals) <= _FACTOR * 0.5 * _WINDOW_S + _CONSTANT
+    assert "m1" in {order["model"] for order in await site.orders()}
+
+
 def _exchange(clock, names=("r1",), started_at=1):
     replicas = _replicas.Replicas(clock, 2000)
     replicas.replace_all(
