Log when an instance has lost its path to all replicas

An instance that was cut off from all replicas logged a pause for each replica and nothing that tells a cut from replicas that ended. There is a gauge of it too. Nothing is probed while replicas answer.

Nothing else uses it yet.

--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -86,6 +86,7 @@
     # replica.
     "load": Field(Kind.WHOLES, nullable=True),
     "load_age_ms": Field(Kind.WHOLE, nullable=True),
+    "lost_ms": _WHOLE,
     "member": _TEXT,
     "messages": _WHOLE,
     "method": _TEXT,
@@ -112,6 +113,7 @@
     "previous_version": Field(Kind.WHOLE, nullable=True),
     "priority": _WHOLE,
     "problem": _TEXT,
+    "probes": _WHOLE,
     "prompt_tokens": _WHOLE,
     "reason": _TEXT,
     "received_bytes": _WHOLE,
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -446,6 +446,17 @@
         "a claim's owner does not know the outcome"
     ),
     "owner_silent": _claim_step("a claim's owner did not respond"),
+    "path_back": Message(
+        _STATE,
+        "replicas can be reached again after `lost_ms`",
+        ("lost_ms",),
+    ),
+    "path_lost": Message(
+        _STATE,
+        "none of several replicas accepted a connection: this instance has no"
+        " path to any",
+        ("probes", "reason"),
+    ),
     "permit": Message(
         _REQUEST,
         "a permit to send a request to a replica that limits its rate was"
--- a/src/geraniumlink/hosting/_gauges.py
+++ b/src/geraniumlink/hosting/_gauges.py
@@ -13,6 +13,7 @@
 from geraniumlink.residency import _leadership
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _forward
+from geraniumlink.serving import _reachability
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _retry_budgets
 
@@ -26,6 +27,7 @@
     watchers: list[_object_watcher.ObjectWatcher]
     active_configuration: _active_configuration.ActiveConfiguration
     replicas: _replicas.Replicas
+    reachability: _reachability.Reachability
     leadership: _leadership.Leadership
     budgets: _retry_budgets.RetryBudgets
     log_buffer: _log_buffer.LogBuffer
@@ -79,6 +81,11 @@
         "Replicas to which no connection could be opened lately",
         lambda: len(sources.replicas.unreachable_names()),
     )
+    add_gauge(
+        "geraniumlink_path_lost",
+        "1 while no replica can be reached from here",
+        lambda: sources.reachability.is_lost,
+    )
     add_gauge(
         "geraniumlink_controller",
         "1 where the controller's lease is held",
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -10,6 +10,7 @@
     +- controller        places models while the lease is held
     +- reports           sends this instance's demand to the controller
     +- connections       closes stale idle connections to replicas
+    +- reachability      notices when no replica can be reached
     +- log lines         writes buffered log lines to standard output
     +- load monitor      logs how late the event loop is, and messages
     +- datagrams         exchanges stream origins and permits
@@ -57,6 +58,7 @@
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _connections
 from geraniumlink.serving import _forward
+from geraniumlink.serving import _reachability
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _retry_budgets
@@ -188,6 +190,9 @@
             random_source=self._random,
         )
         self._connections = _connections.ConnectionPool(clock)
+        self._reachability = _reachability.Reachability(
+            self._replicas, self._connections, clock, self._random
+        )
         self._forwarder = self._make_forwarder()
         self._application = self._make_application()
         self._listener = _server.Listener(
@@ -207,6 +212,7 @@
                 watchers=self._watchers,
                 active_configuration=self._active_configuration,
                 replicas=self._replicas,
+                reachability=self._reachability,
                 leadership=self._leadership,
                 budgets=self._budgets,
                 log_buffer=self._log_buffer,
@@ -322,6 +328,7 @@
                 "reports", self._controller_protocol.run_reports
             ),
             _supervisor.Child("connections", self._close_stale),
+            _supervisor.Child("reachability", self._reachability.run),
             _supervisor.Child("log lines", self._log_buffer.run),
             _supervisor.Child("load monitor", self._load_monitor.run),
             _supervisor.Child("datagrams", self._datagrams.run),
--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -95,7 +95,7 @@
     async def run(self) -> _outcomes.Outcome:
         """Run the attempt, and count its load while it lasts."""
         replica = self._replica
-        replica.in_flight += 1
+        replica.begin_request(self._sent_at)
         replica.prefill_tokens[self._priority] += self._prefill_tokens
         try:
             return await self._exchange()
--- a/src/geraniumlink/serving/_connections.py
+++ b/src/geraniumlink/serving/_connections.py
@@ -375,6 +375,15 @@
             probe = await self._dial(address)
             probe.close()
 
+    async def can_connect(self, address: _settings.Address) -> bool:
+        """Return whether a new connection to an address is accepted."""
+        try:
+            connection = await self._dial(address)
+        except _http.NotSentError:
+            return False
+        connection.close()
+        return True
+
     def release(self, replica: str, connection: Connection) -> None:
         """Keep a connection after a complete response."""
         connection.idle_since = self._clock.now()
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -80,6 +80,8 @@
         self.prefill_tokens: collections.Counter[int] = collections.Counter()
         # When it last sent anything on any connection.
         self.last_activity_at = 0
+        # When it last got a request while it had none from here.
+        self._busy_since = 0
         self._peer_load: PeerLoad | None = None
         # The load that it last stated with a response, and when.
         self.load: _types.LoadReport | None = None
@@ -106,6 +108,11 @@
         self._not_loaded_until: dict[tuple[str, str], int] = {}
         self._loaded_until: dict[tuple[str, str], int] = {}
 
+    @property
+    def busy_since(self) -> int | None:
+        """Since when it has had requests from here; None if it has none."""
+        return self._busy_since if self.in_flight else None
+
     def can_serve(self, model: str, adapter: str, now: int) -> bool:
         """Whether it is believed to have the model and adapter loaded.
 
@@ -167,6 +174,17 @@
             2 * OUTCOME_WEIGHT * (max(0, excess_ms) - self._excess_latency_ms)
         )
 
+    def begin_request(self, now: int) -> None:
+        """Count a request from this instance as in flight."""
+        if not self.in_flight:
+            self._busy_since = now
+        self.in_flight += 1
+
+    def end_pause(self) -> None:
+        """Send to it again although it has sent nothing."""
+        self.paused_until = 0
+        self._pause_ms = FIRST_PAUSE_MS
+
     def note_unreachable(self, now: int, reason: str) -> None:
         """Pause sending to it; each failure doubles the next pause."""
         if now >= self.paused_until:
@@ -184,8 +202,7 @@
         self.last_activity_at = now
         if self.paused_until:
             _logs.event("replica_trusted", replica=self.entry.name)
-        self.paused_until = 0
-        self._pause_ms = FIRST_PAUSE_MS
+        self.end_pause()
 
     def note_load(self, load: _types.LoadReport, now: int) -> None:
         """Record the load that it stated with a response."""
@@ -375,6 +392,27 @@
             if replica.paused_until > now
         }
 
+    def silent_ms(self) -> int:
+        """Return for how long no replica has sent anything.
+
+        That is 0 if none has a request from here, and counts from the first
+        request at the earliest.
+        """
+        busy_since = [
+            replica.busy_since
+            for replica in self._known.values()
+            if replica.busy_since is not None
+        ]
+        if not busy_since:
+            return 0
+        heard_at = max(r.last_activity_at for r in self._known.values())
+        return self._clock.now() - max(heard_at, min(busy_since))
+
+    def end_pauses(self) -> None:
+        """Send to all replicas again, as the path to them is back."""
+        for replica in self._known.values():
+            replica.end_pause()
+
     def replace_all(self, entries: Iterable[_types.ReplicaEntry]) -> None:
         """Apply the complete list of entries."""
         listed = {entry.name: entry for entry in entries}
--- /dev/null
+++ b/tests/test_reachability.py
@@ -0,0 +1,128 @@
+"""Instances that lose their path to all replicas."""
+
+import random
+
+import anyio
+import pytest
+
+from emulator import _virtual_time
+from geraniumlink import _settings
+from geraniumlink.serving import _reachability
+from geraniumlink.serving import _replicas
+from tests import builders
+
+
+class _Probe:
+    """Connections are accepted, refused at once, or hang."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.refused = set()
+        self.hanging = False
+        self.tried = []
+
+    async def can_connect(self, address):
+        self.tried.append(address.port)
+        if self.hanging:
+            await self._clock.sleep(400)
+            return False
+        return address.port not in self.refused
+
+
+def _make(clock, count=6):
+    replicas = _replicas.Replicas(clock, 2000)
+    replicas.replace_all(
+        builders.replica_entry(f"r{n}")._replace(
+            address=_settings.Address("127.0.0.1", n)
+        )
+        for n in range(1, count + 1)
+    )
+    probe = _Probe(clock)
+    reachability = _reachability.Reachability(
+        replicas, probe, clock, random.Random(1)
+    )
+    return replicas, probe, reachability
+
+
+def _run(scenario, **fields):
+    """Run a scenario beside the checks; return what it returns."""
+
+    async def main(clock):
+        async with anyio.create_task_group() as group:
+            replicas, probe, reachability = _make(clock, **fields)
+            group.start_soon(reachability.run)
+            result = await scenario(clock, replicas, probe, reachability)
+            group.cancel_scope.cancel()
+        return result
+
+    return _virtual_time.run(main)
+
+
+@pytest.mark.parametrize("hanging", (True, False))
+def test_a_lost_path_is_noticed_within_a_second_of_silence(hanging):
+    async def scenario(clock, replicas, probe, reachability):
+        probe.hanging = hanging
+        probe.refused = set(range(1, 7))
+        replicas.get("r1").begin_request(clock.now())
+        began = clock.now()
+        while not reachability.is_lost:
+            await clock.sleep(10)
+        return clock.now() - began
+
+    assert _run(scenario) <= 1500
+
+
+def test_a_path_that_is_back_is_used_after_two_probes():
+    async def scenario(clock, replicas, probe, reachability):
+        probe.refused = set(range(1, 7))
+        replicas.get("r1").note_unreachable(clock.now(), "refused")
+        assert await reachability.check()
+        probe.refused = set()
+        began = clock.now()
+        while reachability.is_lost:
+            await clock.sleep(10)
+        assert replicas.get("r1").paused_until == 0
+        return clock.now() - began
+
+    assert _run(scenario) <= 3 * _reachability.CHECK_INTERVAL_MS
+
+
+def test_one_silent_replica_is_no_lost_path():
+    async def scenario(clock, replicas, probe, reachability):
+        probe.refused = {1}
+        replicas.get("r1").begin_request(clock.now())
+        await clock.sleep(5000)
+        return reachability.is_lost
+
+    assert not _run(scenario)
+
+
+def test_one_replica_alone_tells_nothing_of_the_path():
+    async def scenario(clock, replicas, probe, reachability):
+        probe.refused = {1}
+        return await reachability.check()
+
+    assert not _run(scenario, count=1)
+
+
+def test_an_idle_instance_and_one_that_is_answered_probe_nothing():
+    async def scenario(clock, replicas, probe, reachability):
+        await clock.sleep(5000)
+        replicas.get("r1").begin_request(clock.now())
+        for _ in range(50):
+            await clock.sleep(100)
+            replicas.get("r2").note_activity(clock.now())
+        return probe.tried
+
+    assert not _run(scenario)
+
+
+def test_requests_that_fail_together_share_a_probe():
+    async def scenario(clock, replicas, probe, reachability):
+        probe.hanging = True
+        async with anyio.create_task_group() as group:
+            for _ in range(10):
+                group.start_soon(reachability.check)
+        return len(probe.tried)
+
+    assert _run(scenario) <= 2 * _reachability.PROBES
