--- a/benches/_fleet.py
+++ b/benches/_fleet.py
@@ -39,7 +39,7 @@
     ) -> fleets.Process:
         if self._router and command[2] == "geraniumlink":
             command = [sys.executable, "-m", "benches._instance"]
-            settings = str(self._folder / f"{name}.ini")
+            settings = str(self.folder / f"{name}.ini")
             command += [self._router, str(self._time_scale), settings]
         return super()._start(name, command, port, peer_port, environment)
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -119,7 +119,7 @@
     """The processes of one test, all on free loopback ports."""
 
     def __init__(self, folder: pathlib.Path) -> None:
-        self._folder = folder
+        self.folder = folder
         self.processes: list[Process] = []
         self.pool = httpcore.AsyncConnectionPool(max_connections=2000)
         self.object_api = self.stand_in("object_api")
@@ -167,7 +167,7 @@
         """
         name = name or f"i{len(self.instances) + 1}"
         port, peer_port = free_port(), free_port()
-        path = self._folder / f"{name}.ini"
+        path = self.folder / f"{name}.ini"
         path.write_text(
             self._settings(
                 name, data_centre, port, peer_port, object_api, settings
@@ -182,17 +182,24 @@
         return process
 
     def hosted(
-        self, settings: dict[str, typing.Any], *arguments: str
+        self,
+        settings: dict[str, typing.Any],
+        *arguments: str,
+        module: str = "geraniumlink.hosting",
+        environment: dict[str, str] | None = None,
     ) -> Process:
         """Start an instance as the users' platform does."""
         name = settings["node_name"]
-        path = self._folder / f"{name}.json"
+        path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         return self._start(
             name,
-            [sys.executable, "-m", "geraniumlink.hosting", *arguments],
+            [sys.executable, "-m", module, *arguments],
             int(settings["listen"]["front"].rpartition(":")[2]),
-            environment={"GERANIUMLINK_NODE_FILE": str(path)},
+            environment={
+                "GERANIUMLINK_NODE_FILE": str(path),
+                **(environment or {}),
+            },
         )
 
     def _settings(
@@ -238,7 +245,7 @@
         peer_port: int = 0,
         environment: dict[str, str] | None = None,
     ) -> Process:
-        log = self._folder / f"{name}.log"
+        log = self.folder / f"{name}.log"
         process = Process(name, command, port, log, peer_port, environment)
         process.start()
         self.processes.append(process)
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -8,6 +8,8 @@
 import contextlib
 import itertools
 import json
+import pathlib
+import typing
 
 import anyio
 
@@ -98,6 +100,31 @@
     }
 
 
+class Partition(typing.NamedTuple):
+    """An instance, and the links that lead from it to the replicas."""
+
+    fleet: fleets.Fleet
+    instance: fleets.Process
+    links: list[fleets.Process]
+    mode_file: pathlib.Path
+
+    async def cut(self, how: str) -> None:
+        """Cut the path: "hang", "reset" or "refuse" (new connections only)."""
+        mode = "hang" if how == "hang" else "refuse"
+        self.mode_file.write_text(mode)
+        if how != "refuse":
+            switch = "stall" if how == "hang" else "cut"
+            await self._set_links(**{switch: True})
+
+    async def heal(self) -> None:
+        self.mode_file.write_text("")
+        await self._set_links(stall=False, cut=False)
+
+    async def _set_links(self, **switches: bool) -> None:
+        for link in self.links:
+            await self.fleet.faults(link, **switches)
+
+
 class Site:
     """The store, replicas and instances that one test runs."""
 
@@ -169,6 +196,37 @@
         await self.wait_until_ready(len(self.instances) - 1)
         return process
 
+    async def add_partitionable_instance(self) -> Partition:
+        """Start an instance whose path to the replicas can be cut."""
+        links = {
+            replica.port: self.fleet.link(replica.address)
+            for replica in self.replicas.values()
+        }
+        for link, _ in links.values():
+            await self.fleet.answers(link.port, "/record")
+        settings = node_settings(self.store, f"i-{len(self.instances) + 1}")
+        mode_file = self.fleet.folder / f"{settings['node_name']}.mode"
+        mode_file.write_text("")
+        ports = {
+            port: int(relay.rpartition(":")[2])
+            for port, (_, relay) in links.items()
+        }
+        partition = json.dumps({"ports": ports, "mode": str(mode_file)})
+        process = self.fleet.hosted(
+            settings,
+            module="standins.partitionable",
+            environment={"PARTITION": partition},
+        )
+        self.instances.append(process)
+        self._settings.append(settings)
+        await self.wait_until_ready(len(self.instances) - 1)
+        return Partition(
+            self.fleet,
+            process,
+            [link for link, _ in links.values()],
+            mode_file,
+        )
+
     async def wait_until_ready(self, index: int = 0) -> None:
         await self.fleet.answers(self.ready_port(index), "/v1/ready")
 
