Serve clients through other instances while no replica can be reached

Cause: an instance had no way but its own connections, and found out replica by replica, at the cost of a request each. A model whose holders were paused counted as loaded nowhere, so its requests waited up to 4.9 s for another copy. Resets were taken for crashes by the requests that they met, and all instances were told so. Class of fault: what one instance can't reach is taken for what doesn't exist. Evidence: Unsent attempts and waits in the incident's logs, path_lost in those of the tests.

Change: while the path to all replicas is lost, a request is passed on to another instance, once: a header that no client can set marks it, and who gets it sends it to a replica or turns it down. Peers that reported a lost path, failed or turned a request down are left out; how many requests a peer takes is bounded, by urgency. The deadline, the attempts made, the events that a client has, its leaving and the peer's final answer are passed on. An interrupted request isn't suspected of a crash without a path, and the replicas that such an instance can't reach don't count in the controller's vote.

--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -26,6 +26,9 @@
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _connections
 from geraniumlink.serving import _forward
+from geraniumlink.serving import _peer_relay
+from geraniumlink.serving import _peers
+from geraniumlink.serving import _reachability
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _response_writer
@@ -114,8 +117,18 @@
         self._directory = _instance_directory.InstanceDirectory(
             str(self.address), clock
         )
+        connections = _connections.ConnectionPool(
+            clock, environment.network.dial
+        )
+        self._reachability = _reachability.Reachability(
+            self._replicas, connections, clock, self._random
+        )
         self._controller_protocol = self._make_controller_protocol()
         datagrams = _datagrams.Datagrams(str(self.address))
+        # Without its socket: no stream is resumed by an emulated client.
+        origins = _origin_exchange.OriginExchange(
+            _stream_origins.OriginTable(clock), self._directory, datagrams
+        )
         self._forwarder = _forward.Forwarder(
             active_configuration=self._active_configuration,
             replicas=self._replicas,
@@ -123,10 +136,7 @@
             budgets=self._budgets,
             suspicions=self._suspicions,
             prompt_parts=self._prompt_parts,
-            # Without its socket: no stream is resumed by an emulated client.
-            origins=_origin_exchange.OriginExchange(
-                _stream_origins.OriginTable(clock), self._directory, datagrams
-            ),
+            origins=origins,
             # Without the socket: emulated engines state no limits.
             permits=_permit_exchange.PermitExchange(
                 leadership=self._leadership,
@@ -136,8 +146,14 @@
                 random_source=self._random,
             ),
             metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
-            connections=_connections.ConnectionPool(
-                clock, environment.network.dial
+            connections=connections,
+            reachability=self._reachability,
+            # Without connections: emulated instances don't lose their path.
+            peer_relay=_peer_relay.PeerRelay(
+                _peers.Peers(self._directory, clock, self._random),
+                _connections.ConnectionPool(clock),
+                origins,
+                clock,
             ),
             clock=clock,
             data_centre=data_centres[number % len(data_centres)],
@@ -205,6 +221,7 @@
             controller=self._controller,
             leadership=self._leadership,
             replicas=self._replicas,
+            reachability=self._reachability,
             budgets=self._budgets,
             limits=_limit_exchange.LimitExchange(
                 self._replicas, self._environment.clock
--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -117,6 +117,8 @@
     "prompt_tokens": _WHOLE,
     "reason": _TEXT,
     "received_bytes": _WHOLE,
+    # Null if a client sent the request here.
+    "relayed_attempts": Field(Kind.WHOLE, nullable=True),
     "repeats": _WHOLE,
     "replica": _TEXT,
     "replicas": _TEXTS,
@@ -133,6 +135,7 @@
     "server": _TEXT,
     "service": _TEXT,
     "shard": _TEXT,
+    "silent_ms": _WHOLE,
     "size_mb": _WHOLE,
     "software_version": _TEXT,
     "source": _TEXT,
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -68,6 +68,7 @@
             "output_tokens",
             "priority",
             "prompt_tokens",
+            "relayed_attempts",
             "request_id",
             "resumes",
             "route",
@@ -446,6 +447,12 @@
         "a claim's owner does not know the outcome"
     ),
     "owner_silent": _claim_step("a claim's owner did not respond"),
+    "passed_on": Message(
+        _REQUEST,
+        "a request was passed on to another instance, since no replica can be"
+        " reached from here",
+        ("attempt", "last_event_id", "left_ms", "peer", "request_id"),
+    ),
     "path_back": Message(
         _STATE,
         "replicas can be reached again after `lost_ms`",
@@ -455,7 +462,7 @@
         _STATE,
         "none of several replicas accepted a connection: this instance has no"
         " path to any",
-        ("probes", "reason"),
+        ("probes", "silent_ms"),
     ),
     "permit": Message(
         _REQUEST,
--- a/src/geraniumlink/hosting/_application.py
+++ b/src/geraniumlink/hosting/_application.py
@@ -99,14 +99,16 @@
             await response.send_complete(
                 200, _encode_headers(headers), content
             )
-        elif port == self._addresses.instances.port:
-            await self._serve_peer(scope, receive, response)
+        elif port != self._addresses.instances.port:
+            await self._serve_request(scope, receive, response, None)
         else:
-            self._in_flight += 1
-            try:
-                await self._serve_client(scope, receive, response)
-            finally:
-                self._in_flight -= 1
+            attempts = platform.decode_relayed_attempts(scope["headers"])
+            if attempts is None:
+                await self._serve_peer(scope, receive, response)
+            elif self._draining:
+                await _reject(response, 421, "draining")
+            else:
+                await self._serve_request(scope, receive, response, attempts)
 
     def _is_metrics_port(self, port: int) -> bool:
         address = self._addresses.metrics
@@ -136,11 +138,31 @@
             self._load_monitor.count_message(len(body), len(encoded))
             await response.send_complete(200, [], encoded)
 
-    async def _serve_client(
+    async def _serve_request(
         self,
         scope: Scope,
         receive: Receive,
         response: _response_writer.ResponseWriter,
+        relayed_attempts: int | None,
+    ) -> None:
+        """Serve a client's request, and count it while that lasts.
+
+        :param relayed_attempts: as in ``_types.Request``.
+        """
+        self._in_flight += 1
+        try:
+            await self._read_and_serve(
+                scope, receive, response, relayed_attempts
+            )
+        finally:
+            self._in_flight -= 1
+
+    async def _read_and_serve(
+        self,
+        scope: Scope,
+        receive: Receive,
+        response: _response_writer.ResponseWriter,
+        relayed_attempts: int | None,
     ) -> None:
         """Read a client's request within the operator's limits, and serve it.
 
@@ -177,7 +199,9 @@
         except ClientDisconnectedError:
             return
         await self._serve_while_connected(
-            request._replace(body=body), receive, response
+            request._replace(body=body, relayed_attempts=relayed_attempts),
+            receive,
+            response,
         )
 
     async def _serve_while_connected(
--- a/src/geraniumlink/hosting/_gauges.py
+++ b/src/geraniumlink/hosting/_gauges.py
@@ -69,7 +69,7 @@
     add_gauge(
         "geraniumlink_configuration_version",
         "Version of the configuration in force; 0 before the first",
-        lambda: _configuration_version(sources.active_configuration),
+        lambda: sources.active_configuration.version,
     )
     add_gauge(
         "geraniumlink_replicas",
@@ -123,10 +123,3 @@
         "Bytes of answers sent to other instances",
         lambda: sources.load_monitor.total_sent_bytes,
     )
-
-
-def _configuration_version(
-    active_configuration: _active_configuration.ActiveConfiguration,
-) -> int:
-    current = active_configuration.current
-    return current.version if current else 0
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -9,7 +9,7 @@
     +- leadership        acquires and renews the controller's lease
     +- controller        places models while the lease is held
     +- reports           sends this instance's demand to the controller
-    +- connections       closes stale idle connections to replicas
+    +- connections       closes stale idle connections
     +- reachability      notices when no replica can be reached
     +- log lines         writes buffered log lines to standard output
     +- load monitor      logs how late the event loop is, and messages
@@ -58,6 +58,8 @@
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _connections
 from geraniumlink.serving import _forward
+from geraniumlink.serving import _peer_relay
+from geraniumlink.serving import _peers
 from geraniumlink.serving import _reachability
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_metrics
@@ -175,6 +177,11 @@
         self._directory = _instance_directory.InstanceDirectory(
             str(settings.peer_address), clock
         )
+        self._connections = _connections.ConnectionPool(clock)
+        self._peer_connections = _connections.ConnectionPool(clock)
+        self._reachability = _reachability.Reachability(
+            self._replicas, self._connections, clock, self._random
+        )
         self._controller_protocol = self._make_controller_protocol()
         self._datagrams = _datagrams.Datagrams(str(settings.peer_address))
         self._origins = _origin_exchange.OriginExchange(
@@ -189,10 +196,6 @@
             clock=clock,
             random_source=self._random,
         )
-        self._connections = _connections.ConnectionPool(clock)
-        self._reachability = _reachability.Reachability(
-            self._replicas, self._connections, clock, self._random
-        )
         self._forwarder = self._make_forwarder()
         self._application = self._make_application()
         self._listener = _server.Listener(
@@ -240,6 +243,7 @@
             controller=self._controller,
             leadership=self._leadership,
             replicas=self._replicas,
+            reachability=self._reachability,
             budgets=self._budgets,
             limits=_limit_exchange.LimitExchange(self._replicas, self._clock),
             request_sync=_table_sync.TableSync(self._suspicions),
@@ -265,6 +269,13 @@
             permits=self._permits,
             metrics=_request_metrics.RequestMetrics(self._metrics.registry),
             connections=self._connections,
+            reachability=self._reachability,
+            peer_relay=_peer_relay.PeerRelay(
+                _peers.Peers(self._directory, self._clock, self._random),
+                self._peer_connections,
+                self._origins,
+                self._clock,
+            ),
             clock=self._clock,
             data_centre=self._settings.data_centre,
             random_source=self._random,
@@ -462,6 +473,7 @@
         while True:
             await self._clock.sleep(CLOSE_STALE_INTERVAL_MS)
             self._connections.close_stale()
+            self._peer_connections.close_stale()
 
 
 def _take_delay_ms(link_mbit_per_s: float | None) -> int:
--- a/src/geraniumlink/platform/__init__.py
+++ b/src/geraniumlink/platform/__init__.py
@@ -10,8 +10,10 @@
 
 from geraniumlink.platform._configuration import decode_configuration
 from geraniumlink.platform._fields import FormatError
+from geraniumlink.platform._heads import decode_relayed_attempts
 from geraniumlink.platform._heads import decode_request_head
 from geraniumlink.platform._heads import decode_response_head
+from geraniumlink.platform._heads import encode_relayed_head
 from geraniumlink.platform._heads import encode_request_head
 from geraniumlink.platform._heads import refusal_headers
 from geraniumlink.platform._heads import ResponseHead
@@ -34,9 +36,11 @@
     "SETTINGS_PATH_VARIABLE",
     "StoreClient",
     "decode_configuration",
+    "decode_relayed_attempts",
     "decode_replica_entry",
     "decode_request_head",
     "decode_response_head",
+    "encode_relayed_head",
     "encode_request_head",
     "read_settings",
     "refusal_headers",
--- a/src/geraniumlink/platform/_heads.py
+++ b/src/geraniumlink/platform/_heads.py
@@ -20,6 +20,8 @@
 _PREFIX_HASH = b"x-prefix-hash"
 _RESPONSE_SEAL = b"x-response-seal"
 _NOT_EXECUTED = b"x-not-executed"
+# Set by instances, on requests that they pass on to each other.
+_RELAYED_ATTEMPTS = b"geraniumlink-relayed-attempts"
 _SERVER_LOAD = b"x-server-load"
 _SERVER_LIMIT = b"server-limit"
 # Hop-by-hop headers (RFC 9110, section 7.6.1), and Expect: they concern one
@@ -52,6 +54,7 @@
         b"kv-from",
         b"kv-fetch",
         b"content-length",
+        _RELAYED_ATTEMPTS,
     )
 )
 # Replicas accept priorities 0 (the most urgent) to 9; a larger one is sent
@@ -169,6 +172,42 @@
     return b"".join(lines)
 
 
+def encode_relayed_head(
+    request: _types.Request,
+    *,
+    left_ms: int,
+    attempts: int,
+    last_event_id: bytes,
+    resumes: bytes,
+) -> bytes:
+    """Return the head of a request that is passed on to another instance.
+
+    :param attempts: how many replicas it was sent to before.
+    :param resumes: the request that the stream began with, if there is a
+        ``last_event_id``.
+    """
+    lines = [request.method, b" ", request.target, b" HTTP/1.1\r\n"]
+    for name, value in request.headers:
+        if name not in (_LAST_EVENT_ID, _RESUMES):
+            lines += [name, b": ", value, b"\r\n"]
+    lines.append(b"x-deadline-ms: %d\r\n" % left_ms)
+    lines.append(b"%b: %d\r\n" % (_RELAYED_ATTEMPTS, attempts))
+    if last_event_id:
+        lines.append(b"last-event-id: %b\r\n" % last_event_id)
+        if resumes:
+            lines.append(b"%b: %b\r\n" % (_RESUMES, resumes))
+    lines.append(b"content-length: %d\r\n\r\n" % len(request.body))
+    return b"".join(lines)
+
+
+def decode_relayed_attempts(headers: _types.Headers) -> int | None:
+    """Return how many replicas another instance sent a request to.
+
+    None if it was not passed on by another instance.
+    """
+    return _bounded_int(dict(headers).get(_RELAYED_ATTEMPTS))
+
+
 def decode_response_head(status: int, headers: _types.Headers) -> ResponseHead:
     """Decode the head of a replica's response; names may be in any case."""
     by_name = {name.lower(): value for name, value in headers}
--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -30,6 +30,7 @@
 from geraniumlink.residency import _messages
 from geraniumlink.residency import _requirements
 from geraniumlink.serving import _outcomes
+from geraniumlink.serving import _reachability
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _retry_budgets
 from geraniumlink.serving import _types
@@ -50,6 +51,9 @@
 # from a replica's own memory or disk. Requests with more time left than this
 # keep asking when no controller answers.
 TAKEOVER_MS = 7000
+# Instances without a path to any replica that an answer names at most; those
+# that aren't named turn down what is passed on to them.
+MAX_WITHOUT_PATH = 64
 # Longest message accepted from another instance. Reports and requirements
 # are much shorter.
 MAX_MESSAGE_BYTES = 262_144
@@ -80,6 +84,7 @@
         controller: _controller.Controller,
         leadership: _leadership.Leadership,
         replicas: _replicas.Replicas,
+        reachability: _reachability.Reachability,
         budgets: _retry_budgets.RetryBudgets,
         limits: _limit_exchange.LimitExchange,
         request_sync: _table_sync.TableSync,
@@ -93,6 +98,7 @@
         self._controller = controller
         self._leadership = leadership
         self._replicas = replicas
+        self._reachability = reachability
         self._budgets = budgets
         self._limits = limits
         # Exchange the suspicions of requests and of prompt parts.
@@ -197,7 +203,8 @@
                 known=self._relay.known_revisions(),
                 loads=self._own_loads(),
                 load_order=self._load_decoder.order,
-                unreachable=sorted(self._replicas.unreachable_names()),
+                unreachable=self._unreachable_names(),
+                path_lost=self._reachability.is_lost,
                 limits=self._limits.make_report(),
                 suspicions=self._request_sync.make_report(),
                 suspected_parts=self._part_sync.make_report(),
@@ -241,7 +248,10 @@
         }
         unreachable = frozenset(str(r) for r in report["unreachable"])
         self._totals.record(sender, loads)
-        self._last_reports[sender] = _messages.LastReport(now, unreachable)
+        path_lost = bool(report.get("path_lost"))
+        self._last_reports[sender] = _messages.LastReport(
+            now, unreachable, str(report["address"]) if path_lost else ""
+        )
         self._last_reports = {
             name: last_report
             for name, last_report in self._last_reports.items()
@@ -272,6 +282,11 @@
             "loads": self._load_encoder.encode(
                 self._totals.excluding(sender), str(report["load_order"])
             ),
+            "without_path": sorted(
+                last_report.without_path
+                for last_report in self._last_reports.values()
+                if last_report.without_path
+            )[:MAX_WITHOUT_PATH],
             "limits": limits,
             "suspicions": suspicions,
             "suspected_parts": suspected_parts,
@@ -289,6 +304,7 @@
         try:
             self._budgets.set_instances(int(answer["instances"]))
             self._directory.apply_list(answer.get("instance_list"))
+            self._directory.set_without_path(answer.get("without_path", ()))
             self._apply_other_loads(self._load_decoder.decode(answer["loads"]))
             if answer.get("limits") is not None:
                 self._limits.apply_answer(answer["limits"])
@@ -314,6 +330,12 @@
         }
         return _messages.loads_to_json(loads)
 
+    def _unreachable_names(self) -> list[str]:
+        """Return the replicas that can't be reached while others can."""
+        if self._reachability.is_lost:
+            return []
+        return sorted(self._replicas.unreachable_names())
+
     def _unreachable_from_half(self) -> set[str]:
         """Return the replicas that at least half of the instances can't reach.
 
--- a/src/geraniumlink/residency/_instance_directory.py
+++ b/src/geraniumlink/residency/_instance_directory.py
@@ -37,6 +37,8 @@
         # Digest of the addresses here; empty if it has to be computed.
         self._digest = ""
         self._others: tuple[str, ...] = ()
+        # Instances that reported to have no path to any replica.
+        self._without_path: frozenset[str] = frozenset()
 
     @property
     def own_address(self) -> str:
@@ -55,6 +57,15 @@
         """
         return self._others
 
+    @property
+    def without_path(self) -> frozenset[str]:
+        """The addresses of the instances that reach no replica."""
+        return self._without_path
+
+    def set_without_path(self, addresses: Iterable[str]) -> None:
+        """Set which instances reach no replica, as they reported."""
+        self._without_path = frozenset(addresses)
+
     def record_report(self, address: str) -> None:
         """Record, as the controller, that an instance has reported.
 
--- a/src/geraniumlink/residency/_messages.py
+++ b/src/geraniumlink/residency/_messages.py
@@ -36,6 +36,8 @@
 
     received_at: int
     unreachable: frozenset[str]
+    # Its address if it has no path to any replica, "" otherwise.
+    without_path: str
 
 
 def loads_to_json(
@@ -79,6 +81,8 @@
     load_order: str
     # Replicas that it recently failed to connect to.
     unreachable: list[str]
+    # Whether it has no path to any replica; its list is empty then.
+    path_lost: bool
     # Limits that replicas stated to it.
     limits: _limit_exchange.News
     # Requests that may have crashed replicas.
--- a/src/geraniumlink/serving/_active_configuration.py
+++ b/src/geraniumlink/serving/_active_configuration.py
@@ -21,6 +21,11 @@
         """The configuration in force; None before the first."""
         return self._current
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 before the first."""
+        return self._current.version if self._current else 0
+
     def apply_if_newer(self, configuration: _types.Configuration) -> bool:
         """Put a configuration in force if its version is newer.
 
--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -102,15 +102,19 @@
         except _http.BrokenError as error:
             return _outcomes.Interrupted(str(error))
         except StalledError:
-            reason = "the replica is silent"
-            replica.note_unreachable(self._clock.now(), reason)
-            return _outcomes.Interrupted(reason)
+            return _outcomes.Interrupted(self._note_stall())
         finally:
             if self._stall_timer is not None:
                 self._stall_timer.cancel()
             replica.in_flight -= 1
             self._end_prefill()
 
+    def _note_stall(self) -> str:
+        """Record that the replica is silent; return that as a reason."""
+        reason = "the replica is silent"
+        self._replica.note_unreachable(self._clock.now(), reason)
+        return reason
+
     async def _exchange(self) -> _outcomes.Outcome:
         """Send the request and receive the response.
 
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -33,6 +33,7 @@
         left_ms=state.deadline - now,
         last_event_id=state.last_event_id.decode("latin-1"),
         resumes=state.request.resumes.decode("latin-1"),
+        relayed_attempts=state.request.relayed_attempts,
     )
 
 
@@ -112,6 +113,18 @@
     )
 
 
+def passed_on(state: _request_state.RequestState, peer: str, now: int) -> None:
+    """Log the instance to which a request is passed on."""
+    _logs.event(
+        "passed_on",
+        request_id=state.log_id,
+        peer=peer,
+        attempt=state.attempts + 1,
+        left_ms=state.deadline - now,
+        last_event_id=state.last_event_id.decode("latin-1"),
+    )
+
+
 def attempt_failed(
     state: _request_state.RequestState,
     outcome: _outcomes.Outcome,
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import typing
 
@@ -23,7 +24,10 @@
 from geraniumlink.serving import _decision_log
 from geraniumlink.serving import _final_answers
 from geraniumlink.serving import _outcomes
+from geraniumlink.serving import _peer_relay
+from geraniumlink.serving import _peers
 from geraniumlink.serving import _permits
+from geraniumlink.serving import _reachability
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _request_state
@@ -37,6 +41,9 @@
 # A request is refused once more connections than this could not be opened
 # for it.
 MAX_CONNECT_FAILURES = 4
+# A connection mostly opens within a few ms. After this long it is taken for a
+# sign that the path to all replicas may be lost.
+SLOW_CONNECT_MS = 100
 # A request isn't retried with less time left before its deadline: no replica
 # answers so fast.
 MIN_TIME_LEFT_MS = 20
@@ -99,6 +106,8 @@
         permits: _permits.Permits,
         metrics: _request_metrics.RequestMetrics,
         connections: _connections.ConnectionPool,
+        reachability: _reachability.Reachability,
+        peer_relay: _peer_relay.PeerRelay,
         clock: _clock.Clock,
         data_centre: str,
         random_source: random.Random,
@@ -118,6 +127,10 @@
         self._random = random_source
         self._final_answers = _final_answers.FinalAnswers(random_source)
         self._connections = connections
+        self._reachability = reachability
+        self._peer_relay = peer_relay
+        # Requests of other instances that are in flight here.
+        self._relayed_in_flight = 0
         self._choose_replica = choose
         self._waiting_count = 0
 
@@ -135,26 +148,19 @@
 
         No task of the request is still running when this returns or raises.
         """
-        current = self._active_configuration.current
-        if current is None:
-            await self._final_answers.send_own(
-                response, _final_answers.UNAVAILABLE, "not started yet"
-            )
-            return
-        route = self._active_configuration.find_route(
-            request.host, request.target
-        )
+        route = await self._find_route(request, response)
         if route is None:
-            await self._final_answers.send_own(
-                response, 404, "no such route", retry=False
-            )
             return
         state = self._make_state(request, response, route)
-        self._budgets.deposit(state.service)
-        if request.model:
-            self._residency.note_demand(state.service, request)
+        self._relayed_in_flight += request.is_relayed
+        # The instance to which the client sent it counts a relayed one.
+        if not request.is_relayed:
+            self._budgets.deposit(state.service)
+            if request.model:
+                self._residency.note_demand(state.service, request)
         now = self._clock.now()
-        _decision_log.admitted(state, current.version, now)
+        version = self._active_configuration.version
+        _decision_log.admitted(state, version, now)
         left_ms = state.deadline - now
         try:
             with anyio.move_on_after(left_ms / 1000) as scope:
@@ -167,10 +173,48 @@
             state.outcome = state.outcome or "client left"
             raise
         finally:
+            self._relayed_in_flight -= request.is_relayed
             now = self._clock.now()
             _decision_log.finished(state, now)
             self._metrics.record_request(state, now)
 
+    async def _find_route(
+        self,
+        request: _types.Request,
+        response: _response_writer.ResponseWriter,
+    ) -> _types.Route | None:
+        """Return a request's route; None if it got its final answer here."""
+        route = self._active_configuration.find_route(
+            request.host, request.target
+        )
+        if request.is_relayed and not self._takes_relayed(route):
+            await self._final_answers.send_own(
+                response,
+                _peer_relay.MISDIRECTED,
+                "not taken from another instance",
+                retry=False,
+            )
+            return None
+        if self._active_configuration.current is None:
+            await self._final_answers.send_own(
+                response, _final_answers.UNAVAILABLE, "not started yet"
+            )
+            return None
+        if route is None:
+            await self._final_answers.send_own(
+                response, 404, "no such route", retry=False
+            )
+        return route
+
+    def _takes_relayed(self, route: _types.Route | None) -> bool:
+        """Whether a request of another instance can be served here."""
+        return (
+            route is not None
+            and self._replicas.has_full_list
+            and not self._reachability.is_lost
+            and _peers.has_room(self._relayed_in_flight, route.priority)
+        )
+
     def _make_state(
         self,
         request: _types.Request,
@@ -248,26 +292,51 @@
         return origin, "sole version"
 
     async def _run_attempts(self, state: _request_state.RequestState) -> None:
-        """Send the request to replicas until there is a final response."""
+        """Send the request on until there is a final response."""
         while True:
-            choice = await self._select_replica(state)
-            if isinstance(choice, _outcomes.Refusal):
-                await self._final_answers.send_refusal(state, choice)
-                return
-            outcome = await self._run_attempt(state, choice)
+            target = await self._select_target(state)
+            match target:
+                case _outcomes.Refusal():
+                    await self._final_answers.send_refusal(state, target)
+                    return
+                case _peers.Peer():
+                    outcome = await self._peer_relay.send(state, target)
+                case _:
+                    outcome = await self._run_attempt(state, target)
+                    state.tried_replicas.add(target.replica.entry.name)
             self._metrics.record_attempt(
                 state.service, type(outcome).__name__.lower()
             )
             if isinstance(outcome, _outcomes.Done):
                 state.outcome = "done"
                 return
-            state.tried_replicas.add(choice.replica.entry.name)
             why_final = self._why_not_retried(state, outcome)
             _decision_log.attempt_failed(state, outcome, why_final)
             if why_final:
                 await self._final_answers.send_failure(state, outcome)
                 return
 
+    async def _select_target(
+        self, state: _request_state.RequestState
+    ) -> _balance.Choice | _peers.Peer | _outcomes.Refusal:
+        """Choose a replica, or another instance if none can be reached."""
+        if not self._must_pass_on(state):
+            choice = await self._select_replica(state)
+            if choice is not None:
+                return choice
+        peer = self._peer_relay.choose()
+        if peer is None:
+            return self._final_answers.make_refusal(
+                "no replica can be reached"
+            )
+        return peer
+
+    def _must_pass_on(self, state: _request_state.RequestState) -> bool:
+        """Whether only another instance can send the request to a replica."""
+        if state.request.is_relayed:
+            return False
+        return state.passed_on or self._reachability.is_lost
+
     def _why_not_retried(
         self, state: _request_state.RequestState, outcome: _outcomes.Outcome
     ) -> str:
@@ -285,8 +354,9 @@
                 if state.connect_failures <= MAX_CONNECT_FAILURES
                 else "not connected"
             )
-        if not _may_retry(state, outcome):
-            return "the route does not allow it after this"
+        why_not = _why_may_not_retry(state, outcome)
+        if why_not:
+            return why_not
         if state.attempts >= state.route.max_attempts:
             return "no attempts left"
         if self._is_confirmed_crasher(state):
@@ -299,38 +369,36 @@
 
     async def _select_replica(
         self, state: _request_state.RequestState
-    ) -> _balance.Choice | _outcomes.Refusal:
-        """Choose a replica; wait for the model to be loaded if need be."""
+    ) -> _balance.Choice | _outcomes.Refusal | None:
+        """Choose a replica; wait for the model to be loaded if need be.
+
+        :returns: None if the path to all replicas was found lost.
+        """
         while True:
             why_refused = self._why_crashes_likely(state)
             if why_refused:
                 return _outcomes.Refusal(why_refused, None)
-            now = self._clock.now()
+            request = state.request
             excluded = self._excluded_names(state)
             available = [
                 replica
                 for replica in self._replicas.available(state.service)
                 if replica.entry.name not in excluded
             ]
+            candidates = self._find_holders(request, available)
+            if not candidates and await self._has_lost_path(state, excluded):
+                return None
             if not available:
                 return self._final_answers.make_refusal(
                     "no replica is in service"
                 )
-            request = state.request
-            candidates = [
-                replica
-                for replica in available
-                if replica.can_serve(request.model, request.adapter, now)
-            ]
             avoid = excluded | self._replicas.unreachable_names()
             if candidates:
-                choice = await self._choose_with_permit(state, candidates)
-                if not isinstance(choice, _permits.Denied):
+                choice = await self._choose_with_permit(
+                    state, candidates, available
+                )
+                if choice is not None:
                     return choice
-                if not _can_have_another_copy(request, available):
-                    return self._final_answers.make_refusal(
-                        "the replicas limit their rate", choice.retry_ms
-                    )
                 avoid |= {r.entry.name for r in candidates}
             refusal = await self._wait_until_loaded(
                 state, len(available), avoid
@@ -338,6 +406,35 @@
             if refusal is not None:
                 return refusal
 
+    def _find_holders(
+        self, request: _types.Request, replicas: list[_replicas.Replica]
+    ) -> list[_replicas.Replica]:
+        """Return the replicas that hold what a request needs."""
+        now = self._clock.now()
+        return [
+            replica
+            for replica in replicas
+            if replica.can_serve(request.model, request.adapter, now)
+        ]
+
+    async def _has_lost_path(
+        self, state: _request_state.RequestState, excluded: set[str]
+    ) -> bool:
+        """Whether a replica could serve the request if it were reached."""
+        now = self._clock.now()
+        hidden = [
+            replica
+            for replica in self._replicas.registered(state.service)
+            if replica.paused_until > now
+            and not replica.leaving
+            and replica.entry.name not in excluded
+        ]
+        return (
+            not state.request.is_relayed
+            and bool(self._find_holders(state.request, hidden))
+            and await self._reachability.check()
+        )
+
     async def _wait_until_loaded(
         self,
         state: _request_state.RequestState,
@@ -396,11 +493,12 @@
         self,
         state: _request_state.RequestState,
         candidates: list[_replicas.Replica],
-    ) -> _balance.Choice | _outcomes.Refusal | _permits.Denied:
+        available: list[_replicas.Replica],
+    ) -> _balance.Choice | _outcomes.Refusal | None:
         """Choose a candidate, with a permit if it limits its rate.
 
-        :returns: a denial if all limit their rate and none has a permit in
-            time.
+        :returns: None if all limit their rate, none has a permit in time, and
+            an available replica without a limit may load the model.
         """
         for _ in range(MAX_PERMIT_REQUESTS):
             now = self._clock.now()
@@ -418,7 +516,14 @@
         unlimited = [r for r in candidates if r.rate_limit.per_s is None]
         if unlimited:
             return self._choose_in_time(state, unlimited, now)
-        return await self._wait_for_permit(state, candidates)
+        choice_or_denial = await self._wait_for_permit(state, candidates)
+        if not isinstance(choice_or_denial, _permits.Denied):
+            return choice_or_denial
+        if _can_have_another_copy(state.request, available):
+            return None
+        return self._final_answers.make_refusal(
+            "the replicas limit their rate", choice_or_denial.retry_ms
+        )
 
     async def _wait_for_permit(
         self,
@@ -497,6 +602,9 @@
         entry = replica.entry
         state.last_replica = entry.name
         _decision_log.attempt(state, choice, self._clock.now())
+        slow_timer = asyncio.get_running_loop().call_later(
+            SLOW_CONNECT_MS / 1000, self._reachability.suspect
+        )
         try:
             connection = await self._connections.acquire(
                 entry.name,
@@ -505,7 +613,10 @@
             )
         except _http.NotSentError as error:
             replica.note_unreachable(self._clock.now(), str(error))
+            await self._reachability.check()
             return _outcomes.Unsent(str(error))
+        finally:
+            slow_timer.cancel()
         state.attempts += 1
         attempt = _attempt.Attempt(
             self._clock,
@@ -571,6 +682,8 @@
             await self._connections.check_listener(entry.address)
         except _http.NoListenerError as error:
             replica.note_unreachable(self._clock.now(), str(error))
+            if await self._reachability.check(is_certain=True):
+                return
             crash = _suspicions.ServerProcess(
                 str(entry.address), str(entry.started_at)
             )
@@ -620,14 +733,17 @@
     )
 
 
-def _may_retry(
+def _why_may_not_retry(
     state: _request_state.RequestState, outcome: _outcomes.Outcome
-) -> bool:
-    """Whether a retry is allowed after a request reached a replica."""
+) -> str:
+    """Return why there may be no retry after an outcome; "" if there may."""
+    if state.passed_on and isinstance(outcome, _outcomes.Failed):
+        return "the other instance's answer is final"
     match outcome:
         case _outcomes.NotRun():
-            return True
+            may_retry = True
         case _outcomes.Failed(status=status):
-            return state.can_be_repeated and status >= 500
+            may_retry = state.can_be_repeated and status >= 500
         case _:
-            return state.can_be_repeated
+            may_retry = state.can_be_repeated
+    return "" if may_retry else "the route does not allow it after this"
--- a/src/geraniumlink/serving/_reachability.py
+++ b/src/geraniumlink/serving/_reachability.py
@@ -65,6 +65,8 @@
         self._successes = 0
         # No probe before this time.
         self._reached_until = 0
+        # Set when a connection is slow to open.
+        self._suspected = anyio.Event()
         # Set when the probe in progress ends; None if there is none.
         self._probed: anyio.Event | None = None
 
@@ -73,26 +75,38 @@
         """Whether the path to all replicas is taken for lost."""
         return self._lost_at is not None
 
-    async def check(self) -> bool:
-        """Return whether the path is lost, after a probe if in doubt."""
-        if self._lost_at is None and self._clock.now() >= self._reached_until:
-            await self._run_probe("a replica was not reached")
+    def suspect(self) -> None:
+        """Have the path probed at once, unless it was a moment ago."""
+        self._suspected.set()
+
+    async def check(self, is_certain: bool = False) -> bool:
+        """Return whether the path is lost, after a probe if in doubt.
+
+        :param is_certain: whether a probe of a moment ago isn't enough.
+        """
+        if self._lost_at is None and (
+            is_certain or self._clock.now() >= self._reached_until
+        ):
+            await self._run_probe()
         return self.is_lost
 
     async def run(self) -> None:
         """Probe when all replicas are silent, and while the path is lost."""
         while True:
-            await self._clock.sleep(CHECK_INTERVAL_MS)
+            with anyio.move_on_after(CHECK_INTERVAL_MS / 1000):
+                await self._suspected.wait()
+            is_suspected = self._suspected.is_set()
+            self._suspected = anyio.Event()
             silent_ms = self._replicas.silent_ms()
             if self._lost_at is not None:
-                await self._run_probe("the path is lost")
-            elif (
-                silent_ms > SILENCE_MS
-                and self._clock.now() >= self._reached_until
-            ):
-                await self._run_probe(f"all are silent for {silent_ms} ms")
-
-    async def _run_probe(self, reason: str) -> None:
+                # Suspicions must not make the probes more frequent.
+                if is_suspected:
+                    await self._clock.sleep(CHECK_INTERVAL_MS)
+                await self._run_probe()
+            elif is_suspected or silent_ms > SILENCE_MS:
+                await self.check()
+
+    async def _run_probe(self) -> None:
         """Probe some replicas, or wait for the probe in progress."""
         if self._probed is not None:
             await self._probed.wait()
@@ -113,7 +127,7 @@
         self._probed = anyio.Event()
         try:
             reached = await self._reaches_any(sample)
-            self._apply(reached, len(sample), reason)
+            self._apply(reached, len(sample))
         finally:
             self._probed.set()
             self._probed = None
@@ -135,14 +149,18 @@
                 group.start_soon(try_one, address, index * STAGGER_MS)
         return reached
 
-    def _apply(self, reached: bool, probes: int, reason: str) -> None:
+    def _apply(self, reached: bool, probes: int) -> None:
         """Record the result of a probe."""
         now = self._clock.now()
         if not reached:
             self._successes = 0
             if self._lost_at is None:
                 self._lost_at = now
-                _logs.event("path_lost", probes=probes, reason=reason)
+                _logs.event(
+                    "path_lost",
+                    probes=probes,
+                    silent_ms=self._replicas.silent_ms(),
+                )
             return
         self._reached_until = now + REACHED_MS
         self._successes += 1
--- a/src/geraniumlink/serving/_request_state.py
+++ b/src/geraniumlink/serving/_request_state.py
@@ -38,8 +38,11 @@
         self.first_event_deadline = request.received_at + _first_event_ms(
             route
         )
-        # Replicas that it was sent to.
-        self.attempts = 0
+        # Replicas that it was sent to, also by another instance before.
+        self.attempts = request.relayed_attempts or 0
+        # Whether another instance took it, and may have sent it to replicas
+        # that aren't known here.
+        self.passed_on = False
         # Attempts for which no connection could be opened.
         self.connect_failures = 0
         # Names of the replicas of all attempts, which are not chosen again.
--- a/src/geraniumlink/serving/_types.py
+++ b/src/geraniumlink/serving/_types.py
@@ -203,6 +203,14 @@
     # Id of the request that the stream began with, when the client resumes
     # it; empty otherwise, and when the client did not say.
     resumes: bytes = b""
+    # How many replicas another instance had sent it to before it passed it
+    # on; None if a client sent it here.
+    relayed_attempts: int | None = None
+
+    @property
+    def is_relayed(self) -> bool:
+        """Whether another instance passed it on."""
+        return self.relayed_attempts is not None
 
 
 class LoadReport(typing.NamedTuple):
--- a/tests/test_controller_protocol.py
+++ b/tests/test_controller_protocol.py
@@ -42,6 +42,7 @@
         controller=None,
         leadership=_Leadership(),
         replicas=_replicas.Replicas(clock, 2000),
+        reachability=None,
         budgets=None,
         limits=None,
         request_sync=None,
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -22,10 +22,10 @@
 _EVENTS = b"".join(replicas.event(n) for n in range(1, replicas.EVENTS + 1))
 
 
-async def _start_site(fleet, models=(), **fields):
-    """Start three instances of which the last one can be cut off."""
+async def _start_site(fleet, models=(), instances=3, **fields):
+    """Start instances of which the last one can be cut off."""
     site = await hosts.Site(fleet).start(
-        replicas=3, instances=2, models=models, **fields
+        replicas=3, instances=instances - 1, models=models, **fields
     )
     partition = await site.add_partitionable_instance()
 
@@ -34,7 +34,7 @@
             hosts.find_log_lines(instance, "instances_known")
             for instance in site.instances
         ]
-        return all(k and k[-1]["instances"] == 3 for k in known)
+        return all(k and k[-1]["instances"] == instances for k in known)
 
     await fleet.until(is_connected, "all instances know each other")
     return site, partition
@@ -99,3 +99,123 @@
     served = await _send_for(port, _MEASURED_S, X_Model="m1")
     assert sum(served) >= _LEAST_PART * len(served)
     assert not await site.orders()
+
+
+async def _wait_for_log_line(partition, message):
+    await partition.fleet.until(
+        lambda: hosts.find_log_lines(partition.instance, message), message
+    )
+
+
+async def _lose_path(partition, how="refuse"):
+    """Cut an instance off, and wait until it has noticed."""
+    await partition.cut(how)
+    target = "/safe/x"
+    with anyio.move_on_after(10):
+        while not hosts.find_log_lines(partition.instance, "path_lost"):
+            # Kept connections live on, so several requests at once.
+            async with anyio.create_task_group() as group:
+                for _ in range(8):
+                    group.start_soon(
+                        hosts.send_request, partition.instance.port, target
+                    )
+
+
+async def test_requests_go_to_replicas_directly_once_the_path_is_back(fleet):
+    site, partition = await _start_site(fleet)
+    await _lose_path(partition, "reset")
+    await partition.heal()
+    await _wait_for_log_line(partition, "path_back")
+    before = len(hosts.find_log_lines(partition.instance, "passed_on"))
+    assert all(await _send_for(partition.instance.port, 1))
+    after = len(hosts.find_log_lines(partition.instance, "passed_on"))
+    assert after == before
+
+
+async def test_a_request_is_refused_at_once_where_no_instance_has_a_path(
+    fleet,
+):
+    """Instances don't pass it on to each other in a loop."""
+    site, partition = await _start_site(fleet, instances=2)
+    other = await site.add_partitionable_instance()
+    site.instances[0].kill()
+    for cut_off in (partition, other):
+        await _lose_path(cut_off)
+    began = time.monotonic()
+    answer = await hosts.send_request(partition.instance.port, "/once/x")
+    assert answer.status == 503
+    assert time.monotonic() - began < 1
+    assert float(answer.headers["retry-after"]) > 0
+
+
+async def test_a_client_cannot_mark_its_request_as_passed_on(fleet):
+    site = await hosts.Site(fleet).start(replicas=1)
+    answer = await hosts.send_request(
+        site.instances[0].port,
+        "/safe/x",
+        Geraniumlink_Relayed_Attempts="7",
+    )
+    assert answer.status == 200
+    (run,) = (await site.runs())["r-1"]
+    assert "geraniumlink-relayed-attempts" not in run["headers"]
+    (admitted,) = hosts.find_log_lines(site.instances[0], "admitted")
+    assert admitted["relayed_attempts"] is None
+
+
+async def test_a_client_that_leaves_ends_its_request_at_the_replica(fleet):
+    site, partition = await _start_site(fleet)
+    await _lose_path(partition)
+    for name in site.replicas:
+        await site.faults(name, hang=True)
+    with anyio.move_on_after(0.5):
+        await hosts.send_request(
+            partition.instance.port, "/once/x", X_Request_Id="leaves"
+        )
+    left_at = time.monotonic()
+
+    async def is_cancelled():
+        runs = [
+            run
+            for runs in (await site.runs()).values()
+            for run in runs
+            if run["id"] == "leaves"
+        ]
+        return runs and runs[0]["ended"] == "cancelled" and runs
+
+    await fleet.until(is_cancelled, "the run is cancelled")
+    (run,) = await is_cancelled()
+    assert run["ended_at"] - left_at < 0.5
+
+
+async def test_a_stream_goes_on_after_the_instance_that_relayed_it_ends(
+    fleet,
+):
+    site, partition = await _start_site(fleet)
+    await _lose_path(partition)
+    for name in site.replicas:
+        await site.faults(name, event_ms=150)
+    answers = []
+
+    async def send():
+        answers.append(
+            await hosts.send_request(partition.instance.port, "/stream/x")
+        )
+
+    async with anyio.create_task_group() as group:
+        for _ in range(6):
+            group.start_soon(send)
+        await anyio.sleep(0.5)
+        site.instances[0].kill()
+    assert all(_is_served("/stream/x", answer) for answer in answers)
+    passed_on = hosts.find_log_lines(partition.instance, "passed_on")
+    assert any(line["attempt"] == 2 for line in passed_on)
+
+
+async def test_a_model_that_a_cut_hides_is_not_waited_for(fleet):
+    site, partition = await _start_site(fleet, models=("m1",))
+    await _lose_path(partition)
+    answer = await hosts.send_request(
+        partition.instance.port, "/once/x", X_Model="m1"
+    )
+    assert answer.status == 200
+    assert not hosts.find_log_lines(partition.instance, "waiting")
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -6,7 +6,9 @@
 import pytest
 
 from emulator import _virtual_time
+from geraniumlink import _clock
 from geraniumlink import _settings
+from geraniumlink.serving import _peers
 from geraniumlink.serving import _reachability
 from geraniumlink.serving import _replicas
 from tests import builders
@@ -126,3 +128,33 @@
         return len(probe.tried)
 
     assert _run(scenario) <= 2 * _reachability.PROBES
+
+
+class _Directory:
+    others = ("10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000")
+    without_path = frozenset(("10.0.0.1:7000",))
+
+
+def test_requests_are_passed_on_to_instances_that_take_them():
+    clock = _clock.ManualClock()
+    peers = _peers.Peers(_Directory(), clock, random.Random(1))
+    chosen = {peers.choose().name for _ in range(20)}
+    assert chosen == {"10.0.0.2:7000", "10.0.0.3:7000"}
+    failed = peers.choose()
+    peers.note_failure(failed)
+    other = peers.choose()
+    assert all(peers.choose() is other for _ in range(20))
+    peers.note_failure(other)
+    assert peers.choose() is None
+    clock.advance(_peers.FAILED_MS)
+    assert peers.choose() is not None
+
+
+def test_requests_of_others_are_bounded_and_urgent_ones_taken_longest():
+    limits = [
+        next(n for n in range(1000) if not _peers.has_room(n, priority))
+        for priority in range(5)
+    ]
+    assert limits[0] == _peers.MAX_RELAYED
+    assert limits == sorted(limits, reverse=True)
+    assert limits[-1] > 0
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -239,6 +239,12 @@
         pass
 
 
+class _Reachability:
+    """The path to the replicas is never lost."""
+
+    is_lost = False
+
+
 @pytest.mark.anyio
 async def test_a_load_on_an_unknown_replica_does_not_cause_a_busy_loop():
     """The controller may know of a load before this instance does.
@@ -265,6 +271,8 @@
         permits=None,
         metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
         connections=_connections.ConnectionPool(clock),
+        reachability=_Reachability(),
+        peer_relay=None,
         clock=clock,
         data_centre="dc1",
         random_source=random.Random(1),
