Leave the controller's lease to an instance that reaches replicas

After 1.5 s without a path it releases the lease, if some instance isn't known to have lost its path too, and doesn't take it again meanwhile. The new test timed out before.

--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -132,6 +132,14 @@
             now = self._clock.now()
             self._observations[shard] = _Observation(version, now, holder)
 
+    async def read_holder(self, shard: str) -> str:
+        """Return the holder as stored; '' if there is none.
+
+        :raises _objects.UnavailableError: if the API does not answer.
+        """
+        current = parse(await self._objects.get(KIND, shard))
+        return current.holder if current else ""
+
     async def try_take(self, shard: str) -> HeldLease | None:
         """Take a lease that is free or expired; return None for any other.
 
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -89,6 +89,9 @@
 # of 1 Mbit/s; it is in proportion to the time that a link needs for a message.
 TAKE_DELAY_MS_MBIT = 10_000
 MAX_TAKE_DELAY_MS = 1200
+# An instance without a path to any replica leaves the controller's lease to
+# others after this long: by then they have reported whether they have one.
+YIELD_LEASE_AFTER_MS = 1500
 # Interval at which idle connections to replicas are checked.
 CLOSE_STALE_INTERVAL_MS = 1000
 # Changes within this time are read by one call to the store. A configuration
@@ -182,6 +185,7 @@
         self._reachability = _reachability.Reachability(
             self._replicas, self._connections, clock, self._random
         )
+        self._leadership.yield_while(self._must_yield_lease)
         self._controller_protocol = self._make_controller_protocol()
         self._datagrams = _datagrams.Datagrams(str(settings.peer_address))
         self._origins = _origin_exchange.OriginExchange(
@@ -324,6 +328,16 @@
             and self._replicas.has_full_list
         )
 
+    def _must_yield_lease(self) -> bool:
+        """Whether the controller's lease is left to an instance with a path.
+
+        A controller that reaches no replica can't load any model. If no
+        instance has a path, the lease stays where it is.
+        """
+        if self._reachability.lost_ms < YIELD_LEASE_AFTER_MS:
+            return False
+        return bool(set(self._directory.others) - self._directory.without_path)
+
     async def run(self) -> None:
         """Run all parts until the instance has drained after SIGTERM."""
         _logs.event("started", data_centre=self._settings.data_centre)
--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -61,6 +61,7 @@
         # Until then the leader's reports stand in for reads of the lease.
         self._leader_confirmed_until = 0
         self._released = False
+        self._must_yield: Callable[[], bool] = lambda: False
         self._store_reachable = True
         self._on_store_recovery: Callable[[], None] = lambda: None
 
@@ -122,6 +123,10 @@
         """Set the callback for when the store answers again after a fault."""
         self._on_store_recovery = callback
 
+    def yield_while(self, condition: Callable[[], bool]) -> None:
+        """Leave the lease to other instances while a condition holds."""
+        self._must_yield = condition
+
     async def run(self) -> None:
         """Acquire the lease whenever it is free, and renew it, for ever."""
         while True:
@@ -139,7 +144,9 @@
         if self._released:
             return
         try:
-            if self._held is None:
+            if self._must_yield():
+                await self._yield()
+            elif self._held is None:
                 await self._try_acquire()
             else:
                 await self._renew(self._held)
@@ -158,6 +165,13 @@
         if held is not None:
             await self._leases.release(held)
 
+    async def _yield(self) -> None:
+        """Release the lease if it is held, and look who holds it."""
+        held, self._held = self._held, None
+        if held is not None:
+            await self._leases.release(held)
+        self._leader = await self._leases.read_holder(SHARD)
+
     async def _try_acquire(self) -> None:
         before = self._clock.since_boot()
         held = await self._leases.try_take(SHARD)
--- a/src/geraniumlink/serving/_reachability.py
+++ b/src/geraniumlink/serving/_reachability.py
@@ -75,6 +75,13 @@
         """Whether the path to all replicas is taken for lost."""
         return self._lost_at is not None
 
+    @property
+    def lost_ms(self) -> int:
+        """For how long the path has been lost; 0 while it isn't."""
+        if self._lost_at is None:
+            return 0
+        return self._clock.now() - self._lost_at
+
     def suspect(self) -> None:
         """Have the path probed at once, unless it was a moment ago."""
         self._suspected.set()
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -219,3 +219,26 @@
     )
     assert answer.status == 200
     assert not hosts.find_log_lines(partition.instance, "waiting")
+
+
+async def test_a_controller_without_a_path_leaves_its_lease_to_another(fleet):
+    site = await hosts.Site(fleet).start(replicas=0, instances=0)
+    for models in (("m1",), ("m2",), ("m2",)):
+        await site.add_replica(*models, near="m3")
+    partition = await site.add_partitionable_instance()
+    await _wait_for_log_line(partition, "lease_taken")
+    other = await site.add_instance()
+    await _lose_path(partition)
+    await _wait_for_log_line(partition, "lease_released")
+    await fleet.until(
+        lambda: hosts.find_log_lines(other, "lease_taken"), "it is taken"
+    )
+
+    async def is_served():
+        answer = await hosts.send_request(
+            partition.instance.port, "/once/x", X_Model="m3"
+        )
+        return answer.status == 200
+
+    await fleet.until(is_served, "a model that had to be loaded is served")
+    assert len(hosts.find_log_lines(partition.instance, "lease_taken")) == 1
