--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -28,6 +28,7 @@
 from geraniumlink.serving import _peers
 from geraniumlink.serving import _permits
 from geraniumlink.serving import _reachability
+from geraniumlink.serving import _replica_choice
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _request_state
@@ -59,11 +60,6 @@
 # at most this many times the route's timeout ago, as clients retry once or
 # twice within it.
 ORIGIN_WINDOW_TIMEOUTS = 2
-# Replicas with a limit that one request asks for a permit in turn. Each answer
-# takes a message to another instance and back.
-MAX_PERMIT_REQUESTS = 3
-# A denial counts for this long at most, since a limit may be raised or end.
-MAX_DENIAL_MS = 1000
 # Why a request is refused or not retried.
 _CRASHED_BEFORE = "it crashed replicas before"
 _PART_CRASHED_BEFORE = "a part of its prompt crashed replicas before"
@@ -120,10 +116,8 @@
         self._suspicions = suspicions
         self._prompt_parts = prompt_parts
         self._origins = origins
-        self._permits = permits
         self._metrics = metrics
         self._clock = clock
-        self._data_centre = data_centre
         self._random = random_source
         self._final_answers = _final_answers.FinalAnswers(random_source)
         self._connections = connections
@@ -131,7 +125,15 @@
         self._peer_relay = peer_relay
         # Requests of other instances that are in flight here.
         self._relayed_in_flight = 0
-        self._choose_replica = choose
+        self._chooser = _replica_choice.ReplicaChooser(
+            replicas=replicas,
+            permits=permits,
+            final_answers=self._final_answers,
+            clock=clock,
+            data_centre=data_centre,
+            random_source=random_source,
+            choose=choose,
+        )
         self._waiting_count = 0
 
     @property
@@ -394,7 +396,7 @@
                 )
             avoid = excluded | self._replicas.unreachable_names()
             if candidates:
-                choice = await self._choose_with_permit(
+                choice = await self._chooser.choose(
                     state, candidates, available
                 )
                 if choice is not None:
@@ -489,111 +491,6 @@
             if replica.entry.name not in avoid
         )
 
-    async def _choose_with_permit(
-        self,
-        state: _request_state.RequestState,
-        candidates: list[_replicas.Replica],
-        available: list[_replicas.Replica],
-    ) -> _balance.Choice | _outcomes.Refusal | None:
-        """Choose a candidate, with a permit if it limits its rate.
-
-        :returns: None if all limit their rate, none has a permit in time, and
-            an available replica without a limit may load the model.
-        """
-        for _ in range(MAX_PERMIT_REQUESTS):
-            now = self._clock.now()
-            undenied = [r for r in candidates if r.denied_until <= now]
-            if not undenied:
-                break
-            choice = self._choose_in_time(state, undenied, now)
-            if (
-                isinstance(choice, _outcomes.Refusal)
-                or choice.replica.rate_limit.per_s is None
-                or await self._acquire_permit(state, choice.replica, 0) is None
-            ):
-                return choice
-        now = self._clock.now()
-        unlimited = [r for r in candidates if r.rate_limit.per_s is None]
-        if unlimited:
-            return self._choose_in_time(state, unlimited, now)
-        choice_or_denial = await self._wait_for_permit(state, candidates)
-        if not isinstance(choice_or_denial, _permits.Denied):
-            return choice_or_denial
-        if _can_have_another_copy(state.request, available):
-            return None
-        return self._final_answers.make_refusal(
-            "the replicas limit their rate", choice_or_denial.retry_ms
-        )
-
-    async def _wait_for_permit(
-        self,
-        state: _request_state.RequestState,
-        candidates: list[_replicas.Replica],
-    ) -> _balance.Choice | _permits.Denied:
-        """Choose the candidate that has a permit first, if that is in time.
-
-        The less urgent a request, the smaller the part of its time that it
-        may wait, so that urgent ones find permits when there are too few.
-        """
-        request, priority = state.request, state.route.priority
-        soonest = sorted(candidates, key=lambda r: r.denied_until)
-        retry_ms = MAX_DENIAL_MS
-        for replica in soonest[:MAX_PERMIT_REQUESTS]:
-            now = self._clock.now()
-            expected_ms = _balance.estimate_first_event_ms(
-                replica, request, priority, now
-            )
-            spare_ms = state.latest_first_event - now - expected_ms
-            if spare_ms <= 0:
-                break
-            max_delay_ms = int(spare_ms / (1 + priority))
-            denied = await self._acquire_permit(state, replica, max_delay_ms)
-            if denied is not None:
-                retry_ms = min(retry_ms, denied.retry_ms)
-            # It may have begun to leave during the wait.
-            elif self._replicas.is_available(replica.entry.name):
-                return _balance.Choice(replica, expected_ms)
-        return _permits.Denied(retry_ms)
-
-    async def _acquire_permit(
-        self,
-        state: _request_state.RequestState,
-        replica: _replicas.Replica,
-        max_delay_ms: int,
-    ) -> _permits.Denied | None:
-        """Get a permit and wait until it is due; return None once it is."""
-        began = self._clock.now()
-        answer = await self._permits.acquire(replica, max_delay_ms)
-        now = self._clock.now()
-        _decision_log.permit(state, replica, answer, now - began)
-        if isinstance(answer, _permits.Denied):
-            replica.denied_until = now + min(answer.retry_ms, MAX_DENIAL_MS)
-            return answer
-        await self._clock.sleep(answer.delay_ms)
-        return None
-
-    def _choose_in_time(
-        self,
-        state: _request_state.RequestState,
-        candidates: list[_replicas.Replica],
-        now: int,
-    ) -> _balance.Choice | _outcomes.Refusal:
-        """Choose a candidate, or refuse if its answer would be too late."""
-        choice = self._choose_replica(
-            candidates,
-            state.request,
-            state.route.priority,
-            self._data_centre,
-            now,
-            self._random,
-        )
-        late_ms = choice.expected_ms - (state.latest_first_event - now)
-        if late_ms > 0:
-            return self._final_answers.make_refusal(
-                "no replica can answer in time", late_ms
-            )
-        return choice
-
     async def _run_attempt(
         self, state: _request_state.RequestState, choice: _balance.Choice
     ) -> _outcomes.Outcome:
@@ -724,15 +621,6 @@
         return standing is _suspicions.Standing.CONFIRMED
 
 
-def _can_have_another_copy(
-    request: _types.Request, available: list[_replicas.Replica]
-) -> bool:
-    """Whether a replica without a limit could load the request's model."""
-    return bool(request.model) and any(
-        replica.rate_limit.per_s is None for replica in available
-    )
-
-
 def _why_may_not_retry(
     state: _request_state.RequestState, outcome: _outcomes.Outcome
 ) -> str:
--- /dev/null
+++ b/src/geraniumlink/serving/_replica_choice.py
@@ -0,0 +1,162 @@
+"""Chooses a replica that can answer in time, with a permit if it needs one.
+
+Answers the load of replicas that limit what all instances send them: such a
+replica is used as far as permits go, and others are used first.
+"""
+
+from __future__ import annotations
+
+import random
+
+from geraniumlink import _clock
+from geraniumlink.serving import _balance
+from geraniumlink.serving import _decision_log
+from geraniumlink.serving import _final_answers
+from geraniumlink.serving import _outcomes
+from geraniumlink.serving import _permits
+from geraniumlink.serving import _replicas
+from geraniumlink.serving import _request_state
+from geraniumlink.serving import _types
+
+# Replicas with a limit that one request asks for a permit in turn. Each answer
+# takes a message to another instance and back.
+MAX_PERMIT_REQUESTS = 3
+# A denial counts for this long at most, since a limit may be raised or end.
+MAX_DENIAL_MS = 1000
+
+
+class ReplicaChooser:
+    """Chooses among the replicas that hold what a request needs."""
+
+    def __init__(
+        self,
+        *,
+        replicas: _replicas.Replicas,
+        permits: _permits.Permits,
+        final_answers: _final_answers.FinalAnswers,
+        clock: _clock.Clock,
+        data_centre: str,
+        random_source: random.Random,
+        choose: _balance.ChooseReplica,
+    ) -> None:
+        self._replicas = replicas
+        self._permits = permits
+        self._final_answers = final_answers
+        self._clock = clock
+        self._data_centre = data_centre
+        self._random = random_source
+        self._choose_replica = choose
+
+    async def choose(
+        self,
+        state: _request_state.RequestState,
+        candidates: list[_replicas.Replica],
+        available: list[_replicas.Replica],
+    ) -> _balance.Choice | _outcomes.Refusal | None:
+        """Choose a candidate, with a permit if it limits its rate.
+
+        :returns: None if all limit their rate, none has a permit in time, and
+            an available replica without a limit may load the model.
+        """
+        for _ in range(MAX_PERMIT_REQUESTS):
+            now = self._clock.now()
+            undenied = [r for r in candidates if r.denied_until <= now]
+            if not undenied:
+                break
+            choice = self._choose_in_time(state, undenied, now)
+            if (
+                isinstance(choice, _outcomes.Refusal)
+                or choice.replica.rate_limit.per_s is None
+                or await self._acquire_permit(state, choice.replica, 0) is None
+            ):
+                return choice
+        now = self._clock.now()
+        unlimited = [r for r in candidates if r.rate_limit.per_s is None]
+        if unlimited:
+            return self._choose_in_time(state, unlimited, now)
+        choice_or_denial = await self._wait_for_permit(state, candidates)
+        if not isinstance(choice_or_denial, _permits.Denied):
+            return choice_or_denial
+        if _can_have_another_copy(state.request, available):
+            return None
+        return self._final_answers.make_refusal(
+            "the replicas limit their rate", choice_or_denial.retry_ms
+        )
+
+    async def _wait_for_permit(
+        self,
+        state: _request_state.RequestState,
+        candidates: list[_replicas.Replica],
+    ) -> _balance.Choice | _permits.Denied:
+        """Choose the candidate that has a permit first, if that is in time.
+
+        The less urgent a request, the smaller the part of its time that it
+        may wait, so that urgent ones find permits when there are too few.
+        """
+        request, priority = state.request, state.route.priority
+        soonest = sorted(candidates, key=lambda r: r.denied_until)
+        retry_ms = MAX_DENIAL_MS
+        for replica in soonest[:MAX_PERMIT_REQUESTS]:
+            now = self._clock.now()
+            expected_ms = _balance.estimate_first_event_ms(
+                replica, request, priority, now
+            )
+            spare_ms = state.latest_first_event - now - expected_ms
+            if spare_ms <= 0:
+                break
+            max_delay_ms = int(spare_ms / (1 + priority))
+            denied = await self._acquire_permit(state, replica, max_delay_ms)
+            if denied is not None:
+                retry_ms = min(retry_ms, denied.retry_ms)
+            # It may have begun to leave during the wait.
+            elif self._replicas.is_available(replica.entry.name):
+                return _balance.Choice(replica, expected_ms)
+        return _permits.Denied(retry_ms)
+
+    async def _acquire_permit(
+        self,
+        state: _request_state.RequestState,
+        replica: _replicas.Replica,
+        max_delay_ms: int,
+    ) -> _permits.Denied | None:
+        """Get a permit and wait until it is due; return None once it is."""
+        began = self._clock.now()
+        answer = await self._permits.acquire(replica, max_delay_ms)
+        now = self._clock.now()
+        _decision_log.permit(state, replica, answer, now - began)
+        if isinstance(answer, _permits.Denied):
+            replica.denied_until = now + min(answer.retry_ms, MAX_DENIAL_MS)
+            return answer
+        await self._clock.sleep(answer.delay_ms)
+        return None
+
+    def _choose_in_time(
+        self,
+        state: _request_state.RequestState,
+        candidates: list[_replicas.Replica],
+        now: int,
+    ) -> _balance.Choice | _outcomes.Refusal:
+        """Choose a candidate, or refuse if its answer would be too late."""
+        choice = self._choose_replica(
+            candidates,
+            state.request,
+            state.route.priority,
+            self._data_centre,
+            now,
+            self._random,
+        )
+        late_ms = choice.expected_ms - (state.latest_first_event - now)
+        if late_ms > 0:
+            return self._final_answers.make_refusal(
+                "no replica can answer in time", late_ms
+            )
+        return choice
+
+
+def _can_have_another_copy(
+    request: _types.Request, available: list[_replicas.Replica]
+) -> bool:
+    """Whether a replica without a limit could load the request's model."""
+    return bool(request.model) and any(
+        replica.rate_limit.per_s is None for replica in available
+    )
