--- a/standins/replica.py
+++ b/standins/replica.py
@@ -14,7 +14,8 @@
 off), ``closing`` (a model that is being unloaded: requests for it are refused
 with room to spare), ``deadly_part`` (the process ends when it begins to answer
 a request whose prompt has this part), ``limit`` (each answer has this as its
-``Server-Limit``).
+``Server-Limit``), ``brittle`` (the same for ``Server-Brittle``), ``room``
+(requests beyond so many at once are turned away).
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import os
 import time
 import typing
@@ -122,6 +124,9 @@
         self._born = time.time_ns() // 1_000_000
         self._runs: list[dict] = []
         self._refused = 0
+        self._running = 0
+        # When requests were turned away for want of room.
+        self._turned_away: list[float] = []
         self._orders: list[dict] = []
 
     async def serve(self, port: int) -> None:
@@ -176,6 +181,7 @@
             "runs": self._runs,
             "orders": self._orders,
             "refused": self._refused,
+            "turned_away": self._turned_away,
         }
 
     async def _report(self, _: _Request) -> tuple[int, typing.Any]:
@@ -272,6 +278,11 @@
         if self.faults.refuse:
             self._refuse(writer)
             return True
+        if self._running >= (self.faults.room or math.inf):
+            self._turned_away.append(time.monotonic())
+            room = self.faults.room
+            self._refuse(writer, f"X-Server-Load: {room},0,{room}")
+            return True
         run = {
             "id": request.headers.get("x-request-id"),
             "target": request.target.decode("latin-1"),
@@ -281,7 +292,9 @@
             "ended": "",
         }
         self._runs.append(run)
+        self._running += 1
         work = asyncio.create_task(self._work(request, writer, run))
+        work.add_done_callback(self._end_run)
         gone = asyncio.create_task(incoming.ended.wait())
         await asyncio.wait((work, gone), return_when="FIRST_COMPLETED")
         gone.cancel()
@@ -293,6 +306,9 @@
         run["ended"] = run["ended"] or "whole"
         return work.result()
 
+    def _end_run(self, _: asyncio.Task[bool]) -> None:
+        self._running -= 1
+
     async def _work(
         self, request: _Request, writer: asyncio.StreamWriter, run: dict
     ) -> bool:
@@ -328,8 +344,15 @@
 
     def _stated_headers(self) -> list[str]:
         """Return the headers by which the replica asks for less load."""
-        limit = self.faults.limit
-        return [] if limit is None else [f"Server-Limit: {limit}"]
+        stated = {
+            "Server-Limit": self.faults.limit,
+            "Server-Brittle": self.faults.brittle,
+        }
+        return [
+            f"{name}: {value}"
+            for name, value in stated.items()
+            if value is not None
+        ]
 
     def _is_deadly(self, request: _Request) -> bool:
         parts = request.headers.get("x-prefix-hash", "").split(",")
