Keep the requests at brittle replicas within their room

Cause: each instance sends by what it knows of the others' load, which is some hundred ms old, and leaves it to the replica to reject what is too much. Class of fault: that of LIMIT, a bound on a sum of which each instance knows its own part.

Change: requests to a replica that states to be brittle need a permit, also where only others of its service have stated it and it has not answered yet. The controller counts what is in flight, by the reports and by the permits issued and given back since, and issues while there is room. Room begins below the slots; a rejection lowers it and pauses the permits, and it grows slowly. As many requests wait as are being served; others are refused at once.

--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -123,8 +123,17 @@
         self._reachability = _reachability.Reachability(
             self._replicas, connections, clock, self._random
         )
-        self._controller_protocol = self._make_controller_protocol()
         datagrams = _datagrams.Datagrams(str(self.address))
+        # Without the socket: emulated engines state no limits.
+        self._permits = _permit_exchange.PermitExchange(
+            replicas=self._replicas,
+            leadership=self._leadership,
+            directory=self._directory,
+            datagrams=datagrams,
+            clock=clock,
+            random_source=self._random,
+        )
+        self._controller_protocol = self._make_controller_protocol()
         # Without its socket: no stream is resumed by an emulated client.
         origins = _origin_exchange.OriginExchange(
             _stream_origins.OriginTable(clock), self._directory, datagrams
@@ -137,14 +146,7 @@
             suspicions=self._suspicions,
             prompt_parts=self._prompt_parts,
             origins=origins,
-            # Without the socket: emulated engines state no limits.
-            permits=_permit_exchange.PermitExchange(
-                leadership=self._leadership,
-                directory=self._directory,
-                datagrams=datagrams,
-                clock=clock,
-                random_source=self._random,
-            ),
+            permits=self._permits,
             metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
             connections=connections,
             reachability=self._reachability,
@@ -223,6 +225,7 @@
             replicas=self._replicas,
             reachability=self._reachability,
             budgets=self._budgets,
+            permit_issuer=self._permits,
             limits=_limit_exchange.LimitExchange(
                 self._replicas, self._environment.clock
             ),
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -498,6 +498,12 @@
     "replay_unknown": _claim_step(
         "a recorded unknown outcome was returned again", "found"
     ),
+    "replica_brittle": Message(
+        _STATE,
+        "a replica stated that it fails if it rejects more requests a second,"
+        " or no longer states it",
+        ("max_rejections", "previous", "replica"),
+    ),
     "replica_forgotten": Message(
         _STATE,
         "a replica's entry was missing for too long; the replica was removed",
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -180,6 +180,15 @@
         self._directory = _instance_directory.InstanceDirectory(
             str(settings.peer_address), clock
         )
+        self._datagrams = _datagrams.Datagrams(str(settings.peer_address))
+        self._permits = _permit_exchange.PermitExchange(
+            replicas=self._replicas,
+            leadership=self._leadership,
+            directory=self._directory,
+            datagrams=self._datagrams,
+            clock=clock,
+            random_source=self._random,
+        )
         self._connections = _connections.ConnectionPool(clock)
         self._peer_connections = _connections.ConnectionPool(clock)
         self._reachability = _reachability.Reachability(
@@ -187,19 +196,11 @@
         )
         self._leadership.yield_while(self._must_yield_lease)
         self._controller_protocol = self._make_controller_protocol()
-        self._datagrams = _datagrams.Datagrams(str(settings.peer_address))
         self._origins = _origin_exchange.OriginExchange(
             _stream_origins.OriginTable(clock),
             self._directory,
             self._datagrams,
         )
-        self._permits = _permit_exchange.PermitExchange(
-            leadership=self._leadership,
-            directory=self._directory,
-            datagrams=self._datagrams,
-            clock=clock,
-            random_source=self._random,
-        )
         self._forwarder = self._make_forwarder()
         self._application = self._make_application()
         self._listener = _server.Listener(
@@ -249,6 +250,7 @@
             replicas=self._replicas,
             reachability=self._reachability,
             budgets=self._budgets,
+            permit_issuer=self._permits,
             limits=_limit_exchange.LimitExchange(self._replicas, self._clock),
             request_sync=_table_sync.TableSync(self._suspicions),
             part_sync=_table_sync.TableSync(self._prompt_parts.table),
--- a/src/geraniumlink/platform/_heads.py
+++ b/src/geraniumlink/platform/_heads.py
@@ -24,6 +24,7 @@
 _RELAYED_ATTEMPTS = b"geraniumlink-relayed-attempts"
 _SERVER_LOAD = b"x-server-load"
 _SERVER_LIMIT = b"server-limit"
+_SERVER_BRITTLE = b"server-brittle"
 # Hop-by-hop headers (RFC 9110, section 7.6.1), and Expect: they concern one
 # connection and are not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -84,6 +85,9 @@
     load: _types.LoadReport | None
     # The requests a second that it takes from all instances together.
     rate_limit: _types.StatedNumber
+    # The replica fails if it has to reject more requests than this in a
+    # second for want of room.
+    max_rejections: _types.StatedNumber
     closes_connection: bool
     # How long the replica keeps an idle connection open; None when it did not
     # say.
@@ -221,6 +225,7 @@
         not_run=_NOT_EXECUTED in by_name or status == 421,
         load=_load_report(by_name.get(_SERVER_LOAD, b"")),
         rate_limit=_stated_number(headers, _SERVER_LIMIT),
+        max_rejections=_stated_number(headers, _SERVER_BRITTLE),
         closes_connection=b"close" in by_name.get(b"connection", b"").lower(),
         keep_alive_ms=_keep_alive_ms(by_name.get(b"keep-alive", b"")),
         chunked=b"chunked" in by_name.get(b"transfer-encoding", b"").lower(),
--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -72,6 +72,16 @@
         """Apply the changes that the controller sent."""
 
 
+class PermitIssuer(typing.Protocol):
+    """Issues permits to send requests to replicas, as the controller."""
+
+    def note_report(self, instance: str, loads: dict[str, int]) -> None:
+        """Record an instance's requests in flight, by replica.
+
+        :param instance: its address.
+        """
+
+
 class ControllerProtocol:
     """Sends reports and requirements, and answers those of others.
 
@@ -86,6 +96,7 @@
         replicas: _replicas.Replicas,
         reachability: _reachability.Reachability,
         budgets: _retry_budgets.RetryBudgets,
+        permit_issuer: PermitIssuer,
         limits: _limit_exchange.LimitExchange,
         request_sync: _table_sync.TableSync,
         part_sync: _table_sync.TableSync,
@@ -100,6 +111,7 @@
         self._replicas = replicas
         self._reachability = reachability
         self._budgets = budgets
+        self._permit_issuer = permit_issuer
         self._limits = limits
         # Exchange the suspicions of requests and of prompt parts.
         self._request_sync = request_sync
@@ -268,7 +280,11 @@
         )
         # Instances of an older version don't send their address, or limits.
         if "address" in report:
-            self._directory.record_report(str(report["address"]))
+            address = str(report["address"])
+            self._directory.record_report(address)
+            self._permit_issuer.note_report(
+                address, {name: load.in_flight for name, load in loads.items()}
+            )
         limits = None
         if "limits" in report:
             limits = self._limits.answer_report(report["limits"])
@@ -320,13 +336,14 @@
             return
 
     def _own_loads(self) -> dict[str, list[typing.Any]]:
-        """Return this instance's load on each replica with models."""
+        """Return this instance's load on replicas with models or limits."""
         loads = {
             replica.entry.name: _messages.ReplicaLoad(
                 replica.in_flight, dict(replica.prefill_tokens)
             )
             for replica in self._replicas.all()
             if replica.entry.residents
+            or self._replicas.max_rejections(replica) is not None
         }
         return _messages.loads_to_json(loads)
 
--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -188,7 +188,11 @@
             with contextlib.suppress(_http.BrokenError):
                 await self._read_short_body()
                 self._finish_response(head)
-            return _outcomes.NotRun(f"the replica answered {head.status}")
+            has_room = head.load is not None and head.load.has_room
+            return _outcomes.NotRun(
+                f"the replica answered {head.status}",
+                is_full=head.status == 503 and not has_room,
+            )
         body = await self._read_short_body()
         self._finish_response(head)
         return _outcomes.Failed(head.status, head.headers, body)
@@ -231,6 +235,7 @@
         if head.load is not None:
             self._replica.note_load(head.load, now)
         self._replica.note_rate_limit(head.rate_limit, self._sent_at, now)
+        self._replica.note_brittleness(head.max_rejections, self._sent_at, now)
         if head.keep_alive_ms is not None:
             self._connection.idle_ms = head.keep_alive_ms
 
--- a/src/geraniumlink/serving/_final_answers.py
+++ b/src/geraniumlink/serving/_final_answers.py
@@ -65,7 +65,7 @@
                 await self.send_own(
                     state.response, _BAD_GATEWAY, "may have run", retry=False
                 )
-            case _outcomes.Unsent(reason) | _outcomes.NotRun(reason):
+            case _outcomes.Unsent(reason) | _outcomes.NotRun(reason=reason):
                 await self.send_refusal(state, self.make_refusal(reason))
 
     async def send_timeout(self, state: _request_state.RequestState) -> None:
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -510,6 +510,7 @@
             )
         except _http.NotSentError as error:
             replica.note_unreachable(self._clock.now(), str(error))
+            self._chooser.note_end(replica, None)
             await self._reachability.check()
             return _outcomes.Unsent(str(error))
         finally:
@@ -531,6 +532,7 @@
                 connection.close()
             elif outcome is not None:
                 self._connections.release(entry.name, connection)
+            self._chooser.note_end(replica, outcome)
         await self._record_outcome(state, attempt, replica, outcome)
         return outcome
 
--- a/src/geraniumlink/serving/_outcomes.py
+++ b/src/geraniumlink/serving/_outcomes.py
@@ -26,6 +26,8 @@
     """The replica states that it did not run the request."""
 
     reason: str
+    # Whether it had no room for it.
+    is_full: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,7 +61,7 @@
             return ""
         case Failed(status=status):
             return f"the replica answered {status}"
-        case Unsent(reason) | NotRun(reason):
+        case Unsent(reason) | NotRun(reason=reason):
             return reason
         case Interrupted(reason=reason):
             return reason
--- a/src/geraniumlink/serving/_replica_choice.py
+++ b/src/geraniumlink/serving/_replica_choice.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 
 from geraniumlink import _clock
@@ -46,6 +47,8 @@
         self._data_centre = data_centre
         self._random = random_source
         self._choose_replica = choose
+        # Requests that wait for a permit, by service.
+        self._waiting: collections.Counter[str] = collections.Counter()
 
     async def choose(
         self,
@@ -66,12 +69,14 @@
             choice = self._choose_in_time(state, undenied, now)
             if (
                 isinstance(choice, _outcomes.Refusal)
-                or choice.replica.rate_limit.per_s is None
+                or not self._replicas.needs_permit(choice.replica)
                 or await self._acquire_permit(state, choice.replica, 0) is None
             ):
                 return choice
         now = self._clock.now()
-        unlimited = [r for r in candidates if r.rate_limit.per_s is None]
+        unlimited = [
+            r for r in candidates if not self._replicas.needs_permit(r)
+        ]
         if unlimited:
             return self._choose_in_time(state, unlimited, now)
         choice_or_denial = await self._wait_for_permit(state, candidates)
@@ -80,7 +85,7 @@
         if _can_have_another_copy(state.request, available):
             return None
         return self._final_answers.make_refusal(
-            "the replicas limit their rate", choice_or_denial.retry_ms
+            "the replicas limit what they are sent", choice_or_denial.retry_ms
         )
 
     async def _wait_for_permit(
@@ -93,18 +98,43 @@
         The less urgent a request, the smaller the part of its time that it
         may wait, so that urgent ones find permits when there are too few.
         """
-        request, priority = state.request, state.route.priority
+        waiting = self._waiting[state.service]
+        slots = sum(replica.entry.slots for replica in candidates)
+        if waiting >= max(1, slots // self._permits.instances):
+            # About as many wait as are being served.
+            return _permits.Denied(MAX_DENIAL_MS)
+        began = self._clock.now()
+        spare_ms = state.latest_first_event - began
+        give_up_at = began + spare_ms / (1 + state.route.priority)
+        self._waiting[state.service] += 1
+        try:
+            while True:
+                choice = await self._try_soonest(state, candidates, give_up_at)
+                if not isinstance(choice, _permits.Denied):
+                    return choice
+                if self._clock.now() + choice.retry_ms >= give_up_at:
+                    return choice
+                await self._clock.sleep(choice.retry_ms)
+        finally:
+            self._waiting[state.service] -= 1
+
+    async def _try_soonest(
+        self,
+        state: _request_state.RequestState,
+        candidates: list[_replicas.Replica],
+        give_up_at: float,
+    ) -> _balance.Choice | _permits.Denied:
+        """Get a permit for one of the candidates that may have one first."""
         soonest = sorted(candidates, key=lambda r: r.denied_until)
         retry_ms = MAX_DENIAL_MS
         for replica in soonest[:MAX_PERMIT_REQUESTS]:
             now = self._clock.now()
             expected_ms = _balance.estimate_first_event_ms(
-                replica, request, priority, now
+                replica, state.request, state.route.priority, now
             )
-            spare_ms = state.latest_first_event - now - expected_ms
-            if spare_ms <= 0:
+            max_delay_ms = int(give_up_at - now - expected_ms)
+            if max_delay_ms < 0:
                 break
-            max_delay_ms = int(spare_ms / (1 + priority))
             denied = await self._acquire_permit(state, replica, max_delay_ms)
             if denied is not None:
                 retry_ms = min(retry_ms, denied.retry_ms)
@@ -130,6 +160,19 @@
         await self._clock.sleep(answer.delay_ms)
         return None
 
+    def note_end(
+        self, replica: _replicas.Replica, outcome: _outcomes.Outcome | None
+    ) -> None:
+        """Record the end of an attempt.
+
+        :param outcome: None if it was given up.
+        """
+        if self._replicas.needs_permit(replica):
+            is_rejected = (
+                isinstance(outcome, _outcomes.NotRun) and outcome.is_full
+            )
+            self._permits.release(replica, is_rejected)
+
     def _choose_in_time(
         self,
         state: _request_state.RequestState,
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -11,6 +11,7 @@
 
 import collections
 from collections.abc import Iterable
+import math
 import typing
 
 from geraniumlink import _clock
@@ -41,6 +42,8 @@
 # The load that other instances reported is ignored after this time, within
 # which it changes.
 PEER_LOAD_STALE_MS = 1500
+# How long it is reused which services have brittle replicas.
+LEAST_REJECTIONS_REUSE_MS = 100
 
 
 class PeerLoad(typing.NamedTuple):
@@ -64,6 +67,15 @@
     is_own: bool
 
 
+class Brittleness(typing.NamedTuple):
+    """Whether a replica fails if it has to reject many requests."""
+
+    # Rejections a second that it survives; None if it isn't brittle.
+    max_rejections: float | None
+    # When it was last stated, by this instance's clock.
+    stated_at: int
+
+
 # Of a replica that has stated nothing yet; older than any statement.
 NO_LIMIT = RateLimit(None, -(10**12), False)
 
@@ -87,6 +99,8 @@
         self.load: _types.LoadReport | None = None
         self.load_at = 0
         self.rate_limit = NO_LIMIT
+        # None before its first answer.
+        self.brittleness: Brittleness | None = None
         # Before this time no permit to send to it is asked for.
         self.denied_until = 0
         # Since when its entry is missing; None while it is there.
@@ -230,6 +244,34 @@
             case _:
                 self._set_rate_limit(RateLimit(stated, now, True))
 
+    def note_brittleness(
+        self, stated: _types.StatedNumber, sent_at: int, now: int
+    ) -> None:
+        """Record that it stated to be brittle, or no longer does.
+
+        As with a limit, a response that may be older ends nothing.
+
+        :param sent_at: when the request of that response was sent.
+        """
+        known = self.brittleness
+        match stated:
+            case _types.Unstated.UNREADABLE:
+                return
+            case _types.Unstated.ABSENT:
+                if known is not None and sent_at <= known.stated_at:
+                    return
+                self.brittleness = Brittleness(None, now)
+            case _:
+                self.brittleness = Brittleness(stated, now)
+        previous = known.max_rejections if known else None
+        if self.brittleness.max_rejections != previous:
+            _logs.event(
+                "replica_brittle",
+                replica=self.entry.name,
+                max_rejections=self.brittleness.max_rejections,
+                previous=previous,
+            )
+
     def learn_rate_limit(self, per_s: float | None, stated_at: int) -> None:
         """Record what it stated to another instance, if that is newer."""
         if stated_at > self.rate_limit.stated_at:
@@ -317,6 +359,10 @@
         self._known: dict[str, Replica] = {}
         # When the complete list was first read; None before.
         self._listed_at: int | None = None
+        # The lowest number of rejections a second that a replica of each
+        # brittle service survives, and until when it is reused.
+        self._least_rejections: dict[str, float] = {}
+        self._least_rejections_until = 0
         # When a replica of each service and software version was last known.
         self._versions_seen: dict[str, dict[str, int]] = {}
 
@@ -392,6 +438,38 @@
             if replica.paused_until > now
         }
 
+    def max_rejections(self, replica: Replica) -> float | None:
+        """Return the rejections a second that a replica survives.
+
+        None if it isn't brittle. One that has not answered yet is taken to be
+        like the others of its service: it may just have been started.
+        """
+        if replica.brittleness is not None:
+            return replica.brittleness.max_rejections
+        now = self._clock.now()
+        if now >= self._least_rejections_until:
+            self._least_rejections = self._compute_least_rejections()
+            self._least_rejections_until = now + LEAST_REJECTIONS_REUSE_MS
+        return self._least_rejections.get(replica.entry.service)
+
+    def _compute_least_rejections(self) -> dict[str, float]:
+        """Return the lowest number that a replica of each service stated."""
+        least: dict[str, float] = {}
+        for replica in self._known.values():
+            known, service = replica.brittleness, replica.entry.service
+            if known is not None and known.max_rejections is not None:
+                least[service] = min(
+                    known.max_rejections, least.get(service, math.inf)
+                )
+        return least
+
+    def needs_permit(self, replica: Replica) -> bool:
+        """Whether each request to a replica needs a permit."""
+        return (
+            replica.rate_limit.per_s is not None
+            or self.max_rejections(replica) is not None
+        )
+
     def silent_ms(self) -> int:
         """Return for how long no replica has sent anything.
 
--- a/tests/test_controller_protocol.py
+++ b/tests/test_controller_protocol.py
@@ -44,6 +44,7 @@
         replicas=_replicas.Replicas(clock, 2000),
         reachability=None,
         budgets=None,
+        permit_issuer=None,
         limits=None,
         request_sync=None,
         part_sync=None,
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -17,6 +17,8 @@
 from tests import builders
 
 _WINDOW_MS = 4000
+# Rejections a second that the brittle replicas survive.
+_BRITTLE = 4
 
 
 def _most_in_window(times):
@@ -129,7 +131,9 @@
         self.datagrams = _Datagrams(self.address, network)
         directory = _instance_directory.InstanceDirectory(self.address, clock)
         directory.apply_list(addresses)
+        self._replicas = _replicas.Replicas(clock, 2000)
         self.exchange = _permit_exchange.PermitExchange(
+            replicas=self._replicas,
             leadership=self.leadership,
             directory=directory,
             datagrams=self.datagrams,
@@ -137,6 +141,12 @@
             random_source=random.Random(number),
         )
 
+    def add_brittle_replica(self, slots):
+        entry = builders.replica_entry()._replace(slots=slots)
+        self._replicas.replace_all([entry])
+        self.replica = self._replicas.get("r1")
+        self.replica.note_brittleness(_BRITTLE, 0, 0)
+
     def lead(self, epoch, instances):
         """Take the controller's lease; all of some instances know of it."""
         self.leadership.epoch = epoch
@@ -257,3 +267,128 @@
         return clock.now() - began
 
     assert _virtual_time.run(main) <= _permit_exchange.ANSWER_TIMEOUT_MS + 1
+
+
+def test_room_is_shared_by_all_instances():
+    limiter = _permits.RoomLimiter(_clock.ManualClock())
+    granted = [
+        isinstance(limiter.acquire(f"i{n}", "r1", 8), _permits.Granted)
+        for n in range(20)
+    ]
+    assert sum(granted) == _permits.INITIAL_PART * 8
+    limiter.release("i0", "r1")
+    assert limiter.acquire("i9", "r1", 8) == _permits.Granted(0)
+    assert isinstance(limiter.acquire("i9", "r1", 8), _permits.Denied)
+
+
+def test_reports_replace_what_lost_messages_left():
+    limiter = _permits.RoomLimiter(_clock.ManualClock())
+    while isinstance(limiter.acquire("i1", "r1", 8), _permits.Granted):
+        pass
+    limiter.note_report("i1", {"r1": 2})
+    assert limiter.acquire("i1", "r1", 8) == _permits.Granted(0)
+
+
+def test_requests_sent_before_a_replica_was_brittle_take_room():
+    limiter = _permits.RoomLimiter(_clock.ManualClock())
+    limiter.note_report("i1", {"r1": 8})
+    assert isinstance(limiter.acquire("i2", "r1", 8), _permits.Denied)
+
+
+def test_an_instance_that_ended_takes_no_room():
+    clock = _clock.ManualClock()
+    limiter = _permits.RoomLimiter(clock)
+    limiter.note_report("i1", {"r1": 8})
+    clock.advance(_permits.REPORT_EXPIRY_MS)
+    assert limiter.acquire("i2", "r1", 8) == _permits.Granted(0)
+
+
+def test_no_permits_right_after_a_rejection():
+    clock = _clock.ManualClock()
+    limiter = _permits.RoomLimiter(clock)
+    for _ in range(4):
+        limiter.acquire("i1", "r1", 8)
+    limiter.release("i1", "r1")
+    limiter.note_rejection("r1", 4)
+    denied = limiter.acquire("i1", "r1", 8)
+    assert denied.retry_ms > 1000 / 4
+    clock.advance(denied.retry_ms)
+    # Three are in flight, and the room is lower than that now.
+    assert isinstance(limiter.acquire("i1", "r1", 8), _permits.Denied)
+    clock.advance(1000)
+    assert limiter.acquire("i1", "r1", 8) == _permits.Granted(0)
+
+
+class _BrittleReplica:
+    """Takes a number of requests at once, and counts those it rejects."""
+
+    def __init__(self, clock, room):
+        self._clock = clock
+        self._room = room
+        self._running = 0
+        self.rejected_at = []
+
+    async def run(self):
+        """Return whether the request was rejected."""
+        if self._running >= self._room:
+            self.rejected_at.append(self._clock.now())
+            return True
+        self._running += 1
+        await self._clock.sleep(200)
+        self._running -= 1
+        return False
+
+
+async def _send_to_brittle(instance, server, clock, until):
+    """Send requests as permits allow, as many at once as there are."""
+    replica = instance.replica
+    async with anyio.create_task_group() as group:
+
+        async def send():
+            replica.begin_request(clock.now())
+            is_rejected = await server.run()
+            replica.in_flight -= 1
+            instance.exchange.release(replica, is_rejected)
+
+        source = random.Random(instance.address)
+        while clock.now() < until:
+            await clock.sleep(source.uniform(10, 60))
+            answer = await instance.exchange.acquire(replica, 0)
+            if isinstance(answer, _permits.Granted):
+                group.start_soon(send)
+
+
+async def _report_loads(instances, clock):
+    while True:
+        await clock.sleep(250)
+        for instance in instances:
+            loads = {"r1": instance.replica.in_flight}
+            instances[0].exchange.note_report(instance.address, loads)
+
+
+@pytest.mark.parametrize("count", (3, 9, 60))
+@pytest.mark.parametrize("room", (3, 16, 40))
+def test_a_brittle_replica_rejects_few_requests(count, room):
+    """Its room is less than its slots, which it isn't known to be."""
+
+    async def main(clock):
+        instances = _make_instances(count, clock)
+        instances[0].lead(1, instances)
+        for instance in instances:
+            instance.add_brittle_replica(slots=40)
+        server = _BrittleReplica(clock, room)
+        async with anyio.create_task_group() as group:
+            group.start_soon(_report_loads, instances, clock)
+            async with anyio.create_task_group() as senders:
+                for instance in instances:
+                    senders.start_soon(
+                        _send_to_brittle, instance, server, clock, 30_000
+                    )
+            group.cancel_scope.cancel()
+        return server.rejected_at
+
+    rejected_at = _virtual_time.run(main)
+    # The platform's stability window.
+    settled = [at for at in rejected_at if at >= 3000]
+    for start in settled:
+        assert sum(start <= at < start + 1000 for at in settled) <= _BRITTLE
