Refuse to join a stream after a restart by what was seen since

Callers saw, at a system like ours: streams that were taken up after all instances had been killed went on at another software version. Here it happened to clients that don't name the request that a stream began with.

Cause: the only version that an instance had seen was taken for the only one in service, however short it had looked. Class: what a process has not seen since its start is taken for what did not happen.

Change: the controller records in the store which versions of each service come and go, and each instance reads the record once at its start. A version is the only one if none other was in service in the window, and the window is known whole. Two writes a release, one read a start; nothing is refused at the first start of the system, or after the restart of all while there was one version.

--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -677,6 +677,17 @@
         " and is empty if a replica can serve it",
         ("reason", "request_id", "took_ms"),
     ),
+    "version_history_not_written": Message(
+        _STATE,
+        "the record of the services' software versions may not have been"
+        " written; that is tried again",
+        ("error",),
+    ),
+    "version_history_unreadable": Message(
+        _STATE,
+        "the record of the services' software versions is left out",
+        ("error",),
+    ),
     "waiting": Message(
         _REQUEST,
         "a request waits: no known replica holds what it needs",
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -13,6 +13,7 @@
     +- reachability      notices when no replica can be reached
     +- log lines         writes buffered log lines to standard output
     +- load monitor      logs how late the event loop is, and messages
+    +- version history   records the replicas' software versions
     +- datagrams         exchanges stream origins and permits
     +- signals           SIGTERM starts draining, SIGHUP reloads settings
 """
@@ -55,6 +56,7 @@
 from geraniumlink.residency import _leadership
 from geraniumlink.residency import _limit_exchange
 from geraniumlink.residency import _message_client
+from geraniumlink.residency import _version_history
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _connections
 from geraniumlink.serving import _forward
@@ -201,6 +203,13 @@
             self._directory,
             self._datagrams,
         )
+        self._version_history = _version_history.VersionHistory(
+            store=self._store,
+            replicas=self._replicas,
+            leadership=self._leadership,
+            clock=clock,
+            is_first_start=settings.is_first_start,
+        )
         self._forwarder = self._make_forwarder()
         self._application = self._make_application()
         self._listener = _server.Listener(
@@ -358,6 +367,7 @@
             _supervisor.Child("reachability", self._reachability.run),
             _supervisor.Child("log lines", self._log_buffer.run),
             _supervisor.Child("load monitor", self._load_monitor.run),
+            _supervisor.Child("version history", self._version_history.run),
             _supervisor.Child("datagrams", self._datagrams.run),
         ]
         async with anyio.create_task_group() as group:
--- a/src/geraniumlink/platform/_settings.py
+++ b/src/geraniumlink/platform/_settings.py
@@ -48,6 +48,8 @@
     retry_constant: int
     # Rate of this machine's network link; None if it isn't stated.
     link_mbit_per_s: float | None
+    # Whether the whole system starts for the first time; called bootstrap.
+    is_first_start: bool
 
 
 def read_settings(path: pathlib.Path) -> NodeSettings:
@@ -83,6 +85,7 @@
         retry_window_ms=reader.read("bounds", "retry_window_s", _milliseconds),
         retry_constant=reader.read("bounds", "retry_slack", _fields.integer),
         link_mbit_per_s=reader.read("", "limits", _link_rate),
+        is_first_start=reader.read("", "bootstrap", _optional_flag),
     )
     if reader.findings:
         raise _fields.FormatError(str(reader.findings))
@@ -159,6 +162,11 @@
     return float(_fields.number(limits, "link_mbps"))
 
 
+def _optional_flag(message: typing.Any, name: str) -> bool:
+    """Return whether a flag is set; one that is missing is not."""
+    return message.get(name) is True
+
+
 def _milliseconds(message: typing.Any, name: str) -> int:
     """Return a field in seconds as whole milliseconds, rounded down."""
     return int(1000 * _fields.number(message, name))
--- /dev/null
+++ b/src/geraniumlink/residency/_version_history.py
@@ -0,0 +1,187 @@
+"""Keeps in the store which software versions each service has had.
+
+A client may resume a stream without naming the request that it began with.
+It can be served only if one version alone has been in service since the
+stream may have begun. What an instance has seen since its start doesn't tell
+that if all instances were started again meanwhile. So the controller writes
+down each version that comes or goes, and an instance reads the record once at
+its start. There are few writes: a release changes the record twice.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from geraniumlink import _clock
+from geraniumlink import _logs
+from geraniumlink import _objects
+from geraniumlink.serving import _replicas
+
+# Name of the record in the store.
+KIND = "software-versions"
+NAME = "services"
+# How often the controller compares the record with the replicas, and the
+# pause before a read is tried again.
+CHECK_INTERVAL_MS = 500
+# Versions that went longer ago are dropped.
+KEEP_MS = 600_000
+# The clocks of two instances may differ by this much: a version counts as
+# seen that much longer.
+CLOCK_SKEW_MS = 10_000
+
+
+class ObjectStore(typing.Protocol):
+    """Reads and writes objects, as ``platform.StoreClient`` does."""
+
+    async def get(self, kind: str, name: str) -> _objects.Object: ...
+
+    async def put(
+        self, kind: str, name: str, value: typing.Any, if_version: int
+    ) -> _objects.Object: ...
+
+
+class Leadership(typing.Protocol):
+    """Tells whether this instance is the controller."""
+
+    @property
+    def epoch(self) -> int: ...
+
+    def may_order(self) -> bool: ...
+
+
+class Record(typing.TypedDict):
+    """The record in the store; times are wall-clock milliseconds."""
+
+    # Since when it is complete; None if since the first start.
+    since: int | None
+    # By service and version, when the version was last seen; None while it is
+    # in service.
+    services: dict[str, dict[str, int | None]]
+
+
+class VersionHistory:
+    """Reads the record at the start, and writes it as the controller.
+
+    :param is_first_start: whether the whole system starts for the first
+        time, so that no version can have served before.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: ObjectStore,
+        replicas: _replicas.Replicas,
+        leadership: Leadership,
+        clock: _clock.Clock,
+        is_first_start: bool,
+    ) -> None:
+        self._store = store
+        self._replicas = replicas
+        self._leadership = leadership
+        self._clock = clock
+        self._is_first_start = is_first_start
+        # As last read or written, with its version in the store.
+        self._record: Record | None = None
+        self._stored_version = 0
+        # The term of the lease in which it was read last.
+        self._epoch = 0
+
+    async def run(self) -> None:
+        """Read the record, and keep it up to date as the controller."""
+        while not await self._try_read():
+            await self._clock.sleep(CHECK_INTERVAL_MS)
+        self._apply()
+        while True:
+            await self._clock.sleep(CHECK_INTERVAL_MS)
+            if self._leadership.may_order() and self._replicas.has_full_list:
+                await self._update()
+
+    async def _try_read(self) -> bool:
+        """Read the record; return whether the store answered."""
+        try:
+            found = await self._store.get(KIND, NAME)
+        except _objects.UnavailableError:
+            return False
+        self._stored_version = found.version
+        self._record = _decode(found.value)
+        return True
+
+    def _apply(self) -> None:
+        """Take over what the record says of the time before this start."""
+        wall, record = self._clock.wall(), self._record
+        if record is None:
+            if self._is_first_start:
+                self._replicas.learn_versions(None, {})
+            return
+        known_ms = None
+        if record["since"] is not None:
+            known_ms = max(0, wall - record["since"] - CLOCK_SKEW_MS)
+        ages_ms = {
+            service: {
+                version: 0
+                if gone_at is None
+                else max(0, wall - gone_at - CLOCK_SKEW_MS)
+                for version, gone_at in versions.items()
+            }
+            for service, versions in record["services"].items()
+        }
+        self._replicas.learn_versions(known_ms, ages_ms)
+
+    async def _update(self) -> None:
+        """Write the record if versions came or went."""
+        if self._epoch != self._leadership.epoch:
+            # The controller before may have written it since it was read.
+            if not await self._try_read():
+                return
+            self._epoch = self._leadership.epoch
+        record = self._make_record()
+        if record == self._record:
+            return
+        try:
+            written = await self._store.put(
+                KIND, NAME, record, self._stored_version
+            )
+        except (_objects.ConflictError, _objects.UnavailableError) as error:
+            _logs.event("version_history_not_written", error=str(error))
+            # It may have been written: it is read again before the next try.
+            self._epoch = 0
+            return
+        self._record, self._stored_version = record, written.version
+
+    def _make_record(self) -> Record:
+        """Return the record as it should be now."""
+        wall, known = self._clock.wall(), self._record
+        if known is None:
+            since = None if self._is_first_start else wall
+            known = Record(since=since, services={})
+        services: dict[str, dict[str, int | None]] = {}
+        for service, versions in known["services"].items():
+            for version, gone_at in versions.items():
+                seen_at = wall if gone_at is None else gone_at
+                if wall - seen_at < KEEP_MS:
+                    services.setdefault(service, {})[version] = seen_at
+        for service, present in self._replicas.versions_in_service().items():
+            for version in present:
+                services.setdefault(service, {})[version] = None
+        return Record(since=known["since"], services=services)
+
+
+def _decode(value: typing.Any) -> Record | None:
+    """Return the record; None if there is none, or it can't be read."""
+    if value is None:
+        return None
+    try:
+        since = value["since"]
+        return Record(
+            since=None if since is None else int(since),
+            services={
+                str(service): {
+                    str(version): None if gone_at is None else int(gone_at)
+                    for version, gone_at in versions.items()
+                }
+                for service, versions in value["services"].items()
+            },
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        _logs.event("version_history_unreadable", error=repr(error))
+        return None
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -285,8 +285,6 @@
                 if origin.service in services:
                     return origin, "recorded"
                 return None, "service gone"
-            if self._replicas.listed_ms < window_ms:
-                return None, "unknown"
         version = self._replicas.sole_version(state.service, window_ms)
         if version is None:
             return None, "unknown"
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -365,19 +365,14 @@
         self._least_rejections_until = 0
         # When a replica of each service and software version was last known.
         self._versions_seen: dict[str, dict[str, int]] = {}
+        # For how long before the first list these are known, too.
+        self._versions_known_before_ms: float = 0.0
 
     @property
     def has_full_list(self) -> bool:
         """Whether the complete list of entries has been read."""
         return self._listed_at is not None
 
-    @property
-    def listed_ms(self) -> int:
-        """For how long the replicas have been known here; 0 before."""
-        if self._listed_at is None:
-            return 0
-        return self._clock.now() - self._listed_at
-
     def get(self, name: str) -> Replica | None:
         return self._known.get(name)
 
@@ -412,14 +407,50 @@
     def sole_version(self, service: str, window_ms: int) -> str | None:
         """Return the software version of all replicas known in a window.
 
-        None if there were several, or no replica.
+        None if there were several, or no replica, or if it isn't known what
+        replicas there were at the window's beginning.
         """
         for replica in self.registered(service):
             self._note_version(replica)
         now, seen = self._clock.now(), self._versions_seen.get(service, {})
+        if self._listed_at is None or (
+            now - self._listed_at + self._versions_known_before_ms < window_ms
+        ):
+            return None
         recent = [v for v, at in seen.items() if now - at <= window_ms]
         return recent[0] if len(recent) == 1 else None
 
+    def versions_in_service(self) -> dict[str, set[str]]:
+        """Return the software versions of each service's replicas."""
+        versions: dict[str, set[str]] = {}
+        self._forget_missing()
+        for replica in self._known.values():
+            entry = replica.entry
+            versions.setdefault(entry.service, set()).add(
+                entry.software_version
+            )
+        return versions
+
+    def learn_versions(
+        self, known_ms: int | None, ages_ms: dict[str, dict[str, int]]
+    ) -> None:
+        """Record which software versions there were before this start.
+
+        :param known_ms: for how long they are known; None if since the first
+            start.
+        :param ages_ms: by service and version, how long ago each was last
+            seen.
+        """
+        self._versions_known_before_ms = (
+            math.inf if known_ms is None else known_ms
+        )
+        now = self._clock.now()
+        for service, versions in ages_ms.items():
+            seen = self._versions_seen.setdefault(service, {})
+            for version, age_ms in versions.items():
+                seen_at = now - age_ms
+                seen[version] = max(seen_at, seen.get(version, seen_at))
+
     def is_available(self, name: str) -> bool:
         """Whether ``available`` returns a replica, without listing all."""
         replica = self._known.get(name)
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -25,6 +25,7 @@
     addresses = [f"127.0.0.1:{port}" for port in ports]
     return {
         "node_name": name,
+        "bootstrap": True,
         "zone": "debark",
         "ip": "127.0.0.1",
         "listen": {"front": addresses[0], "ready": addresses[1]},
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,7 +1,9 @@
 """Streams and the software versions of the replicas that continue them."""
 
+import anyio
 import pytest
 
+from geraniumlink.serving import _forward
 from standins import replica as replicas
 from tests import hosts
 
@@ -166,3 +168,63 @@
         assert (await _resume(site, stream, 1)).status in (502, 503)
     runs = await fleet.record(site.replicas["r-2"])
     assert not runs["runs"]
+
+
+async def _replace_version(site, fleet):
+    """Have the only replica replaced by one of another version."""
+    site.versions["r-2"] = "v2"
+    await site.add_replica()
+    await site.remove("r-1")
+    site.replicas["r-1"].kill()
+
+
+async def _restart_all(site):
+    for instance in site.instances:
+        instance.kill()
+    for index, instance in enumerate(site.instances):
+        instance.start()
+        await site.wait_until_ready(index)
+
+
+async def test_after_a_restart_of_all_no_stream_goes_on_at_another_version(
+    fleet,
+):
+    """No instance knows then which versions served before."""
+    site = await _start_site(fleet, {"r-1": "v1"}, instances=2)
+    await _allow_one_attempt(site)
+    await _break_streams(site)
+    await _begin_streams(site)
+    await _replace_version(site, fleet)
+    await _restart_all(site)
+    for _ in range(_STREAMS):
+        answer = await hosts.send_request(
+            site.instances[0].port, "/stream-short/x", Last_Event_Id="3"
+        )
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+    runs = await fleet.record(site.replicas["r-2"])
+    assert not runs["runs"]
+
+
+async def test_after_a_restart_of_one_streams_go_on_at_the_only_version(
+    fleet,
+):
+    """Another instance knows that there was one version alone."""
+    site = await _start_site(fleet, {"r-1": "v1"}, instances=2)
+    await _allow_one_attempt(site)
+    await _wait_until_connected(site)
+    window_ms = _forward.ORIGIN_WINDOW_TIMEOUTS * 4000
+    await anyio.sleep(window_ms / 1000)
+    site.instances[0].kill()
+    site.instances[0].start()
+    await site.wait_until_ready(0)
+    await _wait_until_connected(site)
+
+    async def is_served():
+        answer = await hosts.send_request(
+            site.instances[0].port, "/stream-short/x", Last_Event_Id="3"
+        )
+        return answer.status == 200 and answer.is_complete
+
+    with anyio.fail_after(window_ms / 1000 / 2):
+        await fleet.until(is_served, "the stream goes on")
