--- a/benches/stream_origins.py
+++ b/benches/stream_origins.py
@@ -38,7 +38,7 @@
     scope: anyio.CancelScope
 
 
-def _free_addresses(count: int) -> list[str]:
+def free_addresses(count: int) -> list[str]:
     sockets = [
         socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)
     ]
@@ -61,7 +61,7 @@
 
 
 async def _measure(count: int, ended_share: float) -> None:
-    clock, addresses = _clock.Clock(), _free_addresses(count)
+    clock, addresses = _clock.Clock(), free_addresses(count)
     instances = []
     async with anyio.create_task_group() as group:
         for address in addresses:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -228,3 +228,14 @@
 
     with anyio.fail_after(window_ms / 1000 / 2):
         await fleet.until(is_served, "the stream goes on")
+
+
+async def test_after_a_restart_of_all_half_of_the_named_streams_go_on(fleet):
+    """Both versions serve, and the clients name their requests."""
+    site = await _start_site(fleet, _VERSIONS, instances=2)
+    await _allow_one_attempt(site)
+    await _break_streams(site)
+    streams = await _begin_streams(site)
+    await _restart_all(site)
+    answers = [await _resume(site, stream) for stream in streams]
+    assert sum(answer.status == 200 for answer in answers) >= _STREAMS / 2
