--- a/src/geraniumlink/platform/_settings.py
+++ b/src/geraniumlink/platform/_settings.py
@@ -85,7 +85,7 @@
         retry_window_ms=reader.read("bounds", "retry_window_s", _milliseconds),
         retry_constant=reader.read("bounds", "retry_slack", _fields.integer),
         link_mbit_per_s=reader.read("", "limits", _link_rate),
-        is_first_start=reader.read("", "bootstrap", _optional_flag),
+        is_first_start=reader.read("", "bootstrap", _flag),
     )
     if reader.findings:
         raise _fields.FormatError(str(reader.findings))
@@ -162,9 +162,9 @@
     return float(_fields.number(limits, "link_mbps"))
 
 
-def _optional_flag(message: typing.Any, name: str) -> bool:
+def _flag(message: typing.Any, name: str) -> bool:
     """Return whether a flag is set; one that is missing is not."""
-    return message.get(name) is True
+    return _fields.boolean(message, name, False)
 
 
 def _milliseconds(message: typing.Any, name: str) -> int:
--- a/tests/test_hosted_bad_input.py
+++ b/tests/test_hosted_bad_input.py
@@ -121,6 +121,7 @@
         (_settings(internal_ports=[]), "internal_ports"),
         (_settings(bounds={}), "grace_s"),
         (_settings(platform=[]), "platform"),
+        (_settings(bootstrap=1), "bootstrap"),
         ([], "object"),
     ),
 )
