--- a/src/geraniumlink/residency/_limit_exchange.py
+++ b/src/geraniumlink/residency/_limit_exchange.py
@@ -59,10 +59,14 @@
         rows: list[Row] = []
         unanswered = {}
         for replica in self._replicas.all():
-            limit, stated = replica.rate_limit, _state_of(replica)
+            # Most replicas never state a limit.
+            if not replica.rate_limit.is_own or len(rows) == MAX_ROWS:
+                continue
+            stated = _state_of(replica)
             unlimited = replica.entry.started_at, None
-            known = self._at_controller.get(replica.entry.name, unlimited)
-            if limit.is_own and stated != known and len(rows) < MAX_ROWS:
+            if stated != self._at_controller.get(
+                replica.entry.name, unlimited
+            ):
                 rows.append(self._make_row(replica))
                 unanswered[replica.entry.name] = stated
         self._unanswered = unanswered
