Refuse at once what brittle replicas have no room for

A model's requests beyond the room of its brittle replicas waited for another copy, up to their last moment, where a replica without the model was there: it was looked at for a limit on its rate alone, though it is brittle too, and the planner loads no copy of a model that has holders. A replica that needs permits itself no longer counts. The new test found such waits before.

--- a/src/geraniumlink/serving/_replica_choice.py
+++ b/src/geraniumlink/serving/_replica_choice.py
@@ -82,12 +82,20 @@
         choice_or_denial = await self._wait_for_permit(state, candidates)
         if not isinstance(choice_or_denial, _permits.Denied):
             return choice_or_denial
-        if _can_have_another_copy(state.request, available):
+        if self._may_get_another_copy(state.request, available):
             return None
         return self._final_answers.make_refusal(
             "the replicas limit what they are sent", choice_or_denial.retry_ms
         )
 
+    def _may_get_another_copy(
+        self, request: _types.Request, available: list[_replicas.Replica]
+    ) -> bool:
+        """Whether a replica without a limit could load the request's model."""
+        return bool(request.model) and any(
+            not self._replicas.needs_permit(replica) for replica in available
+        )
+
     async def _wait_for_permit(
         self,
         state: _request_state.RequestState,
@@ -194,12 +202,3 @@
                 "no replica can answer in time", late_ms
             )
         return choice
-
-
-def _can_have_another_copy(
-    request: _types.Request, available: list[_replicas.Replica]
-) -> bool:
-    """Whether a replica without a limit could load the request's model."""
-    return bool(request.model) and any(
-        replica.rate_limit.per_s is None for replica in available
-    )
--- a/tests/test_brittle_replicas.py
+++ b/tests/test_brittle_replicas.py
@@ -34,12 +34,12 @@
     return falls
 
 
-async def _send_for(site, seconds):
+async def _send_for(site, seconds, **headers):
     """Send more requests than there is room for; return the answers."""
     answers = []
 
     async def send(port):
-        answers.append(await hosts.send_request(port, "/once/x"))
+        answers.append(await hosts.send_request(port, "/once/x", **headers))
 
     ports = itertools.cycle([i.port for i in site.instances])
     deadline = time.monotonic() + seconds
@@ -50,10 +50,15 @@
     return answers
 
 
-async def test_brittle_replicas_are_not_made_to_fall_over(fleet):
-    site = await hosts.Site(fleet).start(replicas=3, instances=3)
+async def _start_site(fleet, **fields):
+    site = await hosts.Site(fleet).start(replicas=3, instances=3, **fields)
     for name in site.replicas:
         await site.faults(name, brittle=_BRITTLE, room=_ROOM, work_ms=_WORK_MS)
+    return site
+
+
+async def test_brittle_replicas_are_not_made_to_fall_over(fleet):
+    site = await _start_site(fleet)
     await _send_for(site, _SETTLING_S)
     began = time.monotonic()
     answers = await _send_for(site, _MEASURED_S)
@@ -69,3 +74,14 @@
         assert answer.status in (200, 503)
         if answer.status == 503:
             assert float(answer.headers["retry-after"]) > 0
+
+
+async def test_requests_beyond_the_room_do_not_wait_for_another_copy(fleet):
+    site = await _start_site(fleet, models=("m1",))
+    # It doesn't hold the model, and could load it.
+    other = await site.add_replica("m2")
+    await site.faults(other, brittle=_BRITTLE, room=_ROOM, work_ms=_WORK_MS)
+    await hosts.send_request(site.instances[0].port, "/once/x", X_Model="m2")
+    await _send_for(site, _SETTLING_S, X_Model="m1")
+    for instance in site.instances:
+        assert not hosts.find_log_lines(instance, "waiting")
