--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -17,6 +17,7 @@
 from geraniumlink.hosting import _instance
 from geraniumlink.hosting import _origin_exchange
 from geraniumlink.hosting import _permit_exchange
+from geraniumlink.residency import _call_limits
 from geraniumlink.residency import _controller
 from geraniumlink.residency import _controller_link
 from geraniumlink.residency import _controller_protocol
@@ -105,24 +106,10 @@
         self._suspicions = _suspicions.SuspicionTable(clock)
         self._prompt_parts = _prompt_parts.PromptParts(clock, self._random)
         self._leadership = self._make_leadership()
-        self._controller = _controller.Controller(
-            active_configuration=self._active_configuration,
-            replicas=self._replicas,
-            leadership=self._leadership,
-            orders=environment.order_client,
-            clock=clock,
-            instance=str(self.address),
-        )
         self._moves_models = policy.moves_models
         self._directory = _instance_directory.InstanceDirectory(
             str(self.address), clock
         )
-        connections = _connections.ConnectionPool(
-            clock, environment.network.dial
-        )
-        self._reachability = _reachability.Reachability(
-            self._replicas, connections, clock, self._random
-        )
         datagrams = _datagrams.Datagrams(str(self.address))
         # Without the socket: emulated engines state no limits.
         self._permits = _permit_exchange.PermitExchange(
@@ -133,6 +120,23 @@
             clock=clock,
             random_source=self._random,
         )
+        self._controller = _controller.Controller(
+            active_configuration=self._active_configuration,
+            replicas=self._replicas,
+            leadership=self._leadership,
+            orders=environment.order_client,
+            call_limits=_call_limits.PermittedCalls(
+                self._replicas, self._permits, clock
+            ),
+            clock=clock,
+            instance=str(self.address),
+        )
+        connections = _connections.ConnectionPool(
+            clock, environment.network.dial
+        )
+        self._reachability = _reachability.Reachability(
+            self._replicas, connections, clock, self._random
+        )
         self._controller_protocol = self._make_controller_protocol()
         # Without its socket: no stream is resumed by an emulated client.
         origins = _origin_exchange.OriginExchange(
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -177,6 +177,12 @@
     ),
     "call_abandoned": _claim_step("a call was abandoned before it was sent"),
     "call_dispatched": _claim_step("a call is being sent to a server"),
+    "call_not_permitted": Message(
+        _STATE,
+        "an order or the fetching of a report was put off, since the replica"
+        " limits its rate",
+        ("replica", "wait_ms"),
+    ),
     "change": Message(
         _STATE,
         "a change of a deployment was accepted or refused",
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -49,6 +49,7 @@
 from geraniumlink import platform
 from geraniumlink.platform import _configuration
 from geraniumlink.platform import _replicas as _replica_entries
+from geraniumlink.residency import _call_limits
 from geraniumlink.residency import _controller
 from geraniumlink.residency import _controller_link
 from geraniumlink.residency import _controller_protocol
@@ -171,14 +172,6 @@
         self._leadership = self._make_leadership()
         self._watchers = self._make_watchers()
         self._leadership.call_on_store_recovery(self._restart_watches)
-        self._controller = _controller.Controller(
-            active_configuration=self._active_configuration,
-            replicas=self._replicas,
-            leadership=self._leadership,
-            orders=platform.OrderClient(_http.Client(keeps_alive=False)),
-            clock=self._clock,
-            instance=settings.instance,
-        )
         self._directory = _instance_directory.InstanceDirectory(
             str(settings.peer_address), clock
         )
@@ -191,6 +184,17 @@
             clock=clock,
             random_source=self._random,
         )
+        self._controller = _controller.Controller(
+            active_configuration=self._active_configuration,
+            replicas=self._replicas,
+            leadership=self._leadership,
+            orders=platform.OrderClient(_http.Client(keeps_alive=False)),
+            call_limits=_call_limits.PermittedCalls(
+                self._replicas, self._permits, clock
+            ),
+            clock=self._clock,
+            instance=settings.instance,
+        )
         self._connections = _connections.ConnectionPool(clock)
         self._peer_connections = _connections.ConnectionPool(clock)
         self._reachability = _reachability.Reachability(
--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -17,6 +17,7 @@
 from geraniumlink import _logs
 from geraniumlink import platform
 from geraniumlink.residency import _adapters
+from geraniumlink.residency import _call_limits
 from geraniumlink.residency import _demand
 from geraniumlink.residency import _leadership
 from geraniumlink.residency import _model_load_budget
@@ -81,6 +82,7 @@
         replicas: _replicas.Replicas,
         leadership: _leadership.Leadership,
         orders: platform.OrderClient,
+        call_limits: _call_limits.CallLimits,
         clock: _clock.Clock,
         instance: str,
     ) -> None:
@@ -89,7 +91,7 @@
         self._clock = clock
         self._demands = _demand.DemandTracker(clock)
         self._order_sender = _order_sender.OrderSender(
-            orders, leadership, clock, instance
+            orders, leadership, clock, instance, call_limits
         )
         self._adapters = _adapters.AdapterLoader(
             self._order_sender, self._demands, clock
--- a/src/geraniumlink/residency/_order_sender.py
+++ b/src/geraniumlink/residency/_order_sender.py
@@ -8,6 +8,7 @@
 from geraniumlink import _http
 from geraniumlink import _logs
 from geraniumlink import platform
+from geraniumlink.residency import _call_limits
 from geraniumlink.residency import _leadership
 from geraniumlink.residency import _replica_states
 
@@ -33,7 +34,9 @@
         leadership: _leadership.Leadership,
         clock: _clock.Clock,
         instance: str,
+        call_limits: _call_limits.CallLimits,
     ) -> None:
+        self._call_limits = call_limits
         self._calls = calls
         self._leadership = leadership
         self._clock = clock
@@ -131,8 +134,11 @@
     async def fetch_report(self, state: _replica_states.ReplicaState) -> None:
         """Fetch a replica's report and update its state.
 
-        A failure is logged and leaves the state as it was.
+        A failure is logged and leaves the state as it was, and so does a
+        limit that the replica states.
         """
+        if not await self._call_limits.wait(state.name):
+            return
         try:
             report = await self._calls.fetch_report(state.name, state.address)
         except (_http.NotSentError, _http.BrokenError) as error:
@@ -187,8 +193,11 @@
         """Send an order once and record what is known of its outcome.
 
         REFUSED also stands for an order that was not sent, since the
-        replica's order count is unknown or the lease may have expired.
+        replica's order count is unknown, its limit doesn't allow it, or the
+        lease may have expired.
         """
+        if not await self._call_limits.wait(state.name):
+            return platform.OrderResult.REFUSED
         if state.order_count is None or not self._leadership.may_order():
             return platform.OrderResult.REFUSED
         order = platform.Order(
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -125,6 +125,7 @@
         self._runs: list[dict] = []
         self._refused = 0
         self._running = 0
+        self._reported_at: list[float] = []
         # When requests were turned away for want of room.
         self._turned_away: list[float] = []
         self._orders: list[dict] = []
@@ -182,9 +183,11 @@
             "orders": self._orders,
             "refused": self._refused,
             "turned_away": self._turned_away,
+            "reported_at": self._reported_at,
         }
 
     async def _report(self, _: _Request) -> tuple[int, typing.Any]:
+        self._reported_at.append(time.monotonic())
         return 200, {
             "models": [
                 {"name": name, "version": 1, "adapters": adapters}
--- a/tests/emulated_controller.py
+++ b/tests/emulated_controller.py
@@ -19,6 +19,13 @@
         return True
 
 
+class CallLimits:
+    """No replica states a limit."""
+
+    async def wait(self, _replica):
+        return True
+
+
 def make_controller(site, engines, orders, clock):
     """Return a controller that may order the engines, and its replicas."""
     replicas = _replicas.Replicas(clock, 2000)
@@ -31,6 +38,7 @@
         replicas=replicas,
         leadership=Leadership(),
         orders=orders,
+        call_limits=CallLimits(),
         clock=clock,
         instance="i1",
     )
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -8,7 +8,9 @@
 
 from geraniumlink import _clock
 from geraniumlink import platform
+from geraniumlink.residency import _call_limits
 from geraniumlink.residency import _limit_exchange
+from geraniumlink.serving import _permits
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _types
 from tests import builders
@@ -150,6 +152,66 @@
     assert "m1" in {order["model"] for order in await site.orders()}
 
 
+@pytest.mark.anyio
+async def test_the_controllers_calls_stay_within_a_replicas_limit_too(fleet):
+    site = await hosts.Site(fleet).start(replicas=1, models=("m1", "m2"))
+    await site.faults("r-1", limit=1)
+    began = time.monotonic()
+    # There is memory for two of three models.
+    async with anyio.create_task_group() as group:
+        for model in ("m1", "m2", "m3"):
+            group.start_soon(_send_model, site, model)
+    record = await fleet.record(site.replicas["r-1"])
+    arrivals = [
+        *(run["at"] for run in record["runs"]),
+        *(order["at"] for order in record["orders"]),
+        *record["reported_at"],
+    ]
+    settled = [at for at in arrivals if at >= began + _SETTLING_S]
+    assert settled
+    assert _most_in_window(settled) <= _FACTOR * _WINDOW_S + _CONSTANT
+
+
+async def _send_model(site, model):
+    await _send_at_rate(
+        site, 3, _SETTLING_S + 2 * _WINDOW_S, "/safe/x", X_Model=model
+    )
+
+
+class _Permits:
+    """Answers as a test says, and counts what is given back."""
+
+    instances = 1
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.released = 0
+
+    async def acquire(self, _replica, _max_delay_ms):
+        return self.answer
+
+    def release(self, _replica, is_rejected):
+        assert not is_rejected
+        self.released += 1
+
+
+@pytest.mark.anyio
+async def test_calls_wait_for_permits_only_where_there_is_a_limit():
+    clock = _clock.ManualClock()
+    replicas, _ = _exchange(clock)
+    permits = _Permits(_permits.Denied(500))
+    calls = _call_limits.PermittedCalls(replicas, permits, clock)
+    assert await calls.wait("r1")
+    replicas.get("r1").note_rate_limit(1.0, 0, clock.now())
+    assert not await calls.wait("r1")
+    permits.answer = _permits.Granted(200)
+    began = clock.now()
+    assert await calls.wait("r1")
+    assert clock.now() - began == 200
+    assert permits.released == 1
+    assert await calls.wait("unknown")
+
+
 def _exchange(clock, names=("r1",), started_at=1):
     replicas = _replicas.Replicas(clock, 2000)
     replicas.replace_all(
