Log and count requests that end without a complete answer, by cause

What callers see is a connection that closes before the end of its answer. The log line of such a request said "client left" if the client had left, if an error of this program ended it and if the process ended; "cut off" if its last attempt had failed; and "refused" if no other replica could be found, also if an answer had begun. None said whether the replica had broken off or was silent.

Each such request has a line "unfinished" with the cause now, and geraniumlink_unfinished_requests_total counts them by cause. The outcome of the "request" line is "cut off: ..." if an answer had begun, "error" on an error.

Interrupted.crashed, which nothing set, is replaced by is_stall. tests/test_hosted_logs.py: the new test fails before (no such line).

--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -700,6 +700,19 @@
         " retries",
         ("error",),
     ),
+    "unfinished": Message(
+        _REQUEST,
+        "a request ended without a complete response; `reason` is why, and"
+        " `status` null if none had begun",
+        (
+            "attempts",
+            "last_event_id",
+            "reason",
+            "replica",
+            "request_id",
+            "status",
+        ),
+    ),
     "unreachable": Message(
         _STATE,
         "replicas that half of the instances cannot connect to",
--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -106,7 +106,7 @@
         except _http.BrokenError as error:
             return _outcomes.Interrupted(str(error))
         except StalledError:
-            return _outcomes.Interrupted(self._note_stall())
+            return _outcomes.Interrupted(self._note_stall(), is_stall=True)
         finally:
             if self._stall_timer is not None:
                 self._stall_timer.cancel()
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -185,6 +185,21 @@
     )
 
 
+def unfinished(
+    state: _request_state.RequestState, cause: _outcomes.Cause
+) -> None:
+    """Log that a request ends without a complete response."""
+    _logs.event(
+        "unfinished",
+        request_id=state.log_id,
+        replica=state.last_replica,
+        attempts=state.attempts,
+        status=state.response.status,
+        last_event_id=state.last_event_id.decode("latin-1"),
+        reason=cause.value,
+    )
+
+
 def finished(state: _request_state.RequestState, now: int) -> None:
     """Log the end of a request."""
     _logs.event(
--- a/src/geraniumlink/serving/_final_answers.py
+++ b/src/geraniumlink/serving/_final_answers.py
@@ -60,7 +60,7 @@
         502 if a replica may have run the request, and 503 if none has.
         """
         if state.response.started:
-            state.outcome = "cut off"
+            state.outcome = f"cut off: {_outcomes.reason_of(outcome)}"
             return
         match outcome:
             case _outcomes.Failed(status, headers, body):
@@ -98,9 +98,10 @@
         It states that the request was not run, and when to retry, only if no
         replica may have run it.
         """
-        state.outcome = f"refused: {refusal.reason}"
         if state.response.started:
+            state.outcome = f"cut off: {refusal.reason}"
             return
+        state.outcome = f"refused: {refusal.reason}"
         if state.may_have_run or refusal.retry_after_ms is None:
             await self.send_own(
                 state.response, _BAD_GATEWAY, refusal.reason, retry=False
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -163,22 +163,37 @@
         now = self._clock.now()
         version = self._active_configuration.version
         _decision_log.admitted(state, version, now)
-        left_ms = state.deadline - now
         try:
-            with anyio.move_on_after(left_ms / 1000) as scope:
-                if await self._admit_resumed_stream(state):
-                    await self._run_attempts(state)
-            if scope.cancelled_caught:
-                state.outcome = "timed out"
-                await self._final_answers.send_timeout(state)
+            await self._serve_in_time(state, state.deadline - now)
+        except Exception:
+            state.outcome = "error"
+            raise
         except BaseException:
             state.outcome = state.outcome or "client left"
             raise
         finally:
             self._relayed_in_flight -= request.is_relayed
-            now = self._clock.now()
-            _decision_log.finished(state, now)
-            self._metrics.record_request(state, now)
+            self._record_end(state)
+
+    async def _serve_in_time(
+        self, state: _request_state.RequestState, left_ms: int
+    ) -> None:
+        """Send the response to a request before its time is up."""
+        with anyio.move_on_after(left_ms / 1000) as scope:
+            if await self._admit_resumed_stream(state):
+                await self._run_attempts(state)
+        if scope.cancelled_caught:
+            state.outcome = "timed out"
+            await self._final_answers.send_timeout(state)
+
+    def _record_end(self, state: _request_state.RequestState) -> None:
+        now = self._clock.now()
+        if not state.response.finished:
+            cause = _outcomes.find_cause(state.outcome, state.failed_attempt)
+            _decision_log.unfinished(state, cause)
+            self._metrics.record_unfinished(state.service, cause)
+        _decision_log.finished(state, now)
+        self._metrics.record_request(state, now)
 
     async def _find_route(
         self,
@@ -315,6 +330,7 @@
             if isinstance(outcome, _outcomes.Done):
                 state.outcome = "done"
                 return
+            state.failed_attempt = outcome
             why_final = self._why_not_retried(state, outcome)
             _decision_log.attempt_failed(state, outcome, why_final)
             if why_final:
--- a/src/geraniumlink/serving/_outcomes.py
+++ b/src/geraniumlink/serving/_outcomes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,8 +36,8 @@
     """The request may have run, and no complete response was received."""
 
     reason: str
-    # Whether the replica's process ended.
-    crashed: bool = False
+    # Whether the replica sent nothing for too long, and may go on later.
+    is_stall: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,3 +75,39 @@
     reason: str
     # None if a retry by the client can't succeed.
     retry_after_ms: int | None
+
+
+class Cause(enum.Enum):
+    """Why a request ended without a complete response.
+
+    The values appear in log lines and metrics.
+    """
+
+    CLIENT = "the client left"
+    ERROR = "an error of this instance"
+    TIMEOUT = "its time was up"
+    STALL = "the replica was silent"
+    BREAK = "the replica broke off"
+    OTHER = "its last attempt failed otherwise"
+
+
+def find_cause(outcome: str, failed: Outcome | None) -> Cause:
+    """Return why a request ended without a complete response.
+
+    :param outcome: the request's final outcome.
+    :param failed: the outcome of its last attempt that has failed.
+    """
+    match outcome:
+        case "client left":
+            return Cause.CLIENT
+        case "error":
+            return Cause.ERROR
+        case "timed out":
+            return Cause.TIMEOUT
+    match failed:
+        case Interrupted(is_stall=True):
+            return Cause.STALL
+        case Interrupted():
+            return Cause.BREAK
+        case _:
+            return Cause.OTHER
--- a/src/geraniumlink/serving/_request_metrics.py
+++ b/src/geraniumlink/serving/_request_metrics.py
@@ -4,6 +4,7 @@
 
 import aioprometheus
 
+from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _request_state
 
 # Upper bounds of the histograms' buckets, in seconds. The users' latency
@@ -15,7 +16,15 @@
 _OTHER_ROUTES = "other"
 # Values of the outcome label; a request's outcome begins with one of them, or
 # counts as failed.
-_OUTCOMES = ("done", "refused", "failed", "timed out", "client left")
+_OUTCOMES = (
+    "done",
+    "refused",
+    "failed",
+    "timed out",
+    "client left",
+    "cut off",
+    "error",
+)
 
 
 class RequestMetrics:
@@ -45,6 +54,11 @@
             "Requests sent to replicas, by service and outcome",
             registry=registry,
         )
+        self._unfinished = aioprometheus.Counter(
+            "geraniumlink_unfinished_requests_total",
+            "Requests that ended without a complete answer, by cause",
+            registry=registry,
+        )
 
     def record_request(
         self, state: _request_state.RequestState, now: int
@@ -67,6 +81,11 @@
             route = _OTHER_ROUTES
         return {"service": state.service, "route": route}
 
+    def record_unfinished(self, service: str, cause: _outcomes.Cause) -> None:
+        """Count a request that ended without a complete response."""
+        labels = {"service": service, "cause": cause.name.lower()}
+        self._unfinished.inc(labels)
+
     def record_attempt(self, service: str, outcome: str) -> None:
         """Count the outcome of one attempt at a replica."""
         self._attempts.inc({"service": service, "outcome": outcome})
--- a/src/geraniumlink/serving/_request_state.py
+++ b/src/geraniumlink/serving/_request_state.py
@@ -4,6 +4,7 @@
 
 import hashlib
 
+from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _response_writer
 from geraniumlink.serving import _types
 from geraniumlink.suspicion import _prompt_parts
@@ -71,6 +72,9 @@
         self.first_event_at: int | None = None
         # The final outcome, for log lines and metrics; empty until then.
         self.outcome = ""
+        # Why the last attempt has failed, for log lines and metrics; None if
+        # none has.
+        self.failed_attempt: _outcomes.Outcome | None = None
 
     @property
     def latest_first_event(self) -> int:
--- a/tests/test_hosted_logs.py
+++ b/tests/test_hosted_logs.py
@@ -191,3 +191,23 @@
     )
     for gauge in ("replicas 2", "requests_waiting 0", "controller "):
         assert f"geraniumlink_{gauge}" in text
+
+
+async def test_the_cause_of_an_answer_without_an_end_is_not_logged(fleet):
+    site = await hosts.Site(fleet).start(instances=0)
+    metrics_port = fleets.free_port()
+    host = await site.add_instance("--metrics-port", str(metrics_port))
+    for name in site.replicas:
+        await site.faults(name, cut_after=3)
+    answer = await hosts.send_request(host.port, "/stream-once/x")
+    assert not answer.is_complete
+    (line,) = hosts.find_log_lines(host, "unfinished")
+    assert line["reason"] == "the replica broke off"
+    assert line["status"] == 200
+    assert line["last_event_id"] == "3"
+    request = hosts.request_bytes("/metrics", method="GET")
+    metrics = (await hosts.send(metrics_port, request)).body.decode()
+    assert (
+        'geraniumlink_unfinished_requests_total{cause="break",'
+        'service="assistant"} 1' in metrics
+    )
