--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -143,6 +143,9 @@
         self._models: dict[str, list[str]] = {}
         # Software versions; a replica that isn't here is of "v1".
         self.versions: dict[str, str] = {}
+        # Bounds in the settings of instances that are started from now on,
+        # where they differ from those of ``node_settings``.
+        self.bounds: dict[str, float] = {}
 
     async def start(
         self,
@@ -198,6 +201,7 @@
     ) -> fleets.Process:
         """Start an instance; return when it is ready."""
         settings = node_settings(self.store, f"i-{len(self._settings) + 1}")
+        settings["bounds"] |= self.bounds
         process = self.fleet.hosted(
             settings, *arguments, environment=environment
         )
