Keep requests at a silent replica until another can take them

What callers saw: a stream that closed before its end, or a 502, while the replica was about to go on.

Cause: a request that can be retried was taken from a replica after two latency targets or four gaps of silence (0.3 to 2 s), and only then another one was looked for. If no other had the model, all were silent, or the retry budget was used up, nothing was left to answer with. A sound replica may be silent for a second. The class of fault: what works is given up before what shall replace it is there.

Change: after the stall timeout the replica is paused, and a search begins for another one that has the model, takes a connection, and has a permit and a retry of the budget. Only then is the attempt ended. If the replica sends something before, the search ends and the request stays. The same holds where a request was passed on to another instance. No stall is noted while it is the client that doesn't read.

--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -16,6 +16,7 @@
 from geraniumlink.serving import _connections
 from geraniumlink.serving import _decision_log
 from geraniumlink.serving import _events
+from geraniumlink.serving import _failover
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_state
@@ -47,12 +48,14 @@
 
 
 class StalledError(Exception):
-    """A replica has sent nothing for longer than the stall timeout."""
+    """A replica is silent, and another one takes the request."""
 
 
 class Attempt:
     """Sends one request on one connection and relays the response."""
 
+    _silence = "the replica is silent"
+
     def __init__(
         self,
         clock: _clock.Clock,
@@ -61,6 +64,7 @@
         connection: _connections.Connection,
         expected_ms: float,
         origins: _stream_origins.Origins,
+        failover: _failover.Failover,
     ) -> None:
         self._clock = clock
         self._state = state
@@ -68,6 +72,7 @@
         self._connection = connection
         self._expected_ms = expected_ms
         self._origins = origins
+        self._failover = failover
         self._sent_at = clock.now()
         self._priority = state.route.priority
         self._prefill_tokens = replica.uncached_tokens(state.request)
@@ -106,18 +111,17 @@
         except _http.BrokenError as error:
             return _outcomes.Interrupted(str(error))
         except StalledError:
-            return _outcomes.Interrupted(self._note_stall(), is_stall=True)
+            return _outcomes.Interrupted(self._silence, is_stall=True)
         finally:
             if self._stall_timer is not None:
                 self._stall_timer.cancel()
             replica.in_flight -= 1
             self._end_prefill()
+            await self._failover.stop()
 
-    def _note_stall(self) -> str:
-        """Record that the replica is silent; return that as a reason."""
-        reason = "the replica is silent"
-        self._replica.note_unreachable(self._clock.now(), reason)
-        return reason
+    def _note_stall(self) -> None:
+        """Record that the replica is silent."""
+        self._replica.note_unreachable(self._clock.now(), self._silence)
 
     async def _exchange(self) -> _outcomes.Outcome:
         """Send the request and receive the response.
@@ -409,13 +413,15 @@
     ) -> _T:
         """Read from the replica's connection, with the stall timeout.
 
-        :raises StalledError: if the request can be retried, and the replica
-            has sent nothing, on any connection, for the stall timeout.
+        :raises StalledError: if the request can be retried, the replica has
+            sent nothing, on any connection, for the stall timeout, and
+            another one takes the request.
         """
         self._read_began_at = self._clock.now()
         self._set_stall_timer()
         result = await read()
         self._replica.note_activity(self._clock.now())
+        self._failover.cancel()
         return result
 
     def _set_stall_timer(self) -> None:
@@ -438,16 +444,28 @@
         )
 
     def _check_stall(self) -> None:
-        """Interrupt the read if it has stalled; else check again later."""
+        """Look for another replica if a read stalls; else check later."""
         self._stall_timer = None
-        due_at = self._stall_due_at()
-        if due_at is None:
+        if not self._connection.is_reading:
+            # The client is slow to take what was read.
             return
-        if due_at <= self._clock.now():
-            self._connection.interrupt_read(StalledError())
+        if self._is_stalled():
+            self._note_stall()
+            self._failover.start(self._end_stalled_read)
         else:
             self._set_stall_timer()
 
+    def _is_stalled(self) -> bool:
+        due_at = self._stall_due_at()
+        return due_at is not None and due_at <= self._clock.now()
+
+    def _end_stalled_read(self) -> bool:
+        """Interrupt the read if it stalls still; return whether it did."""
+        if self._is_stalled():
+            return self._connection.interrupt_read(StalledError())
+        self._set_stall_timer()
+        return False
+
     def _stall_due_at(self) -> int | None:
         """Return when a read stalls; None if there can be no retry."""
         stall_timeout_ms = self._stall_timeout_ms()
--- a/src/geraniumlink/serving/_connections.py
+++ b/src/geraniumlink/serving/_connections.py
@@ -122,6 +122,11 @@
         self._written = asyncio.Event()
         self._written.set()
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether a read waits for bytes."""
+        return self._read_waiter is not None and not self._read_waiter.done()
+
     async def send(self, data: bytes) -> None:
         """Write bytes of a request.
 
@@ -202,10 +207,15 @@
             and len(self._refused_ids) <= MAX_REFUSED_IDS
         )
 
-    def interrupt_read(self, error: Exception) -> None:
-        """Raise an error in the read that waits for bytes, if there is one."""
-        if self._read_waiter is not None and not self._read_waiter.done():
-            self._read_waiter.set_exception(error)
+    def interrupt_read(self, error: Exception) -> bool:
+        """Raise an error in the read that waits for bytes.
+
+        :returns: whether there is one.
+        """
+        if self._read_waiter is None or self._read_waiter.done():
+            return False
+        self._read_waiter.set_exception(error)
+        return True
 
     def is_idle_and_open(self) -> bool:
         """Whether nothing was received, also no EOF, since it was released.
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -22,6 +22,7 @@
 from geraniumlink.serving import _balance
 from geraniumlink.serving import _connections
 from geraniumlink.serving import _decision_log
+from geraniumlink.serving import _failover
 from geraniumlink.serving import _final_answers
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _peer_relay
@@ -313,17 +314,19 @@
 
     async def _run_attempts(self, state: _request_state.RequestState) -> None:
         """Send the request on until there is a final response."""
+        successor: _failover.Successor | None = None
         while True:
-            target = await self._select_target(state)
-            match target:
-                case _outcomes.Refusal():
+            if successor is None:
+                target = await self._select_target(state)
+                if isinstance(target, _outcomes.Refusal):
                     await self._final_answers.send_refusal(state, target)
                     return
-                case _peers.Peer():
-                    outcome = await self._peer_relay.send(state, target)
-                case _:
-                    outcome = await self._run_attempt(state, target)
-                    state.tried_replicas.add(target.replica.entry.name)
+                self._record_target(state, target)
+                connected = await self._connect(state, target)
+            else:
+                target, connected = successor
+                self._record_target(state, target)
+            outcome, successor = await self._try(state, target, connected)
             self._metrics.record_attempt(
                 state.service, type(outcome).__name__.lower()
             )
@@ -331,7 +334,9 @@
                 state.outcome = "done"
                 return
             state.failed_attempt = outcome
-            why_final = self._why_not_retried(state, outcome)
+            why_final = ""
+            if successor is None:
+                why_final = self._why_not_retried(state, outcome)
             _decision_log.attempt_failed(state, outcome, why_final)
             if why_final:
                 await self._final_answers.send_failure(state, outcome)
@@ -564,31 +569,121 @@
             if replica.entry.name not in avoid
         )
 
-    async def _run_attempt(
-        self, state: _request_state.RequestState, choice: _balance.Choice
-    ) -> _outcomes.Outcome:
-        """Send the request to a replica and relay its response."""
-        replica = choice.replica
+    def _record_target(
+        self, state: _request_state.RequestState, target: _failover.Target
+    ) -> None:
+        now = self._clock.now()
+        if isinstance(target, _peers.Peer):
+            state.last_replica = target.name
+            _decision_log.passed_on(state, target.name, now)
+        else:
+            state.last_replica = target.replica.entry.name
+            _decision_log.attempt(state, target, now)
+
+    async def _connect(
+        self, state: _request_state.RequestState, target: _failover.Target
+    ) -> _connections.Connection | _outcomes.Unsent:
+        """Return a connection to a chosen replica, or to another instance."""
+        if isinstance(target, _peers.Peer):
+            return await self._peer_relay.connect(state, target)
+        replica = target.replica
         entry = replica.entry
-        state.last_replica = entry.name
-        _decision_log.attempt(state, choice, self._clock.now())
         slow_timer = asyncio.get_running_loop().call_later(
             SLOW_CONNECT_MS / 1000, self._reachability.suspect
         )
         try:
-            connection = await self._connections.acquire(
+            return await self._connections.acquire(
                 entry.name,
                 entry.address,
                 strict_freshness=not state.route.retryable,
                 request_id=state.request.id,
             )
         except _http.NotSentError as error:
+            state.tried_replicas.add(entry.name)
             replica.note_unreachable(self._clock.now(), str(error))
             self._chooser.note_end(replica, None)
             await self._reachability.check()
             return _outcomes.Unsent(str(error))
+        except BaseException:
+            self._chooser.note_end(replica, None)
+            raise
         finally:
             slow_timer.cancel()
+
+    async def _try(
+        self,
+        state: _request_state.RequestState,
+        target: _failover.Target,
+        connected: _connections.Connection | _outcomes.Unsent,
+    ) -> tuple[_outcomes.Outcome, _failover.Successor | None]:
+        """Make one attempt.
+
+        :returns: its outcome; and where the request goes on, if its replica
+            was silent.
+        """
+        if isinstance(connected, _outcomes.Unsent):
+            return connected, None
+        failover = _failover.Failover(
+            _SuccessorSource(self, state), self._clock
+        )
+        try:
+            if isinstance(target, _peers.Peer):
+                outcome = await self._peer_relay.send(
+                    state, target, connected, failover
+                )
+            else:
+                outcome = await self._run_attempt(
+                    state, target, connected, failover
+                )
+            is_stall = (
+                isinstance(outcome, _outcomes.Interrupted) and outcome.is_stall
+            )
+            return outcome, failover.take() if is_stall else None
+        finally:
+            failover.discard()
+
+    async def find_successor(
+        self, state: _request_state.RequestState
+    ) -> _failover.Successor | None:
+        """Return where a request may go on from a silent replica, or None."""
+        if (
+            state.deadline - self._clock.now() < MIN_TIME_LEFT_MS
+            or not self._budgets.has_retry_left(state.service)
+        ):
+            return None
+        target = await self._select_target(state)
+        if isinstance(target, _outcomes.Refusal):
+            return None
+        connected = await self._connect(state, target)
+        if isinstance(connected, _outcomes.Unsent):
+            return None
+        successor = _failover.Successor(target, connected)
+        if not self._budgets.try_withdraw(state.service, state.log_id):
+            self.discard_successor(successor)
+            return None
+        return successor
+
+    def discard_successor(self, successor: _failover.Successor) -> None:
+        """Give back the connection and the permit of a successor."""
+        target, connection = successor
+        if isinstance(target, _peers.Peer):
+            self._peer_relay.release(target, connection)
+        else:
+            entry = target.replica.entry
+            self._connections.release(entry.name, connection)
+            self._chooser.note_end(target.replica, None)
+
+    async def _run_attempt(
+        self,
+        state: _request_state.RequestState,
+        choice: _balance.Choice,
+        connection: _connections.Connection,
+        failover: _failover.Failover,
+    ) -> _outcomes.Outcome:
+        """Send the request to a replica and relay its response."""
+        replica = choice.replica
+        entry = replica.entry
+        state.tried_replicas.add(entry.name)
         state.attempts += 1
         sent_at = self._clock.now()
         attempt = _attempt.Attempt(
@@ -598,6 +693,7 @@
             connection,
             choice.expected_ms,
             self._origins,
+            failover,
         )
         outcome: _outcomes.Outcome | None = None
         try:
@@ -703,6 +799,22 @@
         return standing is _suspicions.Standing.CONFIRMED
 
 
+class _SuccessorSource:
+    """Finds where one request goes on from a silent replica."""
+
+    def __init__(
+        self, forwarder: Forwarder, state: _request_state.RequestState
+    ) -> None:
+        self._forwarder = forwarder
+        self._state = state
+
+    async def find(self) -> _failover.Successor | None:
+        return await self._forwarder.find_successor(self._state)
+
+    def discard(self, successor: _failover.Successor) -> None:
+        self._forwarder.discard_successor(successor)
+
+
 def _why_may_not_retry(
     state: _request_state.RequestState, outcome: _outcomes.Outcome
 ) -> str:
--- a/src/geraniumlink/serving/_peer_relay.py
+++ b/src/geraniumlink/serving/_peer_relay.py
@@ -12,7 +12,7 @@
 from geraniumlink import platform
 from geraniumlink.serving import _attempt
 from geraniumlink.serving import _connections
-from geraniumlink.serving import _decision_log
+from geraniumlink.serving import _failover
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _peers
 from geraniumlink.serving import _request_state
@@ -31,6 +31,8 @@
 class _RelayAttempt(_attempt.Attempt):
     """Sends one request to another instance and relays its response."""
 
+    _silence = "the other instance is silent"
+
     def __init__(
         self,
         clock: _clock.Clock,
@@ -38,13 +40,19 @@
         peer: _peers.Peer,
         connection: _connections.Connection,
         origins: _stream_origins.Origins,
+        failover: _failover.Failover,
+        peers: _peers.Peers,
     ) -> None:
-        super().__init__(clock, state, peer.backend, connection, 0.0, origins)
+        super().__init__(
+            clock, state, peer.backend, connection, 0.0, origins, failover
+        )
+        self._peer = peer
+        self._peers = peers
         # The prompt is ahead of others at a replica, not at the instance.
         self._prefill_tokens = 0
 
-    def _note_stall(self) -> str:
-        return "the other instance is silent"
+    def _note_stall(self) -> None:
+        self._peers.note_failure(self._peer)
 
     def _encode_head(self) -> bytes:
         state = self._state
@@ -97,14 +105,12 @@
         """Return an instance to pass a request on to, if there is one."""
         return self._peers.choose()
 
-    async def send(
+    async def connect(
         self, state: _request_state.RequestState, peer: _peers.Peer
-    ) -> _outcomes.Outcome:
-        """Pass the request on to another instance and relay its response."""
-        state.last_replica = peer.name
-        _decision_log.passed_on(state, peer.name, self._clock.now())
+    ) -> _connections.Connection | _outcomes.Unsent:
+        """Return a connection to another instance for a request."""
         try:
-            connection = await self._connections.acquire(
+            return await self._connections.acquire(
                 peer.name,
                 peer.address,
                 strict_freshness=not state.route.retryable,
@@ -113,9 +119,30 @@
         except _http.NotSentError as error:
             self._peers.note_failure(peer)
             return _outcomes.Unsent(str(error))
+
+    def release(
+        self, peer: _peers.Peer, connection: _connections.Connection
+    ) -> None:
+        """Take back a connection on which nothing was sent."""
+        self._connections.release(peer.name, connection)
+
+    async def send(
+        self,
+        state: _request_state.RequestState,
+        peer: _peers.Peer,
+        connection: _connections.Connection,
+        failover: _failover.Failover,
+    ) -> _outcomes.Outcome:
+        """Pass the request on to another instance and relay its response."""
         state.attempts += 1
         attempt = _RelayAttempt(
-            self._clock, state, peer, connection, self._origins
+            self._clock,
+            state,
+            peer,
+            connection,
+            self._origins,
+            failover,
+            self._peers,
         )
         outcome: _outcomes.Outcome | None = None
         try:
--- a/src/geraniumlink/serving/_retry_budgets.py
+++ b/src/geraniumlink/serving/_retry_budgets.py
@@ -63,19 +63,24 @@
         """Count a client's request."""
         self._window(self._requests, service).append(self._clock.now())
 
-    def try_withdraw(self, service: str, request_id: str = "") -> bool:
-        """Return whether a retry may be sent, and count it if so."""
+    def has_retry_left(self, service: str) -> bool:
+        """Whether a retry may be sent now."""
         requests = len(self._window(self._requests, service))
-        retries = self._window(self._retries, service)
+        retries = len(self._window(self._retries, service))
         constant = self._limit.constant / self._instances
         allowed = SAFETY_FACTOR * (self._limit.ratio * requests + constant)
-        if len(retries) + 1 > allowed:
+        return retries + 1 <= allowed
+
+    def try_withdraw(self, service: str, request_id: str = "") -> bool:
+        """Return whether a retry may be sent, and count it if so."""
+        retries = self._window(self._retries, service)
+        if not self.has_retry_left(service):
             _logs.event(
                 "repeat_budget_used",
                 request_id=request_id,
                 service=service,
                 repeats=len(retries),
-                requests=requests,
+                requests=len(self._window(self._requests, service)),
             )
             return False
         retries.append(self._clock.now())
