Let a stream go on elsewhere at any time, not only while it is young

What callers saw: a stream that broke off, or whose replica was silent, more than 2.4 s after its request was cut off, though another replica had the model.

Cause: the time by which a client that has no event yet gives up (the longest of 2 s, four targets, eight gaps) was applied to streams that had begun. After it, each replica was found to be too late, and no wait for a model had any time.

Change: each event that the client gets sets the time anew, as clients give up after a gap, not after a time since the request.

--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -318,7 +318,7 @@
                 self._record_origin()
             await self._start_response(head)
             await state.response.write(events)
-            state.last_event_id = splitter.last_id or state.last_event_id
+            state.note_events(splitter.last_id, self._clock.now())
         partial_bytes = len(splitter.partial_event)
         if partial_bytes or head.framing == "connection":
             _decision_log.stream_ended(state, head.framing, partial_bytes)
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -527,7 +527,7 @@
         :param avoid: names of replicas that don't count.
         """
         began = self._clock.now()
-        wait_ms = state.latest_first_event - began - SERVE_RESERVE_MS
+        wait_ms = state.latest_next_event - began - SERVE_RESERVE_MS
         _decision_log.waiting(state, available, wait_ms)
         self._waiting_count += 1
         try:
--- a/src/geraniumlink/serving/_replica_choice.py
+++ b/src/geraniumlink/serving/_replica_choice.py
@@ -112,7 +112,7 @@
             # About as many wait as are being served.
             return _permits.Denied(MAX_DENIAL_MS)
         began = self._clock.now()
-        spare_ms = state.latest_first_event - began
+        spare_ms = state.latest_next_event - began
         give_up_at = began + spare_ms / (1 + state.route.priority)
         self._waiting[state.service] += 1
         try:
@@ -196,7 +196,7 @@
             now,
             self._random,
         )
-        late_ms = choice.expected_ms - (state.latest_first_event - now)
+        late_ms = choice.expected_ms - (state.latest_next_event - now)
         if late_ms > 0:
             return self._final_answers.make_refusal(
                 "no replica can answer in time", late_ms
--- a/src/geraniumlink/serving/_request_state.py
+++ b/src/geraniumlink/serving/_request_state.py
@@ -35,10 +35,9 @@
         self.service = service
         # Time, by this instance's clock, at which the request times out.
         self.deadline = deadline
-        # Time at which a client that still waits for a first event gives up.
-        self.first_event_deadline = request.received_at + _first_event_ms(
-            route
-        )
+        # Time at which the client gives up unless it gets another event, or a
+        # whole answer.
+        self._event_deadline = request.received_at + _longest_gap_ms(route)
         # Replicas that it was sent to, also by another instance before.
         self.attempts = request.relayed_attempts or 0
         # Whether another instance took it, and may have sent it to replicas
@@ -77,9 +76,9 @@
         self.failed_attempt: _outcomes.Outcome | None = None
 
     @property
-    def latest_first_event(self) -> int:
-        """When a first event, or a whole answer, comes too late."""
-        return min(self.deadline, self.first_event_deadline)
+    def latest_next_event(self) -> int:
+        """When the next event, or a whole answer, comes too late."""
+        return min(self.deadline, self._event_deadline)
 
     @property
     def resumes_stream(self) -> bool:
@@ -103,9 +102,17 @@
         """The request id as it appears in log lines."""
         return self.request.id.decode("latin-1")
 
+    def note_events(self, last_id: bytes, now: int) -> None:
+        """Record that events were sent to the client.
+
+        :param last_id: of the last one; empty if they have no ids.
+        """
+        self.last_event_id = last_id or self.last_event_id
+        self._event_deadline = now + _longest_gap_ms(self.route)
+
 
-def _first_event_ms(route: _types.Route) -> int:
-    """Return how long a client waits for the first event."""
+def _longest_gap_ms(route: _types.Route) -> int:
+    """Return how long a client waits for an event, or for a whole answer."""
     if route.kind is not _types.RouteKind.STREAM:
         return route.timeout_ms
     return max(
--- a/tests/test_hosted_streams.py
+++ b/tests/test_hosted_streams.py
@@ -38,6 +38,16 @@
     assert sorted(resumed_at, key=str) == [str(cut_after), None]
 
 
+async def test_a_stream_that_breaks_late_is_cut_off(fleet):
+    """Later than a client would wait for the first event."""
+    site, port = await _site(fleet)
+    for name in site.replicas:
+        await site.faults(name, cut_after=7, event_ms=380)
+    answer = await hosts.send_request(port, "/stream/x")
+    assert answer.is_complete
+    assert answer.body == _ALL
+
+
 async def test_a_stream_that_breaks_before_its_first_event_is_a_502(fleet):
     site, port = await _site(fleet)
     for name in site.replicas:
