Take an answer with a status above 599 for broken

What callers saw: their connection closed without a byte of an answer, after a whole request.

Cause: the HTTP server has no status line for such a status. It failed after it had noted that the answer had begun, so it sent none and closed.

Evidence: tests/test_hosted_requests.py, 3 new tests with status 799; each fails at: the client gets nothing.

Change: such a head counts as bytes that are no answer, so the request is retried or gets a 502. Of the other odd heads that were tried (control characters, folded lines, odd names, statuses 204, 205, 304) each was refused by the parser or relayed whole; status 99 counts as interim.

Result: the tests pass.

--- a/src/geraniumlink/serving/_connections.py
+++ b/src/geraniumlink/serving/_connections.py
@@ -51,6 +51,8 @@
 # body between them, and of the headers of one response.
 MAX_FRAMING_BYTES = 8192
 MAX_HEADERS = 128
+# RFC 9110 defines no classes of status codes above it.
+MAX_STATUS = 599
 # Limit of the body of a response to another request, which is discarded.
 MAX_SKIPPED_BYTES = 1_048_576
 # Up to this length the kernel takes a body in one write; a longer body is sent
@@ -340,7 +342,10 @@
         headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        self._responses[-1].status = self._parser.get_status_code()
+        status = self._parser.get_status_code()
+        if status > MAX_STATUS:
+            raise ValueError(f"status {status}")
+        self._responses[-1].status = status
         self._responses[-1].has_head = True
 
     def on_body(self, body: bytes) -> None:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -7,7 +7,8 @@
 ``last_chunk`` (a cut stream has its last chunk), ``foreign`` (another
 request's answer comes first), ``extra`` (another answer follows),
 ``unsealed``, ``unframed`` (no length or chunks), ``garbage``, ``refuse`` (503,
-not run), ``fail`` (500, run), ``hang`` (no answer), ``event_ms``, ``work_ms``,
+not run), ``fail`` (500, or this status, run), ``hang`` (no answer),
+``event_ms``, ``work_ms``,
 ``endless`` (bytes without end in this part of the answer, see ``ENDLESS``),
 ``lose_orders`` (this many next orders are carried out and not answered),
 ``ignore_orders`` (neither), ``unload_waits`` (an adapter stays until that is
@@ -369,7 +370,8 @@
             part = self.faults.endless
             return await _write_without_end(writer, part, common, seal)
         if self.faults.fail:
-            writer.write(_whole(500, b"failed", common, seal))
+            status = 500 if self.faults.fail is True else self.faults.fail
+            writer.write(_whole(status, b"failed", common, seal))
             return True
         if request.target.startswith(b"/stream"):
             return await self._stream(request, writer, run, common, seal)
--- a/tests/test_hosted_requests.py
+++ b/tests/test_hosted_requests.py
@@ -112,6 +112,16 @@
     assert answer.headers["x-response-seal"].startswith("of-r-")
 
 
+@pytest.mark.parametrize("path", ("safe", "once", "stream"))
+async def test_a_client_gets_no_answer_if_a_replica_has_an_unknown_status(
+    fleet, path
+):
+    site, port = await _site(fleet)
+    for name in site.replicas:
+        await site.faults(name, fail=799)
+    assert (await hosts.send_request(port, f"/{path}/x")).status == 502
+
+
 async def test_a_large_body_is_forwarded_and_its_loss_is_a_502(fleet):
     site, port = await _site(fleet)
     body = b"x" * 90_000
