Answer all requests before the process ends after SIGTERM

What callers saw, at the end of the grace period: a 500 for a request that waited for a model and that no replica had, which they don't repeat where it must not run twice.

Cause: the requests that were left were cancelled with the process, and the HTTP server answered in their place.

The two tests in test_serving.py need the new call, so they couldn't run before.

Change: from SIGTERM on each request's time ends 0.6 s before the grace period does. One that no replica has got is told so (503), one that may run gets a 504. The outcome in logs and metrics is "shut down".

--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -81,9 +81,12 @@
 # requests are accepted for less than 3 s in all: one that is accepted later
 # may not finish within the grace period.
 ACCEPT_AFTER_SIGTERM_MS = 2300
-# Requests still in flight this long before the grace period ends, when the
-# platform sends SIGKILL, are cut off, and the process exits in order.
+# The process exits this long before the grace period ends, when the platform
+# sends SIGKILL.
 EXIT_MARGIN_MS = 400
+# Requests without an answer get a final one this long before that, and streams
+# are cut off.
+ANSWER_MARGIN_MS = 200
 # A lease that has not been renewed for this long plus handover_gap_ms, the
 # platform's minimum time between two holders' orders, may be taken. The
 # holder has sent its last order by then.
@@ -435,7 +438,8 @@
         _logs.event("draining", in_flight=self._application.in_flight)
         self._draining = True
         self._application.start_draining()
-        cut_off_at = started_at + self._settings.grace_ms - EXIT_MARGIN_MS
+        exit_at = started_at + self._settings.grace_ms - EXIT_MARGIN_MS
+        self._forwarder.end_by(exit_at - ANSWER_MARGIN_MS)
         with anyio.move_on_after(self._settings.handover_gap_ms / 1000):
             await self._leadership.release()
         accept_left_ms = ACCEPT_AFTER_SIGTERM_MS - (
@@ -443,7 +447,7 @@
         )
         await self._clock.sleep(max(0, accept_left_ms))
         self._listener.stop()
-        with anyio.move_on_after((cut_off_at - self._clock.now()) / 1000):
+        with anyio.move_on_after((exit_at - self._clock.now()) / 1000):
             await self._listener.stopped()
         _logs.event("drained", in_flight=self._application.in_flight)
 
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -136,12 +136,27 @@
             choose=choose,
         )
         self._waiting_count = 0
+        # The requests in progress end when these time out.
+        self._time_limits: set[anyio.CancelScope] = set()
+        # No request goes on after this time; None if this process isn't
+        # about to end.
+        self._end_at: int | None = None
 
     @property
     def waiting_count(self) -> int:
         """How many requests wait for a model or an adapter to be loaded."""
         return self._waiting_count
 
+    def end_by(self, end_at: int) -> None:
+        """Have all requests answered by a time, also those still to come.
+
+        :param end_at: by this instance's clock; this process ends later.
+        """
+        self._end_at = end_at
+        latest = anyio.current_time() + (end_at - self._clock.now()) / 1000
+        for scope in self._time_limits:
+            scope.deadline = min(scope.deadline, latest)
+
     async def serve(
         self,
         request: _types.Request,
@@ -165,7 +180,7 @@
         version = self._active_configuration.version
         _decision_log.admitted(state, version, now)
         try:
-            await self._serve_in_time(state, state.deadline - now)
+            await self._serve_in_time(state)
         except Exception:
             state.outcome = "error"
             raise
@@ -176,15 +191,22 @@
             self._relayed_in_flight -= request.is_relayed
             self._record_end(state)
 
-    async def _serve_in_time(
-        self, state: _request_state.RequestState, left_ms: int
-    ) -> None:
+    async def _serve_in_time(self, state: _request_state.RequestState) -> None:
         """Send the response to a request before its time is up."""
+        end_at = state.deadline
+        if self._end_at is not None:
+            end_at = min(end_at, self._end_at)
+        left_ms = end_at - self._clock.now()
         with anyio.move_on_after(left_ms / 1000) as scope:
-            if await self._admit_resumed_stream(state):
-                await self._run_attempts(state)
+            self._time_limits.add(scope)
+            try:
+                if await self._admit_resumed_stream(state):
+                    await self._run_attempts(state)
+            finally:
+                self._time_limits.discard(scope)
         if scope.cancelled_caught:
-            state.outcome = "timed out"
+            is_late = self._clock.now() >= state.deadline
+            state.outcome = "timed out" if is_late else "shut down"
             await self._final_answers.send_timeout(state)
 
     def _record_end(self, state: _request_state.RequestState) -> None:
--- a/src/geraniumlink/serving/_outcomes.py
+++ b/src/geraniumlink/serving/_outcomes.py
@@ -86,6 +86,7 @@
     CLIENT = "the client left"
     ERROR = "an error of this instance"
     TIMEOUT = "its time was up"
+    SHUTDOWN = "this instance ended"
     STALL = "the replica was silent"
     BREAK = "the replica broke off"
     OTHER = "its last attempt failed otherwise"
@@ -104,6 +105,8 @@
             return Cause.ERROR
         case "timed out":
             return Cause.TIMEOUT
+        case "shut down":
+            return Cause.SHUTDOWN
     match failed:
         case Interrupted(is_stall=True):
             return Cause.STALL
--- a/src/geraniumlink/serving/_request_metrics.py
+++ b/src/geraniumlink/serving/_request_metrics.py
@@ -24,6 +24,7 @@
     "client left",
     "cut off",
     "error",
+    "shut down",
 )
 
 
--- a/tests/test_hosted_members.py
+++ b/tests/test_hosted_members.py
@@ -201,3 +201,39 @@
         assert late.headers["connection"] == "close"
     assert all(answer.is_complete for answer in answers)
     assert site.instances[0].wait() == 0
+
+
+async def test_a_request_ends_with_500_at_the_end_of_the_grace_period(fleet):
+    site = hosts.Site(fleet)
+    site.bounds = {"grace_s": 4}
+    await site.start(replicas=1)
+    await site.faults("r-1", hang=True)
+    slow = hosts.route("slow", "unsafe", timeout_ms=20_000, max_attempts=1)
+    await site.configure(hosts.configuration(2, slow))
+    (instance,) = site.instances
+
+    async def is_active():
+        return hosts.find_log_lines(instance, "configuration_in_force")[1:]
+
+    await fleet.until(is_active, "the second configuration is in force")
+    answers = []
+
+    async def send():
+        answers.append(
+            await hosts.send_request(
+                instance.port, "/slow/x", X_Deadline_Ms="20000"
+            )
+        )
+
+    async with hosts.anyio.create_task_group() as group:
+        group.start_soon(send)
+
+        async def running():
+            return (await site.runs())["r-1"]
+
+        await fleet.until(running, "the request runs")
+        instance.terminate()
+    assert answers[0].status == 504
+    assert answers[0].is_complete
+    (line,) = hosts.find_log_lines(instance, "request")
+    assert line["outcome"] == "shut down"
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -248,20 +248,22 @@
         pass
 
 
-@pytest.mark.anyio
-async def test_a_load_on_an_unknown_replica_does_not_cause_a_busy_loop():
-    """The controller may know of a load before this instance does.
+class _NeverLoaded(_Residency):
+    """Never reports a model as loaded."""
 
-    Then each wait for the model returns at once, and the request must pause
-    before it waits again.
-    """
-    clock, residency = _clock.Clock(), _Residency()
+    async def ensure_loaded(self, *_args):
+        self.calls += 1
+        await anyio.sleep_forever()
+
+
+def _forwarder(residency, clock):
+    """Return a forwarder with one replica, which holds no models."""
     replicas = _replicas.Replicas(clock, 2000)
     replicas.replace_all([_entry("r1")])
     active_configuration = _active_configuration.ActiveConfiguration()
     spec = hosts.configuration(1, hosts.route("x", "stream", service="s"))
     active_configuration.apply_if_newer(platform.decode_configuration(spec))
-    forwarder = _forward.Forwarder(
+    return _forward.Forwarder(
         active_configuration=active_configuration,
         replicas=replicas,
         residency=residency,
@@ -280,12 +282,16 @@
         data_centre="dc1",
         random_source=random.Random(1),
     )
+
+
+async def _serve(forwarder, clock, timeout_ms):
+    """Serve a request for a model; return the messages of its response."""
     request = _request()._replace(
         host=hosts.HOST,
         target=b"/x/",
         model="m9",
         received_at=clock.now(),
-        client_timeout_ms=300,
+        client_timeout_ms=timeout_ms,
     )
     sent = []
 
@@ -295,10 +301,47 @@
     await forwarder.serve(
         request, _response_writer.ResponseWriter(send, lambda: False)
     )
+    return sent
+
+
+@pytest.mark.anyio
+async def test_a_load_on_an_unknown_replica_does_not_cause_a_busy_loop():
+    """The controller may know of a load before this instance does.
+
+    Then each wait for the model returns at once, and the request must pause
+    before it waits again.
+    """
+    clock, residency = _clock.Clock(), _Residency()
+    sent = await _serve(_forwarder(residency, clock), clock, 300)
     assert sent[0]["status"] == 503
     assert residency.calls <= 300 / _forward.REPLICA_POLL_MS + 1
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("is_new", (False, True), ids=("waiting", "new"))
+async def test_a_request_waits_on_when_its_instance_ends(is_new):
+    clock, residency = _clock.Clock(), _NeverLoaded()
+    forwarder = _forwarder(residency, clock)
+    end_at = clock.now() + 200
+    if is_new:
+        forwarder.end_by(end_at)
+    async with anyio.create_task_group() as group:
+        if not is_new:
+
+            async def end():
+                while not residency.calls:
+                    await anyio.sleep(0.01)
+                forwarder.end_by(end_at)
+
+            group.start_soon(end)
+        with anyio.fail_after(2):
+            head, body = await _serve(forwarder, clock, 60_000)
+    assert residency.calls == 1
+    assert head["status"] == 503
+    assert b"retry-after" in dict(head["headers"])
+    assert not body.get("more_body")
+
+
 def test_a_loaded_adapter_overrides_an_earlier_refusal_for_its_model():
     """A load of the adapter implies that its model is loaded again."""
     replica = _replica()
