Let other instances or the store confirm that one version alone serves

Callers got streams joined from events of two software versions, where the instance at which they took a stream up had been cut off or stood still while replicas of the other version joined.

Cause: a stream whose origin no instance tells goes on at the only version that the list of replicas has had lately. That list may be old, so the absence of another version in it proves nothing.

Change: the instance asks all others which versions they have seen. If one is silent, it reads the list's changes from the store, one call for all streams that wait; if the store doesn't answer, more than half of all instances have to agree. Else the stream is refused with 503 as one of unknown version. No call to the store is made while all others answer.

--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -17,6 +17,7 @@
 from geraniumlink.hosting import _instance
 from geraniumlink.hosting import _origin_exchange
 from geraniumlink.hosting import _permit_exchange
+from geraniumlink.hosting import _version_survey
 from geraniumlink.residency import _call_limits
 from geraniumlink.residency import _controller
 from geraniumlink.residency import _controller_link
@@ -154,6 +155,7 @@
             suspicions=self._suspicions,
             prompt_parts=self._prompt_parts,
             origins=origins,
+            versions=self._make_version_survey(datagrams),
             permits=self._permits,
             metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
             connections=connections,
@@ -224,6 +226,22 @@
             leases, _HANDOVER_GAP_MS, self._environment.clock
         )
 
+    def _make_version_survey(
+        self, datagrams: _datagrams.Datagrams
+    ) -> _version_survey.VersionSurvey:
+        """Return one without a socket or a store, as no stream is resumed."""
+
+        async def refresh(_since: int) -> bool:
+            return False
+
+        return _version_survey.VersionSurvey(
+            replicas=self._replicas,
+            directory=self._directory,
+            datagrams=datagrams,
+            refresh=refresh,
+            clock=self._environment.clock,
+        )
+
     def _make_controller_protocol(
         self,
     ) -> _controller_protocol.ControllerProtocol:
--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -36,6 +36,8 @@
     "action": _TEXT,
     "adapter": _TEXT,
     "address": _TEXT,
+    "answered": _WHOLE,
+    "asked": _WHOLE,
     "attempt": _WHOLE,
     "attempts": _WHOLE,
     "author": _TEXT,
@@ -144,10 +146,12 @@
     "standing": _TEXT,
     # Null if the client disconnected before a response.
     "status": Field(Kind.WHOLE, nullable=True),
+    "store_answered": Field(Kind.FLAG, nullable=True),
     "tokens_per_s": _WHOLE,
     "took_ms": _WHOLE,
     "verdict": _TEXT,
     "version": _WHOLE,
+    "versions": _TEXTS,
     "wait_ms": _WHOLE,
     "why_final": _TEXT,
 }
@@ -156,6 +160,7 @@
 TYPE_OVERRIDES: dict[tuple[str, str], Field] = {
     ("order", "load"): _FLAG,
     ("stream_resumed", "software_version"): Field(Kind.TEXT, nullable=True),
+    ("versions_surveyed", "software_version"): Field(Kind.TEXT, nullable=True),
     ("waiting", "replicas"): _WHOLE,
     # The version of a copy is a text; that of a configuration is a number.
     **{
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -400,6 +400,12 @@
         ("error",),
     ),
     "observed": _reconciliation_step("an engine reported the state of a copy"),
+    "objects_not_refreshed": Message(
+        _STATE,
+        "the store's present changes can't be read; what is known of the"
+        " objects may be old",
+        ("error", "kind"),
+    ),
     "order": Message(
         _STATE,
         "an order was sent to a replica; `verdict` is its result",
@@ -722,6 +728,22 @@
         "the record of the services' software versions is left out",
         ("error",),
     ),
+    "versions_surveyed": Message(
+        _STATE,
+        "whether one software version of a service serves alone, by what"
+        " other instances (`asked`, `answered`) and the store have seen;"
+        " `software_version` is null if not, or if it isn't known, and"
+        " `store_answered` if the store wasn't read",
+        (
+            "answered",
+            "asked",
+            "service",
+            "software_version",
+            "store_answered",
+            "took_ms",
+            "versions",
+        ),
+    ),
     "waiting": Message(
         _REQUEST,
         "a request waits: no known replica holds what it needs",
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -47,6 +47,7 @@
 from geraniumlink.hosting import _origin_exchange
 from geraniumlink.hosting import _permit_exchange
 from geraniumlink.hosting import _relay
+from geraniumlink.hosting import _version_survey
 from geraniumlink import platform
 from geraniumlink.platform import _configuration
 from geraniumlink.platform import _replicas as _replica_entries
@@ -221,6 +222,13 @@
             self._datagrams,
             self._origin_archive,
         )
+        self._version_survey = _version_survey.VersionSurvey(
+            replicas=self._replicas,
+            directory=self._directory,
+            datagrams=self._datagrams,
+            refresh=self._watchers[1].refresh,
+            clock=clock,
+        )
         self._version_history = _version_history.VersionHistory(
             store=self._store,
             replicas=self._replicas,
@@ -299,6 +307,7 @@
             suspicions=self._suspicions,
             prompt_parts=self._prompt_parts,
             origins=self._origins,
+            versions=self._version_survey,
             permits=self._permits,
             metrics=_request_metrics.RequestMetrics(self._metrics.registry),
             connections=self._connections,
--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -28,6 +28,12 @@
 # Delay before a failed call is repeated; it doubles up to the maximum.
 INITIAL_RETRY_MS = 100
 MAX_RETRY_MS = 800
+# A read of the present changes waits for no others. The platform doesn't say
+# what a wait of 0 means.
+REFRESH_WAIT_MS = 1
+# A request isn't held up longer than this by such a read. The store responds
+# in 240 ms when it is slow.
+REFRESH_TIMEOUT_MS = 400
 # How long after relayed changes an instance doesn't watch the store itself.
 # Several demand reports are answered in that time, each with the changes.
 RELAY_VALIDITY_MS = 700
@@ -94,6 +100,9 @@
         # Monotonic time in milliseconds; the store isn't watched before it.
         self._relay_valid_until = 0
         self._reachable = True
+        # When the last ``refresh`` that the store answered was sent.
+        self._refreshed_at = -1
+        self._refreshing = anyio.Lock()
         # When the store or relayed changes last confirmed the copy.
         self._confirmed_at = clock.now()
 
@@ -121,6 +130,47 @@
         if self._watch_scope is not None:
             self._watch_scope.cancel()
 
+    async def refresh(self, since: int) -> bool:
+        """Read the store's changes now, unless that was begun since a time.
+
+        :returns: whether the store answered, so that the copy has all
+            changes that were made before that time.
+        """
+        async with self._refreshing:
+            if self._refreshed_at >= since:
+                return True
+            sent_at = self._clock.now()
+            try:
+                with anyio.fail_after(REFRESH_TIMEOUT_MS / 1000):
+                    is_applied = await self._read_changes()
+            except (
+                _objects.UnavailableError,
+                _objects.RevisionCompactedError,
+                TimeoutError,
+            ) as error:
+                _logs.event(
+                    "objects_not_refreshed",
+                    kind=self._kind,
+                    error=repr(error),
+                )
+                return False
+            if is_applied:
+                self._refreshed_at = sent_at
+            return is_applied
+
+    async def _read_changes(self) -> bool:
+        """Apply the present changes; return whether the copy has them."""
+        if self._revision is None:
+            return False
+        changes = await self._store.watch(
+            self._kind, self._revision, REFRESH_WAIT_MS
+        )
+        if changes.revision > self.revision and changes.objects:
+            # What a running watch has read may be older by now.
+            self.restart_watch()
+            self._apply_changes(changes)
+        return True
+
     def changes_since(self, revision: int) -> Changes:
         """Return what has changed after a revision.
 
--- /dev/null
+++ b/src/geraniumlink/hosting/_version_survey.py
@@ -0,0 +1,162 @@
+"""Finds out whether one software version of a service serves alone.
+
+An instance that stood still, or is cut off, may not know of replicas that
+joined meanwhile, while others have begun streams there. So what its own list
+says counts only once all other instances have confirmed it: whoever began a
+stream knew its replica. If some don't answer, the store is read. If it
+doesn't answer either, no replica can join as far as most instances can see,
+and their agreement counts.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+import itertools
+import typing
+
+import anyio
+
+from geraniumlink import _clock
+from geraniumlink import _logs
+from geraniumlink import _settings
+from geraniumlink.hosting import _datagrams
+from geraniumlink.residency import _instance_directory
+from geraniumlink.serving import _replicas
+
+# How long answers are waited for after each query.
+QUERY_WAITS_MS = (50, 100)
+
+
+class _Query:
+    """A query, and the answers that have arrived."""
+
+    def __init__(self, awaited: set[str]) -> None:
+        # Addresses of the instances that haven't answered.
+        self.awaited = awaited
+        # Software versions that some instance has seen.
+        self.versions: set[str] = set()
+        # Set when no further answer is needed.
+        self.ended = anyio.Event()
+
+
+class VersionSurvey:
+    """Asks the other instances, and answers their queries.
+
+    :param refresh: reads the changes of the list of replicas from the store,
+        unless that was done since a time; returns whether it answered.
+    """
+
+    def __init__(
+        self,
+        *,
+        replicas: _replicas.Replicas,
+        directory: _instance_directory.InstanceDirectory,
+        datagrams: _datagrams.Datagrams,
+        refresh: Callable[[int], Awaitable[bool]],
+        clock: _clock.Clock,
+    ) -> None:
+        self._replicas = replicas
+        self._directory = directory
+        self._datagrams = datagrams
+        self._refresh = refresh
+        self._clock = clock
+        self._queries: dict[int, _Query] = {}
+        self._numbers = itertools.count(1)
+        datagrams.add_handler(("versions query", "versions"), self._handle)
+
+    async def find_sole(self, service: str, window_ms: int) -> str | None:
+        """Return the only software version that has served in a window.
+
+        None if there were several, or if that isn't known.
+        """
+        version = self._replicas.sole_version(service, window_ms)
+        if version is None:
+            return None
+        asked_at = self._clock.now()
+        others = set(self._directory.others)
+        query = await self._ask(service, window_ms, version, others)
+        agreed = len(others) - len(query.awaited)
+        is_refreshed = None
+        if query.versions - {version}:
+            sole = None
+        elif others and not query.awaited:
+            sole = version
+        else:
+            is_refreshed = await self._refresh(asked_at)
+            if is_refreshed:
+                sole = self._replicas.sole_version(service, window_ms)
+            else:
+                # This instance is one of those that agree.
+                is_majority = 2 * (agreed + 1) > len(others) + 1
+                sole = version if others and is_majority else None
+        _logs.event(
+            "versions_surveyed",
+            service=service,
+            software_version=sole,
+            versions=sorted(query.versions | {version}),
+            asked=len(others),
+            answered=agreed,
+            store_answered=is_refreshed,
+            took_ms=self._clock.now() - asked_at,
+        )
+        return sole
+
+    async def _ask(
+        self, service: str, window_ms: int, version: str, others: set[str]
+    ) -> _Query:
+        """Ask until all have answered, or one knows another version."""
+        query, number = _Query(set(others)), next(self._numbers)
+        self._queries[number] = query
+        message = ["versions query", number, service, window_ms, version]
+        try:
+            for wait_ms in QUERY_WAITS_MS:
+                if not query.awaited:
+                    break
+                self._datagrams.send(query.awaited, message)
+                with anyio.move_on_after(wait_ms / 1000):
+                    await query.ended.wait()
+                    break
+        finally:
+            del self._queries[number]
+        return query
+
+    def _handle(
+        self, message: list[typing.Any], sender: _settings.Address
+    ) -> None:
+        """Answer another instance's query, or record an answer.
+
+        :raises ValueError: if the message is malformed.
+        """
+        match message:
+            case [
+                "versions query",
+                int(number),
+                str(service),
+                int(window_ms),
+                str(version),
+            ]:
+                seen = self._replicas.versions_seen(service, window_ms)
+                if seen is None:
+                    # What it has seen may still tell of another version.
+                    seen = self._replicas.versions_in_service().get(
+                        service, set()
+                    )
+                    if not seen - {version}:
+                        return
+                self._datagrams.send(
+                    [str(sender)], ["versions", number, sorted(seen)]
+                )
+            case ["versions", int(number), list(versions)]:
+                query = self._queries.get(number)
+                if query is not None:
+                    self._record(query, str(sender), versions)
+            case _:
+                raise ValueError(f"unknown message: {message!r:.60}")
+
+    def _record(
+        self, query: _Query, sender: str, versions: list[typing.Any]
+    ) -> None:
+        query.versions |= {str(version) for version in versions}
+        query.awaited.discard(sender)
+        if not query.awaited or len(query.versions) > 1:
+            query.ended.set()
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -99,6 +99,7 @@
         suspicions: _suspicions.SuspicionTable,
         prompt_parts: _prompt_parts.PromptParts,
         origins: _stream_origins.Origins,
+        versions: _stream_origins.Versions,
         permits: _permits.Permits,
         metrics: _request_metrics.RequestMetrics,
         connections: _connections.ConnectionPool,
@@ -116,6 +117,7 @@
         self._suspicions = suspicions
         self._prompt_parts = prompt_parts
         self._origins = origins
+        self._versions = versions
         self._metrics = metrics
         self._clock = clock
         self._random = random_source
@@ -283,7 +285,7 @@
         if request.resumes:
             origin = await self._origins.find(request.resumes)
         if origin is None:
-            version = self._replicas.sole_version(state.service, window_ms)
+            version = await self._versions.find_sole(state.service, window_ms)
             if version is not None:
                 origin = _stream_origins.Origin(state.service, version)
                 return origin, "sole version"
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -487,7 +487,16 @@
         """Return the software version of all replicas known in a window.
 
         None if there were several, or no replica, or if it isn't known what
-        replicas there were at the window's beginning.
+        replicas there were at the window's beginning. Replicas that joined
+        after the list was last confirmed are not counted.
+        """
+        seen = self.versions_seen(service, window_ms) or ()
+        return next(iter(seen)) if len(seen) == 1 else None
+
+    def versions_seen(self, service: str, window_ms: int) -> set[str] | None:
+        """Return the software versions of replicas known in a window.
+
+        None if it isn't known what replicas there were at its beginning.
         """
         for replica in self.registered(service):
             self._note_version(replica)
@@ -496,8 +505,7 @@
             now - self._listed_at + self._versions_known_before_ms < window_ms
         ):
             return None
-        recent = [v for v, at in seen.items() if now - at <= window_ms]
-        return recent[0] if len(recent) == 1 else None
+        return {v for v, at in seen.items() if now - at <= window_ms}
 
     def versions_in_service(self) -> dict[str, set[str]]:
         """Return the software versions of each service's replicas."""
--- a/src/geraniumlink/serving/_stream_origins.py
+++ b/src/geraniumlink/serving/_stream_origins.py
@@ -37,6 +37,13 @@
         """Return what was kept of it beyond the memory of all instances."""
 
 
+class Versions(typing.Protocol):
+    """Knows which software versions serve, also to other instances."""
+
+    async def find_sole(self, service: str, window_ms: int) -> str | None:
+        """Return the only one that has served in a window; None if not."""
+
+
 class OriginTable:
     """Origins of streams by the id of the request that each began with."""
 
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -194,10 +194,18 @@
         }
 
     async def add_instance(
-        self, *arguments: str, environment: dict[str, str] | None = None
+        self,
+        *arguments: str,
+        environment: dict[str, str] | None = None,
+        store_address: str = "",
     ) -> fleets.Process:
-        """Start an instance; return when it is ready."""
+        """Start an instance; return when it is ready.
+
+        :param store_address: that of a link to the store, if one is used.
+        """
         settings = node_settings(self.store, f"i-{len(self._settings) + 1}")
+        if store_address:
+            settings["platform"]["address"] = store_address
         process = self.fleet.hosted(
             settings, *arguments, environment=environment
         )
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -271,6 +271,7 @@
         suspicions=_suspicions.SuspicionTable(clock),
         prompt_parts=_prompt_parts.PromptParts(clock, random.Random(1)),
         origins=None,
+        versions=None,
         permits=None,
         metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
         connections=_connections.ConnectionPool(clock),
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -239,3 +239,118 @@
     await _restart_all(site)
     answers = [await _resume(site, stream) for stream in streams]
     assert sum(answer.status == 200 for answer in answers) >= _STREAMS / 2
+
+
+async def _start_cut_off_site(fleet, instances=2):
+    """Start instances of which the first, the controller, is then cut off.
+
+    Its list of replicas stays as it was: it reaches the store through a link,
+    and has no other instance's changes, as it takes itself for the controller.
+    """
+    site = hosts.Site(fleet)
+    link, address = fleet.link(site.store.address)
+    await fleet.answers(link.port, "/record")
+    await site.start(replicas=1, instances=0)
+    await site.add_instance(store_address=address)
+    await fleet.until(
+        lambda: hosts.find_log_lines(site.instances[0], "lease_taken"),
+        "the first instance is the controller",
+    )
+    for _ in range(instances - 1):
+        await site.add_instance()
+    await _allow_one_attempt(site)
+    await _wait_until_connected(site)
+    await fleet.faults(link, stall=True)
+    return site
+
+
+async def _begin_at_new_version(site, instance):
+    """Add a replica of another version; return streams that began there."""
+    site.versions["r-2"] = "v2"
+    await site.add_replica()
+    await _break_streams(site)
+
+    async def is_known():
+        told = hosts.find_log_lines(site.instances[instance], "replica_seen")
+        return any(line["replica"] == "r-2" for line in told)
+
+    await site.fleet.until(is_known, "the new replica is known")
+    streams = await _begin_streams(site, instance=instance)
+    runs = (await site.runs())["r-2"]
+    return [stream for stream in streams if stream in {r["id"] for r in runs}]
+
+
+async def _resume_unnamed(site, instance):
+    return await hosts.send_request(
+        site.instances[instance].port, "/stream-short/x", Last_Event_Id="3"
+    )
+
+
+async def _count_resumed(site):
+    return sum(
+        "last-event-id" in run["headers"]
+        for runs in (await site.runs()).values()
+        for run in runs
+    )
+
+
+@pytest.mark.parametrize(
+    "others, named", (("answer", False), ("silent", False), ("silent", True))
+)
+async def test_an_instance_with_an_old_list_joins_streams_of_two_versions(
+    fleet, others, named
+):
+    site = await _start_cut_off_site(fleet)
+    streams = await _begin_at_new_version(site, instance=1)
+    assert streams
+    if others == "silent":
+        site.instances[1].freeze()
+    answers = [
+        await (
+            # All copies of how it began were lost.
+            _resume(site, f"lost-{stream}")
+            if named
+            else _resume_unnamed(site, 0)
+        )
+        for stream in streams
+    ]
+    assert {answer.status for answer in answers} == {503}
+    assert all(float(a.headers["retry-after"]) > 0 for a in answers)
+    assert not await _count_resumed(site)
+
+
+@pytest.mark.parametrize("frozen", (0, 1), ids=("controller", "other"))
+async def test_a_thawed_instance_joins_streams_of_two_versions(fleet, frozen):
+    site = await _start_site(fleet, {"r-1": "v1"}, instances=2)
+    await _allow_one_attempt(site)
+    await _wait_until_connected(site)
+    site.instances[frozen].freeze()
+    assert await _begin_at_new_version(site, instance=1 - frozen)
+    statuses = []
+
+    async def resume():
+        answer = await _resume_unnamed(site, frozen)
+        statuses.append(answer.status)
+
+    async with anyio.create_task_group() as group:
+        for _ in range(_STREAMS):
+            group.start_soon(resume)
+        await anyio.sleep(0.3)
+        site.instances[frozen].thaw()
+    assert statuses == [503] * _STREAMS
+    assert not await _count_resumed(site)
+
+
+async def test_streams_go_on_at_the_only_version_while_the_store_is_out(
+    fleet,
+):
+    """Other instances have seen no other version."""
+    site = await _start_site(fleet, {"r-1": "v1"}, instances=3)
+    await _allow_one_attempt(site)
+    await _wait_until_connected(site)
+    await fleet.faults(site.store, silent=True)
+    site.instances[0].kill()
+    for _ in range(_STREAMS):
+        answer = await _resume_unnamed(site, 1)
+        assert answer.status == 200
+        assert answer.is_complete
