Keep an origin of a software version that the controller doesn't know yet

Callers that took a stream up after a restart of all instances were refused (503) if it had begun at a replica of a new version just before the controller learned of that version.

Cause: the controller writes origins to the store only while it knows several versions of a service. Its list may be older than that of the instance that began the stream, whose origin then was the first news of the version.

Evidence: test_a_controller_drops_an_origin_of_a_version_it_does_not_know_yet failed before and passes now.

Change: an origin is written unless it is of the only version known. The test of one version alone asks the same question by origin instead of by service.

--- a/src/geraniumlink/hosting/_origin_exchange.py
+++ b/src/geraniumlink/hosting/_origin_exchange.py
@@ -75,9 +75,7 @@
         self._table.record(request_id, origin)
         message = ["origin", request_id.decode("latin-1"), *origin]
         targets = set(self._holders(request_id))
-        if self._archive is not None and self._archive.is_needed(
-            origin.service
-        ):
+        if self._archive is not None and self._archive.is_needed(origin):
             self._archive.record(request_id, origin)
             if self._archive.writer in self._directory.others:
                 targets.add(self._archive.writer)
@@ -143,7 +141,7 @@
                 origin = _stream_origins.Origin(service, version)
                 self._table.record(request_id, origin)
                 if self._archive is not None and self._archive.is_needed(
-                    service
+                    origin
                 ):
                     self._archive.record(request_id, origin)
                 query = self._queries.get(request_id)
--- a/src/geraniumlink/residency/_origin_archive.py
+++ b/src/geraniumlink/residency/_origin_archive.py
@@ -106,10 +106,11 @@
         """The address of the instance that writes; "" if not known."""
         return self._leadership.leader
 
-    def is_needed(self, service: str) -> bool:
-        """Whether a stream may have begun at one of several versions."""
+    def is_needed(self, origin: _stream_origins.Origin) -> bool:
+        """Whether an origin isn't that of the only version known here."""
         window_ms = SLOTS * SLOT_MS
-        return self._replicas.sole_version(service, window_ms) is None
+        sole = self._replicas.sole_version(origin.service, window_ms)
+        return origin.software_version != sole
 
     def record(
         self, request_id: bytes, origin: _stream_origins.Origin
--- a/tests/test_origin_archive.py
+++ b/tests/test_origin_archive.py
@@ -4,6 +4,9 @@
 
 from geraniumlink import _clock
 from geraniumlink import _objects
+from geraniumlink import _settings
+from geraniumlink.hosting import _origin_exchange
+from geraniumlink.residency import _instance_directory
 from geraniumlink.residency import _origin_archive
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _stream_origins
@@ -192,5 +195,37 @@
 def test_one_version_alone_needs_no_record(store, clock):
     archive = _start(store, clock, versions=["v1"])
     archive._replicas.learn_versions(None, {})
-    assert not archive.is_needed("s")
-    assert _start(store, clock).is_needed("s")
+    assert not archive.is_needed(_V1)
+    assert _start(store, clock).is_needed(_V1)
+
+
+class _Datagrams:
+    """Takes what one instance sends to others, and keeps its handler."""
+
+    def add_handler(self, _kinds, handler):
+        self.handle = handler
+
+    def send(self, addresses, message):
+        pass
+
+
+async def test_a_controller_drops_an_origin_of_a_version_it_does_not_know_yet(
+    store, clock
+):
+    """Its list of replicas may be older than that of another instance."""
+    archive = _start(store, clock, versions=["v1"])
+    archive._replicas.learn_versions(None, {})
+    datagrams = _Datagrams()
+    _origin_exchange.OriginExchange(
+        _stream_origins.OriginTable(clock),
+        _instance_directory.InstanceDirectory("127.0.0.1:1", clock),
+        datagrams,
+        archive,
+    )
+    sender = _settings.parse_address("127.0.0.1:2")
+    datagrams.handle(["origin", "1", "s", "v1"], sender)
+    datagrams.handle(["origin", "2", "s", "v2"], sender)
+    assert await archive.write()
+    after = _start(store, clock)
+    assert await after.find(b"1") is None
+    assert await after.find(b"2") == _V2
