--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -273,6 +273,7 @@
         suspicions=_suspicions.SuspicionTable(clock),
         prompt_parts=_prompt_parts.PromptParts(clock, random.Random(1)),
         origins=None,
+        versions=None,
         permits=None,
         metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
         connections=_connections.ConnectionPool(clock),
