Read the store first for a sole version where there are many instances

A survey sent a message to each other instance, up to twice, for each resumed stream without a known origin: with 195 instances that is more than one call to the store costs. With more than 32 others the store is read first; they are asked only if it doesn't answer.

--- a/src/geraniumlink/hosting/_version_survey.py
+++ b/src/geraniumlink/hosting/_version_survey.py
@@ -25,19 +25,42 @@
 
 # How long answers are waited for after each query.
 QUERY_WAITS_MS = (50, 100)
+# Where there are more other instances, the store is read first: one call costs
+# less than a message to each of them.
+MAX_ASKED_FIRST = 32
 
 
 class _Query:
     """A query, and the answers that have arrived."""
 
-    def __init__(self, awaited: set[str]) -> None:
-        # Addresses of the instances that haven't answered.
-        self.awaited = awaited
+    def __init__(self, asked: set[str]) -> None:
+        # Addresses of the instances that are asked.
+        self.asked = asked
+        # Those that haven't answered.
+        self.awaited = set(asked)
         # Software versions that some instance has seen.
         self.versions: set[str] = set()
         # Set when no further answer is needed.
         self.ended = anyio.Event()
 
+    @property
+    def answered(self) -> int:
+        """How many instances have answered."""
+        return len(self.asked) - len(self.awaited)
+
+    @property
+    def is_agreed_by_most(self) -> bool:
+        """Whether most instances have answered; the one that asks counts."""
+        return bool(self.asked) and 2 * (self.answered + 1) > (
+            len(self.asked) + 1
+        )
+
+    def is_decided(self, version: str) -> bool:
+        """Whether all have answered, or one knows another version."""
+        return bool(self.versions - {version}) or (
+            bool(self.asked) and not self.awaited
+        )
+
 
 class VersionSurvey:
     """Asks the other instances, and answers their queries.
@@ -74,38 +97,37 @@
             return None
         asked_at = self._clock.now()
         others = set(self._directory.others)
-        query = await self._ask(service, window_ms, version, others)
-        agreed = len(others) - len(query.awaited)
+        query = _Query(others)
         is_refreshed = None
+        if len(others) > MAX_ASKED_FIRST:
+            is_refreshed = await self._refresh(asked_at)
+        if not is_refreshed:
+            await self._ask(query, service, window_ms, version)
+        if is_refreshed is None and not query.is_decided(version):
+            is_refreshed = await self._refresh(asked_at)
         if query.versions - {version}:
             sole = None
-        elif others and not query.awaited:
-            sole = version
+        elif is_refreshed:
+            sole = self._replicas.sole_version(service, window_ms)
         else:
-            is_refreshed = await self._refresh(asked_at)
-            if is_refreshed:
-                sole = self._replicas.sole_version(service, window_ms)
-            else:
-                # This instance is one of those that agree.
-                is_majority = 2 * (agreed + 1) > len(others) + 1
-                sole = version if others and is_majority else None
+            sole = version if query.is_agreed_by_most else None
         _logs.event(
             "versions_surveyed",
             service=service,
             software_version=sole,
             versions=sorted(query.versions | {version}),
-            asked=len(others),
-            answered=agreed,
+            asked=len(query.asked),
+            answered=query.answered,
             store_answered=is_refreshed,
             took_ms=self._clock.now() - asked_at,
         )
         return sole
 
     async def _ask(
-        self, service: str, window_ms: int, version: str, others: set[str]
-    ) -> _Query:
+        self, query: _Query, service: str, window_ms: int, version: str
+    ) -> None:
         """Ask until all have answered, or one knows another version."""
-        query, number = _Query(set(others)), next(self._numbers)
+        number = next(self._numbers)
         self._queries[number] = query
         message = ["versions query", number, service, window_ms, version]
         try:
@@ -118,7 +140,6 @@
                     break
         finally:
             del self._queries[number]
-        return query
 
     def _handle(
         self, message: list[typing.Any], sender: _settings.Address
--- a/tests/test_version_survey.py
+++ b/tests/test_version_survey.py
@@ -246,3 +246,19 @@
     handle = site.network.handlers[site.addresses[0], "versions"]
     handle(["versions", 99, ["v2"]], sender)
     assert await site.find_sole() == "v1"
+
+
+@pytest.mark.parametrize("unavailable", (False, True))
+async def test_hundreds_of_instances_are_asked_before_the_store(unavailable):
+    site = _Site(*[["v1"]] * (_version_survey.MAX_ASKED_FIRST + 2))
+    site.store.unavailable = unavailable
+    asked = []
+    send = site.network.socket(site.addresses[0]).send
+    site.surveys[0]._datagrams.send = lambda to, message: (
+        asked.extend(to),
+        send(to, message),
+    )
+    assert await site.find_sole() == "v1"
+    assert site.store.calls == 1
+    others = _version_survey.MAX_ASKED_FIRST + 1
+    assert len(asked) == (others if unavailable else 0)
