Refuse an answer whose head broke off within another

Clients got a success that no replica sent: the first head's status, such as 200 or 204, with the body of the answer after it, or without one, though that answer was a failure.

Cause: a head that breaks off within its reason phrase or a header's value, and is followed by another head on the same connection, is one valid head to the parser: the second status line becomes a part of the value. Request id and seal were read from the second head, the status from the first.

A status line within a header's value or a reason phrase now makes the answer broken. A header that holds one on purpose is refused too.

--- a/src/geraniumlink/serving/_connections.py
+++ b/src/geraniumlink/serving/_connections.py
@@ -12,6 +12,7 @@
 import asyncio
 import collections
 from collections.abc import Awaitable, Callable
+import re
 import select
 import typing
 
@@ -56,6 +57,9 @@
 # Up to this length the kernel takes a body in one write; a longer body is sent
 # concurrently with reading the response.
 SMALL_BODY_BYTES = 65536
+# In a header or a reason phrase: a head that broke off within it, and the one
+# that follows.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: |$)")
 # Shared by all connections: what is received is parsed, and copied, at once.
 _READ_BUFFER = bytearray(READ_BYTES)
 
@@ -72,6 +76,7 @@
 
     def __init__(self) -> None:
         self.status = 0
+        self.reason = b""
         self.headers: _types.Headers = []
         self.has_head = False
         # Parts of the body that were not read yet.
@@ -323,13 +328,21 @@
             raise ValueError("too many answers")
         self._responses.append(_ParsedResponse())
 
+    def on_status(self, status: bytes) -> None:
+        # A part of the reason phrase, if it was received in several.
+        self._responses[-1].reason += status
+
     def on_header(self, name: bytes, value: bytes) -> None:
         headers = self._responses[-1].headers
         if len(headers) == MAX_HEADERS:
             raise ValueError("too many headers")
+        if _STATUS_LINE.search(value):
+            raise ValueError("a head within a head")
         headers.append((name, value))
 
     def on_headers_complete(self) -> None:
+        if _STATUS_LINE.search(self._responses[-1].reason):
+            raise ValueError("a head within a head")
         self._responses[-1].status = self._parser.get_status_code()
         self._responses[-1].has_head = True
 
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -61,6 +61,8 @@
 _REQUEST_ENDS = (b"\r\n\r\n", b"}")
 # All ids have one length, so that heads are equally long.
 _ANY_ID = b"000000"
+# Between two parts of an answer, so that they are received one by one.
+_PAUSE_S = 0.001
 _RETRIES = 1_000_000
 
 
@@ -70,6 +72,8 @@
     data: bytes
     # "close", "reset", or "keep" to read another request.
     end: str = "keep"
+    # Sent a moment later.
+    rest: bytes = b""
 
 
 def _head(request_id, framing, status=b"200 OK", length=0):
@@ -159,6 +163,10 @@
 
     def _answer(self, answer: _Answer) -> None:
         self._transport.write(answer.data)
+        if answer.rest:
+            asyncio.get_running_loop().call_later(
+                _PAUSE_S, self._transport.write, answer.rest
+            )
         if answer.end == "close":
             self._transport.close()
         if answer.end == "reset":
@@ -436,6 +444,26 @@
         assert received.status == 502
 
 
+@pytest.mark.parametrize("kind", ("once", "stream-once"))
+@pytest.mark.parametrize("begun", (b"200 OK", b"204 -"))
+@pytest.mark.parametrize("status", (b"200 OK", b"500 -"))
+async def test_a_head_that_breaks_off_is_not_joined_with_the_next_answers(
+    kind, begun, status
+):
+    """The client would get its status with the other answer's body."""
+    async with _bench(count=1) as bench:
+        for cut in range(1, len(_head(_ANY_ID, "connection", begun)) - 1):
+            whole_id, request_id = bench.next_id(), bench.next_id()
+            whole = _Answer(b"".join(_whole(whole_id, kind, "length")))
+            assert (await bench.send(whole_id, kind, whole)).is_success
+            broken = _head(request_id, "connection", begun)[:cut]
+            own = b"".join(_whole(request_id, kind, "length", status=status))
+            answer = _Answer(broken, rest=own)
+            received = await bench.send(request_id, kind, answer)
+            assert received.status == 502, cut
+            assert request_id in bench.servers[0].kept
+
+
 @contextlib.asynccontextmanager
 async def _instance(addresses, over_peers=False):
     """Run an instance's listener; yield its addresses."""
