Release a lease whose renewal was given up

After a shutdown the lease stayed with the instance that had ended, so another one took it only once it had expired, after lease_ms.

Cause: the shutdown cancels a renewal that is under way. It may have taken effect, and the release, a conditional write at the version before it, is then refused and logged as lease_not_released.

The release now writes once more if the stored lease is still of the same term, as renewals do. A lease that another instance took is left alone.

--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -190,9 +190,7 @@
         """
         renewed = held.lease._replace(renewals=held.lease.renewals + 1)
         try:
-            written = await self._objects.put(
-                KIND, held.shard, renewed._asdict(), held.version
-            )
+            written = await self._put(held, renewed)
         except _objects.ConflictError as conflict:
             current = parse(conflict.current)
             if current is None or not self._is_same_term(current, held.lease):
@@ -205,11 +203,8 @@
 
     async def release(self, held: HeldLease) -> None:
         """Let another instance take the lease at once; log a failure."""
-        released = held.lease._replace(holder="")
         try:
-            await self._objects.put(
-                KIND, held.shard, released._asdict(), held.version
-            )
+            await self._write_released(held)
         except (_objects.ConflictError, _objects.UnavailableError) as error:
             _logs.event(
                 "lease_not_released", shard=held.shard, error=str(error)
@@ -219,6 +214,30 @@
             "lease_released", deployment=held.shard, epoch=held.lease.epoch
         )
 
+    async def _write_released(self, held: HeldLease) -> None:
+        """Write that nobody holds the lease.
+
+        A renewal that was given up, or whose answer was lost, may have
+        changed the stored lease.
+
+        :raises _objects.ConflictError: if another instance has taken it.
+        """
+        released = held.lease._replace(holder="")
+        try:
+            await self._put(held, released)
+        except _objects.ConflictError as conflict:
+            current = parse(conflict.current)
+            if current is None or not self._is_same_term(current, held.lease):
+                raise
+            version = conflict.current.version
+            await self._put(held._replace(version=version), released)
+
+    async def _put(self, held: HeldLease, lease: Lease) -> _objects.Object:
+        """Write a lease, if it is stored as it was held."""
+        return await self._objects.put(
+            KIND, held.shard, lease._asdict(), held.version
+        )
+
     def _new_lease(self, epoch: int) -> Lease:
         return Lease(self._holder, self._incarnation, epoch, self._duration_ms)
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -106,9 +106,30 @@
         instance.terminate()
     first.wait()
     second.wait()
+    assert (await _lease_history(fleet))[-1]["holder"] == ""
+
+
+async def test_a_lease_is_released_while_its_renewal_is_not_answered(fleet):
+    engine, instance = fleet.engine(), fleet.instance()
+    await fleet.ready()
+    await builders.declare(fleet, instance, builders.engines([engine]))
+    await wait_until_served(fleet, instance, model="notes")
+    await fleet.faults(fleet.object_api, slow_answers={"leases": 400})
+    known = len(await _lease_history(fleet))
+
+    async def is_renewed():
+        return len(await _lease_history(fleet)) > known
+
+    await fleet.until(is_renewed, "the lease is renewed")
+    instance.terminate()
+    instance.wait()
+    assert (await _lease_history(fleet))[-1]["holder"] == ""
+
+
+async def _lease_history(fleet):
+    """Return all leases as they were written, the last one at the end."""
     record = await fleet.record(fleet.object_api)
-    leases = [e["value"] for e in record["history"] if e["kind"] == "leases"]
-    assert leases[-1]["holder"] == ""
+    return [e["value"] for e in record["history"] if e["kind"] == "leases"]
 
 
 async def wait_until_served(fleet, instance, **request):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -61,6 +61,27 @@
     assert await second.leases.try_take("assistant") is not None
 
 
+async def test_a_lease_whose_renewal_lost_its_answer_is_released(api):
+    first, second = Candidate(api, "i1", 1), Candidate(api, "i2", 2)
+    held = await first.leases.try_take("assistant")
+    api.lose_answers = 1
+    with pytest.raises(memory_api.UnavailableError):
+        await first.leases.renew(held)
+    await first.leases.release(held)
+    assert await second.leases.try_take("assistant") is not None
+
+
+async def test_a_lease_that_another_instance_took_is_not_released(api):
+    first, second = Candidate(api, "i1", 1), Candidate(api, "i2", 2)
+    held = await first.leases.try_take("assistant")
+    assert await second.leases.try_take("assistant") is None
+    second.clock.advance(1000)
+    taken = await second.leases.try_take("assistant")
+    await first.leases.release(held)
+    assert await second.leases.renew(taken)
+    assert await second.leases.read_holder("assistant") == "i2"
+
+
 async def test_a_lost_answer_does_not_lose_the_lease(api):
     first = Candidate(api, "i1", 1)
     api.lose_answers = 1
