Give each run of tests ports of its own

Runs on one machine could take the same port: a process is given its port before it listens there, and is restarted on it. Each run counted on from a place that its process id chose, over the same 22,000 ports, and took what was not bound at that moment.

Blocks of 500 ports now belong to the run that has bound their first port, until it ends.

test_runs_side_by_side_do_not_take_the_same_ports failed before, with all 40 ports taken twice, and passes.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
+import collections
+from collections.abc import AsyncIterator, Callable, Iterator
 import contextlib
-import itertools
 import json
 import os
 import pathlib
@@ -27,8 +27,8 @@
 WAIT_S = 60.0
 _POLL_S = 0.03
 _FIRST_PORT = 10_000
-_PORTS = 22_000
-_port_numbers = itertools.count(os.getpid() * 211)
+_BLOCK_PORTS = 500
+_BLOCKS = 44
 
 
 class Answer(typing.NamedTuple):
@@ -339,18 +339,62 @@
             process.wait()
 
 
+class _Ports:
+    """Ports that no other program that starts fleets takes meanwhile.
+
+    A process is given its port before it listens there, and may be restarted,
+    so whether a port is bound doesn't tell. A block of ports belongs to the
+    program that has bound its first one, until that program ends.
+    """
+
+    def __init__(self, first_block: int) -> None:
+        self._next_block = first_block
+        self._own: collections.deque[int] = collections.deque()
+
+    def take(self) -> int:
+        """Return a port that nobody has bound, the least recent one first."""
+        while True:
+            for _ in range(len(self._own)):
+                port = self._own[0]
+                self._own.rotate(-1)
+                with contextlib.suppress(OSError), _bind(port):
+                    return port
+            self._own.extendleft(self._claim_block())
+
+    def _claim_block(self) -> Iterator[int]:
+        """Return the ports of another block, the last one first."""
+        for _ in range(_BLOCKS):
+            block = self._next_block % _BLOCKS
+            first = _FIRST_PORT + block * _BLOCK_PORTS
+            self._next_block += 1
+            with contextlib.suppress(OSError):
+                # Open until the program ends.
+                _bind(first).detach()
+                return reversed(range(first + 1, first + _BLOCK_PORTS))
+        raise RuntimeError("other programs have all blocks of ports")
+
+
+def _bind(port: int) -> socket.socket:
+    """Return a socket that has a port; raise ``OSError`` if it can't."""
+    bound = socket.socket()
+    try:
+        bound.bind(("127.0.0.1", port))
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
+_ports = _Ports(os.getpid())
+
+
 def free_port() -> int:
     """Return a port that nobody has.
 
     Ports lie below those that the kernel gives to outgoing connections, one
-    of which could otherwise take it before the process listens. Each program
-    that starts fleets counts on from a place of its own for the same reason.
+    of which could otherwise take it before the process listens.
     """
-    while True:
-        port = _FIRST_PORT + next(_port_numbers) % _PORTS
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return port
+    return _ports.take()
 
 
 def _answer(
