Release a lease that was taken without an answer at shutdown

After a shutdown a lease could stay with the instance that had ended: it had taken the lease, and its write was answered after the shutdown, or the answer was lost during it. The next attempt recognises such a lease by its incarnation, but an instance that stops makes none.

Contending for a lease now ends with a look at it if the last attempt has no known result, and releases it if it is this process's.

A write that arrives only after that look is not covered; the lease expires then, as before.

--- a/src/geraniumlink/control/_controller.py
+++ b/src/geraniumlink/control/_controller.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+import contextlib
 import random
 
 import anyio
@@ -101,23 +102,25 @@
 
         The interval is about half of the lease's duration, with jitter.
         """
+        # Whether the lease may have been taken without an answer.
+        is_unsettled = False
         try:
             while not self._stopping and shard in self._candidate_shards():
-                held = await self._try_take(shard)
+                is_unsettled = True
+                held = None
+                with contextlib.suppress(_objects.UnavailableError):
+                    held = await self._leases.try_take(shard)
+                    is_unsettled = False
                 if held is not None:
                     await self._hold(held)
                 jitter = self._random.uniform(0.4, 0.6)
                 await self._clock.sleep(self._leases.duration_ms * jitter)
         finally:
+            if is_unsettled:
+                with _released_in_time():
+                    await self._leases.release_own(shard)
             self._contended_shards.discard(shard)
 
-    async def _try_take(self, shard: str) -> _leases.HeldLease | None:
-        """Take the lease if it is available and the API answers."""
-        try:
-            return await self._leases.try_take(shard)
-        except _objects.UnavailableError:
-            return None
-
     async def _hold(self, held: _leases.HeldLease) -> None:
         """Control a shard until its lease is lost or this instance stops."""
         renewal = _LeaseRenewal(self._leases, held, self._clock)
@@ -137,10 +140,15 @@
             _logs.event("shard_lost", deployment=held.shard, error=str(lost))
         finally:
             del self._work_scopes[held.shard]
-            with anyio.move_on_after(_RELEASE_TIMEOUT_MS / 1000, shield=True):
+            with _released_in_time():
                 await renewal.release()
 
 
+def _released_in_time() -> anyio.CancelScope:
+    """Return a scope for the release of a lease, also after cancellation."""
+    return anyio.move_on_after(_RELEASE_TIMEOUT_MS / 1000, shield=True)
+
+
 class _LeaseRenewal:
     """Renews one lease while the work on its shard goes on."""
 
--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -214,6 +214,17 @@
             "lease_released", deployment=held.shard, epoch=held.lease.epoch
         )
 
+    async def release_own(self, shard: str) -> None:
+        """Release a lease that this process may hold without knowing it."""
+        try:
+            found = await self._objects.get(KIND, shard)
+        except _objects.UnavailableError as error:
+            _logs.event("lease_not_released", shard=shard, error=str(error))
+            return
+        current = parse(found)
+        if current is not None and self._is_own(current):
+            await self.release(HeldLease(shard, current, found.version))
+
     async def _write_released(self, held: HeldLease) -> None:
         """Write that nobody holds the lease.
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -126,6 +126,23 @@
     assert (await _lease_history(fleet))[-1]["holder"] == ""
 
 
+# The answer is lost during the shutdown, or comes after it.
+@pytest.mark.parametrize("drain_lag_ms, lose_answers", ((3000, 1), (0, 0)))
+async def test_a_lease_taken_without_an_answer_is_released_at_shutdown(
+    fleet, drain_lag_ms, lose_answers
+):
+    engine = fleet.engine()
+    instance = fleet.instance(drain_lag_ms=drain_lag_ms)
+    await fleet.ready()
+    await fleet.faults(fleet.object_api, slow_answers={"leases": 1500})
+    await builders.declare(fleet, instance, builders.engines([engine]))
+    await fleet.until(lambda: _lease_history(fleet), "the lease is taken")
+    await fleet.faults(fleet.object_api, lose_answers=lose_answers)
+    instance.terminate()
+    instance.wait()
+    assert (await _lease_history(fleet))[-1]["holder"] == ""
+
+
 async def _lease_history(fleet):
     """Return all leases as they were written, the last one at the end."""
     record = await fleet.record(fleet.object_api)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -71,6 +71,17 @@
     assert await second.leases.try_take("assistant") is not None
 
 
+async def test_a_lease_taken_without_an_answer_is_released(api):
+    first, second = Candidate(api, "i1", 1), Candidate(api, "i2", 2)
+    api.lose_answers = 1
+    with pytest.raises(memory_api.UnavailableError):
+        await first.leases.try_take("assistant")
+    await second.leases.release_own("assistant")
+    assert await second.leases.try_take("assistant") is None
+    await first.leases.release_own("assistant")
+    assert await second.leases.try_take("assistant") is not None
+
+
 async def test_a_lease_that_another_instance_took_is_not_released(api):
     first, second = Candidate(api, "i1", 1), Candidate(api, "i2", 2)
     held = await first.leases.try_take("assistant")
