Take stored counts and times out of range for invalid

Callers saw nothing so far: found while looking for the class of the report of odd entries. A lease or a record of software versions with a number of more than 64 bits, such as 1e308, was taken over, and the next write of it raised an error each time, as orjson encodes 64 bits.

Bounds both at 2^53, and treats what exceeds it like the records' other errors.

--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -34,6 +34,9 @@
 TAKE_JITTER = 1 / 16
 # A stored lease with a longer duration is invalid.
 _MAX_DURATION_MS = 600_000
+# A stored lease with a higher epoch, or more renewals, is invalid: the counts
+# must still fit in 64 bits as they rise.
+_MAX_COUNT = 2**53
 
 
 class Lease(typing.NamedTuple):
@@ -276,10 +279,20 @@
             int(found.value["duration_ms"]),
             int(found.value.get("renewals", 0)),
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (
+        AttributeError,
+        KeyError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as error:
         _logs.event("lease_unreadable", shard=found.name, error=repr(error))
         return None
-    if not 0 < lease.duration_ms <= _MAX_DURATION_MS:
+    if not (
+        0 < lease.duration_ms <= _MAX_DURATION_MS
+        and 0 <= lease.epoch <= _MAX_COUNT
+        and 0 <= lease.renewals <= _MAX_COUNT
+    ):
         _logs.event("lease_unreadable", shard=found.name, error=str(lease))
         return None
     return lease
--- a/src/geraniumlink/residency/_version_history.py
+++ b/src/geraniumlink/residency/_version_history.py
@@ -28,6 +28,9 @@
 # The clocks of two instances may differ by this much: a version counts as
 # seen that much longer.
 CLOCK_SKEW_MS = 10_000
+# A record with a later time is invalid: the store can't keep numbers of more
+# than 64 bits.
+MAX_TIME_MS = 2**53
 
 
 class ObjectStore(typing.Protocol):
@@ -171,12 +174,11 @@
     if value is None:
         return None
     try:
-        since = value["since"]
         return Record(
-            since=None if since is None else int(since),
+            since=_decode_time(value["since"]),
             services={
                 str(service): {
-                    str(version): None if gone_at is None else int(gone_at)
+                    str(version): _decode_time(gone_at)
                     for version, gone_at in versions.items()
                 }
                 for service, versions in value["services"].items()
@@ -185,3 +187,15 @@
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         _logs.event("version_history_unreadable", error=repr(error))
         return None
+
+
+def _decode_time(value: typing.Any) -> int | None:
+    """Return a time of the record.
+
+    :raises ValueError: if it is out of range.
+    """
+    if value is None:
+        return None
+    if not 0 <= value <= MAX_TIME_MS:
+        raise ValueError("a time is out of range")
+    return int(value)
