Treat a response that is nested too deeply as broken

Found while looking for the class of the report of odd entries: a replica's report of 100,000 levels raised RecursionError, which the controller doesn't expect, in place of BrokenError.

Failed before: test_a_deeply_nested_report_ends_the_controllers_work; it passes now.

--- a/src/geraniumlink/_http.py
+++ b/src/geraniumlink/_http.py
@@ -43,11 +43,12 @@
     def json(self) -> typing.Any:
         """Return the body as JSON.
 
-        :raises BrokenError: if the body is not valid JSON.
+        :raises BrokenError: if the body is not valid JSON, or too deeply
+            nested to be decoded.
         """
         try:
             return json.loads(self.body)
-        except ValueError as error:
+        except (RecursionError, ValueError) as error:
             raise BrokenError("the response is not JSON") from error
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -4,10 +4,21 @@
 from hypothesis import strategies as st
 import pytest
 
+from geraniumlink import _http
 from geraniumlink import _objects
+from geraniumlink import _settings
 from geraniumlink.control import _leases
+from geraniumlink import platform
 from geraniumlink.residency import _origin_archive
 from geraniumlink.residency import _version_history
+from tests import builders
+
+
+_ADDRESS = _settings.Address("127.0.0.1", 9)
+
+
+def _nested(levels):
+    return b"[" * levels + b"]" * levels
 
 
 _json_values = st.recursive(
@@ -26,6 +37,14 @@
 )
 
 
+@pytest.mark.anyio
+async def test_a_deeply_nested_report_ends_the_controllers_work():
+    client = builders.HttpClient(200, [], _nested(100_000))
+    calls = platform.OrderClient(client, lambda *_: None)
+    with pytest.raises(_http.BrokenError):
+        await calls.fetch_report("r-1", _ADDRESS)
+
+
 @pytest.mark.parametrize("field", ("epoch", "renewals"))
 def test_a_lease_with_a_number_too_large_cant_be_taken(field):
     lease = _leases.Lease("i-1", "a", 1, 1000)._asdict()
