Keep an object that can't be read from costing the others

Callers saw requests go to replicas that had left, and none to new ones; instances that started were never ready. One entry of another writer lay among the replicas' entries: nested deeply, with a number too large, a lone surrogate, or `adapters` that isn't an array.

The store's responses were decoded as a whole, and orjson refuses valid JSON beyond its limits. Entries raised errors that weren't expected, or were believed with values that can't be encoded for other instances. One row that can't be relayed kept all others from being applied. An entry that became invalid changed nothing on running instances only.

A response that can't be decoded is taken apart as far as its objects' fields, in a thread. An object that can't be decoded, or not be encoded again, has an empty value; without a name it is left out. All fields of an entry are checked; an invalid one counts as removed. Each revision is logged once and counted in a metric.

--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -274,7 +274,8 @@
     ),
     "entry_unreadable": Message(
         _STATE,
-        "a replica's entry in the store was invalid",
+        "a replica's entry in the store is invalid, so the replica isn't used;"
+        " logged once for each revision",
         ("error", "replica"),
     ),
     "foreign_answer": Message(
@@ -399,6 +400,13 @@
         "the object API could not be reached or responded with an error",
         ("error",),
     ),
+    "object_unreadable": Message(
+        _STATE,
+        "an object in the platform's store can't be read and counts as"
+        " invalid, or is left out if it has no valid name and revision; logged"
+        " once for each revision",
+        ("error", "kind", "name", "revision"),
+    ),
     "observed": _reconciliation_step("an engine reported the state of a copy"),
     "order": Message(
         _STATE,
--- a/src/geraniumlink/hosting/_gauges.py
+++ b/src/geraniumlink/hosting/_gauges.py
@@ -59,6 +59,11 @@
         "1 when the last call of each kind to the store was answered",
         lambda: all(watcher.reachable for watcher in sources.watchers),
     )
+    add_gauge(
+        "geraniumlink_store_objects_unreadable_total",
+        "Objects in the store that this instance couldn't read, each revision",
+        lambda: sources.store.unreadable_objects,
+    )
     add_gauge(
         "geraniumlink_store_knowledge_age_seconds",
         "Since what the store holds was last confirmed, the older kind",
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -97,6 +97,10 @@
 # An instance without a path to any replica leaves the controller's lease to
 # others after this long: by then they have reported whether they have one.
 YIELD_LEASE_AFTER_MS = 1500
+# Number of invalid entries of replicas that are remembered, so that each is
+# logged once, and how many characters of their names are logged.
+MAX_LOGGED_ENTRIES = 512
+MAX_LOGGED_NAME = 80
 # Interval at which idle connections to replicas are checked.
 CLOSE_STALE_INTERVAL_MS = 1000
 # Changes within this time are read by one call to the store. A configuration
@@ -172,6 +176,8 @@
             self._clock,
         )
         self._leadership = self._make_leadership()
+        # The version at which each invalid entry of a replica was logged.
+        self._logged_entries: dict[str, int] = {}
         self._watchers = self._make_watchers()
         self._leadership.call_on_store_recovery(self._restart_watches)
         self._directory = _instance_directory.InstanceDirectory(
@@ -494,12 +500,15 @@
         self._replicas.replace_all(entry for entry in entries if entry)
 
     def _apply_replica(self, item: _objects.Object) -> None:
-        """Update one replica's entry; an invalid one changes nothing."""
-        if item.value is None:
+        """Update one replica's entry.
+
+        A replica whose entry became invalid is treated as one whose entry
+        was removed, as after a new list.
+        """
+        entry = None if item.value is None else self._decode_replica(item)
+        if entry is None:
             self._replicas.mark_missing(item.name)
-            return
-        entry = self._decode_replica(item)
-        if entry is not None:
+        else:
             self._replicas.update(entry)
 
     def _decode_replica(
@@ -509,9 +518,15 @@
         try:
             return platform.decode_replica_entry(item.name, item.value)
         except platform.FormatError as error:
-            _logs.event(
-                "entry_unreadable", replica=item.name, error=str(error)
-            )
+            if self._logged_entries.get(item.name) != item.version:
+                self._logged_entries[item.name] = item.version
+                _logs.event(
+                    "entry_unreadable",
+                    replica=item.name[:MAX_LOGGED_NAME],
+                    error=str(error),
+                )
+            if len(self._logged_entries) > MAX_LOGGED_ENTRIES:
+                del self._logged_entries[next(iter(self._logged_entries))]
             return None
 
     async def _close_stale(self) -> None:
--- a/src/geraniumlink/hosting/_relay.py
+++ b/src/geraniumlink/hosting/_relay.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import base64
+import reprlib
 import typing
 import zlib
 
@@ -54,20 +55,21 @@
     def apply_changes(self, encoded: typing.Any) -> None:
         """Apply another instance's ``encode_changes``.
 
-        Once a kind is malformed, it and the kinds after it are left out, and
-        the error is logged.
+        A kind whose changes are malformed is left out, and the error is
+        logged.
         """
-        try:
-            for kind, watcher in self._watchers.items():
+        for kind, watcher in self._watchers.items():
+            try:
                 text = encoded[kind]
                 changes = (
                     _decode(kind, text)
                     if text
                     else _object_watcher.Changes(watcher.revision, False, [])
                 )
-                watcher.apply_relayed(changes)
-        except (KeyError, TypeError, ValueError) as error:
-            _logs.event("bad_relay", error=repr(error))
+            except (KeyError, TypeError, ValueError) as error:
+                _logs.event("bad_relay", error=repr(error))
+                continue
+            watcher.apply_relayed(changes)
 
 
 class _ChangesEncoder:
@@ -97,11 +99,27 @@
 
 def _encode(changes: _object_watcher.Changes) -> str:
     rows = [[item.name, item.version, item.value] for item in changes.objects]
-    data = orjson.dumps([changes.revision, changes.is_snapshot, rows])
+    message = [changes.revision, changes.is_snapshot, rows]
+    try:
+        data = orjson.dumps(message)
+    except orjson.JSONEncodeError:
+        message[-1] = [_encodable_row(row) for row in rows]
+        data = orjson.dumps(message)
     compressed = zlib.compress(data, _COMPRESSION_LEVEL)
     return base64.b64encode(compressed).decode()
 
 
+def _encodable_row(row: list[typing.Any]) -> list[typing.Any]:
+    """Return a row, with an empty value if it can't be encoded."""
+    try:
+        # Within a message it has two more levels.
+        orjson.dumps([[row]])
+    except orjson.JSONEncodeError:
+        name, version, _ = row
+        return [name, version, {}]
+    return row
+
+
 def _decode(kind: str, text: str) -> _object_watcher.Changes:
     """Decode changes.
 
@@ -114,8 +132,12 @@
     except zlib.error as error:
         raise ValueError(f"not compressed changes: {error}") from error
     revision, is_snapshot, rows = orjson.loads(data)
-    objects = [
-        _objects.Object(kind, str(name), int(version), value)
-        for name, version, value in rows
-    ]
+    objects = []
+    for row in rows:
+        match row:
+            case [str(name), int(version), value]:
+                objects.append(_objects.Object(kind, name, version, value))
+            case _:
+                reason = f"invalid row: {reprlib.repr(row)}"
+                _logs.event("bad_relay", error=reason)
     return _object_watcher.Changes(int(revision), bool(is_snapshot), objects)
--- a/src/geraniumlink/platform/_fields.py
+++ b/src/geraniumlink/platform/_fields.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import reprlib
 import typing
 
 from geraniumlink import _settings
@@ -15,6 +16,10 @@
     """
 
 
+# Numbers above it aren't exact in every JSON decoder. Far greater ones can't
+# be encoded again, or become infinite in sums and products.
+MAX_NUMBER = 2**53
+
 # Distinguishes "no default" from every default that a caller may give.
 _REQUIRED: typing.Any = object()
 # Name of each expected type, as error messages give it.
@@ -62,10 +67,10 @@
 def number(
     message: typing.Any, name: str, default: float = _REQUIRED
 ) -> float:
-    """Return a numeric field; it must be finite and not negative."""
+    """Return a numeric field, from 0 to ``MAX_NUMBER``."""
     value = _typed(message, name, (int, float), default)
-    if not 0 <= value < float("inf"):
-        raise FormatError(f"{name} is {value}, not finite and at least 0")
+    if not 0 <= value <= MAX_NUMBER:
+        raise FormatError(f"{name} is not a number from 0 to {MAX_NUMBER}")
     return value
 
 
@@ -100,7 +105,7 @@
 ) -> typing.Any:
     """Return a field after a check of its type, or the default."""
     if not isinstance(message, dict):
-        raise FormatError(f"{message!r:.40} is not an object")
+        raise FormatError(f"{reprlib.repr(message)} is not an object")
     value = message.get(name, default)
     if value is _REQUIRED:
         raise FormatError(f"{name} is missing")
@@ -109,5 +114,8 @@
     # bool is a subclass of int, so isinstance alone would accept true for 1.
     is_bool = isinstance(value, bool)
     if is_bool is not (types == (bool,)) or not isinstance(value, types):
-        raise FormatError(f"{name} is {value!r:.60}, not {_TYPE_NAMES[types]}")
+        # reprlib doesn't descend into values that are deeply nested.
+        raise FormatError(
+            f"{name} is {reprlib.repr(value)}, not {_TYPE_NAMES[types]}"
+        )
     return value
--- a/src/geraniumlink/platform/_replicas.py
+++ b/src/geraniumlink/platform/_replicas.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import ipaddress
 import typing
 
+from geraniumlink import _settings
 from geraniumlink.platform import _fields
 from geraniumlink.serving import _types
 
@@ -15,6 +17,10 @@
 KIND = "servers"
 # For each state, whether the replica is leaving.
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
+# Limits on what a valid entry may state. A replica's name is sent in headers,
+# and its share of the requests is in proportion to its slots.
+MAX_NAME_LENGTH = 256
+MAX_SLOTS = 1_000_000
 
 
 def decode_replica_entry(name: str, spec: typing.Any) -> _types.ReplicaEntry:
@@ -23,17 +29,22 @@
     :raises _fields.FormatError: if the entry is invalid; entries are written
         by other processes.
     """
+    if not (_is_name(name) and name.isascii()):
+        raise _fields.FormatError(f"{name!r:.40} is not a valid name")
     state = _fields.string(spec, "state")
     if state not in _LEAVING_BY_STATE:
         raise _fields.FormatError(
             f"state is {state!r:.40}, not ready or draining"
         )
+    slots = _fields.integer(spec, "slots")
+    if slots > MAX_SLOTS:
+        raise _fields.FormatError(f"slots is {slots}, more than {MAX_SLOTS}")
     return _types.ReplicaEntry(
         name=name,
-        service=_fields.string(spec, "service"),
-        address=_fields.address(spec, "address"),
-        data_centre=_fields.string(spec, "zone", ""),
-        slots=_fields.integer(spec, "slots"),
+        service=_name(spec, "service"),
+        address=_address(spec),
+        data_centre=_name(spec, "zone", ""),
+        slots=slots,
         leaving=_LEAVING_BY_STATE[state],
         # A wall-clock time of the platform. Only compared for equality, to
         # tell apart successive processes of one replica.
@@ -41,10 +52,36 @@
         # An entry's "sequence" counts heartbeats and isn't read; that of a
         # report counts the accepted orders.
         residents=_residents(spec),
-        software_version=_fields.string(spec, "version", ""),
+        software_version=_name(spec, "version", ""),
     )
 
 
+def _address(spec: dict[str, typing.Any]) -> _settings.Address:
+    """Return the address of a replica, which must name one machine."""
+    address = _fields.address(spec, "address")
+    number = ipaddress.ip_address(address.host)
+    # A scope means nothing on other machines.
+    if "%" in address.host or number.is_unspecified or number.is_multicast:
+        raise _fields.FormatError(f"{address} is not the address of a machine")
+    return address
+
+
+def _name(message: typing.Any, field: str, default: str | None = None) -> str:
+    """Return a field that must be a name; required without a default."""
+    value = (
+        _fields.string(message, field)
+        if default is None
+        else _fields.string(message, field, default)
+    )
+    if value and not _is_name(value):
+        raise _fields.FormatError(f"{field} is {value!r:.40}, not a name")
+    return value
+
+
+def _is_name(text: str) -> bool:
+    return 0 < len(text) <= MAX_NAME_LENGTH and text.isprintable()
+
+
 def _residents(spec: dict[str, typing.Any]) -> _types.Residents:
     """Return the resident models, each with its resident adapters.
 
@@ -53,13 +90,21 @@
     if "models" not in spec:
         return {}
     return {
-        _fields.string(model, "name"): frozenset(
-            str(adapter) for adapter in model.get("adapters") or ()
-        )
+        _name(model, "name"): frozenset(_strings(model, "adapters"))
         for model in _fields.array(spec, "models")
     }
 
 
+def _strings(message: dict[str, typing.Any], field: str) -> list[str]:
+    """Return an array of strings, which is empty if absent or null."""
+    if message.get(field) is None:
+        return []
+    values = _fields.array(message, field)
+    if not all(isinstance(value, str) for value in values):
+        raise _fields.FormatError(f"{field} is not an array of strings")
+    return values
+
+
 def decode_replica_report(message: typing.Any) -> _types.ReplicaReport:
     """Decode a replica's report on its state.
 
@@ -99,7 +144,7 @@
     if not isinstance(available, dict):
         return frozenset()
     return frozenset(
-        str(model)
+        model
         for location in ("in_memory", "on_disk")
-        for model in available.get(location) or ()
+        for model in _strings(available, location)
     )
--- a/src/geraniumlink/platform/_store.py
+++ b/src/geraniumlink/platform/_store.py
@@ -4,19 +4,29 @@
 one revision counter, which becomes the version of the object; writes can be
 made conditional on a version, and changes can be watched. The types and
 errors are those of ``_objects``, so that leases work on either store.
+
+Other processes write objects, too. One that can't be read doesn't keep the
+others of a response from being read: its value is an empty mapping, which no
+reader takes for valid, and without a usable name or revision it is left out.
 """
 
 from __future__ import annotations
 
+import collections
+from collections.abc import Sequence
+import reprlib
 import typing
 import urllib.parse
 
 import anyio
+import anyio.to_thread
 import orjson
 
 from geraniumlink import _http
+from geraniumlink import _logs
 from geraniumlink import _objects
 from geraniumlink import _settings
+from geraniumlink.platform import _json_parts
 
 # Limit for a call other than a watch, and for connecting. The store responds
 # in 4 ms, and in 240 ms when it is slow.
@@ -28,6 +38,20 @@
 WATCH_TIMEOUT_MARGIN_MS = 700
 # Bounds a listing in case the store always announces one more page.
 MAX_PAGES = 1000
+# How many arrays and objects lead to the fields of an object in a response to
+# each call, such as "spec".
+_GET_LEVELS = 1
+_LIST_LEVELS = 3
+_WATCH_LEVELS = 4
+# Number of objects that can't be read whose revisions are remembered, so that
+# each is logged once.
+_MAX_LOGGED_OBJECTS = 512
+# A name is logged up to this many characters.
+_MAX_LOGGED_NAME = 80
+
+
+class _UnreadableObjectError(ValueError):
+    """An object has no usable name or revision."""
 
 
 class StoreClient:
@@ -39,6 +63,17 @@
         self._client = client
         self._address = address
         self._calls = 0
+        # The revision at which each object that can't be read was logged, by
+        # kind and name.
+        self._logged: collections.OrderedDict[tuple[str, str], int] = (
+            collections.OrderedDict()
+        )
+        self._unreadable_objects = 0
+
+    @property
+    def unreadable_objects(self) -> int:
+        """Number of revisions of objects so far that couldn't be read."""
+        return self._unreadable_objects
 
     @property
     def calls(self) -> int:
@@ -59,7 +94,7 @@
         status, body = await self._call("GET", path, accepted=(200, 404))
         if status == 404:
             return _objects.Object(kind, name, _objects.ABSENT, None)
-        return _decode_object(kind, body)
+        return self._decode_only_object(kind, body)
 
     async def list(self, kind: str) -> _objects.Listing:
         """Return all objects of a kind, and the revision to watch from.
@@ -67,19 +102,26 @@
         :raises _objects.UnavailableError: if the store does not answer.
         """
         objects: list[_objects.Object] = []
-        revision, query = None, ""
+        revision, query, last_name = None, "", ""
         for _ in range(MAX_PAGES):
-            _, body = await self._call("GET", _path(kind) + query)
-            page = _decode_items(kind, body, "items")
+            _, body = await self._call(
+                "GET", _path(kind) + query, levels=_LIST_LEVELS
+            )
+            page = self._decode_items(kind, body, "items")
             objects += page
             if revision is None:
                 # The first page's revision: a watch from there reports the
                 # changes that were made while later pages were read.
                 revision = _store_revision(body)
-            if not body.get("more") or not page:
+            if not body.get("more") or not body["items"]:
                 return _objects.Listing(revision, objects)
-            name = urllib.parse.quote(page[-1].name, safe="")
-            query = f"?after={name}"
+            if not page or page[-1].name == last_name:
+                # Reading on would return the same objects again.
+                raise _objects.UnavailableError(
+                    f"a page of the list of {kind} has no readable name"
+                )
+            last_name = page[-1].name
+            query = f"?after={urllib.parse.quote(last_name, safe='')}"
         raise _objects.UnavailableError(f"the list of {kind} has no last page")
 
     async def watch(
@@ -98,12 +140,13 @@
             "GET",
             f"{_path(kind)}?watch={after}&wait_ms={wait_ms}",
             accepted=(200, 410),
+            levels=_WATCH_LEVELS,
             timeout_ms=wait_ms + WATCH_TIMEOUT_MARGIN_MS,
         )
         if status == 410:
             raise _objects.RevisionCompactedError
-        events = _decode_items(kind, body, "events")
-        return _objects.Listing(_store_revision(body), events)
+        events = self._decode_items(kind, body, "events")
+        return _objects.Listing(_store_revision(body), [*events])
 
     async def put(
         self, kind: str, name: str, value: typing.Any, if_version: int
@@ -129,8 +172,8 @@
             absent = _objects.Object(kind, name, _objects.ABSENT, None)
             raise _objects.ConflictError(absent)
         if status == 409:
-            raise _objects.ConflictError(_decode_object(kind, body))
-        return _decode_object(kind, body)
+            raise _objects.ConflictError(self._decode_only_object(kind, body))
+        return self._decode_only_object(kind, body)
 
     async def _call(
         self,
@@ -140,9 +183,11 @@
         *,
         accepted: tuple[int, ...] = (200,),
         timeout_ms: int = CALL_TIMEOUT_MS,
+        levels: int = _GET_LEVELS,
     ) -> tuple[int, typing.Any]:
         """Return the status and decoded body of a response.
 
+        Parts of the body may be ``Undecodable``, down to ``levels``.
         Every failure is an ``UnavailableError``, as is a status that is not
         in ``accepted``.
         """
@@ -163,14 +208,99 @@
                 raise _objects.UnavailableError(
                     f"the store responded with status {response.status}"
                 )
-            return response.status, orjson.loads(response.body or b"null")
         except (
             _http.NotSentError,
             _http.BrokenError,
             TimeoutError,
-            ValueError,
         ) as error:
             raise _objects.UnavailableError(repr(error)) from error
+        body = await _decode_body(response.body or b"null", levels)
+        if isinstance(body, _json_parts.Undecodable):
+            raise _objects.UnavailableError(
+                f"the store's response can't be read: {body.error}"
+            )
+        return response.status, body
+
+    def _decode_items(
+        self, kind: str, body: typing.Any, field: str
+    ) -> Sequence[_objects.Object]:
+        """Decode the objects or events in a field of a response.
+
+        Those without a usable name or revision are left out.
+        """
+        items = body.get(field) if isinstance(body, dict) else None
+        if not isinstance(items, list):
+            raise _objects.UnavailableError(
+                f"the store's response has no valid {field}"
+            )
+        objects = []
+        for item in items:
+            try:
+                objects.append(self._decode_item(kind, item))
+            except _UnreadableObjectError as error:
+                self._log_unreadable(kind, "", _objects.ABSENT, str(error))
+        return objects
+
+    def _decode_item(self, kind: str, entry: typing.Any) -> _objects.Object:
+        """Decode an object of a list, or the object of a watch event."""
+        if not isinstance(entry, dict) or "object" not in entry:
+            return self._decode_object(kind, entry)
+        found = self._decode_object(kind, entry["object"])
+        is_deleted = entry.get("deleted") is True
+        return found._replace(value=None) if is_deleted else found
+
+    def _decode_only_object(
+        self, kind: str, entry: typing.Any
+    ) -> _objects.Object:
+        """Decode an object that is the whole response."""
+        try:
+            return self._decode_object(kind, entry)
+        except _UnreadableObjectError as error:
+            raise _objects.UnavailableError(
+                f"invalid object of kind {kind}: {error}"
+            ) from error
+
+    def _decode_object(self, kind: str, entry: typing.Any) -> _objects.Object:
+        """Decode an object as the store represents it.
+
+        :raises _UnreadableObjectError: without a usable name or revision.
+        """
+        name, revision = _decode_metadata(entry)
+        value = entry.get("spec")
+        error = _find_error(value)
+        if error:
+            self._log_unreadable(kind, name, revision, error)
+            value = {}
+        return _objects.Object(kind, name, revision, value)
+
+    def _log_unreadable(
+        self, kind: str, name: str, revision: int, error: str
+    ) -> None:
+        """Log an object that can't be read, once for each revision."""
+        if self._logged.get((kind, name)) == revision:
+            return
+        self._logged[kind, name] = revision
+        self._logged.move_to_end((kind, name))
+        if len(self._logged) > _MAX_LOGGED_OBJECTS:
+            self._logged.popitem(last=False)
+        self._unreadable_objects += 1
+        _logs.event(
+            "object_unreadable",
+            kind=kind,
+            name=name[:_MAX_LOGGED_NAME],
+            revision=revision,
+            error=error,
+        )
+
+
+async def _decode_body(text: bytes, levels: int) -> typing.Any:
+    """Decode a response's body; parts of it may be ``Undecodable``."""
+    try:
+        return orjson.loads(text)
+    except orjson.JSONDecodeError:
+        # To take it apart may take a second if it is large; meanwhile the
+        # event loop goes on.
+        return await anyio.to_thread.run_sync(_json_parts.decode, text, levels)
 
 
 def _path(kind: str, name: str | None = None) -> str:
@@ -191,37 +321,33 @@
         ) from error
 
 
-def _decode_items(
-    kind: str, body: typing.Any, field: str
-) -> list[_objects.Object]:
-    """Decode the objects or events in a field of a response."""
+def _decode_metadata(entry: typing.Any) -> tuple[str, int]:
+    """Return an object's name and revision.
+
+    :raises _UnreadableObjectError: if one is missing or invalid.
+    """
+    metadata = entry.get("metadata") if isinstance(entry, dict) else None
+    if isinstance(metadata, _json_parts.Undecodable):
+        # Another field of it may be the one that can't be decoded.
+        metadata = _json_parts.decode(metadata.text, 1)
+    match metadata:
+        case {"name": str(name), "revision": int(revision)}:
+            return name, revision
+    raise _UnreadableObjectError(
+        f"no valid name and revision: {reprlib.repr(entry)}"
+    )
+
+
+def _find_error(value: typing.Any) -> str:
+    """Return why the value of an object can't be used; "" if it can."""
+    if isinstance(value, _json_parts.Undecodable):
+        return value.error
+    if value is None:
+        return "it has no value"
     try:
-        return [_decode_item(kind, entry) for entry in body[field]]
-    except (KeyError, TypeError) as error:
-        raise _objects.UnavailableError(
-            f"the store's response has no valid {field}"
-        ) from error
-
-
-def _decode_item(kind: str, entry: typing.Any) -> _objects.Object:
-    """Decode an object of a list, or the object of a watch event."""
-    if "object" not in entry:
-        return _decode_object(kind, entry)
-    found = _decode_object(kind, entry["object"])
-    return found._replace(value=None) if entry.get("deleted") else found
-
-
-def _decode_object(kind: str, entry: typing.Any) -> _objects.Object:
-    """Decode an object as the store represents it."""
-    try:
-        metadata = entry["metadata"]
-        return _objects.Object(
-            kind,
-            str(metadata["name"]),
-            int(metadata["revision"]),
-            entry.get("spec"),
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        raise _objects.UnavailableError(
-            f"invalid object of kind {kind}: {entry!r:.80}"
-        ) from error
+        # Values are relayed to other instances. Fewer levels can be encoded
+        # than decoded.
+        orjson.dumps(value)
+    except orjson.JSONEncodeError as error:
+        return str(error)
+    return ""
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -4,12 +4,14 @@
 is answered), ``forget_before`` (watches after an older revision are answered
 410), ``lose_answers`` (this many next writes take effect and the connection
 closes without an answer). The operator and the replicas of a test write
-through the same calls.
+through the same calls. ``/raw-specs/KIND/NAME`` takes a ``spec`` in base64
+and keeps its bytes as they are, so that it needn't be valid JSON.
 """
 
 from __future__ import annotations
 
 import asyncio
+import base64
 import contextlib
 import json
 import typing
@@ -34,6 +36,8 @@
         self._history: list[tuple[int, str, dict, bool]] = []
         self._changed = asyncio.Condition()
         self._calls: dict[str, int] = {}
+        # By the text that stands for it in an object, as JSON.
+        self._raw_specs: dict[bytes, bytes] = {}
 
     def routes(self) -> list[routing.Route]:
         kind, named = "/v1/objects/{kind}", "/v1/objects/{kind}/{name}"
@@ -43,6 +47,9 @@
             routing.Route(named, self._get),
             routing.Route(named, self._replace, methods=["PUT"]),
             routing.Route(named, self._delete, methods=["DELETE"]),
+            routing.Route(
+                "/raw-specs/{kind}/{name}", self._write_raw, methods=["POST"]
+            ),
         ]
 
     def record(self) -> typing.Any:
@@ -65,7 +72,7 @@
     async def _list(self, request: requests.Request) -> responses.Response:
         kind, query = request.path_params["kind"], request.query_params
         if await self._out("watch" if "watch" in query else "list"):
-            return responses.JSONResponse({}, 503)
+            return self._respond({}, 503)
         if "watch" in query:
             return await self._watch(kind, query)
         found = sorted(
@@ -74,7 +81,7 @@
         )
         after = query.get("after", "")
         rest = [o for o in found if o["metadata"]["name"] > after]
-        return responses.JSONResponse(
+        return self._respond(
             {
                 "items": rest[:PAGE],
                 "more": len(rest) > PAGE,
@@ -85,7 +92,7 @@
     async def _watch(self, kind: str, query: typing.Any) -> responses.Response:
         after = int(query["watch"])
         if after < (self.faults.forget_before or 0):
-            return responses.JSONResponse({}, 410)
+            return self._respond({}, 410)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query["wait_ms"]) / 1000):
                 async with self._changed:
@@ -93,8 +100,8 @@
                         lambda: self._since(kind, after) or self.faults.outage
                     )
         if await self._out("watch answer"):
-            return responses.JSONResponse({}, 503)
-        return responses.JSONResponse(
+            return self._respond({}, 503)
+        return self._respond(
             {
                 "events": self._since(kind, after),
                 "store_revision": self._revision,
@@ -110,44 +117,62 @@
 
     async def _get(self, request: requests.Request) -> responses.Response:
         if await self._out("get"):
-            return responses.JSONResponse({}, 503)
+            return self._respond({}, 503)
         found = self._objects.get(_key(request))
-        return responses.JSONResponse(found or {}, 200 if found else 404)
+        return self._respond(found or {}, 200 if found else 404)
 
     async def _create(self, request: requests.Request) -> responses.Response:
         if await self._out("write"):
-            return responses.JSONResponse({}, 503)
+            return self._respond({}, 503)
         message = json.loads(await request.body())
         kind, name = request.path_params["kind"], message["metadata"]["name"]
         found = self._objects.get((kind, name))
         if found is not None:
-            return responses.JSONResponse(found, 409)
+            return self._respond(found, 409)
         return await self._write(kind, name, message["spec"])
 
     async def _replace(self, request: requests.Request) -> responses.Response:
         if await self._out("write"):
-            return responses.JSONResponse({}, 503)
+            return self._respond({}, 503)
         message = json.loads(await request.body())
         kind, name = _key(request)
         found = self._objects.get((kind, name))
         if found is None:
-            return responses.JSONResponse({}, 404)
+            return self._respond({}, 404)
         expected = message["metadata"].get("revision")
         if expected not in (None, found["metadata"]["revision"]):
-            return responses.JSONResponse(found, 409)
+            return self._respond(found, 409)
         if found["spec"] == message["spec"]:
-            return responses.JSONResponse(found)
+            return self._respond(found)
         return await self._write(kind, name, message["spec"])
 
+    async def _write_raw(
+        self, request: requests.Request
+    ) -> responses.Response:
+        kind, name = _key(request)
+        text = f"raw-spec-{len(self._raw_specs)}"
+        encoded = json.loads(await request.body())["spec"]
+        self._raw_specs[json.dumps(text).encode()] = base64.b64decode(encoded)
+        await self._write(kind, name, text)
+        return responses.JSONResponse({})
+
+    def _respond(
+        self, content: typing.Any, status: int = 200
+    ) -> responses.Response:
+        body = json.dumps(content).encode()
+        for text, spec in self._raw_specs.items():
+            body = body.replace(text, spec)
+        return responses.Response(body, status, media_type="application/json")
+
     async def _delete(self, request: requests.Request) -> responses.Response:
         if await self._out("write"):
-            return responses.JSONResponse({}, 503)
+            return self._respond({}, 503)
         kind, name = _key(request)
         found = self._objects.pop((kind, name), None)
         if found is None:
-            return responses.JSONResponse({}, 404)
+            return self._respond({}, 404)
         await self._note(kind, found, True)
-        return responses.JSONResponse(found)
+        return self._respond(found)
 
     async def _write(
         self, kind: str, name: str, spec: typing.Any
@@ -172,7 +197,7 @@
             self.faults["lose_answers"] = lost - 1
             # Hold the answer until the client gives up.
             await asyncio.sleep(30)
-        return responses.JSONResponse(found)
+        return self._respond(found)
 
     async def _note(self, kind: str, found: dict, deleted: bool) -> None:
         self._revision += 1
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -42,6 +42,37 @@
     )
 
 
+def raw_entry(**fields: bytes) -> bytes:
+    """Return a replica's entry as JSON, with fields as given, valid or not."""
+    entry = {
+        "service": b'"assistant"',
+        "address": b'"127.0.0.1:9"',
+        "zone": b'"debark"',
+        "version": b'"v1"',
+        "slots": b"8",
+        "state": b'"ready"',
+        "born": b"1",
+        "models": b"[]",
+    } | fields
+    members = [b'"%b":%b' % (k.encode(), v) for k, v in entry.items()]
+    return b"{%b}" % b",".join(members)
+
+
+def raw_object(
+    name: str, revision: int, spec: bytes, **fields: bytes
+) -> bytes:
+    """Return an object as the platform's store represents it."""
+    members = {
+        "metadata": b'{"name":"%b","revision":%d,"finalizers":[]}'
+        % (name.encode(), revision),
+        "spec": spec,
+        "status": b"null",
+    } | fields
+    return b"{%b}" % b",".join(
+        b'"%b":%b' % (k.encode(), v) for k, v in members.items()
+    )
+
+
 class HttpClient:
     """Answers each request in the same way."""
 
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import base64
 import contextlib
 import itertools
 import json
@@ -255,6 +256,12 @@
         if answer.status == 409:
             await self.fleet.post(self.store, f"{path}/{name}", message, "PUT")
 
+    async def put_raw(self, kind: str, name: str, spec: bytes) -> None:
+        """Write an object whose spec needn't be valid JSON."""
+        encoded = base64.b64encode(spec).decode()
+        path = f"/raw-specs/{kind}/{name}"
+        await self.fleet.post(self.store, path, {"spec": encoded})
+
     async def remove(self, name: str) -> None:
         path = f"/v1/objects/servers/{name}"
         await self.fleet.post(self.store, path, {}, "DELETE")
