Relay large changes without huge values

Eight entries of 1 MiB, as another writer may leave among those of the replicas, made the controller's answer larger than the 4 MiB that an instance accepts, at each report again.

When the changes of one kind exceed 1.5 MiB, values above 64 KiB are left out; instances take such entries for invalid.

--- a/src/geraniumlink/hosting/_relay.py
+++ b/src/geraniumlink/hosting/_relay.py
@@ -20,6 +20,12 @@
 
 # Limit on the changes of one kind in one message, when decompressed.
 MAX_CHANGES_BYTES = 16 * 2**20
+# When the changes of one kind are larger than this before compression, values
+# above the second limit are left out. With base64 it leaves room in a message
+# (_http.MAX_BODY_BYTES); an entry of a replica is far smaller than a value
+# that is left out.
+_MAX_COMPLETE_BYTES = 3 * 2**19
+_MAX_VALUE_BYTES = 2**16
 # Changes are encoded once for many instances, so a high level pays off.
 _COMPRESSION_LEVEL = 6
 # Encoded changes that are kept for reuse, for each kind.
@@ -103,21 +109,28 @@
     try:
         data = orjson.dumps(message)
     except orjson.JSONEncodeError:
-        message[-1] = [_encodable_row(row) for row in rows]
+        message[-1] = [_reduced_row(row, MAX_CHANGES_BYTES) for row in rows]
+        data = orjson.dumps(message)
+    if len(data) > _MAX_COMPLETE_BYTES:
+        message[-1] = [_reduced_row(row, _MAX_VALUE_BYTES) for row in rows]
         data = orjson.dumps(message)
     compressed = zlib.compress(data, _COMPRESSION_LEVEL)
     return base64.b64encode(compressed).decode()
 
 
-def _encodable_row(row: list[typing.Any]) -> list[typing.Any]:
-    """Return a row, with an empty value if it can't be encoded."""
+def _reduced_row(row: list[typing.Any], max_bytes: int) -> list[typing.Any]:
+    """Return a row, with an empty value if it can't be sent.
+
+    That is one which can't be encoded or takes more than ``max_bytes``.
+    """
     try:
         # Within a message it has two more levels.
-        orjson.dumps([[row]])
+        if len(orjson.dumps([[row]])) <= max_bytes:
+            return row
     except orjson.JSONEncodeError:
-        name, version, _ = row
-        return [name, version, {}]
-    return row
+        pass
+    name, version, _ = row
+    return [name, version, {}]
 
 
 def _decode(kind: str, text: str) -> _object_watcher.Changes:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import random
 import zlib
 
 import eliot
@@ -395,6 +396,24 @@
     assert receiver.watcher.revision == 2
 
 
+def test_several_huge_entries_exceed_the_limit_of_a_message():
+    sender, receiver = _WatchedCopy(), _WatchedCopy()
+    good = orjson.loads(builders.raw_entry())
+    source = random.Random(1)
+    huge = [
+        _objects.Object(
+            "servers", f"odd-{n}", 1, source.randbytes(2**19).hex()
+        )
+        for n in range(8)
+    ]
+    good_one = _objects.Object("servers", "r-1", 2, good)
+    sender.watcher._apply_list(_objects.Listing(2, [*huge, good_one]))
+    message = sender.relay.encode_changes(receiver.relay.known_revisions())
+    assert len(message["servers"]) < _http.MAX_BODY_BYTES / 2
+    receiver.relay.apply_changes(message)
+    assert receiver.usable == {"r-1"}
+
+
 @pytest.mark.parametrize("field", ("epoch", "renewals"))
 def test_a_lease_with_a_number_too_large_cant_be_taken(field):
     lease = _leases.Lease("i-1", "a", 1, 1000)._asdict()
