Read the rest of a report whose copies or adapters are odd

The copies of weights (`available`) and the adapters on their way (`pending`) aren't needed to use a report. Those of another type are taken for unknown, and the rest of the report is read; deeply nested ones were made into text before, which can exceed the recursion limit.

--- a/src/geraniumlink/platform/_replicas.py
+++ b/src/geraniumlink/platform/_replicas.py
@@ -123,14 +123,16 @@
 def _loading_adapters(pending: typing.Any) -> frozenset[tuple[str, str]]:
     """Return the (model, adapter) pairs of entries such as ``m1/a3@2``.
 
-    The part after "@" is dropped. An entry without a slash is no adapter and
-    is left out.
+    The part after "@" is dropped. An entry without a slash, or that
+    isn't a string, is no adapter and is left out.
     """
     if not isinstance(pending, list):
         return frozenset()
     pairs = set()
     for entry in pending:
-        model, slash, adapter = str(entry).partition("/")
+        if not isinstance(entry, str):
+            continue
+        model, slash, adapter = entry.partition("/")
         if slash:
             pairs.add((model, adapter.partition("@")[0]))
     return frozenset(pairs)
@@ -143,8 +145,13 @@
     """
     if not isinstance(available, dict):
         return frozenset()
+    models_by_location = (
+        available.get(location) for location in ("in_memory", "on_disk")
+    )
     return frozenset(
         model
-        for location in ("in_memory", "on_disk")
-        for model in _strings(available, location)
+        for models in models_by_location
+        if isinstance(models, list)
+        for model in models
+        if isinstance(model, str)
     )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -349,6 +349,25 @@
         await calls.fetch_report("r-1", _ADDRESS)
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("levels", (300, 850, 900, 950))
+@pytest.mark.parametrize(
+    "field", ("born", "models", "busy", "sequence", "available", "pending")
+)
+async def test_a_nested_field_of_a_report_ends_the_controllers_work(
+    field, levels
+):
+    report = {"sequence": b"1", "models": b"[]", field: _nested(levels)}
+    members = [b'"%b":%b' % (k.encode(), v) for k, v in report.items()]
+    client = builders.HttpClient(200, [], b"{%b}" % b",".join(members))
+    calls = platform.OrderClient(client, lambda *_: None)
+    try:
+        found = await calls.fetch_report("r-1", _ADDRESS)
+    except _http.BrokenError:
+        return
+    assert found.order_count == 1
+
+
 class _WatchedCopy:
     """One instance's watcher and relay, and the names of usable entries."""
 
