Tell a silent replica that has ended from one that pauses

What callers saw: more refusals after replicas had ended silently.

Cause: each attempt that was taken from a silent replica tried its listener afterwards, and one that couldn't be connected to was paused for longer, so that the controller loaded its models elsewhere. Requests that stay gave no such sign; they also waited for processes that had been replaced.

One that accepts no connection is paused. One at whose address nothing listens, or that has a new process under its name, has ended, and so does the attempt.

--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -459,12 +459,16 @@
         due_at = self._stall_due_at()
         return due_at is not None and due_at <= self._clock.now()
 
-    def _end_stalled_read(self) -> bool:
+    def _end_stalled_read(self, has_ended: bool) -> bool:
         """Interrupt the read if it stalls still; return whether it did."""
-        if self._is_stalled():
-            return self._connection.interrupt_read(StalledError())
-        self._set_stall_timer()
-        return False
+        if not self._is_stalled():
+            self._set_stall_timer()
+            return False
+        return self._connection.interrupt_read(
+            _http.BrokenError("the replica has ended")
+            if has_ended
+            else StalledError()
+        )
 
     def _stall_due_at(self) -> int | None:
         """Return when a read stalls; None if there can be no retry."""
--- a/src/geraniumlink/serving/_failover.py
+++ b/src/geraniumlink/serving/_failover.py
@@ -3,13 +3,13 @@
 Silence tells little: a replica that sends nothing may have ended, or it may
 pause for a moment and go on. So it ends no attempt by itself. Another target
 is chosen and connected to meanwhile, and the attempt ends only when that has
-worked; if the replica sends something before, the request stays there.
+worked, or the replica's process is known to have ended; if the replica sends
+something before, the request stays there.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 import typing
 
 import anyio
@@ -38,6 +38,9 @@
 class Source(typing.Protocol):
     """Finds successors for one request."""
 
+    async def has_ended(self) -> bool:
+        """Whether the replica has ended, so that it won't go on."""
+
     async def find(self) -> Successor | None:
         """Return a successor that may be sent the request at once, or None.
 
@@ -48,6 +51,17 @@
         """Give back a successor that isn't used."""
 
 
+class EndAttempt(typing.Protocol):
+    """Ends the attempt."""
+
+    def __call__(self, has_ended: bool) -> bool:
+        """Return whether it did; it doesn't if the replica has spoken.
+
+        :param has_ended: whether the replica has ended; otherwise there is a
+            successor.
+        """
+
+
 class Failover:
     """The search for the successor of one attempt."""
 
@@ -57,12 +71,8 @@
         self._search: asyncio.Task[None] | None = None
         self._successor: Successor | None = None
 
-    def start(self, end_attempt: Callable[[], bool]) -> None:
-        """Begin to search, unless a search is in progress.
-
-        :param end_attempt: ends the attempt, and returns whether it did: it
-            doesn't if the replica has sent something.
-        """
+    def start(self, end_attempt: EndAttempt) -> None:
+        """Begin to search, unless a search is in progress."""
         if self._search is None or self._search.done():
             self._search = asyncio.create_task(self._run(end_attempt))
 
@@ -95,12 +105,18 @@
         if successor is not None:
             self._source.discard(successor)
 
-    async def _run(self, end_attempt: Callable[[], bool]) -> None:
+    async def _run(self, end_attempt: EndAttempt) -> None:
         pause_ms = FIRST_PAUSE_MS
-        while (found := await self._source.find()) is None:
+        while True:
+            if await self._source.has_ended():
+                end_attempt(has_ended=True)
+                return
+            found = await self._source.find()
+            if found is not None:
+                break
             await self._clock.sleep(pause_ms)
             pause_ms = min(2 * pause_ms, LONGEST_PAUSE_MS)
-        if end_attempt():
+        if end_attempt(has_ended=False):
             self._successor = found
         else:
             self._source.discard(found)
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -28,6 +28,7 @@
 from geraniumlink.serving import _peer_relay
 from geraniumlink.serving import _peers
 from geraniumlink.serving import _permits
+from geraniumlink.serving import _process_probe
 from geraniumlink.serving import _reachability
 from geraniumlink.serving import _replica_choice
 from geraniumlink.serving import _replicas
@@ -126,6 +127,9 @@
         self._connections = connections
         self._reachability = reachability
         self._peer_relay = peer_relay
+        self._process_probe = _process_probe.ProcessProbe(
+            replicas, connections, reachability, clock
+        )
         # Requests of other instances that are in flight here.
         self._relayed_in_flight = 0
         self._chooser = _replica_choice.ReplicaChooser(
@@ -648,7 +652,7 @@
         if isinstance(connected, _outcomes.Unsent):
             return connected, None
         failover = _failover.Failover(
-            _SuccessorSource(self, state), self._clock
+            _SuccessorSource(self, state, target), self._clock
         )
         try:
             if isinstance(target, _peers.Peer):
@@ -666,6 +670,12 @@
         finally:
             failover.discard()
 
+    async def has_ended(self, target: _failover.Target) -> bool:
+        """Whether a replica has ended; not known of another instance."""
+        if isinstance(target, _peers.Peer):
+            return False
+        return await self._process_probe.has_ended(target.replica)
+
     async def find_successor(
         self, state: _request_state.RequestState
     ) -> _failover.Successor | None:
@@ -827,10 +837,17 @@
     """Finds where one request goes on from a silent replica."""
 
     def __init__(
-        self, forwarder: Forwarder, state: _request_state.RequestState
+        self,
+        forwarder: Forwarder,
+        state: _request_state.RequestState,
+        target: _failover.Target,
     ) -> None:
         self._forwarder = forwarder
         self._state = state
+        self._target = target
+
+    async def has_ended(self) -> bool:
+        return await self._forwarder.has_ended(self._target)
 
     async def find(self) -> _failover.Successor | None:
         return await self._forwarder.find_successor(self._state)
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -16,11 +16,15 @@
 class _Source:
     """Finds what it is given, one after the other; then it waits."""
 
-    def __init__(self, *found):
+    def __init__(self, *found, ends_after=None):
         self._found = list(found)
+        self._ends_after = ends_after
         self.searches = 0
         self.discarded = []
 
+    async def has_ended(self):
+        return self.searches == self._ends_after
+
     async def find(self):
         self.searches += 1
         if not self._found:
@@ -39,11 +43,15 @@
 
 
 async def _search(failover, ended=True):
-    """Run a search to its end; return how often the attempt was ended."""
+    """Run a search to its end.
+
+    :returns: for each time that the attempt was ended, whether its replica
+        had ended.
+    """
     calls = []
 
-    def end_attempt():
-        calls.append(1)
+    def end_attempt(has_ended):
+        calls.append(has_ended)
         return ended
 
     failover.start(end_attempt)
@@ -51,13 +59,13 @@
         while not calls:
             await anyio.sleep(0.01)
     await anyio.sleep(0)
-    return len(calls)
+    return calls
 
 
 async def test_an_attempt_is_ended_before_a_successor_is_found():
     source = _Source(None, _SUCCESSOR)
     failover = _failover_of(source)
-    assert await _search(failover) == 1
+    assert await _search(failover) == [False]
     assert source.searches == 2
     assert failover.take() is _SUCCESSOR
     assert failover.take() is None
@@ -65,6 +73,15 @@
     assert not source.discarded
 
 
+async def test_a_request_waits_for_a_replica_that_has_ended():
+    source = _Source(None, None, ends_after=1)
+    failover = _failover_of(source)
+    assert await _search(failover) == [True]
+    assert source.searches == 1
+    assert failover.take() is None
+    await failover.stop()
+
+
 async def test_a_successor_is_kept_though_the_replica_has_spoken():
     source = _Source(_SUCCESSOR)
     failover = _failover_of(source)
@@ -88,7 +105,7 @@
 async def test_a_search_goes_on_after_its_attempt(end):
     source = _Source()
     failover = _failover_of(source)
-    failover.start(lambda: True)
+    failover.start(lambda has_ended: True)
     await anyio.sleep(0.01)
     if end == "cancel":
         failover.cancel()
@@ -101,13 +118,13 @@
 async def test_a_second_search_runs_beside_the_first():
     source = _Source()
     failover = _failover_of(source)
-    failover.start(lambda: True)
-    failover.start(lambda: True)
+    failover.start(lambda has_ended: True)
+    failover.start(lambda has_ended: True)
     await anyio.sleep(0.01)
     assert source.searches == 1
     failover.cancel()
     await anyio.sleep(0.01)
-    failover.start(lambda: True)
+    failover.start(lambda has_ended: True)
     await anyio.sleep(0.01)
     assert source.searches == 2
     await failover.stop()
@@ -115,7 +132,7 @@
 
 async def test_an_error_of_a_search_is_swallowed():
     failover = _failover_of(_Source(ValueError("broken")))
-    failover.start(lambda: True)
+    failover.start(lambda has_ended: True)
     await anyio.sleep(0.01)
     with pytest.raises(ValueError):
         await failover.stop()
