Wait for an unreachable replica only once a stream has begun

Cause: what accepts no connection may go on, but a request that its client can repeat has little to gain from waiting for that.

Change: such a request ends when the probe finds no connection. A begun stream still waits, as its end can't be repeated.

--- a/src/geraniumlink/serving/_failover.py
+++ b/src/geraniumlink/serving/_failover.py
@@ -3,8 +3,8 @@
 Silence tells little: a replica that sends nothing may have ended, or it may
 pause for a moment and go on. So it ends no attempt by itself. Another target
 is chosen and connected to meanwhile, and the attempt ends only when that has
-worked, or the replica's process is known to have ended; if the replica sends
-something before, the request stays there.
+worked, or there is no hope that the replica goes on; if it sends something
+before, the request stays there.
 """
 
 from __future__ import annotations
@@ -38,8 +38,8 @@
 class Source(typing.Protocol):
     """Finds successors for one request."""
 
-    async def has_ended(self) -> bool:
-        """Whether the replica has ended, so that it won't go on."""
+    async def is_hopeless(self) -> bool:
+        """Whether the replica isn't to be waited for any longer."""
 
     async def find(self) -> Successor | None:
         """Return a successor that may be sent the request at once, or None.
@@ -54,11 +54,11 @@
 class EndAttempt(typing.Protocol):
     """Ends the attempt."""
 
-    def __call__(self, has_ended: bool) -> bool:
+    def __call__(self, is_hopeless: bool) -> bool:
         """Return whether it did; it doesn't if the replica has spoken.
 
-        :param has_ended: whether the replica has ended; otherwise there is a
-            successor.
+        :param is_hopeless: whether it ends because the replica isn't waited
+            for any longer; otherwise there is a successor.
         """
 
 
@@ -108,15 +108,15 @@
     async def _run(self, end_attempt: EndAttempt) -> None:
         pause_ms = FIRST_PAUSE_MS
         while True:
-            if await self._source.has_ended():
-                end_attempt(has_ended=True)
+            if await self._source.is_hopeless():
+                end_attempt(is_hopeless=True)
                 return
             found = await self._source.find()
             if found is not None:
                 break
             await self._clock.sleep(pause_ms)
             pause_ms = min(2 * pause_ms, LONGEST_PAUSE_MS)
-        if end_attempt(has_ended=False):
+        if end_attempt(is_hopeless=False):
             self._successor = found
         else:
             self._source.discard(found)
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -670,11 +670,23 @@
         finally:
             failover.discard()
 
-    async def has_ended(self, target: _failover.Target) -> bool:
-        """Whether a replica has ended; not known of another instance."""
+    async def is_hopeless(
+        self, state: _request_state.RequestState, target: _failover.Target
+    ) -> bool:
+        """Whether a request isn't to wait for a silent replica any longer.
+
+        Without a connection to the replica it may still go on. A request
+        that has no event yet doesn't wait for that: its client can repeat it.
+        """
         if isinstance(target, _peers.Peer):
             return False
-        return await self._process_probe.has_ended(target.replica)
+        match await self._process_probe.probe(target.replica):
+            case _process_probe.Liveness.ENDED:
+                return True
+            case _process_probe.Liveness.UNREACHABLE:
+                return not state.response.started
+            case _:
+                return False
 
     async def find_successor(
         self, state: _request_state.RequestState
@@ -846,8 +858,8 @@
         self._state = state
         self._target = target
 
-    async def has_ended(self) -> bool:
-        return await self._forwarder.has_ended(self._target)
+    async def is_hopeless(self) -> bool:
+        return await self._forwarder.is_hopeless(self._state, self._target)
 
     async def find(self) -> _failover.Successor | None:
         return await self._forwarder.find_successor(self._state)
--- a/tests/test_process_probe.py
+++ b/tests/test_process_probe.py
@@ -1,4 +1,4 @@
-"""Whether a silent replica's process has ended; no network."""
+"""What has become of a silent replica; no network."""
 
 import anyio
 import pytest
@@ -9,6 +9,7 @@
 from geraniumlink.serving import _replicas
 from tests import builders
 
+_Liveness = _process_probe.Liveness
 pytestmark = pytest.mark.anyio
 
 
@@ -51,8 +52,8 @@
             self.clock,
         )
 
-    async def has_ended(self):
-        return await self._probe.has_ended(self.replica)
+    async def run(self):
+        return await self._probe.probe(self.replica)
 
     @property
     def is_paused(self):
@@ -61,26 +62,26 @@
 
 async def test_a_silent_replica_that_listens_counts_as_ended():
     probed = _Probed()
-    assert not await probed.has_ended()
+    assert await probed.run() is _Liveness.MAY_GO_ON
     assert not probed.is_paused
 
 
 async def test_a_replica_without_a_listener_counts_as_silent():
     probed = _Probed(_http.NoListenerError("refused"))
-    assert await probed.has_ended()
-    assert await probed.has_ended()
+    assert await probed.run() is _Liveness.ENDED
+    assert await probed.run() is _Liveness.ENDED
     assert probed.connections.probes == 1
     assert probed.is_paused
 
 
 async def test_a_replica_counts_as_ended_because_the_path_to_all_is_lost():
     probed = _Probed(_http.NoListenerError("refused"), is_path_lost=True)
-    assert not await probed.has_ended()
+    assert await probed.run() is _Liveness.MAY_GO_ON
 
 
 async def test_a_replica_that_accepts_no_connection_gets_more_requests():
     probed = _Probed(_http.NotSentError("silent"))
-    assert not await probed.has_ended()
+    assert await probed.run() is _Liveness.UNREACHABLE
     assert probed.is_paused
 
 
@@ -88,7 +89,7 @@
     probed = _Probed()
     entry = probed.replica.entry
     probed.replicas.update(entry._replace(started_at=entry.started_at + 1))
-    assert await probed.has_ended()
+    assert await probed.run() is _Liveness.ENDED
     assert not probed.connections.probes
 
 
@@ -96,8 +97,8 @@
     probed = _Probed()
     async with anyio.create_task_group() as group:
         for _ in range(64):
-            group.start_soon(probed.has_ended)
+            group.start_soon(probed.run)
     assert probed.connections.probes == 1
     probed.clock.advance(_process_probe.PROBE_INTERVAL_MS)
-    await probed.has_ended()
+    await probed.run()
     assert probed.connections.probes == 2
