Don't load models elsewhere while their replica only pauses

Suspected cause: each search for another replica, repeated while one is silent, asked for the model to be loaded elsewhere and counted as demand for it, so that models in use were unloaded for those of silent replicas.

Change: a search looks for a replica that has the model. Only where no connection to the silent one opens, the model is asked for, once a request.

--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -371,11 +371,14 @@
                 return
 
     async def _select_target(
-        self, state: _request_state.RequestState
+        self, state: _request_state.RequestState, may_load: bool = True
     ) -> _balance.Choice | _peers.Peer | _outcomes.Refusal:
-        """Choose a replica, or another instance if none can be reached."""
+        """Choose a replica, or another instance if none can be reached.
+
+        :param may_load: whether the model is loaded if it has to be.
+        """
         if not self._must_pass_on(state):
-            choice = await self._select_replica(state)
+            choice = await self._select_replica(state, may_load)
             if choice is not None:
                 return choice
         peer = self._peer_relay.choose()
@@ -422,7 +425,7 @@
         return ""
 
     async def _select_replica(
-        self, state: _request_state.RequestState
+        self, state: _request_state.RequestState, may_load: bool
     ) -> _balance.Choice | _outcomes.Refusal | None:
         """Choose a replica; wait for the model to be loaded if need be.
 
@@ -451,7 +454,7 @@
                     return choice
                 avoid |= {r.entry.name for r in candidates}
             refusal = await self._wait_until_loaded(
-                state, len(available), avoid
+                state, len(available), avoid, may_load
             )
             if refusal is not None:
                 return refusal
@@ -548,12 +551,16 @@
         state: _request_state.RequestState,
         available: int,
         avoid: set[str],
+        may_load: bool,
     ) -> _outcomes.Refusal | None:
         """Wait until a replica holds the model; None if one does in time.
 
         :param available: how many replicas of the service may get requests.
         :param avoid: names of replicas that don't count.
+        :param may_load: whether it is loaded for the request.
         """
+        if not may_load:
+            return self._final_answers.make_refusal("the model isn't loaded")
         began = self._clock.now()
         wait_ms = state.latest_next_event - began - SERVE_RESERVE_MS
         _decision_log.waiting(state, available, wait_ms)
@@ -670,34 +677,29 @@
         finally:
             failover.discard()
 
-    async def is_hopeless(
-        self, state: _request_state.RequestState, target: _failover.Target
-    ) -> bool:
-        """Whether a request isn't to wait for a silent replica any longer.
+    async def probe(self, target: _failover.Target) -> _process_probe.Liveness:
+        """Return what is known of a replica that is silent.
 
-        Without a connection to the replica it may still go on. A request
-        that has no event yet doesn't wait for that: its client can repeat it.
+        Of another instance nothing is.
         """
         if isinstance(target, _peers.Peer):
-            return False
-        match await self._process_probe.probe(target.replica):
-            case _process_probe.Liveness.ENDED:
-                return True
-            case _process_probe.Liveness.UNREACHABLE:
-                return not state.response.started
-            case _:
-                return False
+            return _process_probe.Liveness.MAY_GO_ON
+        return await self._process_probe.probe(target.replica)
 
     async def find_successor(
-        self, state: _request_state.RequestState
+        self, state: _request_state.RequestState, may_load: bool
     ) -> _failover.Successor | None:
-        """Return where a request may go on from a silent replica, or None."""
+        """Return where a request may go on from a silent replica, or None.
+
+        :param may_load: whether to wait for its model if no other replica
+            has it.
+        """
         if (
             state.deadline - self._clock.now() < MIN_TIME_LEFT_MS
             or not self._budgets.has_retry_left(state.service)
         ):
             return None
-        target = await self._select_target(state)
+        target = await self._select_target(state, may_load)
         if isinstance(target, _outcomes.Refusal):
             return None
         connected = await self._connect(state, target)
@@ -857,12 +859,37 @@
         self._forwarder = forwarder
         self._state = state
         self._target = target
+        self._liveness = _process_probe.Liveness.MAY_GO_ON
+        self._has_asked_for_load = False
 
     async def is_hopeless(self) -> bool:
-        return await self._forwarder.is_hopeless(self._state, self._target)
+        """Whether the replica has ended, or is likely to have.
+
+        One that can't be reached may still go on. A request that has no
+        event yet doesn't wait for that: its client can repeat it.
+        """
+        self._liveness = await self._forwarder.probe(self._target)
+        match self._liveness:
+            case _process_probe.Liveness.ENDED:
+                return True
+            case _process_probe.Liveness.UNREACHABLE:
+                return not self._state.response.started
+            case _:
+                return False
 
     async def find(self) -> _failover.Successor | None:
-        return await self._forwarder.find_successor(self._state)
+        """Return a successor.
+
+        A pause of the replica is over before its model is loaded elsewhere,
+        in the place of others. If it can't be reached, that is asked for,
+        and counts as demand, once.
+        """
+        may_load = (
+            self._liveness is _process_probe.Liveness.UNREACHABLE
+            and not self._has_asked_for_load
+        )
+        self._has_asked_for_load |= may_load
+        return await self._forwarder.find_successor(self._state, may_load)
 
     def discard(self, successor: _failover.Successor) -> None:
         self._forwarder.discard_successor(successor)
