Don't cut off streams where all instances miss all replicas

Where all replicas were silent for a second, each instance took its path for lost, took its requests from the replicas and passed them on to another instance, which turned them down, as it had no path either. 12 of 12 streams at three instances were cut off within 1.3 s of silence (replicas suspended for 1.2, 1.6 and 2.4 s; a twin with one instance passed).

Other instances are known to be without a path only some time later, so a request that is at a silent replica isn't passed on before the path has been lost for a second. A request that was taken from a silent replica and that nothing took since is offered again while its client waits, and isn't refused.

The tests failed 3 of 3 before.

--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -53,6 +53,13 @@
 # ready and that isn't known as such here. Changes of the replicas' entries
 # arrive a few times a second.
 REPLICA_POLL_MS = 50
+# Pause before a request that was taken from a silent replica is offered again,
+# where nothing took it.
+OFFER_PAUSE_MS = 100
+# No request is taken from a silent replica to another instance before the path
+# has been lost for this long. If all replicas are silent, the other instances
+# have lost their paths too, and it is known here by then.
+PATH_NEWS_MS = 1000
 # Part of a request's time that is kept for serving it after its model was
 # loaded. A refusal after the wait uses up to REFUSAL_MARGIN_MS (200) of it;
 # see ``residency._controller_protocol``.
@@ -341,6 +348,9 @@
             if successor is None:
                 target = await self._select_target(state)
                 if isinstance(target, _outcomes.Refusal):
+                    if self._may_be_offered_again(state, target):
+                        await self._clock.sleep(OFFER_PAUSE_MS)
+                        continue
                     await self._final_answers.send_refusal(state, target)
                     return
                 self._record_target(state, target)
@@ -356,6 +366,7 @@
                 state.outcome = "done"
                 return
             state.failed_attempt = outcome
+            state.was_taken_away |= successor is not None
             why_final = ""
             if successor is None:
                 why_final = self._why_not_retried(state, outcome)
@@ -364,6 +375,20 @@
                 await self._final_answers.send_failure(state, outcome)
                 return
 
+    def _may_be_offered_again(
+        self, state: _request_state.RequestState, refusal: _outcomes.Refusal
+    ) -> bool:
+        """Whether a refused request has to wait until something takes it.
+
+        Its replica was silent and might have gone on.
+        """
+        left_ms = state.latest_next_event - self._clock.now()
+        return (
+            state.was_taken_away
+            and refusal.retry_after_ms is not None
+            and left_ms > OFFER_PAUSE_MS + MIN_TIME_LEFT_MS
+        )
+
     async def _select_target(
         self, state: _request_state.RequestState
     ) -> _balance.Choice | _peers.Peer | _outcomes.Refusal:
@@ -399,7 +424,8 @@
             state.connect_failures += 1
             return (
                 ""
-                if state.connect_failures <= MAX_CONNECT_FAILURES
+                if state.was_taken_away
+                or state.connect_failures <= MAX_CONNECT_FAILURES
                 else "not connected"
             )
         why_not = _why_may_not_retry(state, outcome)
@@ -676,6 +702,12 @@
         target = await self._select_target(state)
         if isinstance(target, _outcomes.Refusal):
             return None
+        if (
+            isinstance(target, _peers.Peer)
+            and self._reachability.is_lost
+            and self._reachability.lost_ms < PATH_NEWS_MS
+        ):
+            return None
         connected = await self._connect(state, target)
         if isinstance(connected, _outcomes.Unsent):
             return None
--- a/tests/test_silent_replicas.py
+++ b/tests/test_silent_replicas.py
@@ -1,5 +1,7 @@
 """Sound replicas that send nothing for a moment, and then go on."""
 
+import itertools
+
 import anyio
 import pytest
 
@@ -14,15 +16,17 @@
 _EVENT_MS = 150
 
 
-async def _send_while_silent(site, names, target, count=1, **headers):
+async def _send_while_silent(
+    site, names, target, count=1, silence_s=_SILENCE_S, **headers
+):
     """Send requests, and suspend replicas once each has begun to run.
 
     :returns: the answers.
     """
-    port = site.instances[0].port
+    ports = itertools.cycle([instance.port for instance in site.instances])
     answers = []
 
-    async def send():
+    async def send(port):
         answers.append(await hosts.send_request(port, target, **headers))
 
     async def begun():
@@ -31,12 +35,12 @@
 
     async with anyio.create_task_group() as group:
         for _ in range(count):
-            group.start_soon(send)
+            group.start_soon(send, next(ports))
         await site.fleet.until(begun, "all requests run")
         await anyio.sleep(2 * _EVENT_MS / 1000)
         for name in names:
             site.replicas[name].freeze()
-        await anyio.sleep(_SILENCE_S)
+        await anyio.sleep(silence_s)
         for name in names:
             site.replicas[name].thaw()
     return answers
@@ -67,6 +71,19 @@
     assert all(answer.is_complete for answer in answers)
 
 
+@pytest.mark.parametrize("silence_s", (1.2, 1.6, 2.4))
+async def test_streams_are_cut_off_as_no_instance_hears_any_replica(
+    fleet, silence_s
+):
+    """All instances take their paths for lost, and pass nothing on."""
+    site = await _site(fleet, replicas=3, instances=3)
+    answers = await _send_while_silent(
+        site, site.replicas, "/stream/x", count=12, silence_s=silence_s
+    )
+    assert [answer.body for answer in answers] == 12 * [_ALL]
+    assert all(answer.is_complete for answer in answers)
+
+
 async def test_a_stream_is_cut_off_as_only_a_silent_replica_has_its_model(
     fleet,
 ):
