Give back the retry of a successor that isn't used

A search for another replica withdraws a retry from the service's budget. If the silent replica spoke on any connection meanwhile, the successor was given back and the retry wasn't, so replicas that are silent for moments used the budget up, and then streams that broke were cut off ("no repeat budget left").

Of a budget of 6, nothing was left after 6 successors that weren't used (the test failed before); now 20 are found. tests/test_serving.py, test_failover.py and test_silent_replicas.py pass.

--- a/src/geraniumlink/serving/_failover.py
+++ b/src/geraniumlink/serving/_failover.py
@@ -45,7 +45,7 @@
         """
 
     def discard(self, successor: Successor) -> None:
-        """Give back a successor that isn't used."""
+        """Give back a successor that isn't used, and don't count it."""
 
 
 class Failover:
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -713,11 +713,20 @@
             return None
         successor = _failover.Successor(target, connected)
         if not self._budgets.try_withdraw(state.service, state.log_id):
-            self.discard_successor(successor)
+            self._release_target(successor)
             return None
         return successor
 
-    def discard_successor(self, successor: _failover.Successor) -> None:
+    def discard_successor(
+        self,
+        state: _request_state.RequestState,
+        successor: _failover.Successor,
+    ) -> None:
+        """Give back what was taken for a successor that isn't used."""
+        self._budgets.give_back(state.service)
+        self._release_target(successor)
+
+    def _release_target(self, successor: _failover.Successor) -> None:
         """Give back the connection and the permit of a successor."""
         target, connection = successor
         if isinstance(target, _peers.Peer):
@@ -866,7 +875,7 @@
         return await self._forwarder.find_successor(self._state)
 
     def discard(self, successor: _failover.Successor) -> None:
-        self._forwarder.discard_successor(successor)
+        self._forwarder.discard_successor(self._state, successor)
 
 
 def _why_may_not_retry(
--- a/src/geraniumlink/serving/_retry_budgets.py
+++ b/src/geraniumlink/serving/_retry_budgets.py
@@ -86,6 +86,15 @@
         retries.append(self._clock.now())
         return True
 
+    def give_back(self, service: str) -> None:
+        """Count a retry less: one that was withdrawn was not sent.
+
+        The oldest is dropped, so that none counts for too short a time.
+        """
+        retries = self._window(self._retries, service)
+        if retries:
+            retries.popleft()
+
     def _window(
         self, counts: dict[str, collections.deque[int]], service: str
     ) -> collections.deque[int]:
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -247,6 +247,12 @@
     def note_unanswered(self, replica):
         pass
 
+    def suspect(self):
+        pass
+
+    async def check(self):
+        return False
+
 
 class _NeverLoaded(_Residency):
     """Never reports a model as loaded."""
@@ -256,10 +262,11 @@
         await anyio.sleep_forever()
 
 
-def _forwarder(residency, clock):
-    """Return a forwarder with one replica, which holds no models."""
-    replicas = _replicas.Replicas(clock, 2000)
-    replicas.replace_all([_entry("r1")])
+def _forwarder(residency, clock, replicas=None, connections=None):
+    """Return a forwarder, by default with a replica that holds no models."""
+    if replicas is None:
+        replicas = _replicas.Replicas(clock, 2000)
+        replicas.replace_all([_entry("r1")])
     active_configuration = _active_configuration.ActiveConfiguration()
     spec = hosts.configuration(1, hosts.route("x", "stream", service="s"))
     active_configuration.apply_if_newer(platform.decode_configuration(spec))
@@ -275,7 +282,7 @@
         origins=None,
         permits=None,
         metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
-        connections=_connections.ConnectionPool(clock),
+        connections=connections or _connections.ConnectionPool(clock),
         reachability=_Reachability(),
         peer_relay=None,
         clock=clock,
@@ -342,6 +349,48 @@
     assert not body.get("more_body")
 
 
+class _Connections:
+    """Connects to all replicas but those that are down."""
+
+    def __init__(self):
+        self.down = set()
+        self.released = []
+
+    async def acquire(self, replica, *_args, **_fields):
+        if replica in self.down:
+            raise _http.NotSentError("down")
+        return replica
+
+    def release(self, replica, connection):
+        self.released.append(connection)
+
+
+def _make_search(clock):
+    """Return a forwarder, its parts, and a request at a silent replica."""
+    replicas = _replicas.Replicas(clock, 2000)
+    replicas.replace_all([_entry("r1"), _entry("r2")])
+    connections = _Connections()
+    forwarder = _forwarder(_NeverLoaded(), clock, replicas, connections)
+    request = _request()._replace(
+        model="", host=hosts.HOST, target=b"/x/", received_at=clock.now()
+    )
+    route = forwarder._active_configuration.find_route(hosts.HOST, b"/x/")
+    state = forwarder._make_state(request, None, route)
+    forwarder._budgets.set_instances(1)
+    state.tried_replicas.add("r1")
+    return forwarder, connections, state
+
+
+@pytest.mark.anyio
+async def test_successors_that_are_not_used_use_up_the_retry_budget():
+    forwarder, connections, state = _make_search(_clock.ManualClock())
+    for count in range(20):
+        successor = await forwarder.find_successor(state)
+        assert successor is not None, f"none after {count}"
+        forwarder.discard_successor(state, successor)
+    assert len(connections.released) == 20
+
+
 def test_a_loaded_adapter_overrides_an_earlier_refusal_for_its_model():
     """A load of the adapter implies that its model is loaded again."""
     replica = _replica()
