Don't exclude a replica for good that was down in a search

A request at a silent replica never went to a replica again that had taken no connection while a successor was looked for. Searches go on for as long as the silence, so all others could be excluded so by an outage of a moment, and a stream whose replica then broke was cut off. A replica that takes no connection is paused for all requests as before.

The test failed before. tests/test_serving.py, test_silent_replicas.py, test_failover.py and test_ended_replicas.py pass.

--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -422,6 +422,9 @@
             return "no time left"
         if isinstance(outcome, _outcomes.Unsent):
             state.connect_failures += 1
+            # A failure in a search excludes none: its replica may be the only
+            # one by the time that the request needs it.
+            state.tried_replicas.add(state.last_replica)
             return (
                 ""
                 if state.was_taken_away
@@ -647,7 +650,6 @@
                 request_id=state.request.id,
             )
         except _http.NotSentError as error:
-            state.tried_replicas.add(entry.name)
             replica.note_unreachable(self._clock.now(), str(error))
             self._chooser.note_end(replica, None)
             await self._reachability.check()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -391,6 +391,19 @@
     assert len(connections.released) == 20
 
 
+@pytest.mark.anyio
+async def test_a_replica_that_was_down_in_a_search_is_never_tried_again():
+    clock = _clock.ManualClock()
+    forwarder, connections, state = _make_search(clock)
+    connections.down.add("r2")
+    assert await forwarder.find_successor(state) is None
+    connections.down.clear()
+    clock.advance(_replicas.FIRST_PAUSE_MS)
+    successor = await forwarder.find_successor(state)
+    assert successor is not None
+    assert successor.target.replica.entry.name == "r2"
+
+
 def test_a_loaded_adapter_overrides_an_earlier_refusal_for_its_model():
     """A load of the adapter implies that its model is loaded again."""
     replica = _replica()
