Don't cut off a stream that the next replica turns down

A stream that was taken from a silent replica was cut off if the replica that it went to turned it down (503, not run): that counted as its last attempt, and there was none left that it had not been sent to. Replicas are full just when another one is silent.

Such an attempt isn't counted now, as nothing has run, and before a request is offered again, all replicas may take it again, also the one that was silent.

--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -55,7 +55,7 @@
 REPLICA_POLL_MS = 50
 # Pause before a request that was taken from a silent replica is offered again,
 # where nothing took it.
-OFFER_PAUSE_MS = 100
+OFFER_PAUSE_MS = 200
 # No request is taken from a silent replica to another instance before the path
 # has been lost for this long. If all replicas are silent, the other instances
 # have lost their paths too, and it is known here by then.
@@ -350,6 +350,8 @@
                 if isinstance(target, _outcomes.Refusal):
                     if self._may_be_offered_again(state, target):
                         await self._clock.sleep(OFFER_PAUSE_MS)
+                        # Those that were silent or full may take it now.
+                        state.tried_replicas.clear()
                         continue
                     await self._final_answers.send_refusal(state, target)
                     return
@@ -792,7 +794,9 @@
                 self._suspicions.clear_crashes(state.fingerprint)
                 self._prompt_parts.note_completion(state.shared_parts)
             case _outcomes.NotRun():
-                pass
+                # A request that was taken from a silent replica isn't given
+                # up because the next one turned it down.
+                state.attempts -= state.was_taken_away
             case _outcomes.Failed(status=status):
                 replica.note_outcome(status >= 500, now)
             case _:  # Interrupted.
--- a/tests/test_silent_replicas.py
+++ b/tests/test_silent_replicas.py
@@ -112,3 +112,30 @@
     (answer,) = await _send_while_silent(site, ["r-1"], "/safe/x")
     assert answer.status == 200
     assert answer.body == b"answer to /safe/x"
+
+
+async def test_a_stream_is_cut_off_as_a_replica_turns_it_down(fleet):
+    """It was taken from a silent one, and that was its last attempt."""
+    site = await _site(fleet)
+    answers = []
+
+    async def send():
+        port = site.instances[0].port
+        answers.append(await hosts.send_request(port, "/stream/x"))
+
+    async def is_running():
+        return any((await site.runs()).values())
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(send)
+        await site.fleet.until(is_running, "the request runs")
+        runs = await site.runs()
+        (silent,) = (name for name in runs if runs[name])
+        (full,) = site.replicas.keys() - {silent}
+        await site.faults(full, refuse=True)
+        await anyio.sleep(2 * _EVENT_MS / 1000)
+        site.replicas[silent].freeze()
+        await anyio.sleep(_SILENCE_S)
+        site.replicas[silent].thaw()
+    assert answers[0].is_complete
+    assert answers[0].body == _ALL
