Know that another instance has a request while it has it

A search for where to go on from another instance that is silent could choose a replica, if the path was back: that the request had been passed on was recorded only after the attempt. The other instance may have sent it to that same replica, which isn't known here, so a silent replica could get it twice, or it could run on more replicas than its route allows. Not seen from outside; the test looks at the record and failed before.

--- a/src/geraniumlink/serving/_peer_relay.py
+++ b/src/geraniumlink/serving/_peer_relay.py
@@ -135,6 +135,9 @@
     ) -> _outcomes.Outcome:
         """Pass the request on to another instance and relay its response."""
         state.attempts += 1
+        was_passed_on = state.passed_on
+        # Also for a search while the other instance has it.
+        state.passed_on = True
         attempt = _RelayAttempt(
             self._clock,
             state,
@@ -155,10 +158,10 @@
         match outcome:
             case _outcomes.Unsent():
                 state.attempts -= 1
+                state.passed_on = was_passed_on
                 self._peers.note_failure(peer)
                 return outcome
             case _outcomes.Interrupted():
                 state.may_have_run = True
                 self._peers.note_failure(peer)
-        state.passed_on = True
         return outcome
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -18,7 +18,10 @@
 from geraniumlink.serving import _balance
 from geraniumlink.serving import _connections
 from geraniumlink.serving import _events
+from geraniumlink.serving import _failover
 from geraniumlink.serving import _forward
+from geraniumlink.serving import _peer_relay
+from geraniumlink.serving import _peers
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _response_writer
@@ -404,6 +407,33 @@
     assert successor.target.replica.entry.name == "r2"
 
 
+@pytest.mark.anyio
+async def test_a_request_at_another_instance_may_go_to_its_replica_again():
+    """The replicas that the other instance tries aren't known here."""
+    clock = _clock.ManualClock()
+    _, connections, state = _make_search(clock)
+    state.response = _response_writer.ResponseWriter(None, lambda: False)
+    peers = _peers.Peers(None, clock, random.Random(1))
+    relay = _peer_relay.PeerRelay(peers, connections, None, clock)
+    during = []
+
+    class Connection:
+        async def send(self, data):
+            during.append(state.passed_on)
+            raise _http.BrokenError("closed")
+
+        def close(self):
+            pass
+
+    await relay.send(
+        state,
+        _peers.Peer("127.0.0.1:1"),
+        Connection(),
+        _failover.Failover(None, clock),
+    )
+    assert during == [True]
+
+
 def test_a_loaded_adapter_overrides_an_earlier_refusal_for_its_model():
     """A load of the adapter implies that its model is loaded again."""
     replica = _replica()
