--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -54,6 +54,13 @@
 # ready and that isn't known as such here. Changes of the replicas' entries
 # arrive a few times a second.
 REPLICA_POLL_MS = 50
+# Pause before a request that was taken from a silent replica is offered again,
+# where nothing took it.
+OFFER_PAUSE_MS = 200
+# No request is taken from a silent replica to another instance before the path
+# has been lost for this long. If all replicas are silent, the other instances
+# have lost their paths too, and it is known here by then.
+PATH_NEWS_MS = 1000
 # Part of a request's time that is kept for serving it after its model was
 # loaded. A refusal after the wait uses up to REFUSAL_MARGIN_MS (200) of it;
 # see ``residency._controller_protocol``.
@@ -347,6 +354,11 @@
             if successor is None:
                 target = await self._select_target(state)
                 if isinstance(target, _outcomes.Refusal):
+                    if self._may_be_offered_again(state, target):
+                        await self._clock.sleep(OFFER_PAUSE_MS)
+                        # Those that were silent or full may take it now.
+                        state.tried_replicas.clear()
+                        continue
                     await self._final_answers.send_refusal(state, target)
                     return
                 self._record_target(state, target)
@@ -362,6 +374,7 @@
                 state.outcome = "done"
                 return
             state.failed_attempt = outcome
+            state.was_taken_away |= successor is not None
             why_final = ""
             if successor is None:
                 why_final = self._why_not_retried(state, outcome)
@@ -370,6 +383,20 @@
                 await self._final_answers.send_failure(state, outcome)
                 return
 
+    def _may_be_offered_again(
+        self, state: _request_state.RequestState, refusal: _outcomes.Refusal
+    ) -> bool:
+        """Whether a refused request has to wait until something takes it.
+
+        Its replica was silent and might have gone on.
+        """
+        left_ms = state.latest_next_event - self._clock.now()
+        return (
+            state.was_taken_away
+            and refusal.retry_after_ms is not None
+            and left_ms > OFFER_PAUSE_MS + MIN_TIME_LEFT_MS
+        )
+
     async def _select_target(
         self, state: _request_state.RequestState, may_load: bool = True
     ) -> _balance.Choice | _peers.Peer | _outcomes.Refusal:
@@ -406,9 +433,13 @@
             return "no time left"
         if isinstance(outcome, _outcomes.Unsent):
             state.connect_failures += 1
+            # A failure in a search excludes none: its replica may be the only
+            # one by the time that the request needs it.
+            state.tried_replicas.add(state.last_replica)
             return (
                 ""
-                if state.connect_failures <= MAX_CONNECT_FAILURES
+                if state.was_taken_away
+                or state.connect_failures <= MAX_CONNECT_FAILURES
                 else "not connected"
             )
         why_not = _why_may_not_retry(state, outcome)
@@ -634,7 +665,6 @@
                 request_id=state.request.id,
             )
         except _http.NotSentError as error:
-            state.tried_replicas.add(entry.name)
             replica.note_unreachable(self._clock.now(), str(error))
             self._chooser.note_end(replica, None)
             await self._reachability.check()
@@ -702,16 +732,31 @@
         target = await self._select_target(state, may_load)
         if isinstance(target, _outcomes.Refusal):
             return None
+        if (
+            isinstance(target, _peers.Peer)
+            and self._reachability.is_lost
+            and self._reachability.lost_ms < PATH_NEWS_MS
+        ):
+            return None
         connected = await self._connect(state, target)
         if isinstance(connected, _outcomes.Unsent):
             return None
         successor = _failover.Successor(target, connected)
         if not self._budgets.try_withdraw(state.service, state.log_id):
-            self.discard_successor(successor)
+            self._release_target(successor)
             return None
         return successor
 
-    def discard_successor(self, successor: _failover.Successor) -> None:
+    def discard_successor(
+        self,
+        state: _request_state.RequestState,
+        successor: _failover.Successor,
+    ) -> None:
+        """Give back what was taken for a successor that isn't used."""
+        self._budgets.give_back(state.service)
+        self._release_target(successor)
+
+    def _release_target(self, successor: _failover.Successor) -> None:
         """Give back the connection and the permit of a successor."""
         target, connection = successor
         if isinstance(target, _peers.Peer):
@@ -775,7 +820,9 @@
                 self._suspicions.clear_crashes(state.fingerprint)
                 self._prompt_parts.note_completion(state.shared_parts)
             case _outcomes.NotRun():
-                pass
+                # A request that was taken from a silent replica isn't given
+                # up because the next one turned it down.
+                state.attempts -= state.was_taken_away
             case _outcomes.Failed(status=status):
                 replica.note_outcome(status >= 500, now)
             case _:  # Interrupted.
@@ -892,7 +939,7 @@
         return await self._forwarder.find_successor(self._state, may_load)
 
     def discard(self, successor: _failover.Successor) -> None:
-        self._forwarder.discard_successor(successor)
+        self._forwarder.discard_successor(self._state, successor)
 
 
 def _why_may_not_retry(
