Write no 408 into an answer because the next request's head is slow

What callers saw that send a request before the answer to the one before is there: bytes of a 408 within that answer, and its end cut off.

Cause: the timer of a head writes a 408 and closes the connection, whatever is being sent on it.

Change: while an answer is being sent, the connection is closed after it. tests/test_hosted_members.py: the new test fails before.

--- a/src/geraniumlink/hosting/_http_protocol.py
+++ b/src/geraniumlink/hosting/_http_protocol.py
@@ -133,9 +133,15 @@
         )
 
     def _on_header_timeout(self) -> None:
-        """Respond with 408 and close the connection."""
+        """Respond with 408 and close the connection.
+
+        While the response to an earlier request is being sent, the connection
+        is closed after it instead.
+        """
         self._header_timer = None
-        if not self.transport.is_closing():
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.cycle.keep_alive = False
+        elif not self.transport.is_closing():
             self.transport.write(
                 b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\n"
                 b"connection: close\r\n\r\n"
--- a/tests/test_hosted_members.py
+++ b/tests/test_hosted_members.py
@@ -237,3 +237,12 @@
     assert answers[0].is_complete
     (line,) = hosts.find_log_lines(instance, "request")
     assert line["outcome"] == "shut down"
+
+
+async def test_a_slow_head_behind_a_request_spoils_the_answer_before(fleet):
+    site, port = await _start_site(fleet, replicas=1)
+    await site.faults("r-1", event_ms=300)
+    first = hosts.request_bytes("/stream/x", Connection="keep-alive")
+    answer = await hosts.send(port, first + b"POST /once/2 HTTP/1.1\r\n")
+    assert answer.is_complete
+    assert b"408" not in answer.raw
