Serve a request that was sent behind a stream before SIGTERM

What callers saw that send a request before the answer to the one before is there: after SIGTERM their connection closed once a stream had ended that had begun before, and the request behind it, which may have been passed on by then, had no answer.

Cause: the connection was closed after each answer of a draining instance; the server had begun with the next request already.

Change: where there is one, the connection is closed after its answer. tests/test_hosted_members.py: the new test fails before.

--- a/src/geraniumlink/hosting/_http_protocol.py
+++ b/src/geraniumlink/hosting/_http_protocol.py
@@ -110,8 +110,9 @@
 
     def on_response_complete(self) -> None:
         self.timeout_keep_alive = self._idle_s  # type: ignore[assignment]
+        has_next = bool(self.pipeline)
         super().on_response_complete()
-        if self._is_draining():
+        if self._is_draining() and not has_next:
             self.transport.close()
 
     def timeout_keep_alive_handler(self) -> None:
--- a/tests/test_hosted_members.py
+++ b/tests/test_hosted_members.py
@@ -239,6 +239,30 @@
     assert line["outcome"] == "shut down"
 
 
+async def test_sigterm_drops_a_request_that_was_sent_behind_a_stream(fleet):
+    """The stream began before, so its head doesn't say that it is the last."""
+    site, port = await _start_site(fleet, replicas=1)
+    await site.faults("r-1", event_ms=200)
+    first = hosts.request_bytes("/stream/x", Connection="keep-alive")
+    answers = []
+
+    async def send():
+        second = hosts.request_bytes("/once/2")
+        answers.append((await hosts.send(port, first + second)).raw)
+
+    async with hosts.anyio.create_task_group() as group:
+        group.start_soon(send)
+
+        async def running():
+            return (await site.runs())["r-1"]
+
+        await fleet.until(running, "the stream runs")
+        await hosts.anyio.sleep(0.5)
+        site.instances[0].terminate()
+    assert answers[0].count(b"HTTP/1.1 200 OK") == 2
+    assert answers[0].endswith(b"answer to /once/2")
+
+
 async def test_a_slow_head_behind_a_request_spoils_the_answer_before(fleet):
     site, port = await _start_site(fleet, replicas=1)
     await site.faults("r-1", event_ms=300)
