--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -243,6 +243,7 @@
         suspicions=_suspicions.SuspicionTable(clock),
         prompt_parts=_prompt_parts.PromptParts(clock, source),
         origins=origins,
+        versions=None,
         permits=None,
         metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
         connections=_ConnectionPool(clock),
