--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -389,7 +389,7 @@
 async def test_successors_that_are_not_used_use_up_the_retry_budget():
     forwarder, connections, state = _make_search(_clock.ManualClock())
     for count in range(20):
-        successor = await forwarder.find_successor(state)
+        successor = await forwarder.find_successor(state, may_load=True)
         assert successor is not None, f"none after {count}"
         forwarder.discard_successor(state, successor)
     assert len(connections.released) == 20
@@ -400,10 +400,10 @@
     clock = _clock.ManualClock()
     forwarder, connections, state = _make_search(clock)
     connections.down.add("r2")
-    assert await forwarder.find_successor(state) is None
+    assert await forwarder.find_successor(state, may_load=True) is None
     connections.down.clear()
     clock.advance(_replicas.FIRST_PAUSE_MS)
-    successor = await forwarder.find_successor(state)
+    successor = await forwarder.find_successor(state, may_load=True)
     assert successor is not None
     assert successor.target.replica.entry.name == "r2"
 
