Name the failover of requests by the field's terms

Read once more as a newcomer: was_taken_away, is_hopeless, PATH_NEWS_MS and OFFER_PAUSE_MS needed the docs, and _Bench in a test file could be taken for the users' bench. They are failed_over, is_given_up, MIN_PATH_LOSS_MS, RESELECT_PAUSE_MS and _Setup. Comments beside them say the same in fewer words.

--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -459,14 +459,14 @@
         due_at = self._stall_due_at()
         return due_at is not None and due_at <= self._clock.now()
 
-    def _end_stalled_read(self, is_hopeless: bool) -> bool:
+    def _end_stalled_read(self, is_given_up: bool) -> bool:
         """Interrupt the read if it stalls still; return whether it did."""
         if not self._is_stalled():
             self._set_stall_timer()
             return False
         return self._connection.interrupt_read(
             _http.BrokenError("the replica can't be reached any more")
-            if is_hopeless
+            if is_given_up
             else StalledError()
         )
 
--- a/src/geraniumlink/serving/_failover.py
+++ b/src/geraniumlink/serving/_failover.py
@@ -3,8 +3,8 @@
 Silence tells little: a replica that sends nothing may have ended, or it may
 pause for a moment and go on. So it ends no attempt by itself. Another target
 is chosen and connected to meanwhile, and the attempt ends only when that has
-worked, or there is no hope that the replica goes on; if it sends something
-before, the request stays there.
+worked, or the replica is given up; if it sends something before, the request
+stays there.
 """
 
 from __future__ import annotations
@@ -38,7 +38,7 @@
 class Source(typing.Protocol):
     """Finds successors for one request."""
 
-    async def is_hopeless(self) -> bool:
+    async def is_given_up(self) -> bool:
         """Whether the replica isn't to be waited for any longer."""
 
     async def find(self) -> Successor | None:
@@ -54,10 +54,10 @@
 class EndAttempt(typing.Protocol):
     """Ends the attempt."""
 
-    def __call__(self, is_hopeless: bool) -> bool:
+    def __call__(self, is_given_up: bool) -> bool:
         """Return whether it did; it doesn't if the replica has spoken.
 
-        :param is_hopeless: whether it ends because the replica isn't waited
+        :param is_given_up: whether it ends because the replica isn't waited
             for any longer; otherwise there is a successor.
         """
 
@@ -108,15 +108,15 @@
     async def _run(self, end_attempt: EndAttempt) -> None:
         pause_ms = FIRST_PAUSE_MS
         while True:
-            if await self._source.is_hopeless():
-                end_attempt(is_hopeless=True)
+            if await self._source.is_given_up():
+                end_attempt(is_given_up=True)
                 return
             found = await self._source.find()
             if found is not None:
                 break
             await self._clock.sleep(pause_ms)
             pause_ms = min(2 * pause_ms, LONGEST_PAUSE_MS)
-        if end_attempt(is_hopeless=False):
+        if end_attempt(is_given_up=False):
             self._successor = found
         else:
             self._source.discard(found)
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -54,13 +54,13 @@
 # ready and that isn't known as such here. Changes of the replicas' entries
 # arrive a few times a second.
 REPLICA_POLL_MS = 50
-# Pause before a request that was taken from a silent replica is offered again,
-# where nothing took it.
-OFFER_PAUSE_MS = 200
-# No request is taken from a silent replica to another instance before the path
-# has been lost for this long. If all replicas are silent, the other instances
-# have lost their paths too, and it is known here by then.
-PATH_NEWS_MS = 1000
+# Pause before another replica is looked for, for a request that failed over
+# and that no replica can take.
+RESELECT_PAUSE_MS = 200
+# No request fails over to another instance before the path has been lost for
+# this long. If all replicas are silent, the other instances take their paths
+# for lost, too, and have reported it by then.
+MIN_PATH_LOSS_MS = 1000
 # Part of a request's time that is kept for serving it after its model was
 # loaded. A refusal after the wait uses up to REFUSAL_MARGIN_MS (200) of it;
 # see ``residency._controller_protocol``.
@@ -354,8 +354,8 @@
             if successor is None:
                 target = await self._select_target(state)
                 if isinstance(target, _outcomes.Refusal):
-                    if self._may_be_offered_again(state, target):
-                        await self._clock.sleep(OFFER_PAUSE_MS)
+                    if self._may_select_again(state, target):
+                        await self._clock.sleep(RESELECT_PAUSE_MS)
                         # Those that were silent or full may take it now.
                         state.tried_replicas.clear()
                         continue
@@ -374,7 +374,7 @@
                 state.outcome = "done"
                 return
             state.failed_attempt = outcome
-            state.was_taken_away |= successor is not None
+            state.failed_over |= successor is not None
             why_final = ""
             if successor is None:
                 why_final = self._why_not_retried(state, outcome)
@@ -383,18 +383,19 @@
                 await self._final_answers.send_failure(state, outcome)
                 return
 
-    def _may_be_offered_again(
+    def _may_select_again(
         self, state: _request_state.RequestState, refusal: _outcomes.Refusal
     ) -> bool:
-        """Whether a refused request has to wait until something takes it.
+        """Whether another replica is looked for before a refusal is final.
 
-        Its replica was silent and might have gone on.
+        So it is once a request has failed over: the replica that it left
+        might have gone on.
         """
         left_ms = state.latest_next_event - self._clock.now()
         return (
-            state.was_taken_away
+            state.failed_over
             and refusal.retry_after_ms is not None
-            and left_ms > OFFER_PAUSE_MS + MIN_TIME_LEFT_MS
+            and left_ms > RESELECT_PAUSE_MS + MIN_TIME_LEFT_MS
         )
 
     async def _select_target(
@@ -438,7 +439,7 @@
             state.tried_replicas.add(state.last_replica)
             return (
                 ""
-                if state.was_taken_away
+                if state.failed_over
                 or state.connect_failures <= MAX_CONNECT_FAILURES
                 else "not connected"
             )
@@ -735,7 +736,7 @@
         if (
             isinstance(target, _peers.Peer)
             and self._reachability.is_lost
-            and self._reachability.lost_ms < PATH_NEWS_MS
+            and self._reachability.lost_ms < MIN_PATH_LOSS_MS
         ):
             return None
         connected = await self._connect(state, target)
@@ -820,9 +821,9 @@
                 self._suspicions.clear_crashes(state.fingerprint)
                 self._prompt_parts.note_completion(state.shared_parts)
             case _outcomes.NotRun():
-                # A request that was taken from a silent replica isn't given
-                # up because the next one turned it down.
-                state.attempts -= state.was_taken_away
+                # A request that has failed over doesn't end because the next
+                # replica rejects it.
+                state.attempts -= state.failed_over
             case _outcomes.Failed(status=status):
                 replica.note_outcome(status >= 500, now)
             case _:  # Interrupted.
@@ -909,7 +910,7 @@
         self._liveness = _process_probe.Liveness.MAY_GO_ON
         self._has_asked_for_load = False
 
-    async def is_hopeless(self) -> bool:
+    async def is_given_up(self) -> bool:
         """Whether the replica has ended, or is likely to have.
 
         One that can't be reached may still go on. A request that has no
--- a/src/geraniumlink/serving/_request_state.py
+++ b/src/geraniumlink/serving/_request_state.py
@@ -43,9 +43,8 @@
         # Whether another instance took it, and may have sent it to replicas
         # that aren't known here.
         self.passed_on = False
-        # Whether it was taken from a silent replica, as something else was
-        # going to take it.
-        self.was_taken_away = False
+        # Whether it has left a silent replica for another target.
+        self.failed_over = False
         # Attempts for which no connection could be opened.
         self.connect_failures = 0
         # Names of the replicas of all attempts, which are not chosen again.
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -286,7 +286,7 @@
         return 200 <= self.status < 300 and self.is_complete
 
 
-class _Bench:
+class _Setup:
     """Sends requests through a forwarder to servers, one after another."""
 
     def __init__(self, servers, over_peers=False) -> None:
@@ -322,9 +322,9 @@
 
 
 @contextlib.asynccontextmanager
-async def _bench(count=2, **fields):
+async def _setup(count=2, **fields):
     async with _serving(count) as servers:
-        yield _Bench(servers, **fields)
+        yield _Setup(servers, **fields)
 
 
 def _cuts(head, body, framing, end):
@@ -341,13 +341,13 @@
 async def test_an_answer_that_breaks_off_is_no_success(
     kind, framing, end, over_peers
 ):
-    async with _bench(over_peers=over_peers) as bench:
+    async with _setup(over_peers=over_peers) as setup:
         head, body = _whole(_ANY_ID, kind, framing)
         for cut in _cuts(head, body, framing, end):
-            request_id = bench.next_id()
+            request_id = setup.next_id()
             data = b"".join(_whole(request_id, kind, framing))
             answer = _Answer(data[:cut], end)
-            received = await bench.send(request_id, kind, answer)
+            received = await setup.send(request_id, kind, answer)
             assert not received.is_success, cut
             if cut < len(head):
                 assert received.status == 502, cut
@@ -359,12 +359,12 @@
 async def test_a_request_is_retried_after_an_answer_that_breaks_off(
     kind, end, framing, over_peers
 ):
-    async with _bench(over_peers=over_peers) as bench:
+    async with _setup(over_peers=over_peers) as setup:
         for cut in range(len(_head(_ANY_ID, framing))):
-            request_id = bench.next_id()
+            request_id = setup.next_id()
             broken = _head(request_id, framing)[:cut]
             whole = b"".join(_whole(request_id, kind, "chunks"))
-            received = await bench.send(
+            received = await setup.send(
                 request_id, kind, _Answer(broken, end), _Answer(whole)
             )
             assert received.is_success, cut
@@ -379,13 +379,13 @@
     kind, framing, end, over_peers
 ):
     """It is unless a third attempt sends the rest."""
-    async with _bench(count=3, over_peers=over_peers) as bench:
+    async with _setup(count=3, over_peers=over_peers) as setup:
         for cut in range(len(_head(_ANY_ID, framing))):
-            request_id = bench.next_id()
+            request_id = setup.next_id()
             begun = _head(request_id, "chunks") + _EVENT_CHUNK
             broken = _head(request_id, framing, length=100)[:cut]
             rest = b"".join(_whole(request_id, "stream", "chunks", first=1))
-            received = await bench.send(
+            received = await setup.send(
                 request_id,
                 kind,
                 _Answer(begun, end),
@@ -404,13 +404,13 @@
 async def test_an_answer_that_breaks_off_after_interim_heads_is_no_success(
     kind, interim, end
 ):
-    async with _bench() as bench:
+    async with _setup() as setup:
         head = _head(_ANY_ID, "connection")
         for cut in range(len(interim + head)):
-            request_id = bench.next_id()
+            request_id = setup.next_id()
             data = interim + _head(request_id, "connection")
             answer = _Answer(data[:cut], end)
-            received = await bench.send(request_id, kind, answer)
+            received = await setup.send(request_id, kind, answer)
             assert received.status == 502, cut
 
 
@@ -420,17 +420,17 @@
 async def test_an_answer_that_breaks_off_on_a_kept_connection_is_no_success(
     kind, framing, end, over_peers
 ):
-    async with _bench(count=1, over_peers=over_peers) as bench:
+    async with _setup(count=1, over_peers=over_peers) as setup:
         for cut in range(len(_head(_ANY_ID, framing))):
-            whole_id, request_id = bench.next_id(), bench.next_id()
+            whole_id, request_id = setup.next_id(), setup.next_id()
             whole = b"".join(_whole(whole_id, kind, "length"))
             assert (
-                await bench.send(whole_id, kind, _Answer(whole))
+                await setup.send(whole_id, kind, _Answer(whole))
             ).is_success
             answer = _Answer(_head(request_id, framing)[:cut], end)
-            received = await bench.send(request_id, kind, answer)
+            received = await setup.send(request_id, kind, answer)
             assert received.status == 502, cut
-            assert request_id in bench.servers[0].kept
+            assert request_id in setup.servers[0].kept
 
 
 @pytest.mark.parametrize("end", _ENDS)
@@ -439,9 +439,9 @@
     "head", (b"HTTP/1.1 200 OK\r\n\r\n", b"HTTP/1.1 200\r\n\r\n")
 )
 async def test_a_status_line_alone_is_no_success(head, kind, end):
-    async with _bench() as bench:
+    async with _setup() as setup:
         answer = _Answer(head, end)
-        received = await bench.send(bench.next_id(), kind, answer)
+        received = await setup.send(setup.next_id(), kind, answer)
         assert received.status == 502
 
 
@@ -452,17 +452,17 @@
     kind, begun, status
 ):
     """The client would get its status with the other answer's body."""
-    async with _bench(count=1) as bench:
+    async with _setup(count=1) as setup:
         for cut in range(1, len(_head(_ANY_ID, "connection", begun)) - 1):
-            whole_id, request_id = bench.next_id(), bench.next_id()
+            whole_id, request_id = setup.next_id(), setup.next_id()
             whole = _Answer(b"".join(_whole(whole_id, kind, "length")))
-            assert (await bench.send(whole_id, kind, whole)).is_success
+            assert (await setup.send(whole_id, kind, whole)).is_success
             broken = _head(request_id, "connection", begun)[:cut]
             own = b"".join(_whole(request_id, kind, "length", status=status))
             answer = _Answer(broken, rest=own)
-            received = await bench.send(request_id, kind, answer)
+            received = await setup.send(request_id, kind, answer)
             assert received.status == 502, cut
-            assert request_id in bench.servers[0].kept
+            assert request_id in setup.servers[0].kept
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -16,14 +16,14 @@
 class _Source:
     """Finds what it is given, one after the other; then it waits."""
 
-    def __init__(self, *found, hopeless_after=None):
+    def __init__(self, *found, given_up_after=None):
         self._found = list(found)
-        self._hopeless_after = hopeless_after
+        self._given_up_after = given_up_after
         self.searches = 0
         self.discarded = []
 
-    async def is_hopeless(self):
-        return self.searches == self._hopeless_after
+    async def is_given_up(self):
+        return self.searches == self._given_up_after
 
     async def find(self):
         self.searches += 1
@@ -45,13 +45,13 @@
 async def _search(failover, ended=True):
     """Run a search to its end.
 
-    :returns: for each time that the attempt was ended, whether there was no
-        hope for its replica.
+    :returns: for each time that the attempt was ended, whether its replica
+        was given up.
     """
     calls = []
 
-    def end_attempt(is_hopeless):
-        calls.append(is_hopeless)
+    def end_attempt(is_given_up):
+        calls.append(is_given_up)
         return ended
 
     failover.start(end_attempt)
@@ -73,8 +73,8 @@
     assert not source.discarded
 
 
-async def test_a_request_waits_for_a_replica_without_hope():
-    source = _Source(None, None, hopeless_after=1)
+async def test_a_request_waits_for_a_replica_that_is_given_up():
+    source = _Source(None, None, given_up_after=1)
     failover = _failover_of(source)
     assert await _search(failover) == [True]
     assert source.searches == 1
@@ -105,7 +105,7 @@
 async def test_a_search_goes_on_after_its_attempt(end):
     source = _Source()
     failover = _failover_of(source)
-    failover.start(lambda is_hopeless: True)
+    failover.start(lambda is_given_up: True)
     await anyio.sleep(0.01)
     if end == "cancel":
         failover.cancel()
@@ -118,13 +118,13 @@
 async def test_a_second_search_runs_beside_the_first():
     source = _Source()
     failover = _failover_of(source)
-    failover.start(lambda is_hopeless: True)
-    failover.start(lambda is_hopeless: True)
+    failover.start(lambda is_given_up: True)
+    failover.start(lambda is_given_up: True)
     await anyio.sleep(0.01)
     assert source.searches == 1
     failover.cancel()
     await anyio.sleep(0.01)
-    failover.start(lambda is_hopeless: True)
+    failover.start(lambda is_given_up: True)
     await anyio.sleep(0.01)
     assert source.searches == 2
     await failover.stop()
@@ -132,7 +132,7 @@
 
 async def test_an_error_of_a_search_is_swallowed():
     failover = _failover_of(_Source(ValueError("broken")))
-    failover.start(lambda is_hopeless: True)
+    failover.start(lambda is_given_up: True)
     await anyio.sleep(0.01)
     with pytest.raises(ValueError):
         await failover.stop()
