--- a/review/5/case.py
+++ b/review/5/case.py
@@ -13,7 +13,7 @@
 SERVICE = "custody-app"
 LINGER_S = 1.5
 CUT_S = 4.0
-ROUNDS = 7
+ROUNDS = 10
 REPLICAS = 6
 LEAVING = 3
 IN_TOUCH_S = standins.BOUNDS["stability_window_ms"] / 1000
@@ -69,10 +69,10 @@
         await asyncio.sleep(6)
         client = standins.Client(instances, record)
         load = asyncio.create_task(client.load(
-            150, record.now() + 10.5 * ROUNDS, ["/release/1", "/rack/1"]
+            150, record.now() + 8.2 * ROUNDS, ["/release/1", "/rack/1"]
         ))
         for _ in range(ROUNDS):
-            await asyncio.sleep(random.uniform(3.5, 4))
+            await asyncio.sleep(random.uniform(3.05, 3.2))
             present = [r for r in replicas if r.name not in acked_at]
             store.watch_answered.clear()
             await store.watch_answered.wait()
