--- a/review/5/case.py
+++ b/review/5/case.py
@@ -14,8 +14,8 @@
 LINGER_S = 1.5
 CUT_S = 4.0
 ROUNDS = 10
-REPLICAS = 6
-LEAVING = 3
+REPLICAS = 8
+LEAVING = 2
 IN_TOUCH_S = standins.BOUNDS["stability_window_ms"] / 1000
 DRAIN_S = standins.BOUNDS["drain_ms"] / 1000
 
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -268,6 +268,8 @@
         self.beats = 0
         self.busy = False
         self.state = "ready"
+        # Whether it leaves, also if it doesn't report that.
+        self.is_leaving = False
         self.born = 0
         # (time, request id, target) of what arrived and was run.
         self.arrivals: list[tuple[float, str, str]] = []
@@ -405,7 +407,7 @@
             await asyncio.sleep(self.work_ms / 1000)
         finally:
             self._running -= 1
-        if self.state == "draining":
+        if self.is_leaving or self.state == "draining":
             headers["Connection"] = "close"
         writer.write(encode(200, b"done by " + self.name.encode(),
                             X_Response_Seal="of-" + self.name, **headers))
