--- /dev/null
+++ b/tests/test_connection_ends.py
@@ -0,0 +1,250 @@
+"""What becomes of requests when the server ends a client's connection."""
+
+import contextlib
+import json
+
+import anyio
+import pytest
+
+from tests import builders
+from tests import hosts
+
+pytestmark = pytest.mark.anyio
+
+_LARGE_BODY = b"x" * 4_000_000
+# A body that is itself the text of a request.
+_DOCUMENT = hosts.request_bytes("/once/of-the-document", b"{}")
+_OFFERS = {
+    "h2c": {"Connection": "Upgrade, HTTP2-Settings", "Upgrade": "h2c"},
+    "websocket": {"Connection": "upgrade", "Upgrade": "websocket"},
+    "unknown": {"Connection": "keep-alive, Upgrade", "Upgrade": "x/1, y"},
+}
+
+
+async def _start_site(fleet):
+    """Return a site with one replica, and its client port."""
+    site = await hosts.Site(fleet).start(replicas=1)
+    return site, site.instances[0].port
+
+
+async def _receive_all(connection):
+    """Return what is received until the connection ends or is reset."""
+    received = b""
+    with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+        while True:
+            received += await connection.receive()
+    return received
+
+
+async def _until_run(fleet, site, count=1):
+    async def has_run():
+        return len((await site.runs())["r-1"]) >= count
+
+    await fleet.until(has_run, "the replica runs the request")
+
+
+def _kept(target, body=b"", **headers):
+    return hosts.request_bytes(target, body, Connection="", **headers)
+
+
+def _statuses(data):
+    """Return the statuses of all responses; none of the bodies has one."""
+    return [int(part[:3]) for part in data.split(b"HTTP/1.1 ")[1:]]
+
+
+@pytest.mark.parametrize("sent_at_s", (-0.3, 0.3, 1.2))
+async def test_sigterm_drops_a_request_that_waits_behind_another(
+    fleet, sent_at_s
+):
+    site, port = await _start_site(fleet)
+    await site.faults("r-1", work_ms=2500)
+    (instance,) = site.instances
+    async with await anyio.connect_tcp("127.0.0.1", port) as connection:
+        await connection.send(_kept("/once/1"))
+        await _until_run(fleet, site)
+        if sent_at_s < 0:
+            await connection.send(_kept("/once/2"))
+        await anyio.sleep(max(0, -sent_at_s))
+        instance.terminate()
+        await anyio.sleep(max(0, sent_at_s))
+        if sent_at_s > 0:
+            await connection.send(_kept("/once/2"))
+        answers = await _receive_all(connection)
+    assert _statuses(answers) == [200, 200]
+    assert answers.lower().count(b"connection: close") == 1
+
+
+async def test_own_interface_drops_a_request_that_waits_behind_another(fleet):
+    engine = fleet.engine({"notes": "1"})
+    instance = fleet.instance(drain_lag_ms=1200)
+    await fleet.ready()
+    await builders.declare(fleet, instance, builders.engines([engine]))
+    await builders.serving(fleet, instance, 1)
+    fields = {"model": "notes", "prompt": "Boots?", "max_tokens": 200}
+    body = json.dumps(fields).encode()
+    head = (
+        "POST /geraniumlink.v1.Inference/Generate HTTP/1.1\r\n"
+        f"Host: instance\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    async with await anyio.connect_tcp(
+        "127.0.0.1", instance.port
+    ) as connection:
+        await connection.send(2 * (head.encode() + body))
+        await anyio.sleep(0.3)
+        instance.terminate()
+        answers = await _receive_all(connection)
+    assert _statuses(answers) == [200, 200]
+
+
+async def _change_limits(fleet, site, **limits):
+    """Put a configuration with other limits into force."""
+    configuration = hosts.configuration(2)
+    configuration["limits"] |= limits
+    await site.configure(configuration)
+    (instance,) = site.instances
+
+    async def is_in_force():
+        return hosts.find_log_lines(instance, "configuration_in_force")[1:]
+
+    await fleet.until(is_in_force, "the second configuration is in force")
+
+
+async def test_a_rejected_request_drops_the_one_behind_it(fleet):
+    _, port = await _start_site(fleet)
+    too_large = _kept("/once/1", b"x" * 100_001)
+    answer = await hosts.send(port, too_large + hosts.request_bytes("/once/2"))
+    assert _statuses(answer.raw) == [413, 200]
+
+
+@pytest.mark.parametrize("size", (150_000, 1_000_000, 4_000_000))
+async def test_a_rejection_is_lost_in_a_reset_while_the_body_is_sent(
+    fleet, size
+):
+    _, port = await _start_site(fleet)
+    for _ in range(5):
+        async with await anyio.connect_tcp("127.0.0.1", port) as connection:
+            await connection.send(_kept("/once/1", _LARGE_BODY[:size]))
+            with anyio.fail_after(5):
+                received = b""
+                with contextlib.suppress(anyio.EndOfStream):
+                    while True:
+                        received += await connection.receive()
+        assert _statuses(received) == [413]
+
+
+async def test_a_lowered_header_timeout_drops_the_request_that_was_late(fleet):
+    """Its head is completed late, but before the answer to the first."""
+    site, port = await _start_site(fleet)
+    await site.faults("r-1", work_ms=2000)
+    await _change_limits(fleet, site, header_timeout_ms=300)
+    second = hosts.request_bytes("/once/2")
+    async with await anyio.connect_tcp("127.0.0.1", port) as connection:
+        await connection.send(_kept("/once/1") + second[:20])
+        await anyio.sleep(0.6)
+        await connection.send(second[20:])
+        answers = await _receive_all(connection)
+    assert _statuses(answers) == [200, 408]
+    assert [run["target"] for run in (await site.runs())["r-1"]] == ["/once/1"]
+
+
+@pytest.mark.parametrize(
+    "bad",
+    (b"no request\r\n\r\n", _kept("/x", X_Large="x" * 50_000)),
+    ids=("malformed", "too large"),
+)
+async def test_a_bad_head_behind_a_request_spoils_the_answer_before(
+    fleet, bad
+):
+    site, port = await _start_site(fleet)
+    await site.faults("r-1", event_ms=150)
+    answer = await hosts.send(port, _kept("/stream/x") + bad)
+    assert _statuses(answer.raw) == [200, 400]
+    events, _, rejection = answer.raw.partition(b"0\r\n\r\n")
+    assert b"token 8" in events
+    assert b"connection: close" in rejection.lower()
+
+
+async def test_a_replica_works_on_for_a_client_that_left_with_two_requests(
+    fleet,
+):
+    site, port = await _start_site(fleet)
+    await site.faults("r-1", work_ms=3000)
+    async with await anyio.connect_tcp("127.0.0.1", port) as connection:
+        await connection.send(_kept("/safe/1") + _kept("/safe/2"))
+        await _until_run(fleet, site)
+
+    async def has_ended():
+        (run,) = (await site.runs())["r-1"]
+        return run["ended"]
+
+    await fleet.until(has_ended, "the replica stops")
+    assert await has_ended() == "cancelled"
+
+
+@pytest.mark.parametrize("offer", _OFFERS)
+@pytest.mark.parametrize("body", (b'{"bottle": 7}', _DOCUMENT))
+@pytest.mark.parametrize("split", (True, False))
+async def test_the_body_of_an_offer_to_upgrade_is_run_as_a_request(
+    fleet, offer, body, split
+):
+    site, port = await _start_site(fleet)
+    data = hosts.request_bytes("/once/1", body, **_OFFERS[offer])
+    data += hosts.request_bytes("/once/2")
+    head_bytes = data.index(b"\r\n\r\n") + 4 if split else 0
+    async with await anyio.connect_tcp("127.0.0.1", port) as connection:
+        if split:
+            await connection.send(data[:head_bytes])
+            await anyio.sleep(0.05)
+        await connection.send(data[head_bytes:])
+        answers = await _receive_all(connection)
+    assert _statuses(answers) == [200, 200]
+    runs = (await site.runs())["r-1"]
+    assert [(run["target"], run["body"]) for run in runs] == [
+        ("/once/1", body.decode()),
+        ("/once/2", ""),
+    ]
+
+
+async def test_the_chunks_of_an_offer_to_upgrade_are_run_as_a_request(fleet):
+    site, port = await _start_site(fleet)
+    headers = {
+        **_OFFERS["h2c"],
+        "Content_Length": "",
+        "Transfer_Encoding": "chunked",
+    }
+    data = hosts.request_bytes("/once/1", **headers)
+    data += b"%x\r\n%b\r\n0\r\n\r\n" % (len(_DOCUMENT), _DOCUMENT)
+    answer = await hosts.send(port, data + hosts.request_bytes("/once/2"))
+    assert _statuses(answer.raw) == [200, 200]
+    runs = (await site.runs())["r-1"]
+    assert [run["body"] for run in runs] == [_DOCUMENT.decode(), ""]
+
+
+@pytest.mark.parametrize(
+    ("head", "status"),
+    (
+        (b"CONNECT /once/0 HTTP/1.1\r\nHost: shop.example\r\n", 501),
+        (b"PRI * HTTP/2.0\r\n", 400),
+    ),
+    ids=("CONNECT", "preface of HTTP/2"),
+)
+async def test_what_follows_another_protocol_is_run_as_a_request(
+    fleet, head, status
+):
+    site, port = await _start_site(fleet)
+    data = head + b"\r\n" + hosts.request_bytes("/once/1")
+    answer = await hosts.send(port, data)
+    assert _statuses(answer.raw) == [status]
+    assert not (await site.runs())["r-1"]
+
+
+async def test_a_trailer_field_is_taken_for_a_header(fleet):
+    site, port = await _start_site(fleet)
+    data = hosts.request_bytes(
+        "/once/1", Content_Length="", Transfer_Encoding="chunked"
+    )
+    data += b"2\r\n{}\r\n0\r\nX-Deadline-Ms: 5\r\nX-Trailer: 1\r\n\r\n"
+    assert (await hosts.send(port, data)).status == 200
+    ((run,),) = (await site.runs()).values()
+    assert run["body"] == "{}"
+    assert "x-trailer" not in run["headers"]
