Serve requests that wait behind another one before a connection is closed

Callers saw: of two requests sent on one connection, the second, whole and in the process for seconds, got neither an answer nor a refusal: after SIGTERM (on the users' platform and on the own interface), and behind a request that was rejected with 408, 413, 421 or 431.

Cause: the response to the first one has "connection: close", and the HTTP server drops the requests that it keeps in a queue as it closes. The application never sees them, so no log line told.

Change: the protocol, now one class for both listeners, tells the application whether a part of a further request has been received; a response has "connection: close" only if not. The last one has it. What is still lost (the client left, or a response broke off) has a log line, requests_dropped.

--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -130,6 +130,7 @@
     "request_id": _TEXT,
     "requests": _WHOLE,
     "resident": _TEXTS,
+    "response_complete": _FLAG,
     "resumes": _TEXT,
     "revision": _WHOLE,
     "route": _TEXT,
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -594,6 +594,13 @@
             "took_ms",
         ),
     ),
+    "requests_dropped": Message(
+        _REQUEST,
+        "a client's connection ended while whole requests waited behind"
+        " another one; `response_complete` says whether that one had its"
+        " whole response",
+        ("requests", "response_complete"),
+    ),
     "server_answers": _claim_step("a server returned the result of a call"),
     "server_refuses": _claim_step("a server did not run a call"),
     "settings_kept": Message(
--- a/src/geraniumlink/_server.py
+++ b/src/geraniumlink/_server.py
@@ -13,6 +13,7 @@
 import uvicorn
 
 from geraniumlink import _clock
+from geraniumlink import _http_protocol
 from geraniumlink import _settings
 
 # An idle connection is closed after this long. A client that reuses
@@ -120,13 +121,13 @@
         application: typing.Any,
         addresses: list[_settings.Address],
         clock: _clock.Clock,
-        http: type[asyncio.Protocol] | str = "httptools",
+        http: type[asyncio.Protocol] = _http_protocol.HttpProtocol,
     ) -> None:
         config = uvicorn.Config(
             application,
             # Not uvloop, which may use io_uring: the users don't allow that.
             loop="asyncio",
-            http=typing.cast(typing.Any, http),
+            http=http,
             date_header=False,
             server_header=False,
             ws="none",
--- a/src/geraniumlink/hosting/_application.py
+++ b/src/geraniumlink/hosting/_application.py
@@ -85,10 +85,11 @@
     ) -> None:
         """Serve one request, as ASGI defines it.
 
-        The scope has a ``target`` besides, which the HTTP protocol adds.
+        The scope has what the HTTP protocol adds to it besides.
         """
+        has_next_request = scope["has_next_request"]
         response = _response_writer.ResponseWriter(
-            send, lambda: self._draining
+            send, lambda: self._draining and not has_next_request()
         )
         port = scope["server"][1]
         if port == self._addresses.readiness.port:
@@ -106,7 +107,7 @@
             if attempts is None:
                 await self._serve_peer(scope, receive, response)
             elif self._draining:
-                await _reject(response, 421, "draining")
+                await _reject(scope, response, 421, "draining")
             else:
                 await self._serve_request(scope, receive, response, attempts)
 
@@ -181,7 +182,7 @@
                 len(name) + len(value) + 4 for name, value in headers
             )
             if total_bytes > current.limits.max_header_bytes:
-                await _reject(response, 431, "the head is too large")
+                await _reject(scope, response, 431, "the head is too large")
                 return
         body = b""
         try:
@@ -191,10 +192,10 @@
                         receive, current.limits.max_body_bytes
                     )
         except TimeoutError:
-            await _reject(response, 408, "the body takes too long")
+            await _reject(scope, response, 408, "the body takes too long")
             return
         except BodyTooLargeError:
-            await _reject(response, 413, "the body is too large")
+            await _reject(scope, response, 413, "the body is too large")
             return
         except ClientDisconnectedError:
             return
@@ -228,12 +229,19 @@
 
 
 async def _reject(
-    response: _response_writer.ResponseWriter, status: int, reason: str
+    scope: Scope,
+    response: _response_writer.ResponseWriter,
+    status: int,
+    reason: str,
 ) -> None:
-    """Respond before the request is read, and close the connection."""
-    await response.send_complete(
-        status, [(b"connection", b"close")], reason.encode()
-    )
+    """Respond before the request is read, and close the connection.
+
+    It stays open if a further request has been received: this one has then
+    been received whole.
+    """
+    close = [(b"connection", b"close")]
+    headers = [] if scope["has_next_request"]() else close
+    await response.send_complete(status, headers, reason.encode())
 
 
 async def _read_body(receive: Receive, max_bytes: int) -> bytes:
--- a/src/geraniumlink/hosting/_http_protocol.py
+++ b/src/geraniumlink/hosting/_http_protocol.py
@@ -1,12 +1,11 @@
-"""uvicorn's HTTP protocol with limits of the active configuration."""
+"""The HTTP protocol with limits of the active configuration."""
 
 from __future__ import annotations
 
 import asyncio
 import typing
 
-from uvicorn.protocols.http import httptools_impl
-
+from geraniumlink import _http_protocol
 from geraniumlink.serving import _active_configuration
 
 # Limits until the first configuration is in force.
@@ -40,7 +39,7 @@
     return LimitedProtocol
 
 
-class _LimitedProtocol(httptools_impl.HttpToolsProtocol):
+class _LimitedProtocol(_http_protocol.HttpProtocol):
     """Limits the time and size of heads, and the idle time of connections.
 
     The limits are read at each use, so that a new configuration also applies
@@ -104,13 +103,10 @@
     def on_headers_complete(self) -> None:
         self._stop_header_timer()
         super().on_headers_complete()
-        # The request target as the client sent it: ASGI only has the decoded
-        # path and the query apart.
-        self.scope["target"] = self.url  # type: ignore[typeddict-unknown-key]
 
     def on_response_complete(self) -> None:
         self.timeout_keep_alive = self._idle_s  # type: ignore[assignment]
-        has_next = bool(self.pipeline)
+        has_next = self.has_next_request
         super().on_response_complete()
         if self._is_draining() and not has_next:
             self.transport.close()
--- a/src/geraniumlink/interface/_rpc.py
+++ b/src/geraniumlink/interface/_rpc.py
@@ -381,8 +381,12 @@
         return "ok"
 
     def _connection_headers(self) -> list[tuple[bytes, bytes]]:
-        """Return the header that ends the connection during shutdown."""
-        if self._server.shutting_down:
+        """Return the header that ends the connection during shutdown.
+
+        A request that has been received behind this one is served before.
+        """
+        has_next_request = self._scope.get("has_next_request", bool)
+        if self._server.shutting_down and not has_next_request():
             return [(b"connection", b"close")]
         return []
 
