Let a rejection reach a client that is still sending its body

Callers saw: a whole body of 4 MB where 100,000 bytes are allowed got a reset and no 413; at 150 kB and 1 MB the 413 came, with a reset behind it.

Cause: the connection was closed with unread bytes in the socket, which resets it; a client that is sending then fails before it reads.

Change: a connection is closed in two steps, as RFC 9112, section 9.6, says: the sending side first; what is left of the rejected body is read and dropped, for 2 s and 16 MiB at most, or 0.5 s once the process shuts down. Bytes behind a request that was received whole stay unread, so that a client knows that a further request was not read, and get 0.5 s before the reset.

Result: the three cases pass, five connections each, with this change alone.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -3,16 +3,61 @@
 A client may send a request before the response to the one before is complete
 (pipelining, RFC 9112, section 9.3.2). uvicorn keeps such requests in a queue,
 which is lost if a response has ``connection: close``.
+
+A connection that is closed with unread bytes is reset, and the client may lose
+the response. So a connection is closed in two steps (section 9.6): its sending
+side first, the rest a little later.
 """
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import select
 import typing
 
 from uvicorn.protocols.http import httptools_impl
 
 from geraniumlink import _logs
 
+# After a response to a request that was not received whole, the rest of it is
+# discarded: until the client closes the connection, but no longer and no more
+# than this.
+DISCARD_TIMEOUT_MS = 2000
+MAX_DISCARDED_BYTES = 16 * 1024 * 1024
+# How long a client has to receive a response behind which it has sent bytes
+# that are not read.
+UNREAD_LINGER_MS = 500
+
+
+def has_unread_bytes(transport: typing.Any) -> bool:
+    """Whether the socket's receive buffer has bytes, or the client's end."""
+    sock = transport.get_extra_info("socket")
+    if transport.is_closing() or sock is None:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+class _ClosingTransport:
+    """A transport that the protocol closes in its own way."""
+
+    def __init__(self, transport: typing.Any, protocol: HttpProtocol) -> None:
+        self._transport = transport
+        self._protocol = protocol
+
+    def __getattr__(self, name: str) -> typing.Any:
+        return getattr(self._transport, name)
+
+    def is_closing(self) -> bool:
+        """Whether the connection is being closed, also in the first step."""
+        return self._protocol.lingers or self._transport.is_closing()
+
+    def close(self) -> None:
+        """Close the connection once its response has been sent."""
+        self._protocol.close_connection()
+
 
 class HttpProtocol(httptools_impl.HttpToolsProtocol):
     """Serves the requests of one connection in turn.
@@ -26,13 +71,31 @@
     # The request whose response is being sent, or was sent last.
     _current: httptools_impl.RequestResponseCycle | None = None
     _head_complete = True
+    # A part of a request has been received, and its end hasn't.
+    _receives_request = False
+    # Ends the second step of closing the connection.
+    _linger_timer: asyncio.TimerHandle | None = None
+    _discarded_bytes = 0
 
     @property
     def has_next_request(self) -> bool:
         """Whether a part of a request behind the current one was received."""
         return bool(self.pipeline) or not self._head_complete
 
+    @property
+    def lingers(self) -> bool:
+        """Whether only the sending side of the connection has been closed."""
+        return self._linger_timer is not None
+
+    def connection_made(self, transport: typing.Any) -> None:
+        self._whole_transport = transport
+        super().connection_made(
+            typing.cast(typing.Any, _ClosingTransport(transport, self))
+        )
+
     def connection_lost(self, exc: Exception | None) -> None:
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         if self.pipeline and self._current is not None:
             _logs.event(
                 "requests_dropped",
@@ -41,8 +104,46 @@
             )
         super().connection_lost(exc)
 
+    def close_connection(self) -> None:
+        """Close the connection so that a response is not lost in a reset."""
+        if self.lingers or self._whole_transport.is_closing():
+            return
+        if self._receives_request:
+            self._linger(DISCARD_TIMEOUT_MS)
+            self.flow.resume_reading()
+        elif has_unread_bytes(self._whole_transport):
+            self._linger(UNREAD_LINGER_MS)
+            self.flow.pause_reading()
+        else:
+            self._whole_transport.close()
+
+    def _linger(self, timeout_ms: int) -> None:
+        self._unset_keepalive_if_required()
+        # The client may have reset the connection already.
+        with contextlib.suppress(OSError):
+            self._whole_transport.write_eof()
+        self._linger_timer = self.loop.call_later(
+            timeout_ms / 1000, self._whole_transport.close
+        )
+
+    def shutdown(self) -> None:
+        """Close the connection, or have its response be the last one."""
+        if self.lingers:
+            self._whole_transport.close()
+        else:
+            super().shutdown()
+
+    def data_received(self, data: bytes) -> None:
+        if not self.lingers:
+            super().data_received(data)
+            return
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self._whole_transport.close()
+
     def on_message_begin(self) -> None:
         self._head_complete = False
+        self._receives_request = True
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
@@ -53,6 +154,10 @@
         scope["target"] = self.url
         scope["has_next_request"] = lambda: self.has_next_request
 
+    def on_message_complete(self) -> None:
+        self._receives_request = False
+        super().on_message_complete()
+
     def _start_asgi_task(
         self, cycle: httptools_impl.RequestResponseCycle, app: typing.Any
     ) -> None:
--- a/src/geraniumlink/_server.py
+++ b/src/geraniumlink/_server.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Iterator
 import contextlib
-import select
 import socket
 import typing
 
@@ -77,7 +76,9 @@
         while self.server_state.connections:
             now = self._clock.now()
             for connection in list(self.server_state.connections):
-                if not _is_idle(connection) or _has_unread_bytes(connection):
+                if not _is_idle(connection) or _http_protocol.has_unread_bytes(
+                    connection.transport
+                ):
                     idle_since.pop(connection, None)
                 elif now - idle_since.setdefault(connection, now) > LINGER_MS:
                     connection.shutdown()
@@ -89,16 +90,6 @@
     return cycle is None or cycle.response_complete
 
 
-def _has_unread_bytes(connection: typing.Any) -> bool:
-    """Whether the socket's receive buffer has bytes of a request."""
-    sock = connection.transport.get_extra_info("socket")
-    if connection.transport.is_closing() or sock is None:
-        return False
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 def _bind(address: _settings.Address) -> socket.socket:
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     bound = socket.socket(family, socket.SOCK_STREAM)
