Refuse what can't be served behind a request after the answer to that one

Callers saw, of two requests sent on one connection: a malformed second head had a 400 written in place of the first one's answer, or into the middle of a stream; a second head that was completed after header_timeout_ms, as a new configuration states it, was dropped although the request was whole long before the first answer.

Cause: the parser's error was written to the connection at once, whatever response was being sent; the timeout marked the connection as to be closed, and the request was queued and dropped all the same. The timeout also ran while the instance itself had paused reading.

Change: a refusal (400, 408) takes its place in the queue. What is received after it isn't read as a request. Each has a log line, bad_request.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import contextlib
+import http
 import select
 import typing
 
@@ -40,6 +41,11 @@
     return bool(poll.poll(0))
 
 
+class _Refusal(typing.NamedTuple):
+    status: http.HTTPStatus
+    reason: str
+
+
 class _ClosingTransport:
     """A transport that the protocol closes in its own way."""
 
@@ -73,6 +79,9 @@
     _head_complete = True
     # A part of a request has been received, and its end hasn't.
     _receives_request = False
+    # The response to what was received behind the last request in the queue
+    # and can't be served.
+    _refusal: _Refusal | None = None
     # Ends the second step of closing the connection.
     _linger_timer: asyncio.TimerHandle | None = None
     _discarded_bytes = 0
@@ -80,7 +89,11 @@
     @property
     def has_next_request(self) -> bool:
         """Whether a part of a request behind the current one was received."""
-        return bool(self.pipeline) or not self._head_complete
+        return (
+            bool(self.pipeline)
+            or not self._head_complete
+            or self._refusal is not None
+        )
 
     @property
     def lingers(self) -> bool:
@@ -133,13 +146,53 @@
         else:
             super().shutdown()
 
+    def refuse_rest(self, status: http.HTTPStatus, reason: str) -> None:
+        """Refuse what is being received, after all responses before it.
+
+        Nothing that is received later is served.
+        """
+        if self._refusal is not None or self.transport.is_closing():
+            return
+        _logs.event("bad_request", status=int(status), reason=reason)
+        self._refusal = _Refusal(status, reason)
+        if not self._receives_request or not self._head_complete:
+            if self._current is None or self._current.response_complete:
+                self._send_refusal(self._refusal)
+        elif self.pipeline and self.pipeline[0][0] is self.cycle:
+            self.pipeline.popleft()
+        else:
+            self._end_current(self._refusal)
+
+    def _end_current(self, refusal: _Refusal) -> None:
+        """Refuse the current request, unless its response has begun."""
+        self.cycle.disconnected = True
+        self.cycle.message_event.set()
+        if self.cycle.response_started:
+            self.close_connection()
+        else:
+            self._send_refusal(refusal)
+
+    def _send_refusal(self, refusal: _Refusal) -> None:
+        status, reason = refusal
+        self._whole_transport.write(
+            f"HTTP/1.1 {int(status)} {status.phrase}\r\n"
+            "content-type: text/plain; charset=utf-8\r\n"
+            f"content-length: {len(reason)}\r\n"
+            f"connection: close\r\n\r\n{reason}".encode()
+        )
+        self.close_connection()
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse what uvicorn can't parse."""
+        self.refuse_rest(http.HTTPStatus.BAD_REQUEST, msg)
+
     def data_received(self, data: bytes) -> None:
-        if not self.lingers:
+        if self.lingers:
+            self._discarded_bytes += len(data)
+            if self._discarded_bytes > MAX_DISCARDED_BYTES:
+                self._whole_transport.close()
+        elif self._refusal is None:
             super().data_received(data)
-            return
-        self._discarded_bytes += len(data)
-        if self._discarded_bytes > MAX_DISCARDED_BYTES:
-            self._whole_transport.close()
 
     def on_message_begin(self) -> None:
         self._head_complete = False
@@ -158,6 +211,16 @@
         self._receives_request = False
         super().on_message_complete()
 
+    def on_response_complete(self) -> None:
+        super().on_response_complete()
+        if (
+            self._refusal is not None
+            and self._current is not None
+            and self._current.response_complete
+            and not self.transport.is_closing()
+        ):
+            self._send_refusal(self._refusal)
+
     def _start_asgi_task(
         self, cycle: httptools_impl.RequestResponseCycle, app: typing.Any
     ) -> None:
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -162,6 +162,12 @@
     "bad_report_answer": Message(
         _STATE, "the controller's response to a report was invalid", ("error",)
     ),
+    "bad_request": Message(
+        _REQUEST,
+        "a client sent something that can't be read as a request, or not in"
+        " time; it was refused with `status`",
+        ("reason", "status"),
+    ),
     "bad_suspicions": Message(
         _STATE, "a peer sent an invalid message about suspicions", ("error",)
     ),
--- a/src/geraniumlink/hosting/_http_protocol.py
+++ b/src/geraniumlink/hosting/_http_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import http
 import typing
 
 from geraniumlink import _http_protocol
@@ -90,9 +91,7 @@
     def on_message_begin(self) -> None:
         super().on_message_begin()
         self._header_bytes = 0
-        self._header_timer = self.loop.call_later(
-            self._header_timeout_s, self._on_header_timeout
-        )
+        self._start_header_timer()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._header_bytes += len(name) + len(value)
@@ -130,20 +129,20 @@
         )
 
     def _on_header_timeout(self) -> None:
-        """Respond with 408 and close the connection.
-
-        While the response to an earlier request is being sent, the connection
-        is closed after it instead.
-        """
+        """Refuse a request whose head is incomplete."""
         self._header_timer = None
-        if self.cycle is not None and not self.cycle.response_complete:
-            self.cycle.keep_alive = False
-        elif not self.transport.is_closing():
-            self.transport.write(
-                b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\n"
-                b"connection: close\r\n\r\n"
+        if self.flow.read_paused:
+            # The rest of the head may have arrived.
+            self._start_header_timer()
+        else:
+            self.refuse_rest(
+                http.HTTPStatus.REQUEST_TIMEOUT, "the head takes too long"
             )
-            self.transport.close()
+
+    def _start_header_timer(self) -> None:
+        self._header_timer = self.loop.call_later(
+            self._header_timeout_s, self._on_header_timeout
+        )
 
     def _stop_header_timer(self) -> None:
         if self._header_timer is not None:
