Notice that a client left which has sent a second request

Callers saw nothing; a replica worked on for a client that had left, if that had sent another request behind the first.

Cause: reading was paused as soon as one request waited, so the end of the connection wasn't noticed; and at its end only the newest request was told.

Change: up to four requests may wait before reading is paused, and the request that is being served is told of the end.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -26,6 +26,9 @@
 # than this.
 DISCARD_TIMEOUT_MS = 2000
 MAX_DISCARDED_BYTES = 16 * 1024 * 1024
+# Requests that may wait behind another one before reading is paused. While it
+# is paused, the client's end of the connection isn't noticed.
+MAX_QUEUED_REQUESTS = 4
 # How long a client has to receive a response behind which it has sent bytes
 # that are not read.
 UNREAD_LINGER_MS = 500
@@ -115,6 +118,9 @@
                 requests=len(self.pipeline),
                 response_complete=self._current.response_complete,
             )
+        if self._current is not None:
+            self._current.disconnected = True
+            self._current.message_event.set()
         super().connection_lost(exc)
 
     def close_connection(self) -> None:
@@ -203,6 +209,8 @@
         self._head_complete = True
         super().on_headers_complete()
         scope = typing.cast(dict[str, typing.Any], self.scope)
+        if 0 < len(self.pipeline) < MAX_QUEUED_REQUESTS:
+            self.flow.resume_reading()
         # ASGI only has the decoded path and the query apart.
         scope["target"] = self.url
         scope["has_next_request"] = lambda: self.has_next_request
