Serve a request that offers an upgrade whole, and refuse CONNECT

CONNECT was passed on to a replica.

Cause: the parser takes all that follows the head of such a request for bytes of the other protocol; the program took it for the next request.

Change: the head of such a request is parsed once more without its Upgrade field; RFC 9110, section 7.8, allows to ignore an offer. Its body is then read like any other. CONNECT gets a 501.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -17,6 +17,7 @@
 import select
 import typing
 
+import httptools
 from uvicorn.protocols.http import httptools_impl
 
 from geraniumlink import _logs
@@ -80,6 +81,9 @@
     # The request whose response is being sent, or was sent last.
     _current: httptools_impl.RequestResponseCycle | None = None
     _head_complete = True
+    # The request being received asks for another protocol. It is parsed again
+    # without that.
+    _offers_upgrade = False
     # A part of a request has been received, and its end hasn't.
     _receives_request = False
     # The response to what was received behind the last request in the queue
@@ -188,17 +192,54 @@
         )
         self.close_connection()
 
-    def send_400_response(self, msg: str) -> None:
-        """Refuse what uvicorn can't parse."""
-        self.refuse_rest(http.HTTPStatus.BAD_REQUEST, msg)
-
     def data_received(self, data: bytes) -> None:
         if self.lingers:
             self._discarded_bytes += len(data)
             if self._discarded_bytes > MAX_DISCARDED_BYTES:
                 self._whole_transport.close()
         elif self._refusal is None:
-            super().data_received(data)
+            self._unset_keepalive_if_required()
+            self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        unparsed = memoryview(data)
+        try:
+            while unparsed and self._refusal is None:
+                try:
+                    self.parser.feed_data(unparsed)
+                    return
+                except httptools.HttpParserUpgrade as upgrade:
+                    (parsed_bytes,) = upgrade.args
+                    unparsed = unparsed[parsed_bytes:]
+                    self._decline_upgrade()
+        except httptools.HttpParserError:
+            self.refuse_rest(
+                http.HTTPStatus.BAD_REQUEST, "this is not an HTTP request"
+            )
+
+    def _decline_upgrade(self) -> None:
+        """Parse the head again, without the offer to upgrade.
+
+        The parser takes the body of such a request, too, for bytes of the
+        other protocol. HTTP allows to ignore an offer (RFC 9110, section
+        7.8).
+        """
+        if not self._offers_upgrade:
+            return
+        version = self.parser.get_http_version().encode()
+        lines = [self.parser.get_method(), b" ", self.url, b" HTTP/", version]
+        for name, value in self.headers:
+            if name != b"upgrade":
+                lines += [b"\r\n", name, b": ", value]
+        self._offers_upgrade = False
+        self._make_parser()
+        self.parser.feed_data(b"".join([*lines, b"\r\n\r\n"]))
+
+    def _make_parser(self) -> None:
+        self.parser = httptools.HttpRequestParser(self)
+        # As uvicorn sets it: requests behind one that asks to close the
+        # connection are ignored, and no error.
+        self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
 
     def on_message_begin(self) -> None:
         self._head_complete = False
@@ -206,6 +247,14 @@
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
+        if self.parser.get_method() == b"CONNECT":
+            self.refuse_rest(
+                http.HTTPStatus.NOT_IMPLEMENTED, "this is no HTTP tunnel"
+            )
+            return
+        self._offers_upgrade = self.parser.should_upgrade()
+        if self._offers_upgrade:
+            return
         self._head_complete = True
         super().on_headers_complete()
         scope = typing.cast(dict[str, typing.Any], self.scope)
@@ -216,6 +265,8 @@
         scope["has_next_request"] = lambda: self.has_next_request
 
     def on_message_complete(self) -> None:
+        if self._offers_upgrade or self._refusal is not None:
+            return
         self._receives_request = False
         super().on_message_complete()
 
