Keep trailer fields out of a request's headers

Callers saw: a trailer field that arrived in one segment with the head was taken for a header; X-Deadline-Ms: 5 in a trailer had the request refused.

Cause: the parser reports fields of both kinds alike, and the list of headers was still being filled when the request was served.

Change: fields behind the head are dropped, as RFC 9110, section 6.5.1, allows.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -246,6 +246,12 @@
         self._receives_request = True
         super().on_message_begin()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        # Fields behind the body are not part of the head (RFC 9110, section
+        # 6.5.1).
+        if not self._head_complete:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         if self.parser.get_method() == b"CONNECT":
             self.refuse_rest(
