tests: ports of several workers of one run

Change: a test starts two xdist workers that begin at the same block, and compares the ports that they take while both run. Nothing had to be changed in standins/fleet.py: each worker is a process of its own and binds its block.

Evidence: it fails on a copy whose blocks aren't kept bound (_bind(first).close()), as the test of two runs does; both pass here.

--- a/tests/test_fleet_ports.py
+++ b/tests/test_fleet_ports.py
@@ -16,6 +16,22 @@
 print(*[fleet.free_port() for _ in range({_PORTS})], flush=True)
 sys.stdin.read()
 """
+# The tests of one run, each in a worker of its own.
+_WORKERS_TESTS = f"""
+import pathlib, time
+from unittest import mock
+import pytest
+with mock.patch("os.getpid", return_value=7):
+    from standins import fleet
+
+@pytest.mark.parametrize("number", range(2))
+def test_takes_ports(number, worker_id):
+    folder = pathlib.Path(__file__).parent / "ports"
+    ports = [str(fleet.free_port()) for _ in range({_PORTS})]
+    (folder / worker_id).write_text(" ".join(ports))
+    while len(list(folder.iterdir())) < 2:
+        time.sleep(0.01)
+"""
 
 
 @pytest.fixture
@@ -43,3 +59,20 @@
     first, second = start_run(), start_run()
     assert len(first) == len(second) == _PORTS
     assert not first & second
+
+
+def test_workers_of_one_run_do_not_take_the_same_ports(tmp_path):
+    tests = tmp_path / "test_ports.py"
+    tests.write_text(_WORKERS_TESTS)
+    folder = tmp_path / "ports"
+    folder.mkdir()
+    subprocess.run(
+        [sys.executable, "-m", "pytest", "-n", "2", str(tests)],
+        cwd=fleets.ROOT,
+        check=True,
+        capture_output=True,
+        timeout=fleets.WAIT_S,
+    )
+    first, second = (set(p.read_text().split()) for p in folder.iterdir())
+    assert len(first) == len(second) == _PORTS
+    assert not first & second
