--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -40,7 +40,10 @@
 
 def pytest_terminal_summary(terminalreporter):
     for line in _known_red():
-        terminalreporter.write_line(f"known red: {line}")
+        test, issue = line.partition("|")[0], line.rpartition("|")[2]
+        terminalreporter.write_line(
+            f"known red: {test.strip()} ({issue.strip()})"
+        )
 
 
 @pytest.fixture(autouse=True)
