check: tests run side by side, those that measure alone after them

The list of known failures is printed once, by the second part, as there is one terminal summary a part and none in a worker.

Ruled out: one pytest run with groups (loadgroup keeps the measuring tests on one worker, but beside others).

Result: one run so far, so it isn't shown yet that the verdict stays the same.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -38,7 +38,10 @@
             item.add_marker(pytest.mark.xfail(reason=known[item.nodeid]))
 
 
-def pytest_terminal_summary(terminalreporter):
+def pytest_terminal_summary(terminalreporter, config):
+    if config.option.markexpr == "not serial":
+        # The other part of ./check follows, and prints the list.
+        return
     for line in _known_red():
         test, issue = line.partition("|")[0], line.rpartition("|")[2]
         terminalreporter.write_line(
--- a/tests/test_announced_leaving.py
+++ b/tests/test_announced_leaving.py
@@ -120,6 +120,7 @@
     assert not await _arrivals(site, "r-1", announced + _BOUND_S)
 
 
+@pytest.mark.serial
 async def test_requests_wait_when_all_replicas_announced_their_leaving(fleet):
     site = await hosts.Site(fleet).start(replicas=2)
     announced = time.monotonic()
--- a/tests/test_back_off.py
+++ b/tests/test_back_off.py
@@ -143,6 +143,7 @@
 
 
 @pytest.mark.parametrize("pause_s", (3, 1.5))
+@pytest.mark.serial
 async def test_requests_wait_while_all_replicas_turn_them_away(fleet, pause_s):
     site = await hosts.Site(fleet).start(replicas=2)
     for name in site.replicas:
--- a/tests/test_brittle_replicas.py
+++ b/tests/test_brittle_replicas.py
@@ -57,6 +57,7 @@
     return site
 
 
+@pytest.mark.serial
 async def test_brittle_replicas_are_not_made_to_fall_over(fleet):
     site = await _start_site(fleet)
     await _send_for(site, _SETTLING_S)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -82,6 +82,7 @@
 
 
 @pytest.mark.parametrize("part", (*_BROKEN, "body", "after", "refusal"))
+@pytest.mark.serial
 async def test_endless_answers_leave_the_memory_flat(fleet, part):
     site, port = await _site(fleet, part)
     calm = hosts.route("calm", "safe", service="calm")
--- a/tests/test_hosted_logs.py
+++ b/tests/test_hosted_logs.py
@@ -150,6 +150,7 @@
     assert "replica_seen" in text
 
 
+@pytest.mark.serial
 async def test_a_full_output_pipe_delays_no_request(fleet, tmp_path):
     site = await hosts.Site(fleet).start(instances=0)
     # The instance writes its output to this pipe, which nobody reads.
--- a/tests/test_hosted_members.py
+++ b/tests/test_hosted_members.py
@@ -28,6 +28,7 @@
     return statuses
 
 
+@pytest.mark.serial
 async def test_a_leaving_replica_gets_no_new_requests(fleet):
     site, port = await _start_site(fleet)
     await site.register("r-1", "draining")
@@ -41,6 +42,7 @@
     assert not late
 
 
+@pytest.mark.serial
 async def test_a_replica_without_entry_gets_nothing_after_the_bound(fleet):
     site, port = await _start_site(fleet, replicas=1)
     await site.remove("r-1")
--- a/tests/test_hosted_placement.py
+++ b/tests/test_hosted_placement.py
@@ -179,6 +179,7 @@
     assert len(set(holders)) == 1
 
 
+@pytest.mark.serial
 async def test_models_of_a_dead_replica_are_loaded_elsewhere(fleet):
     """Its registered entry is still there, for three heartbeats."""
     site = await _site(fleet, replicas=1, instances=2)
--- a/tests/test_overload_smoke.py
+++ b/tests/test_overload_smoke.py
@@ -7,7 +7,7 @@
 from standins import engine
 from tests import builders
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.serial]
 
 REQUESTS = 60
 TOKENS = 5
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -153,6 +153,7 @@
     assert after == before
 
 
+@pytest.mark.serial
 async def test_a_request_is_refused_at_once_where_no_instance_has_a_path(
     fleet,
 ):
@@ -183,6 +184,7 @@
     assert admitted["relayed_attempts"] is None
 
 
+@pytest.mark.serial
 async def test_a_client_that_leaves_ends_its_request_at_the_replica(fleet):
     site, partition = await _start_site(fleet)
     await _lose_path(partition)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -119,6 +119,7 @@
 
 
 @pytest.mark.anyio
+@pytest.mark.serial
 async def test_store_calls_dont_grow_with_the_instances(fleet):
     """Only the controller's instance renews its lease and watches."""
     site = await hosts.Site(fleet).start(instances=5)
@@ -138,6 +139,7 @@
 
 
 @pytest.mark.anyio
+@pytest.mark.serial
 async def test_changes_reach_all_instances_after_the_controller_ends(fleet):
     site = await hosts.Site(fleet).start(instances=3)
 
--- a/tests/test_residency_planner.py
+++ b/tests/test_residency_planner.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 
 from geraniumlink import _clock
 from geraniumlink.platform import _orders
@@ -238,6 +239,7 @@
     return engine, views, _demand(rates, waiting_ms, idle_ms)
 
 
+@pytest.mark.serial
 def test_plan_for_a_large_fleet_does_not_make_orders_time_out():
     """The event loop stands still meanwhile; a slow core has half the time."""
     engine, views, demand = _large_fleet()
--- a/tests/test_waiting_requirements.py
+++ b/tests/test_waiting_requirements.py
@@ -4,6 +4,7 @@
 import time
 
 import anyio
+import pytest
 
 from emulator import _control_plane
 from emulator import _engines
@@ -69,6 +70,7 @@
     return took_ms
 
 
+@pytest.mark.serial
 def test_waiting_calls_leave_the_controller_half_of_a_slow_core():
     """A slow core is half as fast as one that runs this test."""
     took_ms = _virtual_time.run(_play)
