Serve a request that arrives as its connection's idle timeout runs out

Callers would see their kept connection closed on a request that lies unread in the process's socket.

Cause: the timer closed the connection without a look at the socket.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -149,6 +149,11 @@
             timeout_ms / 1000, self._whole_transport.close
         )
 
+    def timeout_keep_alive_handler(self) -> None:
+        """Close an idle connection, unless a request has just arrived."""
+        if not has_unread_bytes(self._whole_transport):
+            super().timeout_keep_alive_handler()
+
     def shutdown(self) -> None:
         """Close the connection, or have its response be the last one."""
         if self.lingers:
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -2,10 +2,15 @@
 
 import contextlib
 import json
+import socket
+from unittest import mock
 
 import anyio
 import pytest
+import uvicorn
+from uvicorn import server
 
+from geraniumlink import _http_protocol
 from tests import builders
 from tests import hosts
 
@@ -248,3 +253,24 @@
     ((run,),) = (await site.runs()).values()
     assert run["body"] == "{}"
     assert "x-trailer" not in run["headers"]
+
+
+def test_an_idle_timeout_drops_a_request_that_has_just_arrived():
+    client, served = socket.socketpair()
+    with client, served:
+        transport = mock.Mock()
+        transport.get_extra_info.return_value = served
+        transport.is_closing.return_value = False
+        protocol = _http_protocol.HttpProtocol(
+            uvicorn.Config(None, ws="none", log_config=None),
+            server.ServerState(),
+            {},
+            mock.Mock(),
+        )
+        protocol.connection_made(transport)
+        client.send(b"POST")
+        protocol.timeout_keep_alive_handler()
+        transport.close.assert_not_called()
+        served.recv(4)
+        protocol.timeout_keep_alive_handler()
+        transport.close.assert_called_once()
