Limit the bytes before a response's head in the HTTP client

What callers saw: a server that sends interim responses (1xx) without end held a call for ever: httpcore drops each and reads on, every read is in time, and no limit counts them. Memory stayed flat. The polls of engines and plain services have no timeout beside that of a read (as read in the code; not run).

Cause: h11 limits one incomplete head, not what comes before the head of the response.

Evidence: test_a_call_reads_an_answer_without_end[interim-_request] failed before, its call being at work after 10 s. The other parts of an answer ended at once before, too, and so do all in the client of messages between instances.

The change: a connection's stream counts the bytes while a head is awaited, and the connection fails above 32 KiB. Usual servers send 8 to 16 KiB.

--- a/src/geraniumlink/_http.py
+++ b/src/geraniumlink/_http.py
@@ -19,6 +19,10 @@
 
 # Largest response body that ``Client.request`` reads (4 MiB).
 MAX_BODY_BYTES = 4 * 2**20
+# Limit of the bytes received before the head of a response is complete,
+# interim responses (1xx) included. Usual servers send heads of 8 to 16 KiB at
+# most.
+MAX_HEAD_BYTES = 32 * 2**10
 
 
 class NotSentError(Exception):
@@ -64,6 +68,102 @@
 MAX_POOLS = 128
 
 
+class _HeadLimit:
+    """Counts the bytes that are received while a head is awaited."""
+
+    def __init__(self) -> None:
+        self._left_bytes = 0
+        self._awaits_head = False
+
+    @contextlib.contextmanager
+    def applied(self) -> typing.Iterator[None]:
+        """Apply the limit until the head is complete or has failed."""
+        self._left_bytes, self._awaits_head = MAX_HEAD_BYTES, True
+        try:
+            yield
+        finally:
+            self._awaits_head = False
+
+    def restrict(self, max_bytes: int) -> int:
+        """Return how many of some bytes may be received now.
+
+        :raises httpcore.RemoteProtocolError: if none may.
+        """
+        if not self._awaits_head:
+            return max_bytes
+        if self._left_bytes <= 0:
+            raise httpcore.RemoteProtocolError("a head without an end")
+        return min(max_bytes, self._left_bytes)
+
+    def count(self, data: bytes) -> None:
+        self._left_bytes -= len(data)
+
+
+class _LimitedStream(httpcore.AsyncNetworkStream):
+    """A network stream with a limit of heads."""
+
+    def __init__(
+        self, stream: httpcore.AsyncNetworkStream, limit: _HeadLimit
+    ) -> None:
+        self._stream = stream
+        self._limit = limit
+
+    async def read(
+        self, max_bytes: int, timeout: float | None = None
+    ) -> bytes:
+        data = await self._stream.read(
+            self._limit.restrict(max_bytes), timeout
+        )
+        self._limit.count(data)
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> typing.Any:
+        return self._stream.get_extra_info(info)
+
+
+class _LimitedBackend(httpcore.AnyIOBackend):
+    """Opens network streams with a limit of heads."""
+
+    def __init__(self, limit: _HeadLimit) -> None:
+        self._limit = limit
+
+    async def connect_tcp(
+        self, *args: typing.Any, **options: typing.Any
+    ) -> httpcore.AsyncNetworkStream:
+        stream = await super().connect_tcp(*args, **options)
+        return _LimitedStream(stream, self._limit)
+
+
+class _Connection(httpcore.AsyncHTTPConnection):
+    """A connection on which heads have a limit.
+
+    httpcore drops interim responses, however many there are.
+    """
+
+    def __init__(self, origin: httpcore.Origin) -> None:
+        self._head_limit = _HeadLimit()
+        # No retries in httpcore: whether a failed connection attempt is
+        # repeated is up to the caller, who wouldn't see those retries.
+        super().__init__(
+            origin,
+            keepalive_expiry=IDLE_EXPIRY_S,
+            retries=0,
+            network_backend=_LimitedBackend(self._head_limit),
+        )
+
+    async def handle_async_request(
+        self, request: httpcore.Request
+    ) -> httpcore.Response:
+        with self._head_limit.applied():
+            return await super().handle_async_request(request)
+
+
 class _ConnectionPool:
     """A pool of connections to one address that keeps idle ones for reuse.
 
@@ -77,11 +177,11 @@
         host = address.host.encode()
         self._origin = httpcore.Origin(b"http", host, address.port)
         # Ordered by last use, the most recent last.
-        self._idle: list[httpcore.AsyncHTTPConnection] = []
+        self._idle: list[_Connection] = []
         self.in_use = 0
 
     @contextlib.asynccontextmanager
-    async def borrow(self) -> AsyncIterator[httpcore.AsyncHTTPConnection]:
+    async def borrow(self) -> AsyncIterator[_Connection]:
         """Yield an idle or new connection for the duration of one request."""
         self.in_use += 1
         connection = await self._acquire()
@@ -92,19 +192,15 @@
             with anyio.CancelScope(shield=True):
                 await self._release(connection)
 
-    async def _acquire(self) -> httpcore.AsyncHTTPConnection:
+    async def _acquire(self) -> _Connection:
         while self._idle:
             connection = self._idle.pop()
             if not connection.has_expired():
                 return connection
             await connection.aclose()
-        # No retries in httpcore: whether a failed connection attempt is
-        # repeated is up to the caller, who wouldn't see those retries.
-        return httpcore.AsyncHTTPConnection(
-            self._origin, keepalive_expiry=IDLE_EXPIRY_S, retries=0
-        )
+        return _Connection(self._origin)
 
-    async def _release(self, connection: httpcore.AsyncHTTPConnection) -> None:
+    async def _release(self, connection: _Connection) -> None:
         # Reusable only if its response has been read to the end.
         if self._keeps_alive and connection.is_available():
             self._idle.append(connection)
