Read smaller answers of replicas to reports and orders

What callers saw: nothing yet. An instance that is the controller kept up to 4 MiB of each answer to a call for a report or of an order, of all replicas that it asks at once.

Cause: one limit for all bodies that the HTTP client reads, which is made for pages of the store and answers of plain services. A report names a few models.

The change: the caller of the client may state a limit; that of answers to these calls is 256 KiB.

--- a/src/geraniumlink/_http.py
+++ b/src/geraniumlink/_http.py
@@ -17,7 +17,7 @@
 
 from geraniumlink import _settings
 
-# Largest response body that ``Client.request`` reads (4 MiB).
+# Largest response body that ``Client.request`` reads by default (4 MiB).
 MAX_BODY_BYTES = 4 * 2**20
 # Limit of the bytes received before the head of a response is complete,
 # interim responses (1xx) included. Usual servers send heads of 8 to 16 KiB at
@@ -307,12 +307,13 @@
         body: bytes = b"",
         connect_ms: int = 1000,
         read_ms: int = 600_000,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> Response:
         """Send a request and return the complete response.
 
         :raises NotSentError: if no connection was established.
         :raises BrokenError: on any later failure, or if the body is larger
-            than ``MAX_BODY_BYTES``.
+            than ``max_body_bytes``.
         """
         async with self.stream(
             method,
@@ -326,8 +327,10 @@
             data = bytearray()
             async for chunk in response.aiter_stream():
                 data += chunk
-                if len(data) > MAX_BODY_BYTES:
-                    raise BrokenError("the response is larger than 4 MiB")
+                if len(data) > max_body_bytes:
+                    raise BrokenError(
+                        f"the body has more than {max_body_bytes} bytes"
+                    )
         return Response(response.status, response.headers, bytes(data))
 
     async def post_json(
--- a/src/geraniumlink/platform/_orders.py
+++ b/src/geraniumlink/platform/_orders.py
@@ -19,6 +19,9 @@
 # A replica responds at once, before it carries an order out; the time leaves
 # room for one retransmitted packet.
 ORDER_TIMEOUT_MS = 250
+# Limit of a response. A report names the models that are near the replica, in
+# up to two lists; 1,300 models are planned for.
+MAX_RESPONSE_BYTES = 2**18
 _REPORT_PATH = "/v1/report"
 _JSON_CONTENT_TYPE = (b"Content-Type", b"application/json")
 
@@ -162,6 +165,7 @@
             body=body,
             connect_ms=ORDER_TIMEOUT_MS,
             read_ms=ORDER_TIMEOUT_MS,
+            max_body_bytes=MAX_RESPONSE_BYTES,
         )
         self._note_announcement(
             replica,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -77,6 +77,12 @@
     def running(self) -> bool:
         return self._process is not None and self._process.poll() is None
 
+    def peak_kb(self) -> int:
+        """Return the largest resident memory so far."""
+        status = pathlib.Path(f"/proc/{self.pid}/status").read_text()
+        (line,) = (t for t in status.splitlines() if t.startswith("VmHWM"))
+        return int(line.split()[1])
+
     def start(self) -> None:
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -142,6 +142,8 @@
         self.instances: list[fleets.Process] = []
         self._settings: list[dict] = []
         self._models: dict[str, list[str]] = {}
+        # Of proxies before replicas, by the replicas' names.
+        self._proxies: dict[str, str] = {}
         # Software versions; a replica that isn't here is of "v1".
         self.versions: dict[str, str] = {}
         # Bounds in the settings of instances that are started from now on,
@@ -163,8 +165,13 @@
             await self.add_instance()
         return self
 
-    async def add_replica(self, *models: str, near: str = "") -> str:
-        """Start and register a replica with models; return its name."""
+    async def add_replica(
+        self, *models: str, near: str = "", proxy: str = ""
+    ) -> str:
+        """Start and register a replica with models; return its name.
+
+        :param proxy: address of a proxy before it, if one is used.
+        """
         name = f"r-{len(self.replicas) + 1}"
         arguments = ["--name", name]
         for model_name in models:
@@ -174,6 +181,7 @@
         process = self.fleet.stand_in("replica", *arguments)
         self.replicas[name] = process
         self._models[name] = list(models)
+        self._proxies[name] = proxy
         await self.fleet.answers(process.port, "/record")
         await self.register(name)
         return name
@@ -185,7 +193,7 @@
         """Return a replica's entry in the store."""
         return {
             "service": "assistant",
-            "address": self.replicas[name].address,
+            "address": self._proxies[name] or self.replicas[name].address,
             "zone": "debark",
             "version": self.versions.get(name, "v1"),
             "slots": 8,
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -74,13 +74,6 @@
     await fleet.until(is_run_by_broken, "r-1 runs a request")
 
 
-def _peak_kb(process):
-    """Return the largest resident memory of a process so far."""
-    with open(f"/proc/{process.pid}/status") as status:
-        (line,) = (text for text in status if text.startswith("VmHWM"))
-    return int(line.split()[1])
-
-
 @pytest.mark.parametrize("part", (*_BROKEN, "body", "after", "refusal"))
 async def test_endless_answers_leave_the_memory_flat(fleet, part):
     site, port = await _site(fleet, part)
@@ -95,7 +88,7 @@
         return (await hosts.send_request(port, "/calm/x")).status == 200
 
     await fleet.until(is_served, "calm requests are served")
-    idle_kb = _peak_kb(site.instances[0])
+    idle_kb = site.instances[0].peak_kb()
     async with anyio.create_task_group() as group:
         for number in range(_CONNECTIONS):
             target = "/once/x" if number % 2 else "/stream-once/x"
@@ -103,7 +96,7 @@
         for _ in range(10):
             assert await is_served()
             await anyio.sleep(0.05)
-    assert _peak_kb(site.instances[0]) <= 1.1 * idle_kb
+    assert site.instances[0].peak_kb() <= 1.1 * idle_kb
 
 
 async def _abandon(port, target):
