--- a/src/geraniumlink/backends/_engines.py
+++ b/src/geraniumlink/backends/_engines.py
@@ -16,8 +16,13 @@
 
 # Applies to connecting and to each read.
 _REPORT_TIMEOUT_MS = 1000
+# Of a report, which has up to 5,000 copies of models and adapters
+# (``control/_ledger.py``) of some 100 bytes each.
+MAX_REPORT_BYTES = 2**20
 # Of one line of a stream, and of the body of a refusal.
 MAX_LINE_BYTES = 2**18
+# Far more than a token of any usual vocabulary has.
+MAX_TOKEN_CHARACTERS = 1024
 
 
 class GenerationRequest(typing.NamedTuple):
@@ -121,6 +126,7 @@
         "/report",
         connect_ms=_REPORT_TIMEOUT_MS,
         read_ms=_REPORT_TIMEOUT_MS,
+        max_body_bytes=MAX_REPORT_BYTES,
     )
     if answer.status != 200:
         raise BadReportError(f"status {answer.status}")
@@ -178,6 +184,8 @@
         if message.get("end"):
             return _streams.End(request_id, int(message["token_count"]))
         tokens = tuple(str(token) for token in message["tokens"])
+        if any(len(token) > MAX_TOKEN_CHARACTERS for token in tokens):
+            raise ValueError("a token is too long")
         return _streams.Chunk(request_id, int(message["offset"]), tokens)
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise _http.BrokenError(f"malformed message: {error!r}") from error
