Accept what is in a listener's queue in the step that closes it

Cause: the event loop runs the task that closes the socket before it accepts what arrived since it last looked; what is in the queue of a socket that is closed is reset.

Evidence: test_a_connection_is_reset_in_the_queue_of_a_listener_that_closes failed on the code before, 2 of 2.

Change: the task accepts all that is in the queue in the step that closes the socket, and passes it to the event loop.

Result: the test passes, twice; the rest of test_shutdown was run in part (3 passed). A connection that arrives between the last accept and the close is still reset.

--- a/src/geraniumlink/_server.py
+++ b/src/geraniumlink/_server.py
@@ -62,14 +62,37 @@
         after the response in progress, which has no "connection: close".
         Either would lose a request in transit on the connection.
         """
-        # Closing the socket resets connections in its backlog, so the event
-        # loop first gets time to accept those.
         await self._clock.sleep(_IDLE_CHECK_INTERVAL_MS)
-        for server in self.servers:
-            server.close()
+        await self._close_listeners(sockets or [])
         await self._close_idle()
         await super().shutdown(sockets)
 
+    async def _close_listeners(self, sockets: list[socket.socket]) -> None:
+        """Close the listeners' sockets; accept what is in their queues.
+
+        Closing a socket resets the connections in its queue. The event loop
+        accepts those only after the tasks that are due.
+        """
+        accepted: list[socket.socket] = []
+        for listening in sockets:
+            # The queue is empty, or no descriptors are left.
+            with contextlib.suppress(OSError):
+                while True:
+                    accepted.append(listening.accept()[0])
+        for server in self.servers:
+            server.close()
+        loop = asyncio.get_running_loop()
+        for connection in accepted:
+            await loop.connect_accepted_socket(self._make_protocol, connection)
+
+    def _make_protocol(self) -> asyncio.Protocol:
+        protocol_class: typing.Any = self.config.http_protocol_class
+        return protocol_class(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+
     async def _close_idle(self) -> None:
         """Close connections as they become idle; return when none is left."""
         idle_since: dict[typing.Any, int] = {}
