Refuse a malformed target in its place among the requests

Callers saw, with the commits before: a request whose target can't be taken apart (http://host:99999/) got no answer after an earlier one, or took the place of the answer that another request waited for, and dropped that.

Cause: its head counted as complete before the target was parsed, so the refusal took it for the request before it.

Change: a head is complete once the protocol has a request for it.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -266,8 +266,9 @@
         self._offers_upgrade = self.parser.should_upgrade()
         if self._offers_upgrade:
             return
-        self._head_complete = True
+        # Fails if the target is malformed.
         super().on_headers_complete()
+        self._head_complete = True
         scope = typing.cast(dict[str, typing.Any], self.scope)
         if 0 < len(self.pipeline) < MAX_QUEUED_REQUESTS:
             self.flow.resume_reading()
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -154,8 +154,12 @@
 
 @pytest.mark.parametrize(
     "bad",
-    (b"no request\r\n\r\n", _kept("/x", X_Large="x" * 50_000)),
-    ids=("malformed", "too large"),
+    (
+        b"no request\r\n\r\n",
+        _kept("/x", X_Large="x" * 50_000),
+        _kept("http://shop.example:99999/once/x"),
+    ),
+    ids=("malformed", "too large", "bad target"),
 )
 async def test_a_bad_head_behind_a_request_spoils_the_answer_before(
     fleet, bad
@@ -186,6 +190,16 @@
     assert await has_ended() == "cancelled"
 
 
+async def test_a_bad_target_gets_no_answer(fleet):
+    _, port = await _start_site(fleet)
+    async with await anyio.connect_tcp("127.0.0.1", port) as connection:
+        await connection.send(_kept("/once/1"))
+        first = await connection.receive()
+        await connection.send(_kept("http://shop.example"))
+        answers = first + await _receive_all(connection)
+    assert _statuses(answers) == [200, 400]
+
+
 @pytest.mark.parametrize("offer", _OFFERS)
 @pytest.mark.parametrize("body", (b'{"bottle": 7}', _DOCUMENT))
 @pytest.mark.parametrize("split", (True, False))
