Read one more request at most from each connection as a shutdown goes on

Cause: a connection ends after a response without another request behind it, and such a client always has one behind it.

Change: once the listener has closed, what has been received is served, and one request at most. What a client sends after that stays unread, so it knows that it wasn't read.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -18,6 +18,7 @@
 import typing
 
 import httptools
+from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
 from geraniumlink import _logs
@@ -50,6 +51,21 @@
     reason: str
 
 
+class _FlowControl(flow_control.FlowControl):
+    """Flow control that can end reading."""
+
+    _ended = False
+
+    def end_reading(self) -> None:
+        """Leave what the client sends from now on unread."""
+        self.pause_reading()
+        self._ended = True
+
+    def resume_reading(self) -> None:
+        if not self._ended:
+            super().resume_reading()
+
+
 class _ClosingTransport:
     """A transport that the protocol closes in its own way."""
 
@@ -92,6 +108,8 @@
     # Ends the second step of closing the connection.
     _linger_timer: asyncio.TimerHandle | None = None
     _discarded_bytes = 0
+    # No further request is read.
+    _reads_last = False
 
     @property
     def has_next_request(self) -> bool:
@@ -112,6 +130,7 @@
         super().connection_made(
             typing.cast(typing.Any, _ClosingTransport(transport, self))
         )
+        self.flow: _FlowControl = _FlowControl(self.transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self._linger_timer is not None:
@@ -149,6 +168,22 @@
             timeout_ms / 1000, self._whole_transport.close
         )
 
+    def read_last_request(self) -> None:
+        """Serve what has been received, and one request at most.
+
+        Otherwise a client that always sends a request before it has the
+        response to the one before would hold up a shutdown.
+        """
+        self._reads_last = True
+        if self._is_serving and not self._receives_request:
+            self.flow.end_reading()
+
+    @property
+    def _is_serving(self) -> bool:
+        return (
+            self._current is not None and not self._current.response_complete
+        )
+
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection, unless a request has just arrived."""
         if not has_unread_bytes(self._whole_transport):
@@ -171,7 +206,7 @@
         _logs.event("bad_request", status=int(status), reason=reason)
         self._refusal = _Refusal(status, reason)
         if not self._receives_request or not self._head_complete:
-            if self._current is None or self._current.response_complete:
+            if not self._is_serving:
                 self._send_refusal(self._refusal)
         elif self.pipeline and self.pipeline[0][0] is self.cycle:
             self.pipeline.popleft()
@@ -281,16 +316,17 @@
             return
         self._receives_request = False
         super().on_message_complete()
+        if self._reads_last:
+            self.flow.end_reading()
 
     def on_response_complete(self) -> None:
         super().on_response_complete()
-        if (
-            self._refusal is not None
-            and self._current is not None
-            and self._current.response_complete
-            and not self.transport.is_closing()
-        ):
+        if self._is_serving or self.transport.is_closing():
+            return
+        if self._refusal is not None:
             self._send_refusal(self._refusal)
+        elif self._reads_last:
+            self.close_connection()
 
     def _start_asgi_task(
         self, cycle: httptools_impl.RequestResponseCycle, app: typing.Any
--- a/src/geraniumlink/_server.py
+++ b/src/geraniumlink/_server.py
@@ -98,7 +98,9 @@
         idle_since: dict[typing.Any, int] = {}
         while self.server_state.connections:
             now = self._clock.now()
-            for connection in list(self.server_state.connections):
+            connections: set[typing.Any] = set(self.server_state.connections)
+            for connection in connections:
+                connection.read_last_request()
                 if not _is_idle(connection) or _http_protocol.has_unread_bytes(
                     connection.transport
                 ):
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -79,6 +79,33 @@
     assert answers.lower().count(b"connection: close") == 1
 
 
+async def test_a_client_that_always_sends_one_more_holds_up_the_shutdown(
+    fleet,
+):
+    site, port = await _start_site(fleet)
+    await site.faults("r-1", work_ms=600)
+    (instance,) = site.instances
+    sent = 2
+    async with await anyio.connect_tcp("127.0.0.1", port) as connection:
+        await connection.send(_kept("/once/1") + _kept("/once/2"))
+        await _until_run(fleet, site)
+        instance.terminate()
+        answers = b""
+        # Listeners close 2.3 s after SIGTERM; four requests may wait then.
+        with (
+            anyio.fail_after(2.3 + 4 * 0.6 + 1),
+            contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError),
+        ):
+            while True:
+                answers += await connection.receive()
+                if sent <= len(_statuses(answers)) + 1:
+                    sent += 1
+                    await connection.send(_kept(f"/once/{sent}"))
+    assert set(_statuses(answers)) == {200}
+    assert answers.lower().count(b"connection: close") <= 1
+    assert len((await site.runs())["r-1"]) == len(_statuses(answers))
+
+
 async def test_own_interface_drops_a_request_that_waits_behind_another(fleet):
     engine = fleet.engine({"notes": "1"})
     instance = fleet.instance(drain_lag_ms=1200)
