Leave unread what a client sends behind its last response

Callers saw: a request that was sent during a stream whose head had "connection: close" (it began after SIGTERM) was read whole, queued and dropped with neither an answer nor a refusal.

Cause: the protocol read and queued requests on a connection that it had decided to close.

Change: once a response says that it is the last one, nothing more is read, so that the client knows that its request was not. Where the client itself asks to close, reading goes on: its end of the connection has to be noticed.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -80,6 +80,11 @@
         """Whether the connection is being closed, also in the first step."""
         return self._protocol.lingers or self._transport.is_closing()
 
+    def write(self, data: bytes) -> None:
+        """Send a part of a response."""
+        self._transport.write(data)
+        self._protocol.response_written()
+
     def close(self) -> None:
         """Close the connection once its response has been sent."""
         self._protocol.close_connection()
@@ -110,6 +115,8 @@
     _discarded_bytes = 0
     # No further request is read.
     _reads_last = False
+    # The client has asked to close the connection.
+    _asks_to_close = False
 
     @property
     def has_next_request(self) -> bool:
@@ -168,6 +175,20 @@
             timeout_ms / 1000, self._whole_transport.close
         )
 
+    def response_written(self) -> None:
+        """Read no further if the response says that it is the last one.
+
+        A client that asks for that itself sends nothing more; reading goes on
+        there, so that its end of the connection is noticed.
+        """
+        if (
+            self._current is not None
+            and not self._current.keep_alive
+            and not self._asks_to_close
+            and not self._receives_request
+        ):
+            self.flow.end_reading()
+
     def read_last_request(self) -> None:
         """Serve what has been received, and one request at most.
 
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -79,6 +79,26 @@
     assert answers.lower().count(b"connection: close") == 1
 
 
+async def test_a_request_sent_during_the_last_stream_is_read_and_dropped(
+    fleet,
+):
+    site, port = await _start_site(fleet)
+    await site.faults("r-1", event_ms=200)
+    (instance,) = site.instances
+    instance.terminate()
+    async with await anyio.connect_tcp("127.0.0.1", port) as connection:
+        await connection.send(_kept("/stream/1"))
+        answers = await connection.receive()
+        await connection.send(_kept("/once/2"))
+        answers += await _receive_all(connection)
+    assert _statuses(answers) == [200]
+    assert b"token 8" in answers
+    assert not hosts.find_log_lines(instance, "requests_dropped")
+    assert [run["target"] for run in (await site.runs())["r-1"]] == [
+        "/stream/1"
+    ]
+
+
 async def test_a_client_that_always_sends_one_more_holds_up_the_shutdown(
     fleet,
 ):
