Keep a bounded number of requests of one connection in memory

Cause: pausing a connection doesn't stop the parser within a segment, and each response, and each request that is begun, read on whatever waits. The bound of the queue was looked at in one of three places.

Change: bytes are parsed 4 KiB at a time while there is room in the queue; the rest of a segment waits, and nothing more is read meanwhile, whoever asks for it.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -28,9 +28,11 @@
 # than this.
 DISCARD_TIMEOUT_MS = 2000
 MAX_DISCARDED_BYTES = 16 * 1024 * 1024
-# Requests that may wait behind another one before reading is paused. While it
-# is paused, the client's end of the connection isn't noticed.
+# Requests that may wait behind another one before no more are read. While
+# reading is paused, the client's end of the connection isn't noticed. As many
+# bytes as are parsed at once may hold further ones.
 MAX_QUEUED_REQUESTS = 4
+MAX_PARSED_BYTES = 4096
 # How long a client has to receive a response behind which it has sent bytes
 # that are not read.
 UNREAD_LINGER_MS = 500
@@ -52,19 +54,34 @@
 
 
 class _FlowControl(flow_control.FlowControl):
-    """Flow control that can end reading."""
+    """Flow control that doesn't read what there is no room for.
 
-    _ended = False
+    uvicorn reads on after each response, and as a request is begun.
+    """
+
+    def __init__(
+        self,
+        transport: typing.Any,
+        has_room: typing.Callable[[], bool],
+    ) -> None:
+        super().__init__(transport)
+        self._has_room = has_room
+        self._ended = False
 
     def end_reading(self) -> None:
         """Leave what the client sends from now on unread."""
         self.pause_reading()
         self._ended = True
 
-    def resume_reading(self) -> None:
+    def read_on(self) -> None:
+        """Read on while what has been received is still being parsed."""
         if not self._ended:
             super().resume_reading()
 
+    def resume_reading(self) -> None:
+        if self._has_room():
+            self.read_on()
+
 
 class _ClosingTransport:
     """A transport that the protocol closes in its own way."""
@@ -122,7 +139,7 @@
     def has_next_request(self) -> bool:
         """Whether a part of a request behind the current one was received."""
         return (
-            bool(self.pipeline)
+            bool(self.pipeline or self._unparsed)
             or not self._head_complete
             or self._refusal is not None
         )
@@ -137,7 +154,10 @@
         super().connection_made(
             typing.cast(typing.Any, _ClosingTransport(transport, self))
         )
-        self.flow: _FlowControl = _FlowControl(self.transport)
+        self._unparsed = bytearray()
+        self.flow: _FlowControl = _FlowControl(
+            self.transport, lambda: not self._unparsed and self._has_room
+        )
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self._linger_timer is not None:
@@ -199,6 +219,10 @@
         if self._is_serving and not self._receives_request:
             self.flow.end_reading()
 
+    @property
+    def _has_room(self) -> bool:
+        return len(self.pipeline) < MAX_QUEUED_REQUESTS
+
     @property
     def _is_serving(self) -> bool:
         return (
@@ -226,6 +250,7 @@
             return
         _logs.event("bad_request", status=int(status), reason=reason)
         self._refusal = _Refusal(status, reason)
+        self._unparsed.clear()
         if not self._receives_request or not self._head_complete:
             if not self._is_serving:
                 self._send_refusal(self._refusal)
@@ -259,24 +284,31 @@
             if self._discarded_bytes > MAX_DISCARDED_BYTES:
                 self._whole_transport.close()
         elif self._refusal is None:
-            self._unset_keepalive_if_required()
-            self._parse(data)
+            self._unparsed += data
+            self._parse()
 
-    def _parse(self, data: bytes) -> None:
-        unparsed = memoryview(data)
+    def _parse(self) -> None:
+        """Parse what has been received while there is room in the queue."""
         try:
-            while unparsed and self._refusal is None:
-                try:
-                    self.parser.feed_data(unparsed)
-                    return
-                except httptools.HttpParserUpgrade as upgrade:
-                    (parsed_bytes,) = upgrade.args
-                    unparsed = unparsed[parsed_bytes:]
-                    self._decline_upgrade()
+            while self._unparsed and self._refusal is None and self._has_room:
+                size = self._feed(bytes(self._unparsed[:MAX_PARSED_BYTES]))
+                del self._unparsed[:size]
         except httptools.HttpParserError:
             self.refuse_rest(
                 http.HTTPStatus.BAD_REQUEST, "this is not an HTTP request"
             )
+        if self._unparsed and self._refusal is None:
+            self.flow.pause_reading()
+
+    def _feed(self, data: bytes) -> int:
+        """Pass bytes to the parser; return how many it has used."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            self._decline_upgrade()
+            (used_bytes,) = upgrade.args
+            return int(used_bytes)
+        return len(data)
 
     def _decline_upgrade(self) -> None:
         """Parse the head again, without the offer to upgrade.
@@ -326,8 +358,8 @@
         super().on_headers_complete()
         self._head_complete = True
         scope = typing.cast(dict[str, typing.Any], self.scope)
-        if 0 < len(self.pipeline) < MAX_QUEUED_REQUESTS:
-            self.flow.resume_reading()
+        if self._has_room:
+            self.flow.read_on()
         # ASGI only has the decoded path and the query apart.
         scope["target"] = self.url
         scope["has_next_request"] = lambda: self.has_next_request
@@ -342,7 +374,12 @@
 
     def on_response_complete(self) -> None:
         super().on_response_complete()
-        if self._is_serving or self.transport.is_closing():
+        if self.transport.is_closing():
+            return
+        if self._unparsed:
+            self._parse()
+            self.flow.resume_reading()
+        if self._is_serving:
             return
         if self._refusal is not None:
             self._send_refusal(self._refusal)
--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -182,3 +182,17 @@
     await exchange.until_responses(2000)
     assert len(exchange.served) == 2000
     exchange.protocol.connection_lost(None)
+
+
+async def test_requests_of_one_segment_fill_the_memory():
+    exchange = _Exchange(_http_protocol.HttpProtocol)
+    data = _Request("GET", "/a", b"", None, [], []).encode()
+    exchange.protocol.data_received(10_000 * data)
+    in_one_part = _http_protocol.MAX_PARSED_BYTES // len(data)
+    longest = _http_protocol.MAX_QUEUED_REQUESTS + in_one_part
+    assert len(exchange.protocol.pipeline) <= longest
+    assert exchange.protocol.flow.read_paused
+    await exchange.until_responses(10_000)
+    assert len(exchange.served) == 10_000
+    assert not exchange.protocol.flow.read_paused
+    exchange.protocol.connection_lost(None)
