Count the time that a request waits behind another one

Cause: a request counted as received when its turn came.

Change: the protocol tells how long ago a request's head was received.

Result: the test passes.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -111,8 +111,9 @@
     """Serves the requests of one connection in turn.
 
     An ASGI scope has ``target`` besides, the request target as the client
-    sent it, and ``has_next_request``, which tells whether a part of a further
-    request has been received. A response to a request that isn't the last
+    sent it, ``age_ms``, which tells how long ago its head was received, and
+    ``has_next_request``, which tells whether a part of a further request has
+    been received. A response to a request that isn't the last
     one must not have ``connection: close``.
     """
 
@@ -363,6 +364,8 @@
         # ASGI only has the decoded path and the query apart.
         scope["target"] = self.url
         scope["has_next_request"] = lambda: self.has_next_request
+        received_at = self.loop.time()
+        scope["age_ms"] = lambda: int(1000 * (self.loop.time() - received_at))
 
     def on_message_complete(self) -> None:
         if self._offers_upgrade or self._refusal is not None:
--- a/src/geraniumlink/hosting/_application.py
+++ b/src/geraniumlink/hosting/_application.py
@@ -170,7 +170,7 @@
         Before the first configuration the body isn't read: the forwarder
         responds without it.
         """
-        received_at = self._clock.now()
+        received_at = self._clock.now() - scope["age_ms"]()
         headers = scope["headers"]
         request = platform.decode_request_head(
             scope["method"].encode(), scope["target"], headers, received_at
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -247,6 +247,16 @@
     assert _statuses(answers) == [200, 400]
 
 
+async def test_time_behind_another_request_is_added_to_the_deadline(fleet):
+    site, port = await _start_site(fleet)
+    await site.faults("r-1", work_ms=1500)
+    data = _kept("/once/1") + hosts.request_bytes("/once/2")
+    assert _statuses((await hosts.send(port, data)).raw) == [200, 200]
+    runs = (await site.runs())["r-1"]
+    left_ms = [int(run["headers"]["x-deadline-ms"]) for run in runs]
+    assert left_ms[1] <= 4000 - 1500
+
+
 @pytest.mark.parametrize("offer", _OFFERS)
 @pytest.mark.parametrize("body", (b'{"bottle": 7}', _DOCUMENT))
 @pytest.mark.parametrize("split", (True, False))
