Let the idle timeout run until a request begins, and no longer

Found by a test that was written for the review's finding, and by looking why it passed.

Change: the timer is stopped as a request begins, and started again if it finds bytes that have just arrived.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -232,7 +232,11 @@
 
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection, unless a request has just arrived."""
-        if not has_unread_bytes(self._whole_transport):
+        if has_unread_bytes(self._whole_transport):
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
+        else:
             super().timeout_keep_alive_handler()
 
     def shutdown(self) -> None:
@@ -336,6 +340,7 @@
         self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
 
     def on_message_begin(self) -> None:
+        self._unset_keepalive_if_required()
         self._head_complete = False
         self._receives_request = True
         super().on_message_begin()
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -184,6 +184,40 @@
         assert _statuses(received) == [413]
 
 
+@pytest.mark.parametrize(
+    ("port", "data"),
+    (
+        ("client", [_kept("/once/1"), b"\r\n"]),
+        ("readiness", [_kept("/v1/ready", b"x" * 100)[:-50], b"x"]),
+    ),
+    ids=("a line end", "a part of a body"),
+)
+async def test_a_connection_stays_open_after_bytes_that_are_no_request(
+    fleet, port, data
+):
+    site, client_port = await _start_site(fleet)
+    await _change_limits(fleet, site, idle_timeout_ms=500)
+    ports = {"client": client_port, "readiness": site.ready_port()}
+    async with await anyio.connect_tcp("127.0.0.1", ports[port]) as connection:
+        await connection.send(data[0])
+        await connection.receive()
+        await connection.send(data[1])
+        with anyio.fail_after(5):
+            await _receive_all(connection)
+
+
+async def test_an_idle_timeout_cuts_a_request_that_lasts_longer(fleet):
+    site, port = await _start_site(fleet)
+    await _change_limits(fleet, site, idle_timeout_ms=500)
+    async with await anyio.connect_tcp("127.0.0.1", port) as connection:
+        await connection.send(_kept("/once/1"))
+        answers = await connection.receive()
+        await site.faults("r-1", work_ms=1200)
+        await connection.send(_kept("/once/2"))
+        answers += await _receive_all(connection)
+    assert _statuses(answers) == [200, 200]
+
+
 async def test_a_lowered_header_timeout_drops_the_request_that_was_late(fleet):
     """Its head is completed late, but before the answer to the first."""
     site, port = await _start_site(fleet)
