--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -1,6 +1,7 @@
 """Instances that are cut off from all replicas, while clients reach them."""
 
 import collections
+import contextlib
 import itertools
 import time
 
@@ -263,3 +264,66 @@
 
     await fleet.until(is_served, "a model that had to be loaded is served")
     assert len(hosts.find_log_lines(partition.instance, "lease_taken")) == 1
+
+
+async def _change_configuration(site):
+    version = 1
+    while True:
+        await anyio.sleep(0.4)
+        version += 1
+        await site.configure(hosts.configuration(version))
+
+
+@pytest.mark.parametrize("part", ("interim", "body"))
+async def test_endless_answers_over_a_hop_fill_the_memory(fleet, part):
+    site, partition = await _start_site(fleet, instances=2)
+    await _lose_path(partition)
+    port = partition.instance.port
+    await _send_for(port, 2)
+    idle_kb = [instance.peak_kb() for instance in site.instances]
+    runs = sum(len(runs) for runs in (await site.runs()).values())
+    for name in site.replicas:
+        await site.faults(name, endless=part)
+    async with anyio.create_task_group() as changes:
+        changes.start_soon(_change_configuration, site)
+        with anyio.move_on_after(3):
+            async with anyio.create_task_group() as group:
+                for target in 15 * _TARGETS:
+                    group.start_soon(hosts.send_request, port, target)
+        changes.cancel_scope.cancel()
+    assert sum(len(runs) for runs in (await site.runs()).values()) > runs
+    for instance, before_kb in zip(site.instances, idle_kb, strict=True):
+        assert instance.peak_kb() <= 1.1 * before_kb
+
+
+@pytest.mark.parametrize("stopped", (0, -1), ids=("passed_on", "relays"))
+async def test_sigterm_cuts_requests_over_a_hop(fleet, stopped):
+    site, partition = await _start_site(fleet)
+    await _lose_path(partition)
+    for name in site.replicas:
+        await site.faults(name, work_ms=1500, event_ms=200)
+    answers = {}
+
+    async def send(name, target):
+        request = hosts.request_bytes(target, X_Request_Id=name)
+        # The listener of an instance that drains is closed at last.
+        with contextlib.suppress(OSError):
+            answers[name] = await hosts.send(partition.instance.port, request)
+
+    async with anyio.create_task_group() as changes:
+        changes.start_soon(_change_configuration, site)
+        async with anyio.create_task_group() as group:
+            for number in range(100):
+                target = _TARGETS[number % len(_TARGETS)]
+                group.start_soon(send, f"hop-{number}", target)
+                await anyio.sleep(_PAUSE_S / 2)
+                if number == 25:
+                    site.instances[stopped].terminate()
+        changes.cancel_scope.cancel()
+    ran = {run["id"] for runs in (await site.runs()).values() for run in runs}
+    asked = {name for name in ran if name.startswith("hop-")}
+    assert len(asked) > 25
+    for name in asked:
+        assert answers[name].status == 200
+        assert answers[name].is_complete
+    await _assert_no_request_ran_twice(site)
