Leave one chance to ask on after a response that began before a shutdown

Cause: reading ended with the listener while a response was being sent.

Change: reading ends once one more request has been received.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -68,6 +68,11 @@
         self._has_room = has_room
         self._ended = False
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether nothing more is read."""
+        return self._ended
+
     def end_reading(self) -> None:
         """Leave what the client sends from now on unread."""
         self.pause_reading()
@@ -217,8 +222,6 @@
         response to the one before would hold up a shutdown.
         """
         self._reads_last = True
-        if self._is_serving and not self._receives_request:
-            self.flow.end_reading()
 
     @property
     def _has_room(self) -> bool:
@@ -391,7 +394,7 @@
             return
         if self._refusal is not None:
             self._send_refusal(self._refusal)
-        elif self._reads_last:
+        elif self.flow.has_ended:
             self.close_connection()
 
     def _start_asgi_task(
