Stop the idle timeout as a request is begun whose head came in two parts

Cause: the timer is started as a response ends, and was stopped only as a head begins. Found by reading the whole module.

Change: it is stopped as a request is passed to the application, too.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -118,8 +118,8 @@
     An ASGI scope has ``target`` besides, the request target as the client
     sent it, ``age_ms``, which tells how long ago its head was received, and
     ``has_next_request``, which tells whether a part of a further request has
-    been received. A response to a request that isn't the last
-    one must not have ``connection: close``.
+    been received. A response to a request that isn't the last one must not
+    have ``connection: close``.
     """
 
     # The request whose response is being sent, or was sent last.
@@ -136,7 +136,7 @@
     # Ends the second step of closing the connection.
     _linger_timer: asyncio.TimerHandle | None = None
     _discarded_bytes = 0
-    # No further request is read.
+    # One further request is read at most.
     _reads_last = False
     # The client has asked to close the connection.
     _asks_to_close = False
@@ -185,7 +185,8 @@
             return
         if self._receives_request:
             self._linger(DISCARD_TIMEOUT_MS)
-            self.flow.resume_reading()
+            self._unparsed.clear()
+            self.flow.read_on()
         elif has_unread_bytes(self._whole_transport):
             self._linger(UNREAD_LINGER_MS)
             self.flow.pause_reading()
@@ -401,4 +402,6 @@
         self, cycle: httptools_impl.RequestResponseCycle, app: typing.Any
     ) -> None:
         self._current = cycle
+        # It has been running if the head began before the last response ended.
+        self._unset_keepalive_if_required()
         super()._start_asgi_task(cycle, app)
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -206,14 +206,19 @@
             await _receive_all(connection)
 
 
-async def test_an_idle_timeout_cuts_a_request_that_lasts_longer(fleet):
+@pytest.mark.parametrize("early_bytes", (0, 20))
+async def test_an_idle_timeout_cuts_a_request_that_lasts_longer(
+    fleet, early_bytes
+):
     site, port = await _start_site(fleet)
     await _change_limits(fleet, site, idle_timeout_ms=500)
+    await site.faults("r-1", work_ms=300)
+    second = _kept("/once/2")
     async with await anyio.connect_tcp("127.0.0.1", port) as connection:
-        await connection.send(_kept("/once/1"))
+        await connection.send(_kept("/once/1") + second[:early_bytes])
         answers = await connection.receive()
         await site.faults("r-1", work_ms=1200)
-        await connection.send(_kept("/once/2"))
+        await connection.send(second[early_bytes:])
         answers += await _receive_all(connection)
     assert _statuses(answers) == [200, 200]
 
