--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import socket
+import time
 from unittest import mock
 
 import anyio
@@ -10,7 +11,11 @@
 import uvicorn
 from uvicorn import server
 
+from geraniumlink import _clock
 from geraniumlink import _http_protocol
+from geraniumlink import _server
+from geraniumlink import _settings
+from standins import fleet as fleets
 from tests import builders
 from tests import hosts
 
@@ -75,8 +80,14 @@
         if sent_at_s > 0:
             await connection.send(_kept("/once/2"))
         answers = await _receive_all(connection)
-    assert _statuses(answers) == [200, 200]
-    assert answers.lower().count(b"connection: close") == 1
+    first, _, second = answers.partition(b"answer to /once/1")
+    assert _statuses(first) == [200]
+    assert _statuses(second) == [200]
+    assert second.endswith(b"answer to /once/2")
+    assert b"connection: close" not in first.lower()
+    assert b"connection: close" in second.lower()
+    runs = (await site.runs())["r-1"]
+    assert [run["target"] for run in runs] == ["/once/1", "/once/2"]
 
 
 async def test_a_request_sent_during_the_last_stream_is_read_and_dropped(
@@ -162,10 +173,12 @@
 
 
 async def test_a_rejected_request_drops_the_one_behind_it(fleet):
-    _, port = await _start_site(fleet)
+    site, port = await _start_site(fleet)
     too_large = _kept("/once/1", b"x" * 100_001)
     answer = await hosts.send(port, too_large + hosts.request_bytes("/once/2"))
     assert _statuses(answer.raw) == [413, 200]
+    assert answer.raw.endswith(b"answer to /once/2")
+    assert [run["target"] for run in (await site.runs())["r-1"]] == ["/once/2"]
 
 
 @pytest.mark.parametrize("size", (150_000, 1_000_000, 4_000_000))
@@ -296,6 +309,90 @@
     assert left_ms[1] <= 4000 - 1500
 
 
+@pytest.mark.parametrize(
+    "behind",
+    (
+        [_kept("/safe/2", b"x" * 90_000)],
+        [_kept(f"/safe/{n}") for n in range(2, 7)],
+    ),
+    ids=("a large body", "five requests"),
+)
+async def test_a_replica_works_on_for_a_client_that_left_with_a_full_queue(
+    fleet, behind
+):
+    site, port = await _start_site(fleet)
+    await site.faults("r-1", work_ms=3000)
+    async with await anyio.connect_tcp("127.0.0.1", port) as connection:
+        await connection.send(_kept("/safe/1"))
+        await _until_run(fleet, site)
+        for request in behind:
+            await connection.send(request)
+        await anyio.sleep(0.3)
+    await anyio.sleep(0.7)
+    assert (await site.runs())["r-1"][0]["ended"] == "cancelled"
+
+
+@contextlib.asynccontextmanager
+async def _listening(application):
+    """Serve an application on a listener; yield its port."""
+    address = _settings.Address("127.0.0.1", fleets.free_port())
+    listener = _server.Listener(application, [address], _clock.Clock())
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.run)
+        while True:
+            with contextlib.suppress(OSError):
+                await (await anyio.connect_tcp(*address)).aclose()
+                break
+            await anyio.sleep(0.01)
+        yield address.port
+        listener.stop()
+
+
+async def test_an_error_of_the_application_drops_the_request_behind():
+    async def application(scope, _receive, send):
+        await anyio.sleep(0.1)
+        if scope["path"] == "/bad":
+            raise RuntimeError("bad")
+        start = {"type": "http.response.start", "status": 200}
+        await send({**start, "headers": [(b"content-length", b"0")]})
+        await send({"type": "http.response.body", "body": b""})
+
+    async with _listening(application) as port:
+        data = _kept("/bad") + hosts.request_bytes("/good")
+        answer = await hosts.send(port, data)
+    assert _statuses(answer.raw) == [500, 200]
+
+
+async def test_unread_bytes_cut_a_large_last_response_of_a_slow_reader():
+    body = b"x" * 3_000_000
+
+    async def application(_scope, _receive, send):
+        await anyio.sleep(0.1)
+        client.sendall(_kept("/next"))
+        time.sleep(0.05)  # The event loop does not read it yet.
+        headers = [
+            (b"content-length", b"%d" % len(body)),
+            (b"connection", b"close"),
+        ]
+        start = {"type": "http.response.start", "status": 200}
+        await send({**start, "headers": headers})
+        await send({"type": "http.response.body", "body": body})
+
+    def read_slowly():
+        received = 0
+        with contextlib.suppress(ConnectionResetError):
+            while data := client.recv(65536):
+                received += len(data)
+                time.sleep(0.04)
+        return received
+
+    async with _listening(application) as port:
+        with socket.create_connection(("127.0.0.1", port)) as client:
+            client.sendall(_kept("/large"))
+            received = await anyio.to_thread.run_sync(read_slowly)
+    assert received > len(body)
+
+
 @pytest.mark.parametrize("offer", _OFFERS)
 @pytest.mark.parametrize("body", (b'{"bottle": 7}', _DOCUMENT))
 @pytest.mark.parametrize("split", (True, False))
