Measure memory ceilings alone

The five that compare memory with a bound have it now, as those before them; nothing else about them changes.

--- a/tests/test_endless_calls.py
+++ b/tests/test_endless_calls.py
@@ -76,6 +76,7 @@
 
 @pytest.mark.parametrize("part", ("interim", "body"))
 @pytest.mark.parametrize("path", ("/v1/report", "/v1/order"))
+@pytest.mark.serial
 async def test_endless_answers_to_the_controller_fill_the_memory(
     fleet, path, part
 ):
@@ -109,6 +110,7 @@
 
 
 @pytest.mark.parametrize("part", ("interim", "body"))
+@pytest.mark.serial
 async def test_endless_answers_of_the_store_fill_the_memory(fleet, part):
     site = await hosts.Site(fleet).start(instances=0)
     async with endless.Proxy(site.store.port).serve() as proxy:
--- a/tests/test_endless_engines.py
+++ b/tests/test_endless_engines.py
@@ -46,6 +46,7 @@
     ),
     ids=("tokens", "long_tokens"),
 )
+@pytest.mark.serial
 async def test_tokens_without_end_fill_the_memory(
     fleet, max_tokens, tokens, characters
 ):
@@ -70,6 +71,7 @@
     assert instance.peak_kb() <= 1.1 * idle_kb
 
 
+@pytest.mark.serial
 async def test_reports_without_end_fill_the_memory(fleet):
     engines = [fleet.engine({"notes": "1"}) for _ in range(_FAULTY_ENGINES)]
     async with contextlib.AsyncExitStack() as stack:
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -277,6 +277,7 @@
 
 
 @pytest.mark.parametrize("part", ("interim", "body"))
+@pytest.mark.serial
 async def test_endless_answers_over_a_hop_fill_the_memory(fleet, part):
     site, partition = await _start_site(fleet, instances=2)
     await _lose_path(partition)
