Decode client accounts and API keys

The configuration may name client accounts. Their keys are kept as keyed digests; a malformed account affects only itself. The decision on a request is a pure function of the accounts, the route, the credential and the age of the configuration. Nothing uses it yet.

--- a/src/geraniumlink/platform/__init__.py
+++ b/src/geraniumlink/platform/__init__.py
@@ -11,6 +11,8 @@
 from geraniumlink.platform._configuration import decode_configuration
 from geraniumlink.platform._fields import FormatError
 from geraniumlink.platform._heads import decode_announcement
+from geraniumlink.platform._heads import decode_credential
+from geraniumlink.platform._heads import decode_relayed_account
 from geraniumlink.platform._heads import decode_relayed_attempts
 from geraniumlink.platform._heads import decode_request_head
 from geraniumlink.platform._heads import decode_response_head
@@ -38,6 +40,8 @@
     "StoreClient",
     "decode_announcement",
     "decode_configuration",
+    "decode_credential",
+    "decode_relayed_account",
     "decode_relayed_attempts",
     "decode_replica_entry",
     "decode_request_head",
--- a/src/geraniumlink/platform/_configuration.py
+++ b/src/geraniumlink/platform/_configuration.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from geraniumlink.platform import _accounts
 from geraniumlink.platform import _fields
 from geraniumlink.serving import _types
 
@@ -15,9 +16,14 @@
 def decode_configuration(spec: typing.Any) -> _types.Configuration:
     """Decode the stored configuration.
 
+    A malformed account doesn't affect the rest of the configuration.
+
     :raises _fields.FormatError: naming the first field that is missing or
         invalid.
     """
+    if not isinstance(spec, dict):
+        # Not quoted: it may have keys.
+        raise _fields.FormatError("it is not an object")
     services = [_service(entry) for entry in _fields.array(spec, "services")]
     routes = [_route(entry) for entry in _fields.array(spec, "routes")]
     return _types.Configuration(
@@ -25,6 +31,7 @@
         routes=tuple(routes),
         services={service.name: service for service in services},
         limits=_limits(_fields.mapping(spec, "limits")),
+        accounts=_accounts.decode_accounts(spec),
     )
 
 
@@ -43,6 +50,9 @@
         shares=_shares(entry),
         max_attempts=max(1, _fields.floor(entry, "max_attempts", 1)),
         resumable=_fields.boolean(entry, "resumable", False),
+        # Unlike the other fields it takes effect with accounts only, so a
+        # malformed one must not make the configuration invalid.
+        public=entry.get("public") is True,
     )
 
 
--- a/src/geraniumlink/platform/_heads.py
+++ b/src/geraniumlink/platform/_heads.py
@@ -12,6 +12,7 @@
 import time
 import typing
 
+from geraniumlink.serving import _accounts
 from geraniumlink.serving import _types
 
 _REQUEST_ID = b"x-request-id"
@@ -25,6 +26,12 @@
 _NOT_EXECUTED = b"x-not-executed"
 # Set by instances, on requests that they pass on to each other.
 _RELAYED_ATTEMPTS = b"geraniumlink-relayed-attempts"
+_RELAYED_ACCOUNT = b"geraniumlink-relayed-account"
+_AUTHORIZATION = b"authorization"
+# Name of the account under which a request is served.
+_TENANT = b"x-tenant"
+# Not forwarded where accounts are configured.
+_CREDENTIAL_HEADERS = frozenset((_AUTHORIZATION, _TENANT))
 _SERVER_LOAD = b"x-server-load"
 _SERVER_LIMIT = b"server-limit"
 _SERVER_BRITTLE = b"server-brittle"
@@ -62,6 +69,7 @@
         b"kv-fetch",
         b"content-length",
         _RELAYED_ATTEMPTS,
+        _RELAYED_ACCOUNT,
     )
 )
 # Replicas accept priorities 0 (the most urgent) to 9; a larger one is sent
@@ -124,22 +132,31 @@
     target: bytes,
     headers: typing.Iterable[tuple[bytes, bytes]],
     received_at: int,
+    *,
+    has_accounts: bool = False,
 ) -> _types.Request:
     """Decode the head of a client's request.
 
-    Header names must be in lower case. The body is left empty.
+    Header names must be in lower case. The body and the account are left
+    empty.
+
+    :param has_accounts: whether accounts are configured; credentials are
+        then not forwarded.
     """
     by_name = dict(headers)
     dropped = (
         _HOP_BY_HOP_HEADERS | _INTERNAL_HEADERS | _named_by_connection(by_name)
     )
+    if has_accounts:
+        dropped |= _CREDENTIAL_HEADERS
     forwarded = [
         (name, value) for name, value in headers if name not in dropped
     ]
     model, _, adapter = (
         by_name.get(_MODEL, b"").decode("latin-1").partition("/")
     )
-    prompt, output = _token_counts(by_name.get(_TOKEN_USAGE, b""))
+    token_usage = by_name.get(_TOKEN_USAGE, b"")
+    prompt, output = _token_counts(token_usage)
     return _types.Request(
         id=by_name.get(_REQUEST_ID, b""),
         method=method,
@@ -156,9 +173,25 @@
         prefix_blocks=_prefix_blocks(by_name.get(_PREFIX_HASH, b"")),
         last_event_id=by_name.get(_LAST_EVENT_ID, b""),
         resumes=by_name.get(_RESUMES, b""),
+        has_token_usage=_has_token_counts(token_usage),
     )
 
 
+def decode_credential(headers: _types.Headers) -> _types.Credential:
+    """Return the digest of the API key of a client's request.
+
+    It is sent as ``Token KEY``, once. Header names must be in lower case.
+    """
+    values = [value for name, value in headers if name == _AUTHORIZATION]
+    if not values:
+        return _types.NoKey.ABSENT
+    scheme, _, rest = values[0].strip(b" \t").partition(b" ")
+    key = rest.strip(b" \t")
+    if len(values) > 1 or scheme.lower() != b"token" or not key:
+        return _types.NoKey.MALFORMED
+    return _accounts.digest_key(key)
+
+
 def encode_request_head(
     request: _types.Request,
     *,
@@ -185,6 +218,8 @@
         lines.append(b"x-request-priority: %d\r\n" % level)
     if last_event_id:
         lines.append(b"last-event-id: %b\r\n" % last_event_id)
+    if request.account:
+        lines.append(b"%b: %b\r\n" % (_TENANT, request.account.encode()))
     if request.body or request.method not in (b"GET", b"HEAD"):
         lines.append(b"content-length: %d\r\n" % len(request.body))
     lines.append(b"\r\n")
@@ -211,6 +246,11 @@
             lines += [name, b": ", value, b"\r\n"]
     lines.append(b"x-deadline-ms: %d\r\n" % left_ms)
     lines.append(b"%b: %d\r\n" % (_RELAYED_ATTEMPTS, attempts))
+    if request.account:
+        account = request.account.encode()
+        lines.append(b"%b: %b\r\n" % (_RELAYED_ACCOUNT, account))
+        # An instance of a build without accounts forwards it to the replica.
+        lines.append(b"%b: %b\r\n" % (_TENANT, account))
     if last_event_id:
         lines.append(b"last-event-id: %b\r\n" % last_event_id)
         if resumes:
@@ -227,6 +267,15 @@
     return _bounded_int(dict(headers).get(_RELAYED_ATTEMPTS))
 
 
+def decode_relayed_account(headers: _types.Headers) -> str:
+    """Return the account under which another instance admitted a request.
+
+    Empty if it has none. Only to be used on the port for instances.
+    """
+    value = dict(headers).get(_RELAYED_ACCOUNT, b"")
+    return value.decode("utf-8", "replace")
+
+
 def decode_response_head(status: int, headers: _types.Headers) -> ResponseHead:
     """Decode the head of a replica's response; names may be in any case."""
     by_name = {name.lower(): value for name, value in headers}
@@ -318,6 +367,12 @@
     return _bounded_int(prompt.strip()) or 0, _bounded_int(output.strip()) or 0
 
 
+def _has_token_counts(value: bytes) -> bool:
+    """Whether both numbers of tokens are stated."""
+    prompt, _, output = value.partition(b",")
+    return prompt.strip().isdigit() and output.strip().isdigit()
+
+
 def _prefix_blocks(value: bytes) -> tuple[_types.PrefixBlock, ...]:
     """Return the blocks of ``5c1e:800,91bd:410``, each a key and its tokens.
 
--- /dev/null
+++ b/src/geraniumlink/serving/_accounts.py
@@ -0,0 +1,187 @@
+"""Client accounts: lookup by API key, and the decision on each request.
+
+Nothing here does I/O. Keys are kept as keyed digests only, so that neither a
+dump of this process nor the time of a comparison discloses a key.
+``docs/design/accounts.md`` says who decides and on what.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import dataclasses
+import hashlib
+import hmac
+import secrets
+import typing
+
+from geraniumlink.serving import _types
+
+# Digests of one process can't be compared with those of another.
+_DIGEST_KEY = secrets.token_bytes(32)
+_DIGEST_BYTES = 16
+# An instance serves a request with a key only if its configuration was
+# confirmed as of this share of the settings' bound ago. The rest is a margin
+# for the drift of clocks.
+_MAX_AGE_SHARE = 0.9
+# Without such a bound a key or a route is denied only by a configuration that
+# was confirmed this recently, in ms. In normal operation the age is at most
+# twice the longest watch of the store (4 s), and some round trips.
+MAX_DENYING_AGE_MS = 10_000
+
+
+def digest_key(key: bytes) -> bytes:
+    """Return the digest by which a key is kept and compared."""
+    return hashlib.blake2b(
+        key, key=_DIGEST_KEY, digest_size=_DIGEST_BYTES
+    ).digest()
+
+
+class Problem(typing.NamedTuple):
+    """An account or a key that takes no effect."""
+
+    # Name of the account; its place in the list if it has no valid name.
+    account: str
+    reason: str
+
+
+class Accounts:
+    """The accounts of one configuration.
+
+    A second account of a name is left out. A key of two accounts grants
+    access to neither.
+
+    :param problems: those that were found before.
+    """
+
+    def __init__(
+        self,
+        accounts: Iterable[_types.ClientAccount],
+        problems: Iterable[Problem] = (),
+    ) -> None:
+        self._problems = list(problems)
+        self._by_name: dict[str, _types.ClientAccount] = {}
+        # With each account the digest that is compared.
+        self._by_digest: dict[bytes, tuple[bytes, _types.ClientAccount]] = {}
+        shared = set()
+        for account in accounts:
+            if account.name in self._by_name:
+                self._add_problem(account.name, "its name is taken")
+                continue
+            self._by_name[account.name] = account
+            for digest in account.key_digests:
+                if digest in self._by_digest:
+                    _, other = self._by_digest[digest]
+                    self._add_problem(
+                        account.name, f"it shares a key with {other.name!r}"
+                    )
+                    shared.add(digest)
+                else:
+                    self._by_digest[digest] = (digest, account)
+        for digest in shared:
+            del self._by_digest[digest]
+
+    def __repr__(self) -> str:
+        return f"Accounts({len(self)})"
+
+    def __len__(self) -> int:
+        return len(self._by_name)
+
+    @property
+    def problems(self) -> list[Problem]:
+        """What takes no effect, in the order of the configuration."""
+        return self._problems
+
+    def find(self, name: str) -> _types.ClientAccount | None:
+        """Return the account of a name."""
+        return self._by_name.get(name)
+
+    def find_by_digest(self, digest: bytes) -> _types.ClientAccount | None:
+        """Return the account that holds a key.
+
+        The time doesn't depend on how much of a wrong digest is right.
+        """
+        known = self._by_digest.get(digest)
+        if known is None or not hmac.compare_digest(known[0], digest):
+            return None
+        return known[1]
+
+    def _add_problem(self, account: str, reason: str) -> None:
+        self._problems.append(Problem(account, reason))
+
+
+@dataclasses.dataclass(frozen=True)
+class Admitted:
+    """The request may run.
+
+    ``account`` is None if it needs none, and ``route`` if there is none: such
+    a request gets its answer later.
+    """
+
+    route: _types.Route | None
+    account: _types.ClientAccount | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Denied:
+    """The request has no known key on a route that needs one."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Undecided:
+    """This instance's configuration is too old to decide on the request."""
+
+    reason: str
+
+
+Decision = Admitted | Denied | Undecided
+
+
+def max_age_ms(bound_ms: int | None) -> int | None:
+    """Return how old a confirmation may be for a request with a key.
+
+    :param bound_ms: ``NodeSettings.revocation_bound_ms``.
+    """
+    return None if bound_ms is None else int(_MAX_AGE_SHARE * bound_ms)
+
+
+def is_stale(age_ms: int | None, bound_ms: int | None) -> bool:
+    """Whether a copy of the configuration is too old for requests with keys.
+
+    :param age_ms: how long ago the copy was the store's configuration for
+        certain; None if it never was.
+    """
+    limit_ms = max_age_ms(bound_ms)
+    return limit_ms is not None and (age_ms is None or age_ms > limit_ms)
+
+
+def decide(
+    accounts: Accounts | None,
+    route: _types.Route | None,
+    credential: _types.Credential,
+    age_ms: int | None,
+    bound_ms: int | None,
+) -> Decision:
+    """Return whether a request may run, and under which account.
+
+    :param accounts: those of the configuration that ``route`` is of.
+    :param age_ms: as of ``is_stale``.
+    """
+    if accounts is None or route is None:
+        return Admitted(route, None)
+    account = None
+    if isinstance(credential, bytes):
+        account = accounts.find_by_digest(credential)
+    if route.public:
+        return Admitted(route, account)
+    if is_stale(age_ms, bound_ms):
+        return Undecided("the configuration isn't confirmed")
+    if account is not None:
+        return Admitted(route, account)
+    # A newer configuration may have the key, or a public route.
+    if bound_ms is None and (age_ms is None or age_ms > MAX_DENYING_AGE_MS):
+        return Undecided("the configuration isn't confirmed")
+    if isinstance(credential, _types.NoKey):
+        return Denied(credential.value)
+    return Denied("the key isn't known")
--- a/src/geraniumlink/serving/_types.py
+++ b/src/geraniumlink/serving/_types.py
@@ -7,6 +7,9 @@
 
 from geraniumlink import _settings
 
+if typing.TYPE_CHECKING:
+    from geraniumlink.serving import _accounts
+
 Headers = list[tuple[bytes, bytes]]
 # Models in a replica's accelerator memory, each with its resident adapters.
 Residents = dict[str, frozenset[str]]
@@ -30,6 +33,17 @@
 StatedNumber = float | Unstated
 
 
+class NoKey(enum.Enum):
+    """Why a request has no API key; the values appear in log lines."""
+
+    ABSENT = "it has no key"
+    MALFORMED = "its credential is malformed"
+
+
+# The digest of the API key that a client sent, if it sent one.
+Credential = bytes | NoKey
+
+
 class Share(typing.NamedTuple):
     """A service and its relative weight in a route's traffic split."""
 
@@ -57,6 +71,8 @@
     max_attempts: int
     # Whether another replica can continue a stream after a given event.
     resumable: bool
+    # Whether requests on it need no API key. Without accounts none does.
+    public: bool = False
 
     @property
     def retryable(self) -> bool:
@@ -120,6 +136,40 @@
     idle_timeout_ms: int
 
 
+class QuotaUnit(enum.Enum):
+    """What a quota counts."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
+class Quota(typing.NamedTuple):
+    """How much of its unit an account may use."""
+
+    # Above 0.
+    rate_per_s: float
+    # What may be used at once, after a time without use; 0 if not declared.
+    burst: float
+    unit: QuotaUnit
+    # Tokens charged for a request that states none.
+    plain_tokens: int
+
+
+class ClientAccount(typing.NamedTuple):
+    """An account under which clients send requests."""
+
+    name: str
+    # Of its API keys, as ``_accounts.digest_key`` returns them.
+    key_digests: frozenset[bytes]
+    # Replaces that of the route; None if it has none of its own.
+    priority: int | None
+    # None if it is unlimited.
+    quota: Quota | None
+
+    def __repr__(self) -> str:
+        return f"ClientAccount({self.name!r})"
+
+
 class Configuration(typing.NamedTuple):
     """The operator's declarations; a higher version is newer."""
 
@@ -127,6 +177,8 @@
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: ClientLimits
+    # None if no accounts are configured, so that no request needs a key.
+    accounts: _accounts.Accounts | None = None
 
 
 class ReplicaEntry(typing.NamedTuple):
@@ -206,6 +258,10 @@
     # How many replicas another instance had sent it to before it passed it
     # on; None if a client sent it here.
     relayed_attempts: int | None = None
+    # Name of the account under which it is served; empty if it has none.
+    account: str = ""
+    # Whether the client stated the numbers of tokens.
+    has_token_usage: bool = False
 
     @property
     def is_relayed(self) -> bool:
