State how old an instance's copy of the configuration is

Cause: an instance that is to refuse removed keys must know as of when its configuration was the store's.

Change: a copy is confirmed as of the sending of the call that returned it; the controller states the age of its copy with relayed changes, and without it nothing is confirmed. A malformed row of relayed changes is no longer quoted in a log line, as it may have keys.

--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -58,7 +58,12 @@
     def encode_changes(self, known: dict[str, int]) -> dict[str, object]:
         return {}
 
-    def apply_changes(self, told: object) -> None:
+    def confirmed_ages_ms(self) -> dict[str, int | None]:
+        return {}
+
+    def apply_changes(
+        self, told: object, ages_ms: object, sent_at: int
+    ) -> None:
         pass
 
 
--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -42,6 +42,31 @@
 MAX_REMEMBERED_REMOVALS = 512
 
 
+# Where the age of the copy is bounded: the longest watch, and shares of the
+# bound. A copy is confirmed only when a watch ends, and then as of its start,
+# so the age reaches twice the wait. Relayed changes stand in for the watch
+# while what they confirm isn't older than the last share; above it the present
+# changes are read at once.
+MAX_BOUNDED_WATCH_MS = 1000
+_WATCH_SHARE = 0.2
+_RELAYED_AGE_SHARE = 0.6
+
+
+class Freshness(typing.NamedTuple):
+    """How recently a copy must have been confirmed."""
+
+    # How long the store may hold a watch without a change.
+    watch_timeout_ms: int
+    # Age above which relayed changes don't replace the watch.
+    max_relayed_age_ms: int
+
+
+def freshness_for(bound_ms: int) -> Freshness:
+    """Return what keeps the age of a copy below a bound."""
+    watch_timeout_ms = min(MAX_BOUNDED_WATCH_MS, int(_WATCH_SHARE * bound_ms))
+    return Freshness(watch_timeout_ms, int(_RELAYED_AGE_SHARE * bound_ms))
+
+
 class ObjectStore(typing.Protocol):
     """The calls to the store that a watcher makes."""
 
@@ -79,6 +104,7 @@
         on_list: Callable[[list[_objects.Object]], None],
         on_change: Callable[[_objects.Object], None],
         batch_delay_ms: int,
+        freshness: Freshness | None = None,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -88,6 +114,11 @@
         # Delay after changes were read, before the next watch: all changes
         # within it are read by one call.
         self._batch_delay_ms = batch_delay_ms
+        # None if the copy may be of any age.
+        self._freshness = freshness
+        # The copy has all changes that the store acknowledged before this
+        # time since boot; None before the first confirmation.
+        self._confirmed_as_of: int | None = None
         self._watch_scope: anyio.CancelScope | None = None
         # None when the objects must be listed, not watched.
         self._revision: int | None = None
@@ -125,6 +156,17 @@
         """Time since the store or relayed changes confirmed the copy."""
         return self._clock.now() - self._confirmed_at
 
+    @property
+    def confirmed_age_ms(self) -> int | None:
+        """How long ago the copy was the store's state for certain.
+
+        Includes time for which this process or machine was suspended. None
+        if it never was.
+        """
+        if self._confirmed_as_of is None:
+            return None
+        return self._clock.since_boot() - self._confirmed_as_of
+
     def restart_watch(self) -> None:
         """Start a new watch, as the current connection may be dead."""
         if self._watch_scope is not None:
@@ -190,18 +232,32 @@
             objects = [item for item in objects if item.value is not None]
         return Changes(self.revision, is_snapshot, objects)
 
-    def apply_relayed(self, changes: Changes) -> None:
+    def apply_relayed(
+        self, changes: Changes, confirmed_as_of: int | None = None
+    ) -> None:
         """Apply the controller's changes, unless they end before this copy.
 
-        A running watch is cancelled, since the relay replaces it.
+        A running watch is cancelled, since the relay replaces it; but not
+        while the copy is too old for that.
+
+        :param confirmed_as_of: time since boot as of which the changes are
+            complete; None if it isn't known.
         """
         if not changes.revision or changes.revision < self.revision:
             return
+        has_news = changes.revision > self.revision
         listing = _objects.Listing(changes.revision, changes.objects)
         if changes.is_snapshot:
             self._apply_list(listing)
         else:
             self._apply_changes(listing)
+        if confirmed_as_of is not None:
+            self._note_confirmed(confirmed_as_of)
+        if self._is_too_old():
+            if has_news:
+                # What a running watch has read may be older.
+                self.restart_watch()
+            return
         if self._clock.now() >= self._relay_valid_until:
             self.restart_watch()
         self._confirmed_at = self._clock.now()
@@ -228,8 +284,11 @@
 
     async def _list_or_watch(self) -> None:
         """Make one call to the store and apply its result."""
+        # The response may arrive much later, and says nothing of that time.
+        sent_at = self._clock.since_boot()
         if self._revision is None:
             self._apply_list(await self._store.list(self._kind))
+            self._note_confirmed(sent_at)
             return
         try:
             changes = await self._watch(self._revision)
@@ -240,6 +299,7 @@
         if changes is None:
             return
         self._apply_changes(changes)
+        self._note_confirmed(sent_at)
         if changes.objects:
             await self._clock.sleep(self._batch_delay_ms)
 
@@ -248,10 +308,29 @@
         self._watch_scope = anyio.CancelScope()
         with self._watch_scope:
             return await self._store.watch(
-                self._kind, revision, WATCH_TIMEOUT_MS
+                self._kind, revision, self._watch_wait_ms()
             )
         return None
 
+    def _watch_wait_ms(self) -> int:
+        if self._freshness is None:
+            return WATCH_TIMEOUT_MS
+        if self._is_too_old():
+            return REFRESH_WAIT_MS
+        return self._freshness.watch_timeout_ms
+
+    def _is_too_old(self) -> bool:
+        """Whether the copy must be confirmed by this instance's own calls."""
+        if self._freshness is None:
+            return False
+        age_ms = self.confirmed_age_ms
+        return age_ms is None or age_ms > self._freshness.max_relayed_age_ms
+
+    def _note_confirmed(self, as_of: int) -> None:
+        """Record the time as of which the copy is complete."""
+        if self._confirmed_as_of is None or as_of > self._confirmed_as_of:
+            self._confirmed_as_of = as_of
+
     def _apply_list(self, listing: _objects.Listing) -> None:
         self._objects_by_name = {item.name: item for item in listing.objects}
         self._removals.clear()
--- a/src/geraniumlink/hosting/_relay.py
+++ b/src/geraniumlink/hosting/_relay.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import base64
-import reprlib
 import typing
 import zlib
 
@@ -58,11 +57,27 @@
             for kind, encoder in self._encoders.items()
         }
 
-    def apply_changes(self, encoded: typing.Any) -> None:
+    def confirmed_ages_ms(self) -> dict[str, int | None]:
+        """Return how old the changes are that are encoded now, by kind."""
+        return {
+            kind: watcher.confirmed_age_ms
+            for kind, watcher in self._watchers.items()
+        }
+
+    def apply_changes(
+        self,
+        encoded: typing.Any,
+        ages_ms: typing.Any = None,
+        sent_at: int = 0,
+    ) -> None:
         """Apply another instance's ``encode_changes``.
 
         A kind whose changes are malformed is left out, and the error is
         logged.
+
+        :param ages_ms: its ``confirmed_ages_ms``; instances of older builds
+            don't send them, and then nothing is confirmed.
+        :param sent_at: time since boot at which the changes were asked for.
         """
         for kind, watcher in self._watchers.items():
             try:
@@ -75,7 +90,9 @@
             except (KeyError, TypeError, ValueError) as error:
                 _logs.event("bad_relay", error=repr(error))
                 continue
-            watcher.apply_relayed(changes)
+            watcher.apply_relayed(
+                changes, _confirmed_as_of(kind, ages_ms, sent_at)
+            )
 
 
 class _ChangesEncoder:
@@ -151,6 +168,20 @@
             case [str(name), int(version), value]:
                 objects.append(_objects.Object(kind, name, version, value))
             case _:
-                reason = f"invalid row: {reprlib.repr(row)}"
+                # Not quoted: the configuration has keys.
+                reason = f"invalid row: {type(row).__name__}"
                 _logs.event("bad_relay", error=reason)
     return _object_watcher.Changes(int(revision), bool(is_snapshot), objects)
+
+
+def _confirmed_as_of(
+    kind: str, ages_ms: typing.Any, sent_at: int
+) -> int | None:
+    """Return the time as of which changes are complete, if it is known.
+
+    The other instance stated their age after ``sent_at``.
+    """
+    age_ms = ages_ms.get(kind) if isinstance(ages_ms, dict) else None
+    if type(age_ms) is not int or age_ms < 0:
+        return None
+    return sent_at - age_ms
--- a/src/geraniumlink/platform/_settings.py
+++ b/src/geraniumlink/platform/_settings.py
@@ -16,6 +16,8 @@
 # Name of the environment variable that holds the path of the settings file.
 SETTINGS_PATH_VARIABLE = "GERANIUMLINK_NODE_FILE"
 _MAX_PORT = 65_535
+# Bound on the use of removed keys where it is asked for without a number.
+DEFAULT_REVOCATION_BOUND_MS = 5000
 
 
 class NodeSettings(typing.NamedTuple):
@@ -50,6 +52,9 @@
     retry_constant: int
     # Rate of this machine's network link; None if it isn't stated.
     link_mbit_per_s: float | None
+    # No request runs that was sent longer than this after its key was removed;
+    # None if that isn't asked for.
+    revocation_bound_ms: int | None
     # Whether the whole system starts for the first time; called bootstrap.
     is_first_start: bool
 
@@ -87,6 +92,7 @@
         retry_window_ms=reader.read("bounds", "retry_window_s", _ceiling_ms),
         retry_constant=reader.read("bounds", "retry_slack", _fields.floor),
         link_mbit_per_s=reader.read("", "limits", _link_rate),
+        revocation_bound_ms=reader.read("", "bounds", _revocation_bound),
         is_first_start=reader.read("", "bootstrap", _flag),
     )
     if reader.findings:
@@ -158,6 +164,16 @@
     return port
 
 
+def _revocation_bound(message: typing.Any, name: str) -> int | None:
+    """Return the bound on the use of removed keys, if it is asked for."""
+    bounds = _fields.mapping(message, name)
+    if bounds.get("strict_revoke") is None:
+        return None
+    if not _fields.boolean(bounds, "strict_revoke"):
+        return None
+    return _fields.floor(bounds, "revoke_ms", DEFAULT_REVOCATION_BOUND_MS)
+
+
 def _link_rate(message: typing.Any, name: str) -> float | None:
     """Return the link's rate in the limits of the machine, if stated."""
     if name not in message:
--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -72,8 +72,17 @@
     def encode_changes(self, known: dict[str, int]) -> dict[str, typing.Any]:
         """Return the changes since the revisions that an instance knows."""
 
-    def apply_changes(self, told: typing.Any) -> None:
-        """Apply the changes that the controller sent."""
+    def confirmed_ages_ms(self) -> dict[str, int | None]:
+        """Return how long ago what is encoded now was confirmed, by kind."""
+
+    def apply_changes(
+        self, told: typing.Any, ages_ms: typing.Any, sent_at: int
+    ) -> None:
+        """Apply the changes that the controller sent.
+
+        :param ages_ms: its ``confirmed_ages_ms``, if it sent them.
+        :param sent_at: time since boot before the report was sent.
+        """
 
 
 class PermitIssuer(typing.Protocol):
@@ -215,6 +224,7 @@
         """Report to the controller every REPORT_INTERVAL_MS, for ever."""
         while True:
             await self._clock.sleep(REPORT_INTERVAL_MS)
+            sent_at = self._clock.since_boot()
             prompt_tokens, self._prompt_tokens = self._prompt_tokens, {}
             report = _messages.Report(
                 instance=self._instance,
@@ -233,13 +243,13 @@
                 suspected_parts=self._part_sync.make_report(),
             )
             if self._leadership.is_leader:
-                self._apply_answer(self._answer_report(report))
+                self._apply_answer(self._answer_report(report), sent_at)
                 continue
             answer = await self._link.call(
                 self._leadership.leader, REPORT_PATH, report
             )
             if answer is not None:
-                self._apply_answer(answer)
+                self._apply_answer(answer, sent_at)
 
     async def handle_message(self, path: str, body: bytes) -> typing.Any:
         """Return the answer to another instance's message.
@@ -337,10 +347,14 @@
         if sender != self._instance and self._leadership.may_order():
             answer["lease_version"] = self._leadership.lease_version
             answer["objects"] = self._relay.encode_changes(report["known"])
+            answer["objects_age_ms"] = self._relay.confirmed_ages_ms()
         return answer
 
-    def _apply_answer(self, answer: typing.Any) -> None:
-        """Apply the controller's answer to a report; log a malformed one."""
+    def _apply_answer(self, answer: typing.Any, sent_at: int) -> None:
+        """Apply the controller's answer to a report; log a malformed one.
+
+        :param sent_at: time since boot before the report was sent.
+        """
         try:
             self._budgets.set_instances(int(answer["instances"]))
             self._directory.apply_list(answer.get("instance_list"))
@@ -360,7 +374,9 @@
                 self._leadership.record_leader_renewal(
                     int(answer["lease_version"])
                 )
-                self._relay.apply_changes(answer["objects"])
+                self._relay.apply_changes(
+                    answer["objects"], answer.get("objects_age_ms"), sent_at
+                )
         except (KeyError, TypeError, ValueError) as error:
             _logs.event("bad_report_answer", error=repr(error))
             return
