Keep the values of stored objects out of errors

Cause: the configuration is to have API keys, and an object without a valid name and revision was quoted in a log line with its value.

Change: only its metadata is quoted, and the representation of an object leaves out its value.

--- a/src/geraniumlink/_objects.py
+++ b/src/geraniumlink/_objects.py
@@ -32,6 +32,10 @@
     version: int
     value: typing.Any
 
+    def __repr__(self) -> str:
+        # Without the value, as that of the configuration has keys.
+        return f"Object({self.kind}/{self.name}, {self.version})"
+
 
 class Listing(typing.NamedTuple):
     """Objects, or changed objects, complete up to ``revision``."""
--- a/src/geraniumlink/platform/_store.py
+++ b/src/geraniumlink/platform/_store.py
@@ -334,7 +334,8 @@
         case {"name": str(name), "revision": int(revision)}:
             return name, revision
     raise _UnreadableObjectError(
-        f"no valid name and revision: {reprlib.repr(entry)}"
+        # The value isn't quoted: the configuration has keys.
+        f"no valid name and revision: {reprlib.repr(metadata)}"
     )
 
 
