Serve requests under client accounts

Cause: deployments need to know which account a request belongs to, and to refuse requests without a known key.

Change: where the configuration has accounts, each request of a client is decided on before its body is read: it runs under an account, without one on a public route, or gets 401, or 503 while the configuration is too old to decide. Replicas get the account's name and never the key; the name travels with requests that are passed on to another instance. The account's priority replaces that of the route. An instance whose copy is stale fails the readiness check. Without accounts requests are served as before.

--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -33,6 +33,9 @@
 _FLAG = Field(Kind.FLAG)
 _TEXTS = Field(Kind.TEXTS)
 FIELDS: dict[str, Field] = {
+    # Empty if the request has none.
+    "account": _TEXT,
+    "accounts": _WHOLE,
     "action": _TEXT,
     "adapter": _TEXT,
     "address": _TEXT,
@@ -49,6 +52,8 @@
     "child": _TEXT,
     "claim": _TEXT,
     "configuration_version": _WHOLE,
+    # Null if it never was confirmed, or doesn't matter.
+    "confirmed_age_ms": Field(Kind.WHOLE, nullable=True),
     "controller": _TEXT,
     "counts": Field(Kind.COUNTS),
     "crashes": _WHOLE,
@@ -118,6 +123,7 @@
     "priority": _WHOLE,
     "problem": _TEXT,
     "probes": _WHOLE,
+    "problems": _WHOLE,
     "prompt_tokens": _WHOLE,
     "reason": _TEXT,
     "received_bytes": _WHOLE,
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -56,12 +56,26 @@
 # Fields that identify a copy of a model or an adapter, and its last order.
 _COPY_FIELDS = ("adapter", "fencing_number", "model", "version")
 MESSAGES: dict[str, Message] = {
+    "account_invalid": Message(
+        _STATE,
+        "an account of the configuration, or a key of it, takes no effect",
+        ("account", "reason"),
+    ),
+    "accounts_in_force": Message(
+        _STATE,
+        "the configuration in force has accounts; `problems` counts those,"
+        " and keys, that take no effect",
+        ("accounts", "problems"),
+    ),
     "admitted": Message(
         _REQUEST,
-        "a request was assigned a route of a configuration",
+        "a request was assigned a route of a configuration, and an account"
+        " if it has one",
         (
+            "account",
             "adapter",
             "configuration_version",
+            "confirmed_age_ms",
             "last_event_id",
             "left_ms",
             "model",
@@ -269,6 +283,18 @@
     "deadline_unclaimed": _claim_step(
         "a deadline passed while another call held the claim"
     ),
+    "denied": Message(
+        _REQUEST,
+        "a request may not run under any account, or this instance's"
+        " configuration is too old to decide",
+        (
+            "configuration_version",
+            "confirmed_age_ms",
+            "reason",
+            "request_id",
+            "route",
+        ),
+    ),
     "drained": Message(_STATE, "draining has ended", ("in_flight",)),
     "draining": Message(
         _STATE,
@@ -586,6 +612,7 @@
         _REQUEST,
         "a request ended",
         (
+            "account",
             "adapter",
             "attempts",
             "duration_ms",
--- a/src/geraniumlink/hosting/_application.py
+++ b/src/geraniumlink/hosting/_application.py
@@ -14,6 +14,8 @@
 from geraniumlink.hosting import _load_monitor
 from geraniumlink import platform
 from geraniumlink.residency import _controller_protocol
+from geraniumlink.serving import _account_check
+from geraniumlink.serving import _accounts
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _forward
 from geraniumlink.serving import _response_writer
@@ -53,6 +55,7 @@
         *,
         addresses: Addresses,
         active_configuration: _active_configuration.ActiveConfiguration,
+        account_check: _account_check.AccountCheck,
         forwarder: _forward.Forwarder,
         controller_protocol: _controller_protocol.ControllerProtocol,
         clock: _clock.Clock,
@@ -62,6 +65,7 @@
     ) -> None:
         self._addresses = addresses
         self._active_configuration = active_configuration
+        self._account_check = account_check
         self._forwarder = forwarder
         self._controller_protocol = controller_protocol
         self._clock = clock
@@ -167,49 +171,87 @@
     ) -> None:
         """Read a client's request within the operator's limits, and serve it.
 
-        Before the first configuration the body isn't read: the forwarder
-        responds without it.
+        The decision on its account comes before its body. Before the first
+        configuration the body isn't read: the forwarder responds without it.
         """
         received_at = self._clock.now() - scope["age_ms"]()
-        headers = scope["headers"]
-        request = platform.decode_request_head(
-            scope["method"].encode(), scope["target"], headers, received_at
-        )
-        current = self._active_configuration.current
-        if current is not None:
-            # Each header has 4 bytes besides: colon, space and line end.
-            total_bytes = sum(
-                len(name) + len(value) + 4 for name, value in headers
-            )
-            if total_bytes > current.limits.max_header_bytes:
-                await _reject(scope, response, 431, "the head is too large")
-                return
-        body = b""
-        try:
-            if current is not None:
-                with anyio.fail_after(current.limits.idle_timeout_ms / 1000):
-                    body = await _read_body(
-                        receive, current.limits.max_body_bytes
-                    )
-        except TimeoutError:
-            await _reject(scope, response, 408, "the body takes too long")
+        limits = None
+        if self._active_configuration.current is not None:
+            limits = self._active_configuration.current.limits
+        if limits and _head_bytes(scope) > limits.max_header_bytes:
+            await _reject(scope, response, 431, "the head is too large")
             return
-        except BodyTooLargeError:
-            await _reject(scope, response, 413, "the body is too large")
-            return
-        except ClientDisconnectedError:
+        had_accounts = self._account_check.has_accounts
+        request, decision = self._decide(scope, received_at, relayed_attempts)
+        if await self._is_refused(scope, response, decision):
             return
+        body = b""
+        if limits is not None:
+            read = await _read_or_reject(scope, receive, response, limits)
+            if read is None:
+                return
+            body = read
+        if not had_accounts and self._account_check.has_accounts:
+            # Accounts came into force while the body arrived: the request
+            # may have credentials, which must not be forwarded any more.
+            request, decision = self._decide(
+                scope, received_at, relayed_attempts
+            )
+            if await self._is_refused(scope, response, decision):
+                return
         await self._serve_while_connected(
-            request._replace(body=body, relayed_attempts=relayed_attempts),
-            receive,
-            response,
+            request._replace(body=body), receive, response, decision
+        )
+
+    def _decide(
+        self, scope: Scope, received_at: int, relayed_attempts: int | None
+    ) -> tuple[_types.Request, _accounts.Decision | None]:
+        """Return a request without its body, and the decision on it.
+
+        That is None where no accounts are in force, and for a request that
+        another instance has decided on.
+        """
+        headers = scope["headers"]
+        is_relayed = relayed_attempts is not None
+        account = (
+            platform.decode_relayed_account(headers) if is_relayed else ""
         )
+        request = platform.decode_request_head(
+            scope["method"].encode(),
+            scope["target"],
+            headers,
+            received_at,
+            has_accounts=bool(account) or self._account_check.has_accounts,
+        )._replace(relayed_attempts=relayed_attempts, account=account)
+        if is_relayed:
+            return request, None
+        decision = self._account_check.decide(request, headers)
+        match decision:
+            case _accounts.Admitted(account=_types.ClientAccount(name=name)):
+                request = request._replace(account=name)
+        return request, decision
+
+    async def _is_refused(
+        self,
+        scope: Scope,
+        response: _response_writer.ResponseWriter,
+        decision: _accounts.Decision | None,
+    ) -> bool:
+        """Refuse a request that may not run; return whether it was."""
+        match decision:
+            case _accounts.Denied() | _accounts.Undecided():
+                await self._account_check.refuse(
+                    response, decision, _close_headers(scope)
+                )
+                return True
+        return False
 
     async def _serve_while_connected(
         self,
         request: typing.Any,
         receive: Receive,
         response: _response_writer.ResponseWriter,
+        decision: typing.Any,
     ) -> None:
         """Serve a request until its response ends or the client leaves."""
         async with anyio.create_task_group() as group:
@@ -220,7 +262,7 @@
                 group.cancel_scope.cancel()
 
             group.start_soon(cancel_on_disconnect)
-            await self._forwarder.serve(request, response)
+            await self._forwarder.serve(request, response, decision)
             group.cancel_scope.cancel()
 
 
@@ -234,14 +276,51 @@
     status: int,
     reason: str,
 ) -> None:
-    """Respond before the request is read, and close the connection.
+    """Respond before the request is read, and close the connection."""
+    await response.send_complete(
+        status, _close_headers(scope), reason.encode()
+    )
+
+
+def _close_headers(scope: Scope) -> _types.Headers:
+    """Return the headers of a response before the request is read.
+
+    They close the connection. It stays open if a further request has been
+    received: this one has then been received whole.
+    """
+    if scope["has_next_request"]():
+        return []
+    return [(b"connection", b"close")]
+
+
+def _head_bytes(scope: Scope) -> int:
+    """Return the size of a request's headers.
+
+    Each has 4 bytes besides: colon, space and line end.
+    """
+    return sum(len(name) + len(value) + 4 for name, value in scope["headers"])
+
+
+async def _read_or_reject(
+    scope: Scope,
+    receive: Receive,
+    response: _response_writer.ResponseWriter,
+    limits: _types.ClientLimits,
+) -> bytes | None:
+    """Return the request body; None if it wasn't received within limits.
 
-    It stays open if a further request has been received: this one has then
-    been received whole.
+    Unless the client has left, the request then has its response.
     """
-    close = [(b"connection", b"close")]
-    headers = [] if scope["has_next_request"]() else close
-    await response.send_complete(status, headers, reason.encode())
+    try:
+        with anyio.fail_after(limits.idle_timeout_ms / 1000):
+            return await _read_body(receive, limits.max_body_bytes)
+    except TimeoutError:
+        await _reject(scope, response, 408, "the body takes too long")
+    except BodyTooLargeError:
+        await _reject(scope, response, 413, "the body is too large")
+    except ClientDisconnectedError:
+        pass
+    return None
 
 
 async def _read_body(receive: Receive, max_bytes: int) -> bytes:
--- a/src/geraniumlink/hosting/_gauges.py
+++ b/src/geraniumlink/hosting/_gauges.py
@@ -11,6 +11,7 @@
 from geraniumlink.hosting import _object_watcher
 from geraniumlink import platform
 from geraniumlink.residency import _leadership
+from geraniumlink.serving import _account_check
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _forward
 from geraniumlink.serving import _reachability
@@ -25,6 +26,7 @@
     forwarder: _forward.Forwarder
     store: platform.StoreClient
     watchers: list[_object_watcher.ObjectWatcher]
+    account_check: _account_check.AccountCheck
     active_configuration: _active_configuration.ActiveConfiguration
     replicas: _replicas.Replicas
     reachability: _reachability.Reachability
@@ -76,6 +78,16 @@
         "Version of the configuration in force; 0 before the first",
         lambda: sources.active_configuration.version,
     )
+    add_gauge(
+        "geraniumlink_configuration_confirmed_age_seconds",
+        "Since the configuration was the store's for certain; -1 if never",
+        lambda: _seconds(sources.watchers[0].confirmed_age_ms),
+    )
+    add_gauge(
+        "geraniumlink_configuration_stale",
+        "1 while requests with a key are refused until a confirmation",
+        lambda: sources.account_check.is_stale,
+    )
     add_gauge(
         "geraniumlink_replicas",
         "Replicas that are known and not leaving",
@@ -128,3 +140,7 @@
         "Bytes of answers sent to other instances",
         lambda: sources.load_monitor.total_sent_bytes,
     )
+
+
+def _seconds(milliseconds: int | None) -> float:
+    return -1 if milliseconds is None else milliseconds / 1000
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -61,6 +61,7 @@
 from geraniumlink.residency import _message_client
 from geraniumlink.residency import _origin_archive
 from geraniumlink.residency import _version_history
+from geraniumlink.serving import _account_check
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _connections
 from geraniumlink.serving import _forward
@@ -245,6 +246,16 @@
             clock=clock,
             is_first_start=settings.is_first_start,
         )
+        self._request_metrics = _request_metrics.RequestMetrics(
+            self._metrics.registry
+        )
+        self._account_check = _account_check.AccountCheck(
+            active_configuration=self._active_configuration,
+            confirmed_age_ms=lambda: self._watchers[0].confirmed_age_ms,
+            bound_ms=settings.revocation_bound_ms,
+            metrics=self._request_metrics,
+            random_source=self._random,
+        )
         self._forwarder = self._make_forwarder()
         self._application = self._make_application()
         self._listener = _server.Listener(
@@ -262,6 +273,7 @@
                 forwarder=self._forwarder,
                 store=self._store,
                 watchers=self._watchers,
+                account_check=self._account_check,
                 active_configuration=self._active_configuration,
                 replicas=self._replicas,
                 reachability=self._reachability,
@@ -318,7 +330,7 @@
             origins=self._origins,
             versions=self._version_survey,
             permits=self._permits,
-            metrics=_request_metrics.RequestMetrics(self._metrics.registry),
+            metrics=self._request_metrics,
             connections=self._connections,
             reachability=self._reachability,
             peer_relay=_peer_relay.PeerRelay(
@@ -336,6 +348,7 @@
         return _application.Application(
             addresses=self._addresses(),
             active_configuration=self._active_configuration,
+            account_check=self._account_check,
             forwarder=self._forwarder,
             controller_protocol=self._controller_protocol,
             clock=self._clock,
@@ -373,6 +386,7 @@
             not self._draining
             and self._active_configuration.current is not None
             and self._replicas.has_full_list
+            and not self._account_check.is_stale
         )
 
     def _must_yield_lease(self) -> bool:
@@ -468,6 +482,7 @@
 
     def _make_watchers(self) -> list[_object_watcher.ObjectWatcher]:
         bound_ms = self._settings.leaving_bound_ms
+        revocation_ms = self._settings.revocation_bound_ms
         return [
             _object_watcher.ObjectWatcher(
                 self._store,
@@ -476,6 +491,11 @@
                 on_list=self._apply_configurations,
                 on_change=self._apply_configuration,
                 batch_delay_ms=CONFIGURATION_BATCH_DELAY_MS,
+                freshness=(
+                    None
+                    if revocation_ms is None
+                    else _object_watcher.freshness_for(revocation_ms)
+                ),
             ),
             _object_watcher.ObjectWatcher(
                 self._store,
--- a/src/geraniumlink/serving/_accounts.py
+++ b/src/geraniumlink/serving/_accounts.py
@@ -27,6 +27,7 @@
 # was confirmed this recently, in ms. In normal operation the age is at most
 # twice the longest watch of the store (4 s), and some round trips.
 MAX_DENYING_AGE_MS = 10_000
+_NOT_CONFIRMED = "the configuration isn't confirmed"
 
 
 def digest_key(key: bytes) -> bytes:
@@ -119,6 +120,10 @@
 
     route: _types.Route | None
     account: _types.ClientAccount | None
+    # Version of the configuration that decided, and how long ago that was
+    # confirmed; None if it never was.
+    version: int
+    age_ms: int | None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -126,6 +131,8 @@
     """The request has no known key on a route that needs one."""
 
     reason: str
+    route: str
+    age_ms: int | None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,6 +140,8 @@
     """This instance's configuration is too old to decide on the request."""
 
     reason: str
+    route: str
+    age_ms: int | None
 
 
 Decision = Admitted | Denied | Undecided
@@ -156,8 +165,17 @@
     return limit_ms is not None and (age_ms is None or age_ms > limit_ms)
 
 
+def with_priority(
+    route: _types.Route, account: _types.ClientAccount | None
+) -> _types.Route:
+    """Return a route with the priority of an account, if that has one."""
+    if account is None or account.priority is None:
+        return route
+    return route._replace(priority=account.priority)
+
+
 def decide(
-    accounts: Accounts | None,
+    configuration: _types.Configuration,
     route: _types.Route | None,
     credential: _types.Credential,
     age_ms: int | None,
@@ -165,23 +183,25 @@
 ) -> Decision:
     """Return whether a request may run, and under which account.
 
-    :param accounts: those of the configuration that ``route`` is of.
+    :param route: that of the request in the configuration.
     :param age_ms: as of ``is_stale``.
     """
-    if accounts is None or route is None:
-        return Admitted(route, None)
-    account = None
-    if isinstance(credential, bytes):
+    account, accounts = None, configuration.accounts
+    if accounts is not None and isinstance(credential, bytes):
         account = accounts.find_by_digest(credential)
-    if route.public:
-        return Admitted(route, account)
-    if is_stale(age_ms, bound_ms):
-        return Undecided("the configuration isn't confirmed")
-    if account is not None:
-        return Admitted(route, account)
-    # A newer configuration may have the key, or a public route.
-    if bound_ms is None and (age_ms is None or age_ms > MAX_DENYING_AGE_MS):
-        return Undecided("the configuration isn't confirmed")
-    if isinstance(credential, _types.NoKey):
-        return Denied(credential.value)
-    return Denied("the key isn't known")
+    if accounts is not None and route is not None and not route.public:
+        # A newer configuration may have the key, or a public route.
+        may_deny = age_ms is not None and age_ms <= MAX_DENYING_AGE_MS
+        if is_stale(age_ms, bound_ms) or not (account or may_deny):
+            return Undecided(_NOT_CONFIRMED, route.name, age_ms)
+        if account is None:
+            return Denied(_why_denied(credential), route.name, age_ms)
+    return Admitted(route, account, configuration.version, age_ms)
+
+
+def _why_denied(credential: _types.Credential) -> str:
+    match credential:
+        case _types.NoKey():
+            return credential.value
+        case _:
+            return "its key isn't known"
--- a/src/geraniumlink/serving/_active_configuration.py
+++ b/src/geraniumlink/serving/_active_configuration.py
@@ -5,8 +5,14 @@
 import collections
 
 from geraniumlink import _logs
+from geraniumlink.serving import _accounts
 from geraniumlink.serving import _types
 
+# How many accounts and keys that take no effect are logged for a version, and
+# how many characters of their names.
+MAX_LOGGED_PROBLEMS = 32
+_MAX_LOGGED_NAME = 80
+
 
 class ActiveConfiguration:
     """Holds the newest configuration that this instance has seen."""
@@ -47,6 +53,8 @@
             previous_version=known.version if known else None,
             routes=len(configuration.routes),
         )
+        if configuration.accounts is not None:
+            _log_accounts(configuration.accounts)
         return True
 
     def find_route(self, host: str, target: bytes) -> _types.Route | None:
@@ -60,8 +68,29 @@
                 return route
         return None
 
+    def find_account(self, name: str) -> _types.ClientAccount | None:
+        """Return the account of a name; None if there is none."""
+        if self._current is None or self._current.accounts is None:
+            return None
+        return self._current.accounts.find(name)
+
     def find_service(self, name: str) -> _types.Service | None:
         """Return the declared service; None if there is none."""
         if self._current is None:
             return None
         return self._current.services.get(name)
+
+
+def _log_accounts(accounts: _accounts.Accounts) -> None:
+    """Log how many accounts are in force, and what takes no effect."""
+    _logs.event(
+        "accounts_in_force",
+        accounts=len(accounts),
+        problems=len(accounts.problems),
+    )
+    for problem in accounts.problems[:MAX_LOGGED_PROBLEMS]:
+        _logs.event(
+            "account_invalid",
+            account=problem.account[:_MAX_LOGGED_NAME],
+            reason=problem.reason,
+        )
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -7,23 +7,50 @@
 from __future__ import annotations
 
 from geraniumlink import _logs
+from geraniumlink.serving import _accounts
 from geraniumlink.serving import _balance
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _permits
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_state
 from geraniumlink.serving import _stream_origins
+from geraniumlink.serving import _types
+
+
+def denied(
+    request: _types.Request,
+    decision: _accounts.Denied | _accounts.Undecided,
+    version: int,
+) -> None:
+    """Log why a request may not run under any account."""
+    _logs.event(
+        "denied",
+        request_id=request.id.decode("latin-1"),
+        route=decision.route,
+        reason=decision.reason,
+        configuration_version=version,
+        confirmed_age_ms=decision.age_ms,
+    )
 
 
 def admitted(
-    state: _request_state.RequestState, version: int, now: int
+    state: _request_state.RequestState,
+    version: int,
+    confirmed_age_ms: int | None,
+    now: int,
 ) -> None:
-    """Log the route and the configuration version of a new request."""
+    """Log the route and the configuration version of a new request.
+
+    :param confirmed_age_ms: how long ago the configuration was confirmed;
+        None if that isn't known, or doesn't matter.
+    """
     _logs.event(
         "admitted",
         request_id=state.log_id,
         route=state.route.name,
+        account=state.request.account,
         configuration_version=version,
+        confirmed_age_ms=confirmed_age_ms,
         service=state.service,
         model=state.request.model,
         adapter=state.request.adapter,
@@ -206,6 +233,7 @@
         "request",
         request_id=state.log_id,
         route=state.route.name,
+        account=state.request.account,
         service=state.service,
         model=state.request.model,
         adapter=state.request.adapter,
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -17,6 +17,7 @@
 from geraniumlink import _clock
 from geraniumlink import _http
 from geraniumlink import _logs
+from geraniumlink.serving import _accounts
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _attempt
 from geraniumlink.serving import _balance
@@ -174,12 +175,15 @@
         self,
         request: _types.Request,
         response: _response_writer.ResponseWriter,
+        decided: _accounts.Admitted | None = None,
     ) -> None:
         """Send the response to a request.
 
         No task of the request is still running when this returns or raises.
+
+        :param decided: its route and account if these are decided already.
         """
-        route = await self._find_route(request, response)
+        route = await self._find_route(request, response, decided)
         if route is None:
             return
         state = self._make_state(request, response, route)
@@ -191,7 +195,10 @@
                 self._residency.note_demand(state.service, request)
         now = self._clock.now()
         version = self._active_configuration.version
-        _decision_log.admitted(state, version, now)
+        age_ms = None
+        if decided is not None:
+            version, age_ms = decided.version, decided.age_ms
+        _decision_log.admitted(state, version, age_ms, now)
         try:
             await self._serve_in_time(state)
         except Exception:
@@ -235,11 +242,17 @@
         self,
         request: _types.Request,
         response: _response_writer.ResponseWriter,
+        decided: _accounts.Admitted | None,
     ) -> _types.Route | None:
         """Return a request's route; None if it got its final answer here."""
-        route = self._active_configuration.find_route(
-            request.host, request.target
-        )
+        if decided is not None:
+            route, account = decided.route, decided.account
+        else:
+            configuration = self._active_configuration
+            route = configuration.find_route(request.host, request.target)
+            account = configuration.find_account(request.account)
+        if route is not None:
+            route = _accounts.with_priority(route, account)
         if request.is_relayed and not self._takes_relayed(route):
             await self._final_answers.send_own(
                 response,
--- a/src/geraniumlink/serving/_request_metrics.py
+++ b/src/geraniumlink/serving/_request_metrics.py
@@ -4,6 +4,7 @@
 
 import aioprometheus
 
+from geraniumlink.serving import _accounts
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _request_state
 
@@ -13,7 +14,9 @@
 # Limits the number of time series: operators add routes by the hundred, and
 # routes beyond this number share one label.
 MAX_ROUTE_LABELS = 64
-_OTHER_ROUTES = "other"
+# The same for accounts, of which there may be 10,000.
+MAX_ACCOUNT_LABELS = 64
+_OTHERS = "other"
 # Values of the outcome label; a request's outcome begins with one of them, or
 # counts as failed.
 _OUTCOMES = (
@@ -28,11 +31,26 @@
 )
 
 
+class _Labels:
+    """The first values of a label, up to a number; others share one."""
+
+    def __init__(self, max_count: int) -> None:
+        self._max_count = max_count
+        self._known: set[str] = set()
+
+    def get(self, value: str) -> str:
+        """Return the label's value for a name."""
+        if len(self._known) < self._max_count:
+            self._known.add(value)
+        return value if value in self._known else _OTHERS
+
+
 class RequestMetrics:
     """Counters and histograms of the requests of one instance."""
 
     def __init__(self, registry: aioprometheus.Registry) -> None:
-        self._route_labels: set[str] = set()
+        self._route_labels = _Labels(MAX_ROUTE_LABELS)
+        self._account_labels = _Labels(MAX_ACCOUNT_LABELS)
         self._requests = aioprometheus.Counter(
             "geraniumlink_requests_total",
             "Requests with a final answer, by service, route and outcome",
@@ -55,6 +73,16 @@
             "Requests sent to replicas, by service and outcome",
             registry=registry,
         )
+        self._account_requests = aioprometheus.Counter(
+            "geraniumlink_account_requests_total",
+            "Requests with a final answer, by account and outcome",
+            registry=registry,
+        )
+        self._denied = aioprometheus.Counter(
+            "geraniumlink_denied_requests_total",
+            "Requests that may not run under any account, by status",
+            registry=registry,
+        )
         self._unfinished = aioprometheus.Counter(
             "geraniumlink_unfinished_requests_total",
             "Requests that ended without a complete answer, by cause",
@@ -68,6 +96,11 @@
         labels = {**self._labels(state), "outcome": _outcome(state)}
         took_s = (now - state.request.received_at) / 1000
         self._requests.inc(labels)
+        if state.request.account:
+            account = self._account_labels.get(state.request.account)
+            self._account_requests.inc(
+                {"account": account, "outcome": labels["outcome"]}
+            )
         self._seconds.observe(labels, took_s)
         if state.first_event_at is not None:
             first_s = (state.first_event_at - state.request.received_at) / 1000
@@ -75,13 +108,16 @@
 
     def _labels(self, state: _request_state.RequestState) -> dict[str, str]:
         """Return the labels by which a request is counted."""
-        route = state.route.name
-        if len(self._route_labels) < MAX_ROUTE_LABELS:
-            self._route_labels.add(route)
-        elif route not in self._route_labels:
-            route = _OTHER_ROUTES
+        route = self._route_labels.get(state.route.name)
         return {"service": state.service, "route": route}
 
+    def record_denied(
+        self, decision: _accounts.Denied | _accounts.Undecided
+    ) -> None:
+        """Count a request that may not run under any account."""
+        is_denied = isinstance(decision, _accounts.Denied)
+        self._denied.inc({"status": "401" if is_denied else "503"})
+
     def record_unfinished(self, service: str, cause: _outcomes.Cause) -> None:
         """Count a request that ended without a complete response."""
         labels = {"service": service, "cause": cause.name.lower()}
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -8,10 +8,14 @@
 from tests import hosts
 
 
-def _decode(*tenants, **account):
+def _configure(*tenants, **account):
     entries = [*tenants, {"name": "a", "api_keys": ["ka"], **account}]
     spec = {**hosts.configuration(), "tenants": entries}
-    return platform.decode_configuration(spec).accounts
+    return platform.decode_configuration(spec)
+
+
+def _decode(*tenants, **account):
+    return _configure(*tenants, **account).accounts
 
 
 def _owner(accounts, key):
@@ -223,10 +227,10 @@
     route, credential, age_ms, bound_ms, decision
 ):
     found = _accounts.decide(
-        _decode(), route, _credential(credential), age_ms, bound_ms
+        _configure(), route, _credential(credential), age_ms, bound_ms
     )
     match found:
-        case _accounts.Admitted(admitted_route, account):
+        case _accounts.Admitted(route=admitted_route, account=account):
             assert admitted_route == route
             assert decision == (account.name if account else "")
         case _accounts.Denied():
@@ -236,5 +240,22 @@
 
 
 def test_without_accounts_every_request_is_admitted():
-    found = _accounts.decide(None, _ROUTE, _credential("kb"), None, 5000)
-    assert found == _accounts.Admitted(_ROUTE, None)
+    """Also as a copy of any age is stale: strictness concerns keys only."""
+    found = _accounts.decide(
+        _configure()._replace(accounts=None),
+        _ROUTE,
+        _credential("kb"),
+        None,
+        5000,
+    )
+    assert isinstance(found, _accounts.Admitted)
+    assert (found.route, found.account) == (_ROUTE, None)
+
+
+@pytest.mark.parametrize(
+    ("own", "expected"), ((None, _ROUTE.priority), (0, 0), (7, 7))
+)
+def test_the_priority_of_an_account_overrides_that_of_the_route(own, expected):
+    account = _decode(priority=own).find("a")
+    assert _accounts.with_priority(_ROUTE, account).priority == expected
+    assert _accounts.with_priority(_ROUTE, None) == _ROUTE
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -21,6 +21,7 @@
 from geraniumlink.hosting import _http_protocol
 from geraniumlink import platform
 from geraniumlink.residency import _message_client
+from geraniumlink.serving import _account_check
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _connections
 from geraniumlink.serving import _forward
@@ -475,6 +476,13 @@
     application = _application.Application(
         addresses=own,
         active_configuration=active,
+        account_check=_account_check.AccountCheck(
+            active_configuration=active,
+            confirmed_age_ms=lambda: None,
+            bound_ms=None,
+            metrics=None,
+            random_source=random.Random(1),
+        ),
         forwarder=forwarder,
         controller_protocol=None,
         clock=clock,
