Relay a configuration with thousands of accounts whole

Cause: values above 64 KiB were left out of relayed changes of more than 1.5 MiB before compression, which the configuration reaches with 10,000 accounts. It would then not be in force at instances that don't watch.

Change: the limit is on the compressed size. Where the copy's age is bounded, changes from which a value was left out aren't applied, so that the instance reads it from the store.

--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -245,6 +245,11 @@
         """
         if not changes.revision or changes.revision < self.revision:
             return
+        if self._freshness is not None and any(
+            item.value == {} for item in changes.objects
+        ):
+            # The controller left a value out. It must not count as known.
+            return
         has_news = changes.revision > self.revision
         listing = _objects.Listing(changes.revision, changes.objects)
         if changes.is_snapshot:
--- a/src/geraniumlink/hosting/_relay.py
+++ b/src/geraniumlink/hosting/_relay.py
@@ -19,10 +19,10 @@
 
 # Limit on the changes of one kind in one message, when decompressed.
 MAX_CHANGES_BYTES = 16 * 2**20
-# When the changes of one kind are larger than this before compression, values
+# When the changes of one kind are larger than this after compression, values
 # above the second limit are left out. With base64 it leaves room in a message
 # (_http.MAX_BODY_BYTES); an entry of a replica is far smaller than a value
-# that is left out.
+# that is left out, and a configuration with 10,000 accounts fits.
 _MAX_COMPLETE_BYTES = 3 * 2**19
 _MAX_VALUE_BYTES = 2**16
 # Changes are encoded once for many instances, so a high level pays off.
@@ -128,10 +128,12 @@
     except orjson.JSONEncodeError:
         message[-1] = [_reduced_row(row, MAX_CHANGES_BYTES) for row in rows]
         data = orjson.dumps(message)
-    if len(data) > _MAX_COMPLETE_BYTES:
+    compressed = b""
+    if len(data) <= MAX_CHANGES_BYTES:
+        compressed = zlib.compress(data, _COMPRESSION_LEVEL)
+    if not 0 < len(compressed) <= _MAX_COMPLETE_BYTES:
         message[-1] = [_reduced_row(row, _MAX_VALUE_BYTES) for row in rows]
-        data = orjson.dumps(message)
-    compressed = zlib.compress(data, _COMPRESSION_LEVEL)
+        compressed = zlib.compress(orjson.dumps(message), _COMPRESSION_LEVEL)
     return base64.b64encode(compressed).decode()
 
 
--- a/tests/test_confirmed_copies.py
+++ b/tests/test_confirmed_copies.py
@@ -213,6 +213,18 @@
     assert receiver.confirmed_age_ms == 2000
 
 
+async def test_changes_without_a_value_confirm_nothing():
+    """A controller leaves out values that are too large for a message."""
+    clock, store, watcher = _make((0, _listing(3)))
+    await _run(store, watcher)
+    clock.advance(900)
+    left_out = _objects.Object("config", "main", 4, {})
+    watcher.apply_relayed(
+        _object_watcher.Changes(4, False, [left_out]), clock.since_boot()
+    )
+    assert (watcher.revision, watcher.confirmed_age_ms) == (3, 900)
+
+
 async def test_recent_relayed_changes_replace_the_watch():
     """Otherwise each instance would call the store, at a price."""
     clock, store, watcher = _make((0, _listing(3)))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,5 +1,7 @@
 """Changes in the store reach instances by the controller or directly."""
 
+import random
+
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -190,3 +192,24 @@
     sender = _WatchedCopy()
     _apply(sender, 1, [_object("a", 1, {"x": "y" * 10_000})])
     assert sender.relay.encode_changes({"servers": 1}) == {"servers": ""}
+
+
+def test_a_configuration_with_many_accounts_is_relayed_whole():
+    """Left out, it would never be in force at instances without a watch."""
+    source = random.Random(1)
+    accounts = [
+        {
+            "name": f"account-{number:05d}",
+            "api_keys": [f"{source.getrandbits(256):064x}" for _ in range(2)],
+            "priority": number % 4,
+            "rate_per_s": source.randrange(4200, 270_000),
+            "burst": source.randrange(4200, 270_000),
+            "unit": "tokens",
+            "plain_tokens": 500,
+        }
+        for number in range(10_000)
+    ]
+    sender, receiver = _WatchedCopy(), _WatchedCopy()
+    _apply(sender, 1, [_object("a", 1, {"tenants": accounts})])
+    receiver.relay_from(sender)
+    assert receiver.received.values_by_name == {"a": {"tenants": accounts}}
