--- a/src/geraniumlink/interface/_cli.py
+++ b/src/geraniumlink/interface/_cli.py
@@ -101,6 +101,11 @@
             metavar="SECONDS",
             help="seconds after the first line of all files",
         )
+    summary.add_argument(
+        "--account",
+        metavar="NAME",
+        help="count the requests of one client account only",
+    )
     summary.set_defaults(run=_log_commands.summary)
 
 
--- a/src/geraniumlink/interface/_log_analysis.py
+++ b/src/geraniumlink/interface/_log_analysis.py
@@ -14,6 +14,8 @@
 # State changes within this time before a request arrived may have affected
 # it: a replica's leaving and an instance's takeover of control last as long.
 LOOKBACK_S = 5.0
+# Rows of accounts in a summary; the busiest are listed.
+_MAX_ACCOUNT_ROWS = 64
 # State messages that are too frequent, and say too little, for a summary.
 _TOO_FREQUENT = frozenset(("move", "move_ended", "order", "lines_left_out"))
 
@@ -50,17 +52,25 @@
 
 
 def summarize(
-    lines: list[LogLine], since_s: float, until_s: float
+    lines: list[LogLine],
+    since_s: float,
+    until_s: float,
+    account: str | None = None,
 ) -> Iterator[str]:
-    """Yield counts of requests by outcome, and the state changes.
+    """Yield counts of requests by outcome and account, and state changes.
 
     Times, also the two limits, are in seconds after the first line.
+
+    :param account: the only account whose requests are counted, if given.
     """
     if not lines:
         return
     start = lines[0].timestamp
     selected = [
-        line for line in lines if since_s <= line.timestamp - start <= until_s
+        line
+        for line in lines
+        if since_s <= line.timestamp - start <= until_s
+        and account in (None, line.fields.get("account", account))
     ]
     counts = collections.Counter(
         (
@@ -74,12 +84,43 @@
     yield f"{sum(counts.values())} requests"
     for (service, status, outcome), count in counts.most_common():
         yield f"{count:8} {service} {status} {outcome}"
+    yield from _count_accounts(selected)
     yield "state changes of instances"
     for line in selected:
         if _is_state_change(line) and line.message not in _TOO_FREQUENT:
             yield _format(line, start)
 
 
+def _count_accounts(lines: list[LogLine]) -> Iterator[str]:
+    """Yield counts of requests by account, and of those that were denied.
+
+    Nothing is yielded for a log without accounts.
+    """
+    accounts = collections.Counter(
+        (
+            line.fields["account"],
+            line.fields.get("status"),
+            line.fields.get("outcome", ""),
+        )
+        for line in lines
+        if line.message == "request" and line.fields.get("account")
+    )
+    if accounts:
+        yield "requests of accounts"
+    for row, count in accounts.most_common(_MAX_ACCOUNT_ROWS):
+        account, status, outcome = row
+        yield f"{count:8} {account} {status} {outcome}"
+    denied = collections.Counter(
+        (line.fields.get("route", ""), line.fields.get("reason", ""))
+        for line in lines
+        if line.message == "denied"
+    )
+    if denied:
+        yield "denied requests"
+    for (route, reason), count in denied.most_common():
+        yield f"{count:8} {route}: {reason}"
+
+
 def _arrival_time(line: LogLine) -> float:
     """Return when the request of a line arrived, as far as the line tells."""
     took_ms = line.fields.get("took_ms", 0)
--- a/src/geraniumlink/interface/_log_commands.py
+++ b/src/geraniumlink/interface/_log_commands.py
@@ -28,7 +28,9 @@
 def summary(options: argparse.Namespace) -> int:
     """Print the outcomes of requests and the state changes of a period."""
     lines = _read_lines(options)
-    for text in _log_analysis.summarize(lines, options.from_s, options.to_s):
+    for text in _log_analysis.summarize(
+        lines, options.from_s, options.to_s, options.account
+    ):
         print(text)
     return _client.Exit.DONE
 
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from geraniumlink.interface import _log_analysis
+from geraniumlink.interface import _log_reader
 from geraniumlink import platform
 from geraniumlink.serving import _accounts
 from geraniumlink.serving import _types
@@ -259,3 +261,26 @@
     account = _decode(priority=own).find("a")
     assert _accounts.with_priority(_ROUTE, account).priority == expected
     assert _accounts.with_priority(_ROUTE, None) == _ROUTE
+
+
+def _line(message, **fields):
+    return _log_reader.LogLine(0.0, "i-1", message, fields)
+
+
+def test_a_summary_counts_by_account():
+    lines = [
+        _line("request", account="a", service="s", status=200, outcome="done"),
+        _line("request", account="b", service="s", status=503, outcome="full"),
+        _line("request", account="a", service="s", status=200, outcome="done"),
+        _line("denied", route="r", reason="it has no key"),
+    ]
+    summary = list(_log_analysis.summarize(lines, 0, 1))
+    assert "       2 a 200 done" in summary
+    assert "       1 b 503 full" in summary
+    assert "       1 r: it has no key" in summary
+    only = list(_log_analysis.summarize(lines, 0, 1, "b"))
+    assert only[0] == "1 requests"
+    assert not any(" a 200" in text for text in only)
+    # A log without accounts is summarized as before.
+    plain = [_line("request", account="", service="s", status=200)]
+    assert "requests of accounts" not in _log_analysis.summarize(plain, 0, 1)
