Decide on a request's route and account in one place

Cause: the route, the account and the version of a request were looked up in several places, and the forwarder had grown by them.

Change: the forwarder takes them from one Admitted, also for requests that need no account or were passed on. Names of accounts have at most 256 characters, as those of replicas.

Measured: tests/test_hosted_accounts.py, with requests whose body arrives after a change of the configuration, test_accounts.py, test_serving.py and test_broken_heads.py pass.

--- a/src/geraniumlink/platform/_accounts.py
+++ b/src/geraniumlink/platform/_accounts.py
@@ -16,6 +16,7 @@
 _TENANTS = "tenants"
 # A name is the value of a header: control characters would end it, and spaces
 # around it would be lost.
+_MAX_NAME = 256
 _NAME = re.compile(r"(?! )[^\x00-\x1f\x7f]+(?<! )")
 
 
@@ -60,7 +61,11 @@
 def _name_of(entry: typing.Any) -> str:
     """Return the name of an account; "" if it has no valid one."""
     name = entry.get("name") if isinstance(entry, dict) else None
-    if isinstance(name, str) and _NAME.fullmatch(name):
+    if (
+        isinstance(name, str)
+        and len(name) <= _MAX_NAME
+        and _NAME.fullmatch(name)
+    ):
         return name
     return ""
 
--- a/src/geraniumlink/serving/_accounts.py
+++ b/src/geraniumlink/serving/_accounts.py
@@ -125,6 +125,15 @@
     version: int
     age_ms: int | None
 
+    @property
+    def effective_route(self) -> _types.Route | None:
+        """The route, with the priority of the account if that has one."""
+        if self.route is None or self.account is None:
+            return self.route
+        if self.account.priority is None:
+            return self.route
+        return self.route._replace(priority=self.account.priority)
+
 
 @dataclasses.dataclass(frozen=True)
 class Denied:
@@ -165,15 +174,6 @@
     return limit_ms is not None and (age_ms is None or age_ms > limit_ms)
 
 
-def with_priority(
-    route: _types.Route, account: _types.ClientAccount | None
-) -> _types.Route:
-    """Return a route with the priority of an account, if that has one."""
-    if account is None or account.priority is None:
-        return route
-    return route._replace(priority=account.priority)
-
-
 def decide(
     configuration: _types.Configuration,
     route: _types.Route | None,
--- a/src/geraniumlink/serving/_active_configuration.py
+++ b/src/geraniumlink/serving/_active_configuration.py
@@ -68,6 +68,19 @@
                 return route
         return None
 
+    def admit(self, request: _types.Request) -> _accounts.Admitted:
+        """Return the route and account of a request without a decision.
+
+        That is one that needs no account, or that another instance has
+        decided on.
+        """
+        return _accounts.Admitted(
+            self.find_route(request.host, request.target),
+            self.find_account(request.account),
+            self.version,
+            None,
+        )
+
     def find_account(self, name: str) -> _types.ClientAccount | None:
         """Return the account of a name; None if there is none."""
         if self._current is None or self._current.accounts is None:
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -35,22 +35,17 @@
 
 def admitted(
     state: _request_state.RequestState,
-    version: int,
-    confirmed_age_ms: int | None,
+    decided: _accounts.Admitted,
     now: int,
 ) -> None:
-    """Log the route and the configuration version of a new request.
-
-    :param confirmed_age_ms: how long ago the configuration was confirmed;
-        None if that isn't known, or doesn't matter.
-    """
+    """Log the route and the configuration version of a new request."""
     _logs.event(
         "admitted",
         request_id=state.log_id,
         route=state.route.name,
         account=state.request.account,
-        configuration_version=version,
-        confirmed_age_ms=confirmed_age_ms,
+        configuration_version=decided.version,
+        confirmed_age_ms=decided.age_ms,
         service=state.service,
         model=state.request.model,
         adapter=state.request.adapter,
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -183,6 +183,7 @@
 
         :param decided: its route and account if these are decided already.
         """
+        decided = decided or self._active_configuration.admit(request)
         route = await self._find_route(request, response, decided)
         if route is None:
             return
@@ -194,11 +195,7 @@
             if request.model:
                 self._residency.note_demand(state.service, request)
         now = self._clock.now()
-        version = self._active_configuration.version
-        age_ms = None
-        if decided is not None:
-            version, age_ms = decided.version, decided.age_ms
-        _decision_log.admitted(state, version, age_ms, now)
+        _decision_log.admitted(state, decided, now)
         try:
             await self._serve_in_time(state)
         except Exception:
@@ -242,17 +239,10 @@
         self,
         request: _types.Request,
         response: _response_writer.ResponseWriter,
-        decided: _accounts.Admitted | None,
+        decided: _accounts.Admitted,
     ) -> _types.Route | None:
         """Return a request's route; None if it got its final answer here."""
-        if decided is not None:
-            route, account = decided.route, decided.account
-        else:
-            configuration = self._active_configuration
-            route = configuration.find_route(request.host, request.target)
-            account = configuration.find_account(request.account)
-        if route is not None:
-            route = _accounts.with_priority(route, account)
+        route = decided.effective_route
         if request.is_relayed and not self._takes_relayed(route):
             await self._final_answers.send_own(
                 response,
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -6,6 +6,7 @@
 from geraniumlink.interface import _log_reader
 from geraniumlink import platform
 from geraniumlink.serving import _accounts
+from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _types
 from tests import hosts
 
@@ -61,6 +62,7 @@
         {"name": "", "api_keys": ["kb"]},
         {"name": "b\r\nx: y", "api_keys": ["kb"]},
         {"name": " b", "api_keys": ["kb"]},
+        {"name": "b" * 257, "api_keys": ["kb"]},
         {"name": 7, "api_keys": ["kb"]},
         {"name": "b", "api_keys": ["kb", 7]},
         {"name": "b", "api_keys": "kb"},
@@ -258,9 +260,17 @@
     ("own", "expected"), ((None, _ROUTE.priority), (0, 0), (7, 7))
 )
 def test_the_priority_of_an_account_overrides_that_of_the_route(own, expected):
-    account = _decode(priority=own).find("a")
-    assert _accounts.with_priority(_ROUTE, account).priority == expected
-    assert _accounts.with_priority(_ROUTE, None) == _ROUTE
+    active = _active_configuration.ActiveConfiguration()
+    active.apply_if_newer(_configure(priority=own))
+    request = platform.decode_request_head(
+        b"GET", b"/safe/x", [(b"host", hosts.HOST.encode())], 0
+    )
+    # Also for a request that another instance has decided on.
+    admitted = active.admit(request._replace(account="a"))
+    assert admitted.effective_route.priority == expected
+    for account in ("", "unknown"):
+        admitted = active.admit(request._replace(account=account))
+        assert admitted.effective_route == _ROUTE
 
 
 def _line(message, **fields):
--- a/tests/test_hosted_accounts.py
+++ b/tests/test_hosted_accounts.py
@@ -116,6 +116,65 @@
     assert headers["x-tenant"] == "other"
 
 
+async def _send_around(port, data, split, action):
+    """Send a request in two parts and do something in between."""
+    async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+        await stream.send(data[:-split])
+        # So that the head has arrived before the change.
+        await anyio.sleep(0.3)
+        await action()
+        await stream.send(data[-split:])
+        received = b""
+        while b"\r\n\r\n" not in received:
+            received += await stream.receive()
+        return hosts.Answer(received)
+
+
+async def test_a_version_that_comes_with_the_body_doesnt_change_a_decision(
+    fleet,
+):
+    """The request was accepted; its route and account stay."""
+    site = await _start(fleet, replicas=1)
+
+    async def remove_key_and_route():
+        spec = _configuration(3, {"name": "shop", "api_keys": ["other-key"]})
+        spec["routes"] = [r for r in spec["routes"] if r["name"] != "safe"]
+        await site.configure(spec)
+        await _until_status(site, 404, "/safe/x")
+
+    data = hosts.request_bytes("/safe/x", b"a body", **_token(_KEY))
+    answer = await _send_around(
+        site.instances[0].port, data, 3, remove_key_and_route
+    )
+    assert answer.status == 200
+    assert (await _last_headers(site))["x-tenant"] == "shop"
+
+
+@pytest.mark.parametrize("key", (_KEY, "unknown"))
+async def test_the_first_accounts_apply_to_a_request_without_its_body(
+    fleet, key
+):
+    """Otherwise its key would be forwarded, or a claimed account."""
+    site = await hosts.Site(fleet).start(replicas=1)
+
+    async def configure():
+        await site.configure(_configuration(2))
+        await _until_status(site, 401, "/safe/x")
+
+    data = hosts.request_bytes(
+        "/safe/x", b"a body", **_token(key), X_Tenant="other"
+    )
+    answer = await _send_around(site.instances[0].port, data, 3, configure)
+    if key == _KEY:
+        assert answer.status == 200
+        headers = await _last_headers(site)
+        assert headers["x-tenant"] == "shop"
+        assert "authorization" not in headers
+    else:
+        assert answer.status == 401
+        assert not any((await site.runs()).values())
+
+
 async def test_keys_change_with_the_configuration(fleet):
     """At an instance that watches, and at one that gets relayed changes."""
     site = await _start(fleet, replicas=1, instances=2)
