--- a/src/geraniumlink/hosting/_relay.py
+++ b/src/geraniumlink/hosting/_relay.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import base64
-import reprlib
 import typing
 import zlib
 
@@ -20,10 +19,10 @@
 
 # Limit on the changes of one kind in one message, when decompressed.
 MAX_CHANGES_BYTES = 16 * 2**20
-# When the changes of one kind are larger than this before compression, values
+# When the changes of one kind are larger than this after compression, values
 # above the second limit are left out. With base64 it leaves room in a message
 # (_http.MAX_BODY_BYTES); an entry of a replica is far smaller than a value
-# that is left out.
+# that is left out, and a configuration with 10,000 accounts fits.
 _MAX_COMPLETE_BYTES = 3 * 2**19
 _MAX_VALUE_BYTES = 2**16
 # Changes are encoded once for many instances, so a high level pays off.
@@ -58,11 +57,27 @@
             for kind, encoder in self._encoders.items()
         }
 
-    def apply_changes(self, encoded: typing.Any) -> None:
+    def confirmed_ages_ms(self) -> dict[str, int | None]:
+        """Return how old the changes are that are encoded now, by kind."""
+        return {
+            kind: watcher.confirmed_age_ms
+            for kind, watcher in self._watchers.items()
+        }
+
+    def apply_changes(
+        self,
+        encoded: typing.Any,
+        ages_ms: typing.Any = None,
+        sent_at: int = 0,
+    ) -> None:
         """Apply another instance's ``encode_changes``.
 
         A kind whose changes are malformed is left out, and the error is
         logged.
+
+        :param ages_ms: its ``confirmed_ages_ms``; instances of older builds
+            don't send them, and then nothing is confirmed.
+        :param sent_at: time since boot at which the changes were asked for.
         """
         for kind, watcher in self._watchers.items():
             try:
@@ -75,7 +90,9 @@
             except (KeyError, TypeError, ValueError) as error:
                 _logs.event("bad_relay", error=repr(error))
                 continue
-            watcher.apply_relayed(changes)
+            watcher.apply_relayed(
+                changes, _confirmed_as_of(kind, ages_ms, sent_at)
+            )
 
 
 class _ChangesEncoder:
@@ -111,10 +128,12 @@
     except orjson.JSONEncodeError:
         message[-1] = [_reduced_row(row, MAX_CHANGES_BYTES) for row in rows]
         data = orjson.dumps(message)
-    if len(data) > _MAX_COMPLETE_BYTES:
+    compressed = b""
+    if len(data) <= MAX_CHANGES_BYTES:
+        compressed = zlib.compress(data, _COMPRESSION_LEVEL)
+    if not 0 < len(compressed) <= _MAX_COMPLETE_BYTES:
         message[-1] = [_reduced_row(row, _MAX_VALUE_BYTES) for row in rows]
-        data = orjson.dumps(message)
-    compressed = zlib.compress(data, _COMPRESSION_LEVEL)
+        compressed = zlib.compress(orjson.dumps(message), _COMPRESSION_LEVEL)
     return base64.b64encode(compressed).decode()
 
 
@@ -151,6 +170,20 @@
             case [str(name), int(version), value]:
                 objects.append(_objects.Object(kind, name, version, value))
             case _:
-                reason = f"invalid row: {reprlib.repr(row)}"
+                # Not quoted: the configuration has keys.
+                reason = f"invalid row: {type(row).__name__}"
                 _logs.event("bad_relay", error=reason)
     return _object_watcher.Changes(int(revision), bool(is_snapshot), objects)
+
+
+def _confirmed_as_of(
+    kind: str, ages_ms: typing.Any, sent_at: int
+) -> int | None:
+    """Return the time as of which changes are complete, if it is known.
+
+    The other instance stated their age after ``sent_at``.
+    """
+    age_ms = ages_ms.get(kind) if isinstance(ages_ms, dict) else None
+    if type(age_ms) is not int or age_ms < 0:
+        return None
+    return sent_at - age_ms
