Charge requests to quotas of client accounts

Cause: an account's quota holds for the requests of all instances together, also while instances end or can't reach each other.

An issuer keeps the token bucket of an account; a backup answers if it doesn't, and the local share decides if neither does. The controller names both by rows of accounts.

--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -33,6 +33,10 @@
 _FLAG = Field(Kind.FLAG)
 _TEXTS = Field(Kind.TEXTS)
 FIELDS: dict[str, Field] = {
+    "account": _TEXT,
+    # Use of the account's quota a second, by all instances, as the issuer
+    # stated it.
+    "account_per_s": Field(Kind.NUMBER),
     "action": _TEXT,
     "adapter": _TEXT,
     "address": _TEXT,
@@ -41,7 +45,9 @@
     "attempt": _WHOLE,
     "attempts": _WHOLE,
     "author": _TEXT,
+    "backups": _TEXTS,
     "boot_id": _TEXT,
+    "burst": Field(Kind.NUMBER),
     "capacity_mb": _WHOLE,
     "change_id": _TEXT,
     "changed": _FLAG,
@@ -50,6 +56,7 @@
     "claim": _TEXT,
     "configuration_version": _WHOLE,
     "controller": _TEXT,
+    "cost": Field(Kind.NUMBER),
     "counts": Field(Kind.COUNTS),
     "crashes": _WHOLE,
     "cursor": _WHOLE,
@@ -77,11 +84,14 @@
     "instances": _WHOLE,
     # False if another instance was told.
     "is_own": _FLAG,
+    "issuer": _TEXT,
+    "issuers": _TEXTS,
     "kind": _TEXT,
     "last_event_id": _TEXT,
     "late_ms": _WHOLE,
     "leaving": _FLAG,
     "left_ms": _WHOLE,
+    "level": Field(Kind.NUMBER),
     # Null if the replica states no limit.
     "limit_per_s": Field(Kind.NUMBER, nullable=True),
     # Requests running, requests waiting, and capacity, as last stated by the
@@ -93,6 +103,7 @@
     "member": _TEXT,
     "messages": _WHOLE,
     "method": _TEXT,
+    "missing": _WHOLE,
     "missing_ms": _WHOLE,
     "model": _TEXT,
     "name": _TEXT,
@@ -119,6 +130,7 @@
     "problem": _TEXT,
     "probes": _WHOLE,
     "prompt_tokens": _WHOLE,
+    "quota_per_s": Field(Kind.NUMBER),
     "reason": _TEXT,
     "received_bytes": _WHOLE,
     # Null if a client sent the request here.
@@ -137,9 +149,12 @@
     "routes": _WHOLE,
     "seen": _TEXT,
     "sent_bytes": _WHOLE,
+    "serial": _WHOLE,
     "server": _TEXT,
     "service": _TEXT,
     "shard": _TEXT,
+    # This instance's part of the account's use; null if it isn't known.
+    "share": Field(Kind.NUMBER, nullable=True),
     "silent_ms": _WHOLE,
     "size_mb": _WHOLE,
     "software_version": _TEXT,
@@ -149,6 +164,8 @@
     "status": Field(Kind.WHOLE, nullable=True),
     "store_answered": Field(Kind.FLAG, nullable=True),
     "tokens_per_s": _WHOLE,
+    # Null if no issuer has answered yet.
+    "told_age_ms": Field(Kind.WHOLE, nullable=True),
     "took_ms": _WHOLE,
     "verdict": _TEXT,
     "version": _WHOLE,
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -514,6 +514,37 @@
         ("error", "peer"),
     ),
     "peer_says_ran": _claim_step("another instance has the call's result"),
+    "quota_charged": Message(
+        _REQUEST,
+        "a request was refused as its account's quota is used up, or was"
+        " admitted without the quota's issuer; `level` is what is left",
+        (
+            "account",
+            "account_per_s",
+            "burst",
+            "cost",
+            "granted",
+            "issuer",
+            "level",
+            "quota_per_s",
+            "request_id",
+            "share",
+            "source",
+            "told_age_ms",
+            "took_ms",
+            "wait_ms",
+        ),
+    ),
+    "quota_issuer_silent": Message(
+        _STATE,
+        "an issuer of quotas did not answer, and isn't asked for a while",
+        ("issuer", "missing"),
+    ),
+    "quota_issuers": Message(
+        _STATE,
+        "the instances that issue quotas, by rows of accounts, have changed",
+        ("backups", "epoch", "issuers", "serial"),
+    ),
     "record": _claim_step("an outcome was recorded with its claim"),
     "repeat_budget_used": Message(
         _REQUEST,
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -15,7 +15,8 @@
     +- load monitor      logs how late the event loop is, and messages
     +- version history   records the replicas' software versions
     +- stream origins    writes origins to the store as the controller
-    +- datagrams         exchanges stream origins and permits
+    +- datagrams         exchanges stream origins, permits and charges
+    +- quotas            checks which instances an issuer reaches
     +- signals           SIGTERM starts draining, SIGHUP reloads settings
 """
 
@@ -46,6 +47,7 @@
 from geraniumlink.hosting import _object_watcher
 from geraniumlink.hosting import _origin_exchange
 from geraniumlink.hosting import _permit_exchange
+from geraniumlink.hosting import _quota_exchange
 from geraniumlink.hosting import _relay
 from geraniumlink.hosting import _version_survey
 from geraniumlink import platform
@@ -56,6 +58,7 @@
 from geraniumlink.residency import _controller_link
 from geraniumlink.residency import _controller_protocol
 from geraniumlink.residency import _instance_directory
+from geraniumlink.residency import _issuer_table
 from geraniumlink.residency import _leadership
 from geraniumlink.residency import _limit_exchange
 from geraniumlink.residency import _message_client
@@ -66,6 +69,8 @@
 from geraniumlink.serving import _forward
 from geraniumlink.serving import _peer_relay
 from geraniumlink.serving import _peers
+from geraniumlink.serving import _quota_gate
+from geraniumlink.serving import _quotas
 from geraniumlink.serving import _reachability
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_metrics
@@ -196,6 +201,7 @@
             clock=clock,
             random_source=self._random,
         )
+        self._issuers, self._quotas = self._make_quotas()
         self._order_client = platform.OrderClient(
             _http.Client(keeps_alive=False),
             self._replicas.note_call_announcement,
@@ -285,6 +291,32 @@
             leases, self._settings.handover_gap_ms, self._clock
         )
 
+    def _make_quotas(
+        self,
+    ) -> tuple[_issuer_table.IssuerTable, _quota_exchange.QuotaExchange]:
+        settings, active = self._settings, self._active_configuration
+        issuers = _issuer_table.IssuerTable(
+            leadership=self._leadership,
+            own_address=str(settings.peer_address),
+            data_centre=settings.data_centre,
+            is_needed=lambda: _quota_gate.has_quotas(active),
+            clock=self._clock,
+        )
+        return issuers, _quota_exchange.QuotaExchange(
+            table=issuers,
+            leadership=self._leadership,
+            directory=self._directory,
+            datagrams=self._datagrams,
+            find_limit=lambda account: _quota_gate.find_limit(active, account),
+            bounds=_quotas.Bounds(
+                settings.quota_window_ms,
+                settings.quota_overshoot,
+                settings.quota_slack,
+            ),
+            clock=self._clock,
+            random_source=self._random,
+        )
+
     def _make_controller_protocol(
         self,
     ) -> _controller_protocol.ControllerProtocol:
@@ -305,6 +337,7 @@
             directory=self._directory,
             clock=self._clock,
             instance=self._settings.instance,
+            issuers=self._issuers,
         )
 
     def _make_forwarder(self) -> _forward.Forwarder:
@@ -330,6 +363,12 @@
             clock=self._clock,
             data_centre=self._settings.data_centre,
             random_source=self._random,
+            quota_gate=_quota_gate.QuotaGate(
+                quotas=self._quotas,
+                active_configuration=self._active_configuration,
+                metrics=_quota_gate.QuotaMetrics(self._metrics.registry),
+                random_source=self._random,
+            ),
         )
 
     def _make_application(self) -> _application.Application:
@@ -406,6 +445,7 @@
             _supervisor.Child("version history", self._version_history.run),
             _supervisor.Child("stream origins", self._origin_archive.run),
             _supervisor.Child("datagrams", self._datagrams.run),
+            _supervisor.Child("quotas", self._quotas.run),
         ]
         async with anyio.create_task_group() as group:
             group.start_soon(_supervisor.supervise, children, self._clock)
@@ -453,6 +493,7 @@
         _logs.event("draining", in_flight=self._application.in_flight)
         self._draining = True
         self._application.start_draining()
+        self._issuers.start_draining()
         exit_at = started_at + self._settings.grace_ms - EXIT_MARGIN_MS
         self._forwarder.end_by(exit_at - ANSWER_MARGIN_MS)
         with anyio.move_on_after(self._settings.handover_gap_ms / 1000):
--- a/src/geraniumlink/platform/_settings.py
+++ b/src/geraniumlink/platform/_settings.py
@@ -16,6 +16,9 @@
 # Name of the environment variable that holds the path of the settings file.
 SETTINGS_PATH_VARIABLE = "GERANIUMLINK_NODE_FILE"
 _MAX_PORT = 65_535
+# Used where the file doesn't state them.
+_QUOTA_WINDOW_S = 8
+_QUOTA_OVERSHOOT = 0.1
 
 
 class NodeSettings(typing.NamedTuple):
@@ -52,6 +55,11 @@
     link_mbit_per_s: float | None
     # Whether the whole system starts for the first time; called bootstrap.
     is_first_start: bool
+    # In each window, the use of a quota by all instances exceeds what the
+    # quota allows by at most quota_overshoot times that, plus quota_slack.
+    quota_window_ms: int
+    quota_overshoot: float
+    quota_slack: float
 
 
 def read_settings(path: pathlib.Path) -> NodeSettings:
@@ -88,6 +96,11 @@
         retry_constant=reader.read("bounds", "retry_slack", _fields.floor),
         link_mbit_per_s=reader.read("", "limits", _link_rate),
         is_first_start=reader.read("", "bootstrap", _flag),
+        quota_window_ms=reader.read("bounds", "quota_window_s", _quota_window),
+        quota_overshoot=reader.read(
+            "bounds", "quota_overshoot", _quota_overshoot
+        ),
+        quota_slack=reader.read("bounds", "quota_slack", _quota_slack),
     )
     if reader.findings:
         raise _fields.FormatError(str(reader.findings))
@@ -173,6 +186,22 @@
     return _fields.boolean(message, name, False)
 
 
+def _quota_window(message: typing.Any, name: str) -> int:
+    """Return the window of quotas in ms, rounded up; above 0."""
+    seconds = _fields.number(message, name, _QUOTA_WINDOW_S)
+    if not seconds:
+        raise _fields.FormatError(f"{name} is 0")
+    return math.ceil(1000 * seconds)
+
+
+def _quota_overshoot(message: typing.Any, name: str) -> float:
+    return float(_fields.number(message, name, _QUOTA_OVERSHOOT))
+
+
+def _quota_slack(message: typing.Any, name: str) -> float:
+    return float(_fields.number(message, name, 0))
+
+
 def _floor_ms(message: typing.Any, name: str) -> int:
     """Return a field in seconds as whole milliseconds, rounded down."""
     return math.floor(1000 * _fields.number(message, name))
--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -24,6 +24,7 @@
 from geraniumlink.residency import _controller_link
 from geraniumlink.residency import _demand
 from geraniumlink.residency import _instance_directory
+from geraniumlink.residency import _issuer_table
 from geraniumlink.residency import _leadership
 from geraniumlink.residency import _limit_exchange
 from geraniumlink.residency import _load_columns
@@ -109,6 +110,7 @@
         directory: _instance_directory.InstanceDirectory,
         clock: _clock.Clock,
         instance: str,
+        issuers: _issuer_table.IssuerTable | None = None,
     ) -> None:
         self._controller = controller
         self._leadership = leadership
@@ -125,6 +127,8 @@
         self._directory = directory
         self._clock = clock
         self._instance = instance
+        # None if this instance charges no quotas.
+        self._issuers = issuers
         # Prompt tokens since the last report, by service, model and adapter.
         self._prompt_tokens: dict[tuple[str, str, str], int] = {}
         self._totals = _load_totals.LoadTotals(clock)
@@ -229,17 +233,21 @@
                 leaving=self._replicas.leaving_unregistered(),
                 back_off_ms=self._replicas.back_off_times(),
                 limits=self._limits.make_report(),
+                issuers=(
+                    self._issuers.make_report() if self._issuers else None
+                ),
                 suspicions=self._request_sync.make_report(),
                 suspected_parts=self._part_sync.make_report(),
             )
+            sent_at = self._clock.now()
             if self._leadership.is_leader:
-                self._apply_answer(self._answer_report(report))
+                self._apply_answer(self._answer_report(report), sent_at)
                 continue
             answer = await self._link.call(
                 self._leadership.leader, REPORT_PATH, report
             )
             if answer is not None:
-                self._apply_answer(answer)
+                self._apply_answer(answer, sent_at)
 
     async def handle_message(self, path: str, body: bytes) -> typing.Any:
         """Return the answer to another instance's message.
@@ -311,6 +319,12 @@
         limits = None
         if "limits" in report:
             limits = self._limits.answer_report(report["limits"])
+        issuers = None
+        issuer_report = report.get("issuers")
+        if self._issuers is not None and issuer_report is not None:
+            issuers = self._issuers.answer_report(
+                str(report["address"]), issuer_report
+            )
         answer: dict[str, typing.Any] = {
             "instances": len(self._last_reports),
             "instance_list": (
@@ -328,6 +342,7 @@
             )[:MAX_WITHOUT_PATH],
             "leaving": self._leaving_elsewhere(sender),
             "limits": limits,
+            "issuers": issuers,
             "suspicions": suspicions,
             "suspected_parts": suspected_parts,
         }
@@ -339,8 +354,11 @@
             answer["objects"] = self._relay.encode_changes(report["known"])
         return answer
 
-    def _apply_answer(self, answer: typing.Any) -> None:
-        """Apply the controller's answer to a report; log a malformed one."""
+    def _apply_answer(self, answer: typing.Any, sent_at: int) -> None:
+        """Apply the controller's answer to a report; log a malformed one.
+
+        :param sent_at: when the report was sent.
+        """
         try:
             self._budgets.set_instances(int(answer["instances"]))
             self._directory.apply_list(answer.get("instance_list"))
@@ -354,6 +372,10 @@
             self._apply_other_loads(self._load_decoder.decode(answer["loads"]))
             if answer.get("limits") is not None:
                 self._limits.apply_answer(answer["limits"])
+            # Instances of older versions don't send it.
+            issuers = answer.get("issuers")
+            if self._issuers is not None and issuers is not None:
+                self._issuers.apply_answer(issuers, sent_at)
             self._request_sync.apply_answer(answer["suspicions"])
             self._part_sync.apply_answer(answer["suspected_parts"])
             if "objects" in answer:
--- /dev/null
+++ b/src/geraniumlink/residency/_issuer_table.py
@@ -0,0 +1,426 @@
+"""Names the instances that issue quotas, and tells all instances.
+
+An account belongs to one of a fixed number of rows by its name, and each row
+names an issuer and a backup. So a change of a row moves the accounts of that
+row only. The controller changes rows; the answers to reports carry the table
+to instances that have another version. A new controller goes on with the
+newest table that it or a reporting instance has.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+import functools
+import hashlib
+import typing
+
+from geraniumlink import _clock
+from geraniumlink import _logs
+from geraniumlink import _settings
+
+# Issuers at most; a power of two isn't needed.
+ROWS = 8
+# An instance that has not reported for this long is replaced, or sooner if
+# an instance that asked it had no answer. Reports come every 250 ms.
+LOST_MS = 1000
+ACCUSED_LOST_MS = 600
+# The controller names issuers only after this long in its term: the running
+# instances have reported by then, with the table of its predecessor.
+OBSERVATION_MS = 1000
+# An issuer that got no answer to a report sent within this time may have been
+# replaced.
+CONFIRMED_MS = 500
+# Rows of an instance that has more than its part are moved one by one, so
+# that no two moves fall into the window of a quota.
+REBALANCE_INTERVAL_MS = 10_000
+# An instance that ended its reports without draining may still serve clients,
+# cut off from the others. It counts for this long.
+ABSENT_MS = 30_000
+# So many of all instances may be absent without effect on the quotas of the
+# others, as the allowed overshoot covers them; and least part of a quota that
+# the others may use. Accounts use 55 % of their limit on average.
+ABSENT_PART = 0.05
+MIN_PRESENT_PART = 0.6
+# Instances that a report accuses at most.
+MAX_ACCUSED = 16
+
+
+class Row(typing.NamedTuple):
+    """Addresses of an issuer and its backup; "" if there is none."""
+
+    issuer: str
+    backup: str
+
+
+class Table(typing.NamedTuple):
+    """The issuers of all accounts; the highest version counts."""
+
+    # Epoch of the lease of the controller that changed it last, and the
+    # number of changes so far.
+    epoch: int
+    serial: int
+    rows: tuple[Row, ...]
+
+    @property
+    def version(self) -> tuple[int, int]:
+        return self.epoch, self.serial
+
+    def row_of(self, account: str) -> Row:
+        """Return the row of an account."""
+        return self.rows[find_row(account)]
+
+
+NO_TABLE = Table(0, 0, ())
+
+
+class ReportPart(typing.TypedDict):
+    """What an instance's report has of the table of issuers."""
+
+    # Version of the table that it has.
+    known: tuple[int, int]
+    # The table, if it is newer than that of the last answer.
+    table: list[typing.Any] | None
+    # Issuers that did not answer it.
+    silent: list[str]
+    # Whether it ends soon.
+    is_draining: bool
+    data_centre: str
+
+
+class AnswerPart(typing.TypedDict):
+    """What the controller's answer has of the table of issuers."""
+
+    known: tuple[int, int]
+    # The table, if the receiver's version differs.
+    table: list[typing.Any] | None
+    # Whether the controller has renewed its lease recently.
+    is_confirmed: bool
+    # Part of each quota that may be issued: the rest may be used by instances
+    # that are cut off from the controller.
+    rate_part: float
+
+
+@functools.lru_cache(maxsize=16_384)
+def find_row(account: str) -> int:
+    """Return the number of an account's row."""
+    digest = hashlib.blake2b(account.encode(), digest_size=8).digest()
+    return int.from_bytes(digest) % ROWS
+
+
+class Leadership(typing.Protocol):
+    """Tells whether this instance is the controller."""
+
+    @property
+    def is_leader(self) -> bool: ...
+
+    @property
+    def epoch(self) -> int: ...
+
+    def may_order(self) -> bool: ...
+
+
+class _Seen(typing.NamedTuple):
+    """What the controller knows of an instance."""
+
+    reported_at: int
+    is_draining: bool
+    data_centre: str
+
+
+class IssuerTable:
+    """Both sides of the exchange for one instance.
+
+    :param is_needed: whether any account has a quota.
+    """
+
+    def __init__(
+        self,
+        *,
+        leadership: Leadership,
+        own_address: str,
+        data_centre: str,
+        is_needed: Callable[[], bool],
+        clock: _clock.Clock,
+    ) -> None:
+        self._leadership = leadership
+        self._own_address = own_address
+        self._data_centre = data_centre
+        self._is_needed = is_needed
+        self._clock = clock
+        self._table = NO_TABLE
+        self._on_change: Callable[[Table, Table], None] = lambda _old, _new: (
+            None
+        )
+        # As an instance: of the controller's answers.
+        self._controller_version = (0, 0)
+        self._confirmed_at: int | None = None
+        self._rate_part = 1.0
+        # Issuers that did not answer this instance, until they do.
+        self._silent: set[str] = set()
+        self._is_draining = False
+        # As the controller.
+        self._term = 0
+        self._term_since = 0
+        self._seen: dict[str, _Seen] = {}
+        self._accused: dict[str, int] = {}
+        self._rebalanced_at = 0
+
+    @property
+    def current(self) -> Table:
+        """The newest table; without rows if there is none yet."""
+        return self._table
+
+    @property
+    def rate_part(self) -> float:
+        """Part of each quota that may be issued, as the controller stated."""
+        return self._rate_part
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether this instance can't have been replaced as an issuer."""
+        return (
+            self._confirmed_at is not None
+            and self._clock.now() - self._confirmed_at <= CONFIRMED_MS
+        )
+
+    def call_on_change(self, callback: Callable[[Table, Table], None]) -> None:
+        """Set what is called with the former and the new table."""
+        self._on_change = callback
+
+    def note_silent(self, address: str) -> None:
+        """Record that an issuer did not answer this instance."""
+        if len(self._silent) < MAX_ACCUSED:
+            self._silent.add(address)
+
+    def note_answered(self, address: str) -> None:
+        """Record that an issuer answered this instance."""
+        self._silent.discard(address)
+
+    def start_draining(self) -> None:
+        """Have others issue in place of this instance, as it ends soon."""
+        self._is_draining = True
+
+    def make_report(self) -> ReportPart:
+        """Return this instance's part of a report."""
+        is_newer = self._table.version > self._controller_version
+        return ReportPart(
+            known=self._table.version,
+            table=_to_json(self._table) if is_newer else None,
+            silent=sorted(self._silent),
+            is_draining=self._is_draining,
+            data_centre=self._data_centre,
+        )
+
+    def answer_report(self, address: str, report: ReportPart) -> AnswerPart:
+        """Apply an instance's report, as the controller; return the answer.
+
+        :param address: that of the instance.
+        :raises ValueError: if the report is malformed.
+        """
+        now = self._clock.now()
+        if self._term != self._leadership.epoch:
+            self._term, self._term_since = self._leadership.epoch, now
+            self._seen.clear()
+            self._accused.clear()
+            self._rebalanced_at = now
+        if report["table"] is not None:
+            self._accept(_from_json(report["table"]))
+        self._seen[address] = _Seen(
+            now, bool(report["is_draining"]), str(report["data_centre"])
+        )
+        for accused in report["silent"][:MAX_ACCUSED]:
+            self._accused[str(accused)] = now
+        if self._leadership.may_order() and self._is_needed():
+            self._name_issuers(now)
+        epoch, serial = report["known"]
+        is_known = (int(epoch), int(serial)) == self._table.version
+        return AnswerPart(
+            known=self._table.version,
+            table=None if is_known else _to_json(self._table),
+            is_confirmed=self._leadership.may_order(),
+            rate_part=self._present_part(now),
+        )
+
+    def apply_answer(self, answer: AnswerPart, sent_at: int) -> None:
+        """Apply the controller's answer to a report.
+
+        :param sent_at: when the report was sent.
+        :raises ValueError: if the answer is malformed.
+        """
+        epoch, serial = answer["known"]
+        self._controller_version = int(epoch), int(serial)
+        if answer["table"] is not None:
+            self._accept(_from_json(answer["table"]))
+        if answer["is_confirmed"]:
+            self._confirmed_at = sent_at
+            self._rate_part = min(1.0, max(0.0, float(answer["rate_part"])))
+
+    def accept_json(self, value: typing.Any) -> None:
+        """Use another instance's table if it is newer.
+
+        :raises ValueError: if it is malformed.
+        """
+        self._accept(_from_json(value))
+
+    def to_json(self) -> list[typing.Any]:
+        """Return the table for another instance."""
+        return _to_json(self._table)
+
+    def _accept(self, table: Table) -> None:
+        if table.version <= self._table.version:
+            return
+        former, self._table = self._table, table
+        named = {row.issuer for row in table.rows}
+        named |= {row.backup for row in table.rows}
+        self._silent &= named
+        _logs.event(
+            "quota_issuers",
+            epoch=table.epoch,
+            serial=table.serial,
+            issuers=[row.issuer for row in table.rows],
+            backups=[row.backup for row in table.rows],
+        )
+        self._on_change(former, table)
+
+    def _name_issuers(self, now: int) -> None:
+        """Replace the issuers that don't report any more."""
+        if now - self._term_since < OBSERVATION_MS:
+            return
+        self._seen = {
+            address: seen
+            for address, seen in self._seen.items()
+            if now - seen.reported_at < ABSENT_MS
+        }
+        rows = self._table.rows or (Row("", ""),) * ROWS
+        usable = {
+            address
+            for address, seen in self._seen.items()
+            if not seen.is_draining and not self._is_lost(address, now)
+        }
+        # The end of the controller must not take issuers with it.
+        if len(usable) > 2:
+            usable.discard(self._own_address)
+        if not usable:
+            return
+        renewed = self._replace(rows, usable)
+        if (
+            renewed == rows
+            and now - self._rebalanced_at >= REBALANCE_INTERVAL_MS
+        ):
+            self._rebalanced_at = now
+            renewed = self._rebalance(rows, usable)
+        if renewed != rows:
+            self._accept(
+                Table(self._leadership.epoch, self._table.serial + 1, renewed)
+            )
+
+    def _is_lost(self, address: str, now: int) -> bool:
+        silent_ms = now - self._seen[address].reported_at
+        accused_at = self._accused.get(address)
+        if accused_at is not None and now - accused_at < LOST_MS:
+            return silent_ms >= ACCUSED_LOST_MS
+        return silent_ms >= LOST_MS
+
+    def _replace(
+        self, rows: tuple[Row, ...], usable: set[str]
+    ) -> tuple[Row, ...]:
+        """Return the rows with usable instances only.
+
+        The backup takes the place of its issuer: it may already have issued.
+        """
+        roles = collections.Counter(
+            address for row in rows for address in row if address in usable
+        )
+        renewed = []
+        for row in rows:
+            issuer = row.issuer if row.issuer in usable else ""
+            backup = row.backup if row.backup in usable else ""
+            if not issuer:
+                issuer, backup = backup, ""
+            if not issuer:
+                issuer = self._choose(usable, "", roles)
+            if not backup:
+                backup = self._choose(usable - {issuer}, issuer, roles)
+            renewed.append(Row(issuer, backup))
+        return tuple(renewed)
+
+    def _choose(
+        self,
+        usable: set[str],
+        issuer: str,
+        roles: collections.Counter[str],
+    ) -> str:
+        """Return the instance with the fewest roles, and count one more.
+
+        A backup is best in another data centre than its issuer, so that they
+        aren't cut off together.
+
+        :param issuer: the row's issuer; "" if that is chosen.
+        """
+        if not usable:
+            return ""
+        centre = self._seen[issuer].data_centre if issuer else None
+        chosen = min(
+            usable,
+            key=lambda address: (
+                self._seen[address].data_centre == centre,
+                roles[address],
+                address,
+            ),
+        )
+        roles[chosen] += 1
+        return chosen
+
+    def _rebalance(
+        self, rows: tuple[Row, ...], usable: set[str]
+    ) -> tuple[Row, ...]:
+        """Return the rows with one less for an instance that has too many."""
+        counts = collections.Counter(row.issuer for row in rows)
+        busiest, most = counts.most_common(1)[0]
+        idlest = min(usable, key=lambda address: (counts[address], address))
+        if most - counts[idlest] < 2:
+            return rows
+        for number, row in enumerate(rows):
+            if row.issuer == busiest:
+                moved = Row(idlest, busiest)
+                return (*rows[:number], moved, *rows[number + 1 :])
+        return rows
+
+    def _present_part(self, now: int) -> float:
+        absent = sum(
+            not seen.is_draining and now - seen.reported_at >= LOST_MS
+            for seen in self._seen.values()
+        )
+        if not absent:
+            return 1.0
+        part = 1 + ABSENT_PART - absent / len(self._seen)
+        return min(1.0, max(MIN_PRESENT_PART, part))
+
+
+def _to_json(table: Table) -> list[typing.Any]:
+    return [table.epoch, table.serial, [list(row) for row in table.rows]]
+
+
+def _from_json(value: typing.Any) -> Table:
+    """Return a table of another instance.
+
+    :raises ValueError: if it is malformed.
+    """
+    match value:
+        case [int(epoch), int(serial), list(rows)] if (
+            len(rows) == ROWS or not rows
+        ):
+            return Table(epoch, serial, tuple(map(_row_from_json, rows)))
+        case _:
+            raise ValueError(f"malformed table of issuers: {value!r:.60}")
+
+
+def _row_from_json(value: typing.Any) -> Row:
+    match value:
+        case [str(issuer), str(backup)]:
+            for address in filter(None, (issuer, backup)):
+                _settings.parse_address(address)
+            return Row(issuer, backup)
+        case _:
+            raise ValueError(f"malformed issuer: {value!r:.60}")
--- a/src/geraniumlink/residency/_messages.py
+++ b/src/geraniumlink/residency/_messages.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from geraniumlink.residency import _issuer_table
 from geraniumlink.residency import _limit_exchange
 from geraniumlink.suspicion import _table_sync
 
@@ -95,6 +96,8 @@
     back_off_ms: dict[str, int]
     # Limits that replicas stated to it.
     limits: _limit_exchange.News
+    # The table of quotas' issuers; None if this instance doesn't use it.
+    issuers: _issuer_table.ReportPart | None
     # Requests that may have crashed replicas.
     suspicions: _table_sync.News
     # Parts of prompts that may have crashed replicas.
--- a/src/geraniumlink/serving/_accounts.py
+++ b/src/geraniumlink/serving/_accounts.py
@@ -79,6 +79,9 @@
                     self._by_digest[digest] = (digest, account)
         for digest in shared:
             del self._by_digest[digest]
+        self._have_quotas = any(
+            account.quota for account in self._by_name.values()
+        )
 
     def __repr__(self) -> str:
         return f"Accounts({len(self)})"
@@ -86,6 +89,11 @@
     def __len__(self) -> int:
         return len(self._by_name)
 
+    @property
+    def have_quotas(self) -> bool:
+        """Whether some account is limited."""
+        return self._have_quotas
+
     @property
     def problems(self) -> list[Problem]:
         """What takes no effect, in the order of the configuration."""
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -10,6 +10,7 @@
 from geraniumlink.serving import _balance
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _permits
+from geraniumlink.serving import _quotas
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_state
 from geraniumlink.serving import _stream_origins
@@ -89,6 +90,33 @@
     )
 
 
+def quota_charged(
+    state: _request_state.RequestState, decision: _quotas.Decision
+) -> None:
+    """Log a refused charge, or one that the issuer didn't decide on."""
+    answer = decision.answer
+    wait_ms = 0
+    if isinstance(answer, _quotas.OverQuota):
+        wait_ms = answer.wait_ms
+    _logs.event(
+        "quota_charged",
+        request_id=state.log_id,
+        account=decision.account,
+        cost=decision.cost,
+        granted=decision.is_charged,
+        source=decision.source.value,
+        issuer=decision.issuer,
+        quota_per_s=decision.limit.rate_per_s,
+        burst=decision.limit.burst,
+        level=round(answer.level, 3),
+        account_per_s=round(answer.total_per_s, 3),
+        share=decision.share,
+        told_age_ms=decision.told_age_ms,
+        wait_ms=wait_ms,
+        took_ms=decision.took_ms,
+    )
+
+
 def attempt(
     state: _request_state.RequestState, choice: _balance.Choice, now: int
 ) -> None:
--- a/src/geraniumlink/serving/_final_answers.py
+++ b/src/geraniumlink/serving/_final_answers.py
@@ -15,6 +15,7 @@
 MAX_RETRY_AFTER_MS = 4000
 # HTTP status codes.
 UNAVAILABLE = 503
+_TOO_MANY_REQUESTS = 429
 _BAD_GATEWAY = 502
 _TIMED_OUT = 504
 
@@ -108,7 +109,7 @@
             )
             return
         await state.response.send_complete(
-            UNAVAILABLE,
+            _TOO_MANY_REQUESTS if refusal.is_over_quota else UNAVAILABLE,
             platform.refusal_headers(refusal.retry_after_ms),
             refusal.reason.encode(),
         )
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -29,6 +29,7 @@
 from geraniumlink.serving import _peers
 from geraniumlink.serving import _permits
 from geraniumlink.serving import _process_probe
+from geraniumlink.serving import _quota_gate
 from geraniumlink.serving import _reachability
 from geraniumlink.serving import _replica_choice
 from geraniumlink.serving import _replicas
@@ -117,6 +118,7 @@
         clock: _clock.Clock,
         data_centre: str,
         random_source: random.Random,
+        quota_gate: _quota_gate.QuotaGate | None = None,
         choose: _balance.ChooseReplica = _balance.choose_replica,
     ) -> None:
         self._active_configuration = active_configuration
@@ -134,6 +136,7 @@
         self._connections = connections
         self._reachability = reachability
         self._peer_relay = peer_relay
+        self._quota_gate = quota_gate
         self._process_probe = _process_probe.ProcessProbe(
             replicas, connections, reachability, clock
         )
@@ -213,7 +216,7 @@
         with anyio.move_on_after(left_ms / 1000) as scope:
             self._time_limits.add(scope)
             try:
-                if await self._admit_resumed_stream(state):
+                if await self._is_admitted(state):
                     await self._run_attempts(state)
             finally:
                 self._time_limits.discard(scope)
@@ -222,8 +225,19 @@
             state.outcome = "timed out" if is_late else "shut down"
             await self._final_answers.send_timeout(state)
 
+    async def _is_admitted(self, state: _request_state.RequestState) -> bool:
+        """Whether a request may be sent to a replica; else refuse it."""
+        if self._quota_gate is not None:
+            refusal = await self._quota_gate.admit(state)
+            if refusal is not None:
+                await self._final_answers.send_refusal(state, refusal)
+                return False
+        return await self._admit_resumed_stream(state)
+
     def _record_end(self, state: _request_state.RequestState) -> None:
         now = self._clock.now()
+        if self._quota_gate is not None:
+            self._quota_gate.settle(state)
         if not state.response.finished:
             cause = _outcomes.find_cause(state.outcome, state.failed_attempt)
             _decision_log.unfinished(state, cause)
@@ -366,7 +380,9 @@
             else:
                 target, connected = successor
                 self._record_target(state, target)
+            state.in_attempt = True
             outcome, successor = await self._try(state, target, connected)
+            state.in_attempt = False
             self._metrics.record_attempt(
                 state.service, type(outcome).__name__.lower()
             )
@@ -593,6 +609,8 @@
         """
         if not may_load:
             return self._final_answers.make_refusal("the model isn't loaded")
+        if self._quota_gate is not None:
+            self._quota_gate.suspend(state)
         began = self._clock.now()
         wait_ms = state.latest_next_event - began - SERVE_RESERVE_MS
         _decision_log.waiting(state, available, wait_ms)
@@ -609,6 +627,8 @@
             # The controller knows a replica that this instance doesn't know
             # yet. Without a pause the caller would loop without waiting.
             await self._clock.sleep(REPLICA_POLL_MS)
+        if refusal is None and self._quota_gate is not None:
+            refusal = await self._quota_gate.admit(state)
         return refusal
 
     def _excluded_names(self, state: _request_state.RequestState) -> set[str]:
--- a/src/geraniumlink/serving/_outcomes.py
+++ b/src/geraniumlink/serving/_outcomes.py
@@ -75,6 +75,8 @@
     reason: str
     # None if a retry by the client can't succeed.
     retry_after_ms: int | None
+    # Whether the quota of the client's account is used up.
+    is_over_quota: bool = False
 
 
 class Cause(enum.Enum):
--- a/src/geraniumlink/serving/_quotas.py
+++ b/src/geraniumlink/serving/_quotas.py
@@ -26,11 +26,12 @@
 # what an issuer that doesn't know the account's past begins with.
 MARGIN_PART = 1 / 16
 INITIAL_PART = 7 / 16
-# A backup issues this part of the rate for BACKUP_MS, until it has been named
-# the issuer; after that the issuer is alive and only some can't reach it.
-BACKUP_RATE_PART = 0.25
+# A backup issues the first part, steadily, within BACKUP_MS, in which it is
+# named the issuer if that one has ended. After that the issuer is alive and
+# only some can't reach it: the second part is for the rest of the window.
+BACKUP_PART = 1 / 3
 BACKUP_MS = 1200
-BACKUP_TAIL_PART = 0.02
+BACKUP_REST_PART = 0.15
 # Without an issuer an instance uses its share of the account's recent use,
 # by the first part, and of the number of instances, by the second.
 LOCAL_USE_PART = 0.75
@@ -224,15 +225,19 @@
             self._level = min(self._level, self._capacity())
 
     def _refill(self, now: int) -> None:
+        elapsed_ms = now - self._at
+        per_ms = self._limit.rate_per_s / 1000
         if self._role is Role.PRIMARY:
-            elapsed_ms = (now - self._at) * self._rate_part
+            amount = per_ms * self._rate_part * elapsed_ms
         else:
-            boost_end = self._backup_since + BACKUP_MS
-            boosted = max(0, min(now, boost_end) - self._at)
-            elapsed_ms = BACKUP_RATE_PART * boosted + BACKUP_TAIL_PART * (
-                now - self._at - boosted
-            )
-        refilled = self._level + self._limit.rate_per_s * elapsed_ms / 1000
+            first_end = self._backup_since + BACKUP_MS
+            first_ms = max(0, min(now, first_end) - self._at)
+            rest_ms = max(1, self._bounds.window_ms - BACKUP_MS)
+            first_per_ms = BACKUP_PART * self._overshoot / BACKUP_MS
+            rest_per_ms = BACKUP_REST_PART * self._overshoot / rest_ms
+            amount = min(per_ms, first_per_ms) * first_ms
+            amount += min(per_ms, rest_per_ms) * (elapsed_ms - first_ms)
+        refilled = self._level + amount
         # A refilled level above the capacity only arises from a change of
         # the limit or of the role.
         self._level = min(refilled, self._capacity())
@@ -322,12 +327,27 @@
         self._share: float | None = None
         self._level = 0.0
         self._level_at = now
-        # What was sent in the last window, by who admitted it ("": this
-        # instance), and that the others don't know of.
+        # What was sent without the issuer's knowledge, by who admitted it
+        # ("": this instance), less this instance's share of the rate since.
         self._untold: dict[str, float] = {}
         self._untold_at = now
+        self._limit = Limit(0.0, 0.0)
+        self._part = 0.0
         self.used_at = now
 
+    def set_terms(self, limit: Limit, instances: int) -> None:
+        """Set the quota's present terms.
+
+        :param instances: how many share the quota, 0 if that isn't known.
+        """
+        self._limit = limit
+        if not instances:
+            self._part = 1 / UNKNOWN_INSTANCES
+            return
+        equal = 1 / instances
+        share = equal if self._share is None else self._share
+        self._part = LOCAL_USE_PART * share + LOCAL_EQUAL_PART * equal
+
     @property
     def share(self) -> float | None:
         """This instance's part of the account's use, if it is known."""
@@ -348,10 +368,10 @@
 
     def untold_to(self, issuer: str, now: int) -> float:
         """Return what was sent without an issuer's knowledge."""
-        if now - self._untold_at > self._bounds.window_ms:
-            self._untold.clear()
+        self._settle_untold(now)
         return sum(
-            cost for admitter, cost in self._untold.items()
+            cost
+            for admitter, cost in self._untold.items()
             if admitter != issuer
         )
 
@@ -366,28 +386,25 @@
             self._own.add(cost, now)
             if role is Role.BACKUP:
                 self._add_untold(issuer, cost, now)
-        self._told_by, self._told_at = issuer, now
-        self._told_level = answer.level
+        if role is Role.PRIMARY:
+            # A backup's level says nothing of what the issuer has left.
+            self._told_by, self._told_at = issuer, now
+            self._told_level = answer.level
         self._told_total_per_s = answer.total_per_s
         if answer.total_per_s > 0:
             own_per_s = self._own.per_s(now)
             self._share = min(1.0, own_per_s / answer.total_per_s)
 
-    def charge_locally(
-        self, limit: Limit, cost: float, instances: int, now: int
-    ) -> Answer:
+    def charge_locally(self, cost: float, now: int) -> Answer:
         """Charge a request to this instance's share of the quota.
 
         The share's bucket may go into debt by one request: it is smaller
         than one request for most accounts.
-
-        :param instances: how many share the quota, 0 if that isn't known.
         """
         self.used_at = now
-        part = self._local_part(instances)
-        per_ms = limit.rate_per_s * part / 1000
+        per_ms = self._limit.rate_per_s * self._part / 1000
         refilled = self._level + per_ms * (now - self._level_at)
-        self._level = min(refilled, limit.burst * part)
+        self._level = min(refilled, self._limit.burst * self._part)
         self._level_at = now
         total_per_s = self._told_total_per_s
         if self._level < 0:
@@ -404,15 +421,59 @@
         untold = self._untold.get("", 0.0) - cost
         self._untold[""] = max(0.0, untold)
 
-    def _local_part(self, instances: int) -> float:
-        if not instances:
-            return 1 / UNKNOWN_INSTANCES
-        equal = 1 / instances
-        share = equal if self._share is None else self._share
-        return LOCAL_USE_PART * share + LOCAL_EQUAL_PART * equal
-
     def _add_untold(self, admitter: str, cost: float, now: int) -> None:
-        if now - self._untold_at > self._bounds.window_ms:
-            self._untold.clear()
+        self._settle_untold(now)
         self._untold[admitter] = self._untold.get(admitter, 0.0) + cost
+
+    def _settle_untold(self, now: int) -> None:
+        """Deduct this instance's share of the rate, which it may use."""
+        total = sum(self._untold.values())
+        allowed = self._limit.rate_per_s * self._part / 1000
+        left = total - allowed * (now - self._untold_at)
         self._untold_at = now
+        if left <= 0:
+            self._untold.clear()
+        else:
+            for admitter in self._untold:
+                self._untold[admitter] *= left / total
+
+
+class Source(enum.Enum):
+    """Who decided on a charge; the values appear in log lines."""
+
+    ISSUER = "issuer"
+    BACKUP = "backup"
+    LOCAL = "local share"
+
+
+class Decision(typing.NamedTuple):
+    """The outcome of a charge, with what it was based on."""
+
+    account: str
+    limit: Limit
+    cost: float
+    answer: Answer
+    source: Source
+    # Address of the instance that decided.
+    issuer: str
+    took_ms: int
+    # This instance's part of the account's use, and the age of the issuer's
+    # last answer; None if not known.
+    share: float | None
+    told_age_ms: int | None
+
+    @property
+    def is_charged(self) -> bool:
+        return isinstance(self.answer, Charged)
+
+
+class Quotas(typing.Protocol):
+    """Charges requests to accounts."""
+
+    async def charge(
+        self, account: str, limit: Limit, cost: float
+    ) -> Decision:
+        """Charge a request to an account; takes at most 100 ms."""
+
+    def refund(self, decision: Decision) -> None:
+        """Take back the charge of a request that has not run."""
--- a/src/geraniumlink/serving/_request_state.py
+++ b/src/geraniumlink/serving/_request_state.py
@@ -5,6 +5,7 @@
 import hashlib
 
 from geraniumlink.serving import _outcomes
+from geraniumlink.serving import _quotas
 from geraniumlink.serving import _response_writer
 from geraniumlink.serving import _types
 from geraniumlink.suspicion import _prompt_parts
@@ -51,6 +52,10 @@
         self.tried_replicas: set[str] = set()
         # Whether some replica ran it, or may have.
         self.may_have_run = False
+        # Whether it is at a replica, or at another instance.
+        self.in_attempt = False
+        # What its account's quota was charged; None if nothing.
+        self.charge: _quotas.Decision | None = None
         # Id of the last event that the client has; a stream is resumed after
         # it. Empty if there is none.
         self.last_event_id = request.last_event_id
