--- a/src/geraniumlink/platform/_settings.py
+++ b/src/geraniumlink/platform/_settings.py
@@ -19,6 +19,8 @@
 # Used where the file doesn't state them.
 _QUOTA_WINDOW_S = 8
 _QUOTA_OVERSHOOT = 0.1
+# Bound on the use of removed keys where it is asked for without a number.
+DEFAULT_REVOCATION_BOUND_MS = 5000
 
 
 class NodeSettings(typing.NamedTuple):
@@ -53,6 +55,9 @@
     retry_constant: int
     # Rate of this machine's network link; None if it isn't stated.
     link_mbit_per_s: float | None
+    # No request runs that was sent longer than this after its key was removed;
+    # None if that isn't asked for.
+    revocation_bound_ms: int | None
     # Whether the whole system starts for the first time; called bootstrap.
     is_first_start: bool
     # In each window, the use of a quota by all instances exceeds what the
@@ -95,6 +100,7 @@
         retry_window_ms=reader.read("bounds", "retry_window_s", _ceiling_ms),
         retry_constant=reader.read("bounds", "retry_slack", _fields.floor),
         link_mbit_per_s=reader.read("", "limits", _link_rate),
+        revocation_bound_ms=reader.read("", "bounds", _revocation_bound),
         is_first_start=reader.read("", "bootstrap", _flag),
         quota_window_ms=reader.read("bounds", "quota_window_s", _quota_window),
         quota_overshoot=reader.read(
@@ -171,6 +177,16 @@
     return port
 
 
+def _revocation_bound(message: typing.Any, name: str) -> int | None:
+    """Return the bound on the use of removed keys, if it is asked for."""
+    bounds = _fields.mapping(message, name)
+    if bounds.get("strict_revoke") is None:
+        return None
+    if not _fields.boolean(bounds, "strict_revoke"):
+        return None
+    return _fields.floor(bounds, "revoke_ms", DEFAULT_REVOCATION_BOUND_MS)
+
+
 def _link_rate(message: typing.Any, name: str) -> float | None:
     """Return the link's rate in the limits of the machine, if stated."""
     if name not in message:
--- a/src/geraniumlink/residency/_issuer_table.py
+++ b/src/geraniumlink/residency/_issuer_table.py
@@ -154,6 +154,7 @@
         )
         # As an instance: of the controller's answers.
         self._controller_version = (0, 0)
+        # In time since boot.
         self._confirmed_at: int | None = None
         self._rate_part = 1.0
         # Issuers that did not answer this instance, until they do.
@@ -181,7 +182,7 @@
         """Whether this instance can't have been replaced as an issuer."""
         return (
             self._confirmed_at is not None
-            and self._clock.now() - self._confirmed_at <= CONFIRMED_MS
+            and self._clock.since_boot() - self._confirmed_at <= CONFIRMED_MS
         )
 
     def call_on_change(self, callback: Callable[[Table, Table], None]) -> None:
@@ -245,7 +246,7 @@
     def apply_answer(self, answer: AnswerPart, sent_at: int) -> None:
         """Apply the controller's answer to a report.
 
-        :param sent_at: when the report was sent.
+        :param sent_at: time since boot before the report was sent.
         :raises ValueError: if the answer is malformed.
         """
         epoch, serial = answer["known"]
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -208,7 +208,7 @@
         instance.directory.apply_list(
             controller.directory.list_for(instance.directory.received_digest)
         )
-        instance.table.apply_answer(answer, self.clock.now())
+        instance.table.apply_answer(answer, self.clock.since_boot())
 
     async def send(self, account, until):
         """Send requests for an account from all instances at random."""
