--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -249,7 +249,6 @@
                 suspicions=self._request_sync.make_report(),
                 suspected_parts=self._part_sync.make_report(),
             )
-            sent_at = self._clock.now()
             if self._leadership.is_leader:
                 self._apply_answer(self._answer_report(report), sent_at)
                 continue
