--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -33,10 +33,12 @@
 _FLAG = Field(Kind.FLAG)
 _TEXTS = Field(Kind.TEXTS)
 FIELDS: dict[str, Field] = {
+    # Empty if the request has none.
     "account": _TEXT,
     # Use of the account's quota a second, by all instances, as the issuer
     # stated it.
     "account_per_s": Field(Kind.NUMBER),
+    "accounts": _WHOLE,
     "action": _TEXT,
     "adapter": _TEXT,
     "address": _TEXT,
@@ -55,6 +57,8 @@
     "child": _TEXT,
     "claim": _TEXT,
     "configuration_version": _WHOLE,
+    # Null if it never was confirmed, or doesn't matter.
+    "confirmed_age_ms": Field(Kind.WHOLE, nullable=True),
     "controller": _TEXT,
     "cost": Field(Kind.NUMBER),
     "counts": Field(Kind.COUNTS),
@@ -129,6 +133,7 @@
     "priority": _WHOLE,
     "problem": _TEXT,
     "probes": _WHOLE,
+    "problems": _WHOLE,
     "prompt_tokens": _WHOLE,
     "quota_per_s": Field(Kind.NUMBER),
     "reason": _TEXT,
