--- a/src/geraniumlink/hosting/_quota_exchange.py
+++ b/src/geraniumlink/hosting/_quota_exchange.py
@@ -282,10 +282,14 @@
         return answer
 
     def _note_missing(self, address: str) -> None:
+        now = self._clock.now()
         missing = self._missing.get(address, 0) + 1
         self._missing[address] = missing
-        if missing >= MAX_MISSING:
-            self._silent_until[address] = self._clock.now() + SILENCE_MS
+        if (
+            missing >= MAX_MISSING
+            and self._silent_until.get(address, now) <= now
+        ):
+            self._silent_until[address] = now + SILENCE_MS
             self._table.note_silent(address)
             _logs.event("quota_issuer_silent", issuer=address, missing=missing)
 
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -194,8 +194,6 @@
         # The instance to which the client sent it counts a relayed one.
         if not request.is_relayed:
             self._budgets.deposit(state.service)
-            if request.model:
-                self._residency.note_demand(state.service, request)
         now = self._clock.now()
         version = self._active_configuration.version
         age_ms = None
@@ -239,6 +237,9 @@
             if refusal is not None:
                 await self._final_answers.send_refusal(state, refusal)
                 return False
+        # What is over quota is no demand for its model.
+        if state.request.model and not state.request.is_relayed:
+            self._residency.note_demand(state.service, state.request)
         return await self._admit_resumed_stream(state)
 
     def _record_end(self, state: _request_state.RequestState) -> None:
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -265,6 +265,11 @@
         address = self._settings[index]["listen"]["ready"]
         return int(address.rpartition(":")[2])
 
+    def peer_address(self, index: int) -> str:
+        """Return an instance's address for other instances."""
+        settings = self._settings[index]
+        return f"{settings['ip']}:{settings['internal_ports'][0]}"
+
     async def configure(self, spec: dict) -> None:
         await self.put("config", "main", spec)
 
