Spread the return of clients that the local share refuses

Cause: each of them was told when the share's bucket is out of debt, the same time for all. The issuer's buckets already promise tokens one after another; both use the same code now.

--- a/src/geraniumlink/serving/_quotas.py
+++ b/src/geraniumlink/serving/_quotas.py
@@ -140,6 +140,26 @@
         return self._sum * math.exp(min(0, self._at - now) / self._decay_ms)
 
 
+class _Promises:
+    """Spreads the times at which refused requests are told to come back."""
+
+    def __init__(self) -> None:
+        self._until = 0.0
+
+    def wait_ms(
+        self, missing: float, cost: float, per_ms: float, now: int
+    ) -> int:
+        """Return when the tokens for a request are there.
+
+        Those that were promised to others are not.
+
+        :param missing: tokens that the request lacks now.
+        """
+        turn_at = max(now + missing / per_ms, self._until)
+        self._until = min(turn_at + cost / per_ms, now + MAX_WAIT_MS)
+        return math.ceil(min(turn_at - now, MAX_WAIT_MS))
+
+
 class _Bucket:
     """One account's tokens at an issuer."""
 
@@ -156,8 +176,7 @@
         self._started_at = now
         self._at = now
         self._use = DecayingSum(bounds.window_ms)
-        # When the tokens are available that were promised to those refused.
-        self._promised_until = 0.0
+        self._promises = _Promises()
         level = INITIAL_PART * self._overshoot
         if duty.role is Role.PRIMARY:
             # No other one has issued since it was named.
@@ -188,11 +207,9 @@
             self._level -= cost
             self._use.add(cost, now)
             return Charged(self._level, self._use.per_s(now))
-        per_ms = limit.rate_per_s / 1000
-        available_at = now + (needed - self._level) / per_ms
-        turn_at = max(available_at, self._promised_until)
-        self._promised_until = min(turn_at + cost / per_ms, now + MAX_WAIT_MS)
-        wait_ms = math.ceil(min(turn_at - now, MAX_WAIT_MS))
+        wait_ms = self._promises.wait_ms(
+            needed - self._level, cost, limit.rate_per_s / 1000, now
+        )
         return OverQuota(wait_ms, self._level, self._use.per_s(now))
 
     def refund(self, cost: float) -> None:
@@ -327,6 +344,7 @@
         self._share: float | None = None
         self._level = 0.0
         self._level_at = now
+        self._promises = _Promises()
         # What was sent without the issuer's knowledge, by who admitted it
         # ("": this instance), less this instance's share of the rate since.
         self._untold: dict[str, float] = {}
@@ -408,7 +426,7 @@
         self._level_at = now
         total_per_s = self._told_total_per_s
         if self._level < 0:
-            wait_ms = math.ceil(min(-self._level / per_ms, MAX_WAIT_MS))
+            wait_ms = self._promises.wait_ms(-self._level, cost, per_ms, now)
             return OverQuota(wait_ms, self._level, total_per_s)
         self._level -= cost
         self._own.add(cost, now)
