Test accounts beside the build before

Change: tests with a controller of the last landing without accounts, which states no age, and with instances of it that take relayed requests. The function that checks a landing out moves to tests/hosts.py.

--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -7,9 +7,12 @@
 
 import base64
 import contextlib
+import io
 import itertools
 import json
 import pathlib
+import subprocess
+import tarfile
 import typing
 
 import anyio
@@ -102,6 +105,19 @@
     }
 
 
+def check_out(commit, folder):
+    """Write a landing's source to a folder; return the path to run it with."""
+    archive = subprocess.run(
+        ["git", "archive", commit, "src"],
+        cwd=fleets.ROOT,
+        capture_output=True,
+        check=True,
+    ).stdout
+    with tarfile.open(fileobj=io.BytesIO(archive)) as files:
+        files.extractall(folder, filter="data")
+    return str(pathlib.Path(folder) / "src")
+
+
 class Partition(typing.NamedTuple):
     """An instance, and the links that lead from it to the replicas."""
 
--- a/tests/test_builds_side_by_side.py
+++ b/tests/test_builds_side_by_side.py
@@ -1,14 +1,8 @@
 """Instances of this build and of earlier landings work together."""
 
-import io
-import pathlib
-import subprocess
-import tarfile
-
 import anyio
 import pytest
 
-from standins import fleet as fleets
 from standins import replica as replicas
 from tests import hosts
 
@@ -20,19 +14,6 @@
 _EVENTS = b"".join(replicas.event(n) for n in range(1, replicas.EVENTS + 1))
 
 
-def _check_out(commit, folder):
-    """Write a landing's source to a folder; return the path to run it with."""
-    archive = subprocess.run(
-        ["git", "archive", commit, "src"],
-        cwd=fleets.ROOT,
-        capture_output=True,
-        check=True,
-    ).stdout
-    with tarfile.open(fileobj=io.BytesIO(archive)) as files:
-        files.extractall(folder, filter="data")
-    return str(pathlib.Path(folder) / "src")
-
-
 class _Upgrade:
     """A site whose instances are replaced one by one, while clients send."""
 
@@ -97,7 +78,7 @@
     site = await hosts.Site(fleet).start(
         replicas=3, instances=0, models=("m1",)
     )
-    upgrade = _Upgrade(site, _check_out(commit, tmp_path / commit))
+    upgrade = _Upgrade(site, hosts.check_out(commit, tmp_path / commit))
     for _ in range(3):
         await upgrade.add(is_old=True)
     await fleet.until(
--- a/tests/test_hosted_accounts.py
+++ b/tests/test_hosted_accounts.py
@@ -11,6 +11,8 @@
 
 _KEY = "key-of-shop-5f1c"
 _BOUND_MS = 2000
+# The last landing without accounts.
+_BUILD_BEFORE = "61322b5"
 
 
 def _configuration(version=1, *tenants, **fields):
@@ -306,3 +308,59 @@
             )
             assert answer.status == 200
         await anyio.sleep(0.1)
+
+
+async def _start_beside_build_before(fleet, folder, instances):
+    """Start a site that is controlled by an instance of the build before."""
+    old_path = hosts.check_out(_BUILD_BEFORE, folder)
+    site = await hosts.Site(fleet).start(
+        replicas=3, instances=0, models=("m1",)
+    )
+    for _ in range(instances):
+        await site.add_instance(environment={"PYTHONPATH": old_path})
+    await fleet.until(
+        lambda: hosts.find_log_lines(site.instances[0], "lease_taken"),
+        "the first instance is the controller",
+    )
+    return site
+
+
+async def test_a_controller_of_the_build_before_confirms_nothing(
+    fleet, tmp_path
+):
+    """It states no age, so an instance asks the store by itself."""
+    site = await _start_beside_build_before(fleet, tmp_path, instances=1)
+    site.bounds = {"strict_revoke": True, "revoke_ms": _BOUND_MS}
+    await site.add_instance()
+    await site.configure(_configuration(2))
+    await _until_status(site, 200, "/safe/x", 1, **_token(_KEY))
+    await _until_status(site, 401, "/safe/x", 1)
+    port = site.instances[1].port
+    until = time.monotonic() + 1.5 * _BOUND_MS / 1000
+    while time.monotonic() < until:
+        answer = await hosts.send_request(port, "/safe/x", **_token(_KEY))
+        assert answer.status == 200
+        await anyio.sleep(0.05)
+    other = {"name": "shop", "api_keys": ["other-key"]}
+    await site.configure(_configuration(3, other))
+    with anyio.fail_after(3):
+        await _until_status(site, 401, "/safe/x", 1, **_token(_KEY))
+
+
+async def test_the_build_before_forwards_a_relayed_account(fleet, tmp_path):
+    site = await _start_beside_build_before(fleet, tmp_path, instances=2)
+    partition = await site.add_partitionable_instance()
+    await site.configure(_configuration(2))
+    await _until_status(site, 401, "/safe/x", 2)
+    await partition.cut("refuse")
+
+    async def is_passed_on():
+        await hosts.send_request(
+            partition.instance.port, "/safe/x", **_token(_KEY), X_Model="m1"
+        )
+        return any((await site.runs()).values())
+
+    await fleet.until(is_passed_on, "a request is passed on and runs")
+    headers = await _last_headers(site)
+    assert headers["x-tenant"] == "shop"
+    assert "authorization" not in headers
