Decode load reports with further fields

Cause: a fourth figure in X-Server-Load made the decoder drop the whole header, so an instance knew no load of replicas that state their service time. X-Token-Usage and X-Prefix-Hash had the same fault, and a number of over 4,300 digits in a client's header raised ValueError.

Change: LoadReport.service_time_percent holds the fourth figure; a malformed one is dropped alone, and further ones are ignored. The log message "attempt" has it. Numbers of any length are cut off at the bound.

test_a_fraction_in_a_replicas_headers_is_ignored compares a whole LoadReport now, since the tuple has another field.

--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -139,6 +139,7 @@
     "sent_bytes": _WHOLE,
     "server": _TEXT,
     "service": _TEXT,
+    "service_time_percent": Field(Kind.NUMBER, nullable=True),
     "shard": _TEXT,
     "silent_ms": _WHOLE,
     "size_mb": _WHOLE,
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -105,6 +105,7 @@
             "load_age_ms",
             "replica",
             "request_id",
+            "service_time_percent",
             "software_version",
         ),
     ),
--- a/src/geraniumlink/platform/_heads.py
+++ b/src/geraniumlink/platform/_heads.py
@@ -70,6 +70,7 @@
 # 24 hours in milliseconds: a client's timeout is cut off there. Token counts
 # and Content-Length, which have other units, are cut off at the same number.
 _MAX_HEADER_NUMBER = 86_400_000
+_MAX_HEADER_DIGITS = 9
 _DECIMAL_NUMBER = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 # Dates have the names of days and months.
 _DATE = re.compile(rb"[A-Za-z]{3},? ")
@@ -93,7 +94,7 @@
     # Whether the replica states that it did not execute the request, so that
     # it may be sent to another one.
     not_run: bool
-    # None when the replica did not say, or not as three numbers.
+    # None when the replica did not say, or not as numbers.
     load: _types.LoadReport | None
     # The requests a second that it takes from all instances together.
     rate_limit: _types.StatedNumber
@@ -302,7 +303,10 @@
     """Return a number, cut off at the bound; None if it is not digits."""
     if value is None or not value.isdigit():
         return None
-    return min(int(value), _MAX_HEADER_NUMBER)
+    # int() raises ValueError for over 4,300 digits.
+    if len(value.lstrip(b"0")) > _MAX_HEADER_DIGITS:
+        return _MAX_HEADER_NUMBER
+    return min(int(value[-_MAX_HEADER_DIGITS:]), _MAX_HEADER_NUMBER)
 
 
 def _milliseconds(value: bytes | None) -> int | None:
@@ -313,21 +317,26 @@
 
 
 def _token_counts(value: bytes) -> tuple[int, int]:
-    """Return the prompt and output tokens of ``1460,80``; 0 when unknown."""
-    prompt, _, output = value.partition(b",")
+    """Return the prompt and output tokens of ``1460,80``; 0 when unknown.
+
+    Further fields are ignored.
+    """
+    prompt, output, *_ = [*value.split(b","), b""]
     return _bounded_int(prompt.strip()) or 0, _bounded_int(output.strip()) or 0
 
 
 def _prefix_blocks(value: bytes) -> tuple[_types.PrefixBlock, ...]:
     """Return the blocks of ``5c1e:800,91bd:410``, each a key and its tokens.
 
-    Entries of another form are left out.
+    Further fields of an entry are ignored; entries of another form are left
+    out.
     """
     prefix_blocks = []
-    for pair in value.decode("latin-1").split(","):
-        key, _, tokens = pair.strip().partition(":")
-        if key and tokens.isdecimal():
-            prefix_blocks.append(_types.PrefixBlock(key, int(tokens)))
+    for entry in value.decode("latin-1").split(","):
+        key, tokens, *_ = [*entry.strip().split(":"), ""]
+        count = _bounded_int(tokens.encode("latin-1"))
+        if key and count is not None:
+            prefix_blocks.append(_types.PrefixBlock(key, count))
     return tuple(prefix_blocks)
 
 
@@ -335,14 +344,20 @@
     """Return the load of ``running,waiting,slots``; None if malformed.
 
     Fractions, as of averages, are rounded up to whole requests, and down to
-    whole slots.
+    whole slots. Some replicas state their service time in percent after
+    these. Further fields are ignored, so that replicas may add some.
     """
     fields = [field.strip() for field in value.split(b",")]
-    if len(fields) != 3 or not all(map(_DECIMAL_NUMBER.fullmatch, fields)):
+    counts = fields[:3]
+    if len(counts) != 3 or not all(map(_DECIMAL_NUMBER.fullmatch, counts)):
         return None
-    running, waiting, slots = (float(field) for field in fields)
+    running, waiting, slots = map(float, counts)
+    percent = None
+    if len(fields) > 3 and _DECIMAL_NUMBER.fullmatch(fields[3]):
+        # 0 is no service time.
+        percent = float(fields[3]) or None
     return _types.LoadReport(
-        math.ceil(running), math.ceil(waiting), math.floor(slots)
+        math.ceil(running), math.ceil(waiting), math.floor(slots), percent
     )
 
 
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -94,6 +94,7 @@
 ) -> None:
     """Log the replica chosen and the estimates for it."""
     replica = choice.replica
+    load = replica.load
     peer_load = replica.recent_peer_load(now)
     _logs.event(
         "attempt",
@@ -104,8 +105,9 @@
         expected_ms=round(choice.expected_ms),
         in_flight=replica.in_flight,
         in_flight_elsewhere=peer_load.in_flight if peer_load else None,
-        load=list(replica.load) if replica.load else None,
-        load_age_ms=now - replica.load_at if replica.load else None,
+        load=list(load[:3]) if load else None,
+        load_age_ms=now - replica.load_at if load else None,
+        service_time_percent=load.service_time_percent if load else None,
         failures=round(replica.failure_rate(now), 2),
         limit_per_s=replica.rate_limit.per_s,
         left_ms=state.deadline - now,
--- a/src/geraniumlink/serving/_types.py
+++ b/src/geraniumlink/serving/_types.py
@@ -231,6 +231,9 @@
     running: int
     waiting: int
     slots: int
+    # Its current service time in percent of the usual one; None if it did
+    # not say.
+    service_time_percent: float | None = None
 
     @property
     def has_room(self) -> bool:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -91,6 +91,46 @@
     assert request.client_timeout_ms is None
 
 
+def test_further_fields_of_a_request_head_are_ignored():
+    """Fields that clients may add later don't hide those that are known."""
+    request = _decode_request(
+        (b"x-token-usage", b"1460,80,5"),
+        (b"x-prefix-hash", b"5c1e:800:x,91bd:410"),
+    )
+    assert (request.prompt_tokens, request.output_tokens) == (1460, 80)
+    assert [block.tokens for block in request.prefix_blocks] == [800, 410]
+
+
+@pytest.mark.parametrize("digits", (b"9" * 5000, b"0" * 5000 + b"7"))
+def test_a_number_of_any_length_is_decoded(digits):
+    """int() raises an error for over 4,300 digits."""
+    request = _decode_request(
+        (b"x-token-usage", digits), (b"x-prefix-hash", b"a:" + digits)
+    )
+    expected = 7 if digits.endswith(b"7") else 86_400_000
+    assert request.prompt_tokens == expected
+    assert request.prefix_blocks == (_types.PrefixBlock("a", expected),)
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    (
+        (b"3,0,8,140", (3, 0, 8, 140)),
+        (b"3, 0, 8, 87.5, 9, x", (3, 0, 8, 87.5)),
+        (b"3,0,8,", (3, 0, 8, None)),
+        (b"3,0,8,fast", (3, 0, 8, None)),
+        (b"3,0,8,0", (3, 0, 8, None)),
+        (b"3,0,8,-1,2", (3, 0, 8, None)),
+        (b"3,0", None),
+        (b"3,x,8,140", None),
+        (b"", None),
+    ),
+)
+def test_a_fourth_load_figure_doesnt_hide_the_others(value, load):
+    head = platform.decode_response_head(200, [(b"X-Server-Load", value)])
+    assert head.load == load
+
+
 def test_hop_by_hop_and_internal_headers_are_not_forwarded():
     request = _decode_request(
         (b"connection", b"close, x-mine"),
--- a/tests/test_platform_numbers.py
+++ b/tests/test_platform_numbers.py
@@ -10,6 +10,7 @@
 
 from geraniumlink import platform
 from geraniumlink.platform import _replicas
+from geraniumlink.serving import _types
 from tests import hosts
 
 _SETTINGS = {
@@ -153,4 +154,4 @@
         [(b"Keep-Alive", b"timeout=2.5"), (b"X-Server-Load", b"3.0, 0.5,8")],
     )
     assert head.keep_alive_ms == 2500
-    assert head.load == (3, 1, 8)
+    assert head.load == _types.LoadReport(3, 1, 8)
