Don't count rejections as runs of a request

Cause: a request that a replica provably did not run used up one of the route's max_attempts.

Change: max_attempts bounds the replicas on which a request ran or may have run. Rejections are paid from the retry budget, of which a quarter is left to urgent requests and to those that broke off. A replica that has rejected a request for want of room is chosen after others for 200 ms. Requests that time out after rejections alone get 503, not 504.

--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -122,6 +122,7 @@
     "reason": _TEXT,
     "received_bytes": _WHOLE,
     # Null if a client sent the request here.
+    "rejections": _WHOLE,
     "relayed_attempts": Field(Kind.WHOLE, nullable=True),
     "repeats": _WHOLE,
     "replica": _TEXT,
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -117,6 +117,7 @@
             "attempt",
             "outcome",
             "reason",
+            "rejections",
             "replica",
             "request_id",
             "why_final",
--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -18,6 +18,7 @@
 from geraniumlink.serving import _events
 from geraniumlink.serving import _failover
 from geraniumlink.serving import _outcomes
+from geraniumlink.serving import _rejections
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_state
 from geraniumlink.serving import _stream_origins
@@ -207,17 +208,21 @@
         return _outcomes.Failed(head.status, head.headers, body)
 
     def _record_refusal(self, head: platform.ResponseHead) -> None:
-        """Record that the replica can't serve the model or the adapter now.
+        """Record why the replica can't serve the request now.
 
-        Status 421 says so. A replica that is unloading a model refuses
-        requests for it even with free slots, and lists it as resident until
-        its last run has ended.
+        A replica that is unloading a model refuses requests for it even with
+        free slots, and lists it as resident until its last run has ended.
         """
         request, now = self._state.request, self._clock.now()
-        if head.status == 421:
-            self._replica.note_not_loaded(request.model, request.adapter, now)
-        elif head.load is not None and head.load.has_room:
-            self._replica.note_not_loaded(request.model, "", now)
+        match _rejections.find_cause(head.status, head.load, request.model):
+            case _rejections.Cause.NOT_LOADED:
+                self._replica.note_not_loaded(
+                    request.model, request.adapter, now
+                )
+            case _rejections.Cause.CLOSING:
+                self._replica.note_not_loaded(request.model, "", now)
+            case _rejections.Cause.NO_ROOM:
+                self._replica.last_rejection.note(now)
 
     async def _read_head(self) -> platform.ResponseHead:
         """Return the response head; skip responses to other requests."""
@@ -484,7 +489,7 @@
         route = self._state.route
         if (
             not self._state.can_be_repeated
-            or self._state.attempts >= route.max_attempts
+            or self._state.runs >= route.max_attempts
         ):
             return None
         if self._state.response.started and route.gap_target_ms:
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -143,6 +143,7 @@
         attempt=state.attempts,
         outcome=type(outcome).__name__,
         reason=_outcomes.reason_of(outcome),
+        rejections=state.rejections,
         why_final=why_final,
     )
 
--- a/src/geraniumlink/serving/_final_answers.py
+++ b/src/geraniumlink/serving/_final_answers.py
@@ -83,7 +83,7 @@
         """Send the final response to a request that has timed out."""
         if state.response.started:
             return
-        if state.attempts:
+        if state.runs:
             await self.send_own(
                 state.response, _TIMED_OUT, "no answer in time", retry=False
             )
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -36,6 +36,7 @@
 from geraniumlink.serving import _request_state
 from geraniumlink.serving import _response_writer
 from geraniumlink.serving import _retry_budgets
+from geraniumlink.serving import _retry_rules
 from geraniumlink.serving import _stream_origins
 from geraniumlink.serving import _types
 from geraniumlink.suspicion import _prompt_parts
@@ -443,16 +444,17 @@
                 or state.connect_failures <= MAX_CONNECT_FAILURES
                 else "not connected"
             )
-        why_not = _why_may_not_retry(state, outcome)
+        why_not = _retry_rules.why_may_not_retry(state, outcome)
         if why_not:
             return why_not
-        if state.attempts >= state.route.max_attempts:
-            return "no attempts left"
         if self._is_confirmed_crasher(state):
             return _CRASHED_BEFORE
         if self._prompt_parts.is_blocked(state.shared_parts):
             return _PART_CRASHED_BEFORE
-        if not self._budgets.try_withdraw(state.service, state.log_id):
+        keeps_reserve = _retry_rules.keeps_reserve(state, outcome)
+        if not self._budgets.try_withdraw(
+            state.service, state.log_id, keeps_reserve
+        ):
             return "no repeat budget left"
         return ""
 
@@ -532,7 +534,11 @@
         ):
             return self._final_answers.make_back_off_refusal(left_ms)
         if not available:
-            return self._final_answers.make_refusal("no replica is in service")
+            return self._final_answers.make_refusal(
+                "all replicas have rejected it"
+                if state.rejections
+                else "no replica is in service"
+            )
         return None
 
     def _back_off_ms(
@@ -821,9 +827,7 @@
                 self._suspicions.clear_crashes(state.fingerprint)
                 self._prompt_parts.note_completion(state.shared_parts)
             case _outcomes.NotRun():
-                # A request that has failed over doesn't end because the next
-                # replica rejects it.
-                state.attempts -= state.failed_over
+                state.rejections += 1
             case _outcomes.Failed(status=status):
                 replica.note_outcome(status >= 500, now)
             case _:  # Interrupted.
@@ -941,19 +945,3 @@
 
     def discard(self, successor: _failover.Successor) -> None:
         self._forwarder.discard_successor(self._state, successor)
-
-
-def _why_may_not_retry(
-    state: _request_state.RequestState, outcome: _outcomes.Outcome
-) -> str:
-    """Return why there may be no retry after an outcome; "" if there may."""
-    if state.passed_on and isinstance(outcome, _outcomes.Failed):
-        return "the other instance's answer is final"
-    match outcome:
-        case _outcomes.NotRun():
-            may_retry = True
-        case _outcomes.Failed(status=status):
-            may_retry = state.can_be_repeated and status >= 500
-        case _:
-            may_retry = state.can_be_repeated
-    return "" if may_retry else "the route does not allow it after this"
--- a/src/geraniumlink/serving/_peer_relay.py
+++ b/src/geraniumlink/serving/_peer_relay.py
@@ -60,7 +60,7 @@
         return platform.encode_relayed_head(
             state.request,
             left_ms=max(1, left_ms),
-            attempts=state.attempts - 1,
+            attempts=state.runs - 1,
             last_event_id=state.last_event_id,
             resumes=state.request.resumes
             or (state.request.id if state.response.started else b""),
--- a/src/geraniumlink/serving/_replica_choice.py
+++ b/src/geraniumlink/serving/_replica_choice.py
@@ -15,6 +15,7 @@
 from geraniumlink.serving import _final_answers
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _permits
+from geraniumlink.serving import _rejections
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_state
 from geraniumlink.serving import _types
@@ -189,7 +190,7 @@
     ) -> _balance.Choice | _outcomes.Refusal:
         """Choose a candidate, or refuse if its answer would be too late."""
         choice = self._choose_replica(
-            candidates,
+            _rejections.prefer_others(candidates, now),
             state.request,
             state.route.priority,
             self._data_centre,
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -17,6 +17,7 @@
 from geraniumlink import _clock
 from geraniumlink import _logs
 from geraniumlink.serving import _prefill_speed
+from geraniumlink.serving import _rejections
 from geraniumlink.serving import _types
 
 # A replica with a missing entry is used for this much less than the time in
@@ -108,6 +109,7 @@
         self.rate_limit = NO_LIMIT
         # None before its first answer.
         self.brittleness: Brittleness | None = None
+        self.last_rejection = _rejections.LastRejection()
         # Before this time no permit to send to it is asked for.
         self.denied_until = 0
         # Since when its entry is missing; None while it is there.
--- a/src/geraniumlink/serving/_request_state.py
+++ b/src/geraniumlink/serving/_request_state.py
@@ -40,6 +40,8 @@
         self._event_deadline = request.received_at + _longest_gap_ms(route)
         # Replicas that it was sent to, also by another instance before.
         self.attempts = request.relayed_attempts or 0
+        # Replicas among them that stated that they did not run it.
+        self.rejections = 0
         # Whether another instance took it, and may have sent it to replicas
         # that aren't known here.
         self.passed_on = False
@@ -77,6 +79,11 @@
         # none has.
         self.failed_attempt: _outcomes.Outcome | None = None
 
+    @property
+    def runs(self) -> int:
+        """On how many replicas it ran, or may have run."""
+        return self.attempts - self.rejections
+
     @property
     def latest_next_event(self) -> int:
         """When the next event, or a whole answer, comes too late."""
--- a/src/geraniumlink/serving/_retry_budgets.py
+++ b/src/geraniumlink/serving/_retry_budgets.py
@@ -23,6 +23,10 @@
 # Number of instances assumed until it is known; more than the users' smaller
 # sites have.
 ASSUMED_INSTANCES = 10
+# Part of the budget that only retries with a claim to it may use, in whole
+# retries: a small budget has none. In a storm of rejections all of the budget
+# is used, and requests that broke off would be lost.
+RESERVED_PART = 0.25
 
 
 class RetryLimit(typing.NamedTuple):
@@ -63,18 +67,30 @@
         """Count a client's request."""
         self._window(self._requests, service).append(self._clock.now())
 
-    def has_retry_left(self, service: str) -> bool:
-        """Whether a retry may be sent now."""
+    def has_retry_left(
+        self, service: str, keeps_reserve: bool = False
+    ) -> bool:
+        """Whether a retry may be sent now.
+
+        :param keeps_reserve: whether it leaves RESERVED_PART of the budget to
+            others.
+        """
         requests = len(self._window(self._requests, service))
         retries = len(self._window(self._retries, service))
         constant = self._limit.constant / self._instances
         allowed = SAFETY_FACTOR * (self._limit.ratio * requests + constant)
-        return retries + 1 <= allowed
+        reserved = int(RESERVED_PART * allowed) if keeps_reserve else 0
+        return retries + 1 + reserved <= allowed
 
-    def try_withdraw(self, service: str, request_id: str = "") -> bool:
-        """Return whether a retry may be sent, and count it if so."""
+    def try_withdraw(
+        self, service: str, request_id: str = "", keeps_reserve: bool = False
+    ) -> bool:
+        """Return whether a retry may be sent, and count it if so.
+
+        :param keeps_reserve: as for ``has_retry_left``.
+        """
         retries = self._window(self._retries, service)
-        if not self.has_retry_left(service):
+        if not self.has_retry_left(service, keeps_reserve):
             _logs.event(
                 "repeat_budget_used",
                 request_id=request_id,
--- a/src/geraniumlink/serving/_types.py
+++ b/src/geraniumlink/serving/_types.py
@@ -53,7 +53,7 @@
     # 0 is the most urgent.
     priority: int
     shares: tuple[Share, ...]
-    # Replicas that one client request may be sent to, one after another.
+    # Replicas on which one client request may run, one after another.
     max_attempts: int
     # Whether another replica can continue a stream after a given event.
     resumable: bool
