Don't have models moved for requests that full holders reject

Change: a request that was rejected as full, and was sent to as many replicas as its route allows, is refused at once instead of waiting.

--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -599,6 +599,8 @@
         """
         if not may_load:
             return self._final_answers.make_refusal("the model isn't loaded")
+        if not _retry_rules.may_wait_for_copy(state):
+            return self._final_answers.make_refusal("all holders are full")
         began = self._clock.now()
         wait_ms = state.latest_next_event - began - SERVE_RESERVE_MS
         _decision_log.waiting(state, available, wait_ms)
@@ -826,8 +828,9 @@
                 replica.note_outcome(False, now)
                 self._suspicions.clear_crashes(state.fingerprint)
                 self._prompt_parts.note_completion(state.shared_parts)
-            case _outcomes.NotRun():
+            case _outcomes.NotRun(is_full=is_full):
                 state.rejections += 1
+                state.was_rejected_as_full |= is_full
             case _outcomes.Failed(status=status):
                 replica.note_outcome(status >= 500, now)
             case _:  # Interrupted.
--- a/src/geraniumlink/serving/_request_state.py
+++ b/src/geraniumlink/serving/_request_state.py
@@ -42,6 +42,8 @@
         self.attempts = request.relayed_attempts or 0
         # Replicas among them that stated that they did not run it.
         self.rejections = 0
+        # Whether one of them had no room for it.
+        self.was_rejected_as_full = False
         # Whether another instance took it, and may have sent it to replicas
         # that aren't known here.
         self.passed_on = False
--- a/src/geraniumlink/serving/_retry_rules.py
+++ b/src/geraniumlink/serving/_retry_rules.py
@@ -33,6 +33,19 @@
     return ""
 
 
+def may_wait_for_copy(state: _request_state.RequestState) -> bool:
+    """Whether a request may wait until another replica holds its model.
+
+    In overload, the requests that full holders reject would otherwise have
+    copies loaded in the place of other models. Those that were sent to fewer
+    replicas than the route allows do wait.
+    """
+    return (
+        not state.was_rejected_as_full
+        or state.attempts < state.route.max_attempts
+    )
+
+
 def keeps_reserve(
     state: _request_state.RequestState, outcome: _outcomes.Outcome
 ) -> bool:
--- a/tests/scripted_replicas.py
+++ b/tests/scripted_replicas.py
@@ -158,9 +158,13 @@
 
 
 class _Residency:
-    """Loads nothing."""
+    """Loads nothing, and counts the calls."""
+
+    def __init__(self):
+        self.calls = 0
 
     async def ensure_loaded(self, *_args):
+        self.calls += 1
         return _outcomes.Refusal("nothing is loaded", 500)
 
     def note_demand(self, *_args):
@@ -190,8 +194,13 @@
         }
         self.budgets = _retry_budgets.RetryBudgets(limit, clock)
         self.budgets.set_instances(1)
+        self._residency = _Residency()
         self._forwarder = self._make_forwarder(max_attempts, priority)
 
+    @property
+    def residency_calls(self) -> int:
+        return self._residency.calls
+
     def _make_forwarder(self, max_attempts, priority) -> _forward.Forwarder:
         async def dial(address):
             await asyncio.sleep(_LATENCY_S)
@@ -213,7 +222,7 @@
         return _forward.Forwarder(
             active_configuration=active,
             replicas=self.replicas,
-            residency=_Residency(),
+            residency=self._residency,
             budgets=self.budgets,
             suspicions=_suspicions.SuspicionTable(self.clock),
             prompt_parts=_prompt_parts.PromptParts(
--- a/tests/test_rejections.py
+++ b/tests/test_rejections.py
@@ -87,6 +87,20 @@
     assert replies == [*_REJECTING * 2, _Reply.SERVED]
 
 
+@pytest.mark.parametrize(
+    ("reply", "waits"), ((_Reply.MISDIRECTED, True), (_Reply.FULL, False))
+)
+def test_requests_beyond_the_room_have_models_moved(reply, waits):
+    async def play(clock):
+        site = scripted_replicas.Site(clock, [reply] * 2, 2, 1, _LIMIT)
+        # It doesn't hold the model, and could load it.
+        site.replicas.update(builders.replica_entry("other", models=()))
+        status, _ = await site.send(b"1", "unsafe", "m1")
+        return status, site.residency_calls
+
+    assert _virtual_time.run(play) == (503, int(waits))
+
+
 def test_a_replica_that_rejected_is_chosen_again_at_once():
     async def play(clock):
         replies = [_Reply.FULL] + [_Reply.SERVED] * 20
