Learn the time of calls and the speed of replicas from what they state

Their load in flight wasn't reported by instances, and a report of 0 hid what the replicas stated. Replicas differ 1.3 to 2.4 times in speed, which an instance with none or one request at each can't measure by itself.

Change: where replicas state their service time, _service_times.py smooths it for each replica, and _call_times.py learns the time of a call from completed ones, smooths the reported load, and draws replica and wait, so that instances with the same old news don't act alike.

--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -374,6 +374,7 @@
             for replica in self._replicas.all()
             if replica.entry.residents
             or self._replicas.max_rejections(replica) is not None
+            or replica.service_time.is_stated
         }
         return _messages.loads_to_json(loads)
 
--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -13,6 +13,7 @@
 from geraniumlink import _http
 from geraniumlink import _logs
 from geraniumlink import platform
+from geraniumlink.serving import _balance
 from geraniumlink.serving import _connections
 from geraniumlink.serving import _decision_log
 from geraniumlink.serving import _events
@@ -81,6 +82,10 @@
         self._tokens_to_read = self._prefill_tokens + replica.tokens_ahead(
             self._priority, self._sent_at
         )
+        # Requests at the replica before it, as far as known.
+        self._ahead = replica.in_flight + _balance.requests_of_others(
+            replica, self._sent_at
+        )
         self._body_sent = False
         # Whether the connection may carry another request.
         self.reusable = False
@@ -107,6 +112,7 @@
         replica = self._replica
         replica.begin_request(self._sent_at)
         replica.prefill_tokens[self._priority] += self._prefill_tokens
+        replica.memory.begin(self._state.request)
         try:
             return await self._exchange()
         except _http.BrokenError as error:
@@ -117,6 +123,7 @@
             if self._stall_timer is not None:
                 self._stall_timer.cancel()
             replica.in_flight -= 1
+            replica.memory.end(self._state.request)
             self._end_prefill()
             await self._failover.stop()
 
@@ -274,6 +281,7 @@
                 await response.write(bytes(held))
                 held.clear()
         self._finish_response(head)
+        self._record_call(head)
         if response.started:
             await response.finish()
         else:
@@ -391,6 +399,28 @@
             and not is_nameless_refusal
         )
 
+    def _record_call(self, head: platform.ResponseHead) -> None:
+        """Record how long a call to a service without an engine took.
+
+        A body that was sent in parts may have waited for the client.
+        """
+        load, replica = head.load, self._replica
+        if (
+            self._state.request.model
+            or self._state.response.started
+            or load is None
+            or load.service_time_percent is None
+        ):
+            return
+        now = self._clock.now()
+        replica.call_times.note_call(
+            now - self._sent_at,
+            replica.service_time.factor(now),
+            self._ahead,
+            max(1, replica.entry.slots),
+            now,
+        )
+
     def _record_first_event(self) -> None:
         """Record the time to first event; the prompt has been read."""
         if self._first_event_at is None:
@@ -403,7 +433,8 @@
         took_ms = now - self._sent_at
         self._replica.note_excess_latency(took_ms - self._expected_ms, now)
         self._replica.prefill_speed.note_first_event(
-            self._tokens_to_read, took_ms
+            self._tokens_to_read,
+            took_ms / self._replica.service_time.factor(now),
         )
         self._replica.remember_prefix(self._state.request)
         self._end_prefill()
--- a/src/geraniumlink/serving/_balance.py
+++ b/src/geraniumlink/serving/_balance.py
@@ -19,6 +19,7 @@
 import random
 import typing
 
+from geraniumlink.serving import _call_times
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _types
 
@@ -78,18 +79,25 @@
     """Return the replica with the lowest cost.
 
     The cost is the expected time to the first event, with penalties for
-    failures and for leaving the data centre, and a random factor.
+    failures and for leaving the data centre, and a random factor. Calls whose
+    time has been learned are drawn; see ``_call_times``.
 
     :raises ValueError: if there are no replicas.
     """
+    if (
+        replicas
+        and not request.model
+        and replicas[0].call_times.call_ms(now) is not None
+    ):
+        return _draw_for_call(
+            replicas, request, data_centre, now, random_source
+        )
     best: tuple[float, Choice] | None = None
     if len(replicas) > SAMPLE_SIZE:
         replicas = random_source.sample(replicas, SAMPLE_SIZE)
     for replica in replicas:
         expected = estimate_first_event_ms(replica, request, priority, now)
-        cost = expected + FAILURE_PENALTY_MS * replica.failure_rate(now)
-        if replica.entry.data_centre != data_centre:
-            cost += OTHER_DATA_CENTRE_PENALTY_MS
+        cost = _cost(replica, expected, data_centre, now)
         cost *= random_source.uniform(1, 1 + JITTER)
         if best is None or cost < best[0]:
             best = (cost, Choice(replica, expected))
@@ -98,6 +106,47 @@
     return best[1]
 
 
+def _draw_for_call(
+    replicas: list[_replicas.Replica],
+    request: _types.Request,
+    data_centre: str,
+    now: int,
+    random_source: random.Random,
+) -> Choice:
+    """Choose among the replicas of a service with learned call times."""
+    expected = [
+        estimate_first_event_ms(replica, request, 0, now)
+        for replica in replicas
+    ]
+    costs = [
+        _cost(replica, expected_ms, data_centre, now)
+        for replica, expected_ms in zip(replicas, expected, strict=True)
+    ]
+    of_others = _call_times.share_of_others(
+        sum(replica.in_flight for replica in replicas),
+        sum(requests_of_others(replica, now) for replica in replicas),
+    )
+    index = _call_times.draw_replica(costs, of_others, random_source)
+    replica = replicas[index]
+    call_ms = replica.service_time.factor(now) * (
+        replica.call_times.call_ms(now) or 0.0
+    )
+    wait_ms = _call_times.draw_wait(
+        expected[index] - call_ms, of_others, random_source
+    )
+    return Choice(replica, call_ms + wait_ms)
+
+
+def _cost(
+    replica: _replicas.Replica, expected_ms: float, data_centre: str, now: int
+) -> float:
+    """Return the expected time with the penalties."""
+    cost = expected_ms + FAILURE_PENALTY_MS * replica.failure_rate(now)
+    if replica.entry.data_centre != data_centre:
+        cost += OTHER_DATA_CENTRE_PENALTY_MS
+    return cost
+
+
 def estimate_first_event_ms(
     replica: _replicas.Replica,
     request: _types.Request,
@@ -109,7 +158,15 @@
     running, waiting = _load_of_others(replica, now)
     slots = max(1, replica.entry.slots)
     # A request without a model goes to a service without an engine.
+    factor = replica.service_time.factor(now)
     if not request.model:
+        call_ms = replica.call_times.call_ms(now)
+        if call_ms is not None:
+            return _call_times.expected_ms(
+                factor * call_ms,
+                replica.in_flight + requests_of_others(replica, now),
+                slots,
+            )
         ahead = replica.in_flight + running + waiting
         return (1 + ahead / slots) * PLAIN_CALL_MS + replica.excess_latency_ms(
             now
@@ -120,13 +177,28 @@
     busy = replica.in_flight + running
     full = FULL_PENALTY_MS if busy >= slots else 0.0
     return (
-        replica.prefill_speed.expected_ms(tokens)
-        + busy * MS_PER_RUNNING_REQUEST
+        factor * replica.prefill_speed.expected_ms(tokens)
+        + factor * busy * MS_PER_RUNNING_REQUEST
         + full
         + replica.excess_latency_ms(now)
     )
 
 
+def requests_of_others(replica: _replicas.Replica, now: int) -> float:
+    """Return how many requests of other instances are at a replica.
+
+    Unlike ``_load_of_others`` it is what is likely now, not the last news.
+    """
+    load, age_ms = replica.load, now - replica.load_at
+    stated: int | None = None
+    if load is not None and age_ms <= LOAD_STALE_MS:
+        stated = max(0, load.running + load.waiting - replica.load_own)
+    reported = 0.0
+    if replica.recent_peer_load(now) is not None:
+        reported = replica.reported.requests
+    return _call_times.requests_of_others(reported, stated, age_ms)
+
+
 def _load_of_others(replica: _replicas.Replica, now: int) -> tuple[int, int]:
     """Return how many requests of others run and wait at a replica.
 
--- a/src/geraniumlink/serving/_prefill_speed.py
+++ b/src/geraniumlink/serving/_prefill_speed.py
@@ -36,11 +36,12 @@
         """Return how long an engine takes to read a number of tokens."""
         return self._factor * tokens / PREFILL_TOKENS_PER_MS
 
-    def note_first_event(self, tokens: int, took_ms: int) -> None:
+    def note_first_event(self, tokens: int, took_ms: float) -> None:
         """Record the time to a first event.
 
         :param tokens: prompt tokens that were to be read before it, those of
             requests ahead included, as far as they are known here.
+        :param took_ms: as it were at the replica's usual service time.
         """
         if tokens < MIN_TOKENS:
             return
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -16,8 +16,11 @@
 
 from geraniumlink import _clock
 from geraniumlink import _logs
+from geraniumlink.serving import _call_times
+from geraniumlink.serving import _engine_memory
 from geraniumlink.serving import _prefill_speed
 from geraniumlink.serving import _rejections
+from geraniumlink.serving import _service_times
 from geraniumlink.serving import _types
 
 # A replica with a missing entry is used for this much less than the time in
@@ -56,6 +59,8 @@
     prefill_tokens: dict[int, int]
     # When the report arrived here, by this instance's clock.
     reported_at: int
+    # Tokens of its requests, prompts and expected outputs; None if unknown.
+    kv_tokens: int | None = None
 
 
 class RateLimit(typing.NamedTuple):
@@ -89,10 +94,15 @@
         self,
         entry: _types.ReplicaEntry,
         prefill_speed: _prefill_speed.PrefillSpeed | None = None,
+        call_times: _call_times.CallTimes | None = None,
     ) -> None:
         self.entry = entry
         # Of all replicas of its service.
         self.prefill_speed = prefill_speed or _prefill_speed.PrefillSpeed()
+        self.call_times = call_times or _call_times.CallTimes()
+        self.service_time = _service_times.ServiceTime()
+        self.memory = _engine_memory.TokensInFlight()
+        self.reported = _call_times.ReportedRequests()
         # Requests from this instance.
         self.in_flight = 0
         # Prompt tokens of requests from this instance without a first event
@@ -106,6 +116,8 @@
         # The load that it last stated with a response, and when.
         self.load: _types.LoadReport | None = None
         self.load_at = 0
+        # Requests from this instance that the load includes.
+        self.load_own = 0
         self.rate_limit = NO_LIMIT
         # None before its first answer.
         self.brittleness: Brittleness | None = None
@@ -296,6 +308,9 @@
         """Record the load that it stated with a response."""
         self.load = load
         self.load_at = now
+        self.load_own = self.in_flight
+        if load.service_time_percent is not None:
+            self.service_time.note(load.service_time_percent, now)
 
     def note_rate_limit(
         self, stated: _types.StatedNumber, sent_at: int, now: int
@@ -365,6 +380,7 @@
     def note_peer_load(self, peer_load: PeerLoad) -> None:
         """Record the load that other instances report to put on it."""
         self._peer_load = peer_load
+        self.reported.note(peer_load.in_flight, peer_load.reported_at)
 
     def recent_peer_load(self, now: int) -> PeerLoad | None:
         """Return the other instances' load; None if it is unknown or old."""
@@ -432,6 +448,7 @@
         self._missing_limit_ms = leaving_bound_ms - MISSING_MARGIN_MS
         self._known: dict[str, Replica] = {}
         self._prefill_speeds: dict[str, _prefill_speed.PrefillSpeed] = {}
+        self._call_times: dict[str, _call_times.CallTimes] = {}
         # When the complete list was first read; None before.
         self._listed_at: int | None = None
         # The lowest number of rejections a second that a replica of each
@@ -695,7 +712,11 @@
             self._note_version(known)
         if known is None or _is_other_process(known.entry, entry):
             self._known[entry.name] = Replica(
-                entry, self.prefill_speed(entry.service)
+                entry,
+                self.prefill_speed(entry.service),
+                self._call_times.setdefault(
+                    entry.service, _call_times.CallTimes()
+                ),
             )
             _logs.event(
                 "replica_seen",
