Prefer engines that have memory for a request's tokens

Cause: kv_capacity_tokens was decoded and not used. 64 slots of 2,368 tokens don't fit into 95,852 or 103,085 tokens, so requests waited for memory at engines with free slots while another engine had room.

Change: where replicas state their service time, the tokens of the requests in flight, own and as the other instances report them, are held against the capacity (_engine_memory.py). Engines with room are chosen from first; if none has room, the wait counts in the expected time. Reports between instances have the tokens in an additional value, which previous builds ignore and whose absence counts as unknown. The log message "attempt" has the inputs of these decisions.

--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -263,10 +263,7 @@
         now = self._clock.now()
         sender = str(report["instance"])
         loads = {
-            str(name): _messages.ReplicaLoad(
-                int(load[0]),
-                {int(priority): int(tokens) for priority, tokens in load[1]},
-            )
+            str(name): _messages.load_from_json(load)
             for name, load in report["loads"].items()
         }
         unreachable = frozenset(str(r) for r in report["unreachable"])
@@ -369,7 +366,11 @@
         """Return this instance's load on replicas with models or limits."""
         loads = {
             replica.entry.name: _messages.ReplicaLoad(
-                replica.in_flight, dict(replica.prefill_tokens)
+                replica.in_flight,
+                dict(replica.prefill_tokens),
+                replica.memory.tokens
+                if replica.service_time.is_stated
+                else None,
             )
             for replica in self._replicas.all()
             if replica.entry.residents
@@ -419,11 +420,13 @@
     ) -> None:
         """Set the other instances' load on each replica known here."""
         now = self._clock.now()
-        nothing = _messages.ReplicaLoad(0, {})
+        nothing = _messages.ReplicaLoad(0, {}, 0)
         for replica in self._replicas.all():
             load = loads.get(replica.entry.name, nothing)
             replica.note_peer_load(
-                _replicas.PeerLoad(load.in_flight, load.prefill_tokens, now)
+                _replicas.PeerLoad(
+                    load.in_flight, load.prefill_tokens, now, load.kv_tokens
+                )
             )
 
     async def _answer_requirement(self, message: typing.Any) -> typing.Any:
--- a/src/geraniumlink/residency/_load_columns.py
+++ b/src/geraniumlink/residency/_load_columns.py
@@ -27,6 +27,9 @@
     in_flight: list[int]
     # Prompt tokens that wait to be read, in TOKENS_UNIT, by priority.
     prefill: dict[str, list[int]]
+    # Tokens of the requests in flight, in TOKENS_UNIT, None where unknown;
+    # left out if all are.
+    kv: typing.NotRequired[list[int | None]]
 
 
 class LoadEncoder:
@@ -47,7 +50,7 @@
         nothing = _messages.ReplicaLoad(0, {})
         row_loads = [loads.get(name, nothing) for name in self._replicas]
         priorities = {p for load in row_loads for p in load.prefill_tokens}
-        return LoadColumns(
+        columns = LoadColumns(
             order=self._order,
             replicas=(None if known_order == self._order else self._replicas),
             in_flight=[load.in_flight for load in row_loads],
@@ -59,6 +62,14 @@
                 for priority in sorted(priorities)
             },
         )
+        if any(load.kv_tokens is not None for load in row_loads):
+            columns["kv"] = [
+                None
+                if load.kv_tokens is None
+                else -(-load.kv_tokens // TOKENS_UNIT)
+                for load in row_loads
+            ]
+        return columns
 
     def _update_order(self, loads: dict[str, _messages.ReplicaLoad]) -> None:
         """Add new replicas; drop those without a load once they are most."""
@@ -100,6 +111,9 @@
         }
         lengths = {len(column) for column in prefill.values()}
         lengths.add(len(columns["in_flight"]))
+        # Controllers of previous builds don't send it.
+        kv = columns.get("kv", [None] * len(self._replicas))
+        lengths.add(len(kv))
         if lengths != {len(self._replicas)}:
             raise ValueError("a column does not fit the list of replicas")
         return {
@@ -110,6 +124,9 @@
                     for priority, column in prefill.items()
                     if column[row]
                 },
+                None
+                if (kv_units := kv[row]) is None
+                else int(kv_units) * TOKENS_UNIT,
             )
             for row, name in enumerate(self._replicas)
         }
--- a/src/geraniumlink/residency/_messages.py
+++ b/src/geraniumlink/residency/_messages.py
@@ -15,20 +15,35 @@
     # Prompt tokens that were sent and not yet followed by a first event, by
     # priority of their routes.
     prefill_tokens: dict[int, int]
+    # Tokens of the requests, prompts and expected outputs; None if unknown,
+    # as from instances of previous builds.
+    kv_tokens: int | None = None
 
     def plus(self, other: ReplicaLoad) -> ReplicaLoad:
         """Return the sum of two loads."""
         prefill_tokens = dict(self.prefill_tokens)
         for priority, tokens in other.prefill_tokens.items():
             prefill_tokens[priority] = prefill_tokens.get(priority, 0) + tokens
-        return ReplicaLoad(self.in_flight + other.in_flight, prefill_tokens)
+        return ReplicaLoad(
+            self.in_flight + other.in_flight,
+            prefill_tokens,
+            None
+            if self.kv_tokens is None or other.kv_tokens is None
+            else self.kv_tokens + other.kv_tokens,
+        )
 
     def minus(self, other: ReplicaLoad) -> ReplicaLoad:
         """Return this load without a part of it."""
         prefill_tokens = dict(self.prefill_tokens)
         for priority, tokens in other.prefill_tokens.items():
             prefill_tokens[priority] = prefill_tokens.get(priority, 0) - tokens
-        return ReplicaLoad(self.in_flight - other.in_flight, prefill_tokens)
+        return ReplicaLoad(
+            self.in_flight - other.in_flight,
+            prefill_tokens,
+            None
+            if self.kv_tokens is None or other.kv_tokens is None
+            else self.kv_tokens - other.kv_tokens,
+        )
 
 
 class LastReport(typing.NamedTuple):
@@ -50,8 +65,8 @@
 ) -> dict[str, list[typing.Any]]:
     """Return loads as JSON values; what is zero is left out.
 
-    Each is the number of requests in flight and a list of [priority, prompt
-    tokens].
+    Each is the number of requests in flight, a list of [priority, prompt
+    tokens], and the tokens of the requests if they are known.
     """
     return {
         replica: [
@@ -61,12 +76,25 @@
                 for priority, tokens in load.prefill_tokens.items()
                 if tokens
             ],
+            *([] if load.kv_tokens is None else [load.kv_tokens]),
         ]
         for replica, load in loads.items()
         if load.in_flight
     }
 
 
+def load_from_json(values: list[typing.Any]) -> ReplicaLoad:
+    """Return a load of those that ``loads_to_json`` returns.
+
+    Further values are ignored.
+    """
+    return ReplicaLoad(
+        int(values[0]),
+        {int(priority): int(tokens) for priority, tokens in values[1]},
+        int(values[2]) if len(values) > 2 else None,
+    )
+
+
 class Report(typing.TypedDict):
     """An instance's periodic report to the controller, as sent."""
 
--- a/src/geraniumlink/serving/_balance.py
+++ b/src/geraniumlink/serving/_balance.py
@@ -20,6 +20,7 @@
 import typing
 
 from geraniumlink.serving import _call_times
+from geraniumlink.serving import _engine_memory
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _types
 
@@ -184,6 +185,44 @@
     )
 
 
+def has_memory(
+    replica: _replicas.Replica,
+    request: _types.Request,
+    kv_tokens: int | None,
+    now: int,
+) -> bool:
+    """Whether a request wouldn't wait for an engine's memory.
+
+    Of replicas that don't state their service time it isn't known, and they
+    count as having room.
+
+    :param kv_tokens: tokens that the engine's cache holds; None if unknown.
+    """
+    if kv_tokens is None or not replica.service_time.is_stated:
+        return True
+    peer_load = replica.recent_peer_load(now)
+    running, waiting = _load_of_others(replica, now)
+    of_others = _engine_memory.tokens_of_others(
+        peer_load.kv_tokens if peer_load else None, running + waiting, request
+    )
+    is_fresh = now - replica.load_at <= LOAD_STALE_MS
+    return _engine_memory.has_room(
+        request,
+        kv_tokens,
+        replica.memory.tokens + of_others,
+        replica.load if is_fresh else None,
+    )
+
+
+def add_memory_wait(choice: Choice, now: int) -> Choice:
+    """Add the wait for memory, unless the choice has one for a slot."""
+    replica = choice.replica
+    busy = replica.in_flight + _load_of_others(replica, now)[0]
+    if busy >= max(1, replica.entry.slots):
+        return choice
+    return choice._replace(expected_ms=choice.expected_ms + FULL_PENALTY_MS)
+
+
 def requests_of_others(replica: _replicas.Replica, now: int) -> float:
     """Return how many requests of other instances are at a replica.
 
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -108,6 +108,7 @@
         load=list(load[:3]) if load else None,
         load_age_ms=now - replica.load_at if load else None,
         service_time_percent=load.service_time_percent if load else None,
+        **_stated_load(replica, now),
         failures=round(replica.failure_rate(now), 2),
         limit_per_s=replica.rate_limit.per_s,
         left_ms=state.deadline - now,
@@ -115,6 +116,29 @@
     )
 
 
+def _stated_load(
+    replica: _replicas.Replica, now: int
+) -> dict[str, int | None]:
+    """Return what follows from the service time that a replica states.
+
+    All values are None if it doesn't state it.
+    """
+    is_stated = replica.service_time.is_stated
+    peer_load = replica.recent_peer_load(now) if is_stated else None
+    call_ms = replica.call_times.call_ms(now)
+    return {
+        "smoothed_percent": (
+            round(100 * replica.service_time.factor(now))
+            if is_stated
+            else None
+        ),
+        "call_ms": None if call_ms is None else round(call_ms),
+        "kv_tokens": replica.memory.tokens if is_stated else None,
+        "kv_tokens_elsewhere": peer_load.kv_tokens if peer_load else None,
+        "elsewhere_age_ms": now - peer_load.reported_at if peer_load else None,
+    }
+
+
 def passed_on(state: _request_state.RequestState, peer: str, now: int) -> None:
     """Log the instance to which a request is passed on."""
     _logs.event(
--- a/src/geraniumlink/serving/_engine_memory.py
+++ b/src/geraniumlink/serving/_engine_memory.py
@@ -11,12 +11,8 @@
 
 from __future__ import annotations
 
-import typing
-
 from geraniumlink.serving import _types
 
-_R = typing.TypeVar("_R")
-
 
 class TokensInFlight:
     """Tokens of this instance's requests at a replica."""
@@ -38,28 +34,34 @@
     return request.prompt_tokens + request.output_tokens
 
 
-def fits(
-    request: _types.Request, capacity: int, own: int, of_others: int
+def has_room(
+    request: _types.Request,
+    capacity: int,
+    tokens_in_flight: int,
+    stated: _types.LoadReport | None,
 ) -> bool:
-    """Whether a request's tokens fit beside those in flight at an engine.
+    """Whether a request wouldn't wait for memory at an engine.
 
     :param capacity: tokens that the engine's cache holds.
-    :param own: tokens of this instance's requests there.
-    :param of_others: tokens of other instances' requests there.
+    :param tokens_in_flight: tokens of all requests there, as far as known.
+    :param stated: the load that it stated lately; None if there is none.
     """
-    return own + of_others + tokens_of(request) <= capacity
+    if stated is not None and stated.waiting and stated.running < stated.slots:
+        # What it waits for is no slot.
+        return False
+    return tokens_in_flight + tokens_of(request) <= capacity
 
 
 def tokens_of_others(
-    reported_tokens: int | None, requests: int, own: int, own_requests: int
+    reported_tokens: int | None, requests: int, request: _types.Request
 ) -> int:
     """Return how many tokens other instances' requests take up.
 
-    Where they didn't report them, their requests are taken to be like this
-    instance's own at the replica; without any they count as none.
+    Where they didn't report them, their requests are taken to be like the
+    one that is to be sent.
 
     :param requests: of other instances there.
     """
     if reported_tokens is not None:
         return reported_tokens
-    return requests * own // own_requests if own_requests else 0
+    return requests * tokens_of(request)
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -141,6 +141,7 @@
         # Requests of other instances that are in flight here.
         self._relayed_in_flight = 0
         self._chooser = _replica_choice.ReplicaChooser(
+            active_configuration=active_configuration,
             replicas=replicas,
             permits=permits,
             final_answers=self._final_answers,
--- a/src/geraniumlink/serving/_replica_choice.py
+++ b/src/geraniumlink/serving/_replica_choice.py
@@ -10,6 +10,7 @@
 import random
 
 from geraniumlink import _clock
+from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _balance
 from geraniumlink.serving import _decision_log
 from geraniumlink.serving import _final_answers
@@ -33,6 +34,7 @@
     def __init__(
         self,
         *,
+        active_configuration: _active_configuration.ActiveConfiguration,
         replicas: _replicas.Replicas,
         permits: _permits.Permits,
         final_answers: _final_answers.FinalAnswers,
@@ -41,6 +43,7 @@
         random_source: random.Random,
         choose: _balance.ChooseReplica,
     ) -> None:
+        self._active_configuration = active_configuration
         self._replicas = replicas
         self._permits = permits
         self._final_answers = final_answers
@@ -188,18 +191,38 @@
         candidates: list[_replicas.Replica],
         now: int,
     ) -> _balance.Choice | _outcomes.Refusal:
-        """Choose a candidate, or refuse if its answer would be too late."""
+        """Choose a candidate, or refuse if its answer would be too late.
+
+        Those with memory for the request are preferred.
+        """
+        candidates = _rejections.prefer_others(candidates, now)
+        kv_tokens = self._kv_tokens(state)
+        with_memory = [
+            replica
+            for replica in candidates
+            if _balance.has_memory(replica, state.request, kv_tokens, now)
+        ]
         choice = self._choose_replica(
-            _rejections.prefer_others(candidates, now),
+            with_memory or candidates,
             state.request,
             state.route.priority,
             self._data_centre,
             now,
             self._random,
         )
+        if not with_memory:
+            choice = _balance.add_memory_wait(choice, now)
         late_ms = choice.expected_ms - (state.latest_next_event - now)
         if late_ms > 0:
             return self._final_answers.make_refusal(
                 "no replica can answer in time", late_ms
             )
         return choice
+
+    def _kv_tokens(self, state: _request_state.RequestState) -> int | None:
+        """Return the tokens that an engine of the service holds, if known."""
+        if not state.request.model:
+            return None
+        service = self._active_configuration.find_service(state.service)
+        engine = service.engine if service else None
+        return (engine.kv_tokens or None) if engine else None
--- a/tests/test_load_columns.py
+++ b/tests/test_load_columns.py
@@ -15,6 +15,7 @@
     st.dictionaries(
         st.integers(0, 9), st.integers(1, 500).map(lambda n: n * _UNIT)
     ),
+    st.none() | st.integers(0, 500).map(lambda n: n * _UNIT),
 )
 _loads = st.dictionaries(st.sampled_from([f"r{n}" for n in range(9)]), _load)
 
@@ -85,3 +86,15 @@
 def test_malformed_columns_are_refused(columns):
     with pytest.raises(ValueError):
         _load_columns.LoadDecoder().decode(columns)
+
+
+def test_columns_of_previous_builds_are_invalid():
+    encoder, decoder = (
+        _load_columns.LoadEncoder(),
+        _load_columns.LoadDecoder(),
+    )
+    loads = {"r1": _messages.ReplicaLoad(1, {}, 300)}
+    columns = encoder.encode(loads, "")
+    assert decoder.decode(columns) == loads
+    del columns["kv"]
+    assert decoder.decode(columns) == {"r1": _messages.ReplicaLoad(1, {})}
