Keep a late list from replacing newer relayed changes

Cause: a list that was under way while relayed changes arrived put the copy back to its own revision, though the copy counted as confirmed later. Bounds on revocation near 0 would have caused calls to the store without a pause.

Change: such a list is dropped; the watch has a least wait.

--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -50,6 +50,9 @@
 MAX_BOUNDED_WATCH_MS = 1000
 _WATCH_SHARE = 0.2
 _RELAYED_AGE_SHARE = 0.6
+# Bounds that are too low to be kept must not cause calls without a pause.
+_MIN_BOUNDED_WATCH_MS = 100
+_MIN_RELAYED_AGE_MS = 3 * _MIN_BOUNDED_WATCH_MS
 
 
 class Freshness(typing.NamedTuple):
@@ -63,8 +66,9 @@
 
 def freshness_for(bound_ms: int) -> Freshness:
     """Return what keeps the age of a copy below a bound."""
-    watch_timeout_ms = min(MAX_BOUNDED_WATCH_MS, int(_WATCH_SHARE * bound_ms))
-    return Freshness(watch_timeout_ms, int(_RELAYED_AGE_SHARE * bound_ms))
+    watch_ms = max(_MIN_BOUNDED_WATCH_MS, int(_WATCH_SHARE * bound_ms))
+    age_ms = max(_MIN_RELAYED_AGE_MS, int(_RELAYED_AGE_SHARE * bound_ms))
+    return Freshness(min(MAX_BOUNDED_WATCH_MS, watch_ms), age_ms)
 
 
 class ObjectStore(typing.Protocol):
@@ -292,8 +296,11 @@
         # The response may arrive much later, and says nothing of that time.
         sent_at = self._clock.since_boot()
         if self._revision is None:
-            self._apply_list(await self._store.list(self._kind))
-            self._note_confirmed(sent_at)
+            listing = await self._store.list(self._kind)
+            if listing.revision >= self.revision:
+                self._apply_list(listing)
+                self._note_confirmed(sent_at)
+            # Else relayed changes came meanwhile that end after it.
             return
         try:
             changes = await self._watch(self._revision)
--- a/tests/test_confirmed_copies.py
+++ b/tests/test_confirmed_copies.py
@@ -119,6 +119,21 @@
     assert watcher.confirmed_age_ms == 60
 
 
+async def test_a_list_doesnt_replace_newer_relayed_changes():
+    """The copy would be older than the time as of which it is confirmed."""
+    clock, store, watcher = _make()
+
+    async def list_late(_kind):
+        clock.advance(400)
+        relayed = _object_watcher.Changes(9, True, [])
+        watcher.apply_relayed(relayed, clock.since_boot() - 700)
+        return _listing(5)
+
+    store.list = list_late
+    await watcher._list_or_watch()
+    assert (watcher.revision, watcher.confirmed_age_ms) == (9, 700)
+
+
 async def test_time_of_a_freeze_and_of_a_suspended_machine_counts():
     clock, store, watcher = _make((0, _listing(3)))
     await _run(store, watcher)
@@ -252,6 +267,8 @@
     Its copy is then two watches old, and 250 ms and a second watch go by
     until this instance's own watch has ended.
     """
+    # A bound that can't be kept causes few calls all the same.
+    assert min(_object_watcher.freshness_for(0)) >= 100
     for bound_ms in (2000, 5000, 60_000):
         freshness = _object_watcher.freshness_for(bound_ms)
         oldest_ms = (
