--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -1,5 +1,8 @@
 """Accounts of clients: their configuration and the decision on requests."""
 
+import types
+
+import aioprometheus
 import pytest
 
 from geraniumlink.interface import _log_analysis
@@ -7,6 +10,7 @@
 from geraniumlink import platform
 from geraniumlink.serving import _accounts
 from geraniumlink.serving import _active_configuration
+from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _types
 from tests import hosts
 
@@ -294,3 +298,21 @@
     # A log without accounts is summarized as before.
     plain = [_line("request", account="", service="s", status=200)]
     assert "requests of accounts" not in _log_analysis.summarize(plain, 0, 1)
+
+
+def test_the_labels_of_accounts_are_bounded():
+    """With 10,000 accounts the metrics would outgrow the smallest machines."""
+    metrics = _request_metrics.RequestMetrics(aioprometheus.Registry())
+    most = _request_metrics.MAX_ACCOUNT_LABELS
+    for number in range(2 * most):
+        state = types.SimpleNamespace(
+            request=types.SimpleNamespace(account=f"a{number}", received_at=0),
+            route=_ROUTE,
+            service="s",
+            outcome="done",
+            first_event_at=None,
+        )
+        metrics.record_request(state, 1)
+    counted = metrics._account_requests.get_all()
+    assert len(counted) == most + 1
+    assert sum(value for _, value in counted) == 2 * most
--- a/tests/test_hosted_accounts.py
+++ b/tests/test_hosted_accounts.py
@@ -177,6 +177,31 @@
         assert not any((await site.runs()).values())
 
 
+async def test_an_instance_without_a_configuration_denies_nothing(fleet):
+    """It can't know which keys are in force, so it answers 503."""
+    site = hosts.Site(fleet)
+    settings = hosts.node_settings(site.store, "i-1")
+    await fleet.answers(site.store.port, "/record")
+    await fleet.faults(site.store, outage=True)
+    process = fleet.hosted(settings)
+
+    async def is_answered():
+        try:
+            return await hosts.send_request(
+                process.port, "/safe/x", **_token(_KEY)
+            )
+        except OSError:
+            return None
+
+    answer = None
+    with anyio.fail_after(20):
+        while answer is None:
+            answer = await is_answered()
+            await anyio.sleep(0.05)
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+
+
 async def test_keys_change_with_the_configuration(fleet):
     """At an instance that watches, and at one that gets relayed changes."""
     site = await _start(fleet, replicas=1, instances=2)
