Test that a confirmed copy misses no acknowledged change

Change: a property-based test with a store, a controller and an instance whose messages are delayed, lost and overtaken at will, and with suspended time.

--- a/tests/test_confirmed_copies.py
+++ b/tests/test_confirmed_copies.py
@@ -5,6 +5,8 @@
 """
 
 import anyio
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from geraniumlink import _clock
@@ -306,3 +308,108 @@
 def test_an_invalid_bound_is_an_error(bounds):
     with pytest.raises(_fields.FormatError):
         _settings._revocation_bound({"bounds": bounds}, "bounds")
+
+
+class _Model:
+    """A store, the controller and an instance, with messages of any delay."""
+
+    def __init__(self, data):
+        self._data = data
+        self._clock = _SteppedClock(1000)
+        # The time at which each version was acknowledged; that of a version
+        # is its revision, too.
+        self._acknowledged = {1: 0}
+        self._versions = {}
+        self._watchers = [self._make_watcher(n) for n in range(2)]
+        self._relays = [_relay.Relay([w]) for w in self._watchers]
+        self._reports = []
+        self._answers = []
+
+    def _make_watcher(self, number):
+        def note(item):
+            self._versions[number] = max(
+                item.version, self._versions.get(number, 0)
+            )
+
+        return _object_watcher.ObjectWatcher(
+            self,
+            "config",
+            self._clock,
+            on_list=lambda items: [note(item) for item in items],
+            on_change=note,
+            batch_delay_ms=0,
+            freshness=_FRESHNESS,
+        )
+
+    async def list(self, _kind):
+        return await self._answer_call(0)
+
+    async def watch(self, _kind, after, _wait_ms):
+        if self._data.draw(st.integers(0, 5)) == 0:
+            raise _objects.RevisionCompactedError
+        return await self._answer_call(after)
+
+    async def _answer_call(self, after):
+        """Return what the store has; things happen before and after that."""
+        await self.act(self._data.draw(st.integers(0, 3)), may_call=False)
+        newest = max(self._acknowledged)
+        found = [_objects.Object("config", "main", newest, {"v": newest})]
+        listing = _listing(newest, *(found if newest > after else ()))
+        await self.act(self._data.draw(st.integers(0, 3)), may_call=False)
+        await anyio.lowlevel.checkpoint()
+        return listing
+
+    async def act(self, steps, may_call=True):
+        kinds = ["pass", "write", "suspend", "report", "answer", "deliver"]
+        if may_call:
+            kinds += ["call", "call"]
+        for _ in range(steps):
+            kind = self._data.draw(st.sampled_from(kinds))
+            if kind == "call":
+                number = self._data.draw(st.integers(0, 1))
+                await self._watchers[number]._list_or_watch()
+            else:
+                self._change_store_or_time(kind)
+                self._pass_message_on(kind)
+            self._check()
+
+    def _change_store_or_time(self, kind):
+        match kind:
+            case "pass":
+                self._clock.advance(self._data.draw(st.integers(1, 900)))
+            case "write":
+                newest = max(self._acknowledged)
+                self._acknowledged[newest + 1] = self._clock.since_boot()
+                self._clock.advance(1)
+            case "suspend":
+                self._clock.suspended_ms += 5000
+
+    def _pass_message_on(self, kind):
+        match kind:
+            case "report":
+                known = self._relays[1].known_revisions()
+                self._reports.append((self._clock.since_boot(), known))
+            case "answer" if self._reports:
+                sent_at, known = self._reports.pop()
+                changes = self._relays[0].encode_changes(known)
+                ages = self._relays[0].confirmed_ages_ms()
+                self._answers.append((changes, ages, sent_at))
+            case "deliver" if self._answers:
+                last = len(self._answers) - 1
+                index = self._data.draw(st.integers(0, last))
+                self._relays[1].apply_changes(*self._answers.pop(index))
+
+    def _check(self):
+        for number, watcher in enumerate(self._watchers):
+            age_ms = watcher.confirmed_age_ms
+            if age_ms is not None:
+                as_of = self._clock.since_boot() - age_ms
+                due = [v for v, at in self._acknowledged.items() if at < as_of]
+                assert self._versions[number] >= max(due, default=0)
+
+
+@hypothesis.settings(max_examples=60)
+@hypothesis.given(st.data())
+def test_a_copy_has_all_that_was_acknowledged_before_it_was_confirmed(data):
+    """Whatever is late, lost or overtaken: a removed key is never missed."""
+    anyio.run(_Model(data).act, 25)
