--- a/tests/test_hosted_bad_input.py
+++ b/tests/test_hosted_bad_input.py
@@ -112,6 +112,10 @@
     return {**settings, **changes}
 
 
+def _with_bounds(**bounds):
+    return _settings(bounds=_settings()["bounds"] | bounds)
+
+
 @pytest.mark.parametrize(
     ("settings", "field"),
     (
@@ -121,6 +125,9 @@
         (_settings(internal_ports=[]), "internal_ports"),
         (_settings(bounds={}), "grace_s"),
         (_settings(platform=[]), "platform"),
+        (_with_bounds(quota_window_s=0), "quota_window_s"),
+        (_with_bounds(quota_overshoot="much"), "quota_overshoot"),
+        (_with_bounds(quota_slack=-1), "quota_slack"),
         (_settings(bootstrap=1), "bootstrap"),
         ([], "object"),
     ),
