Move the prefix blocks of a replica to a module of their own

Cause: _replicas.py grew by what replicas state of their load.

Change: _prefix_cache.py holds the prefix blocks; nothing else changes.

Measured: tests/test_serving.py, test_prefill_speed.py, test_engine_memory.py, test_broken_heads.py and test_platform.py pass (without the serial tests).

--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -77,7 +77,9 @@
         self._failover = failover
         self._sent_at = clock.now()
         self._priority = state.route.priority
-        self._prefill_tokens = replica.uncached_tokens(state.request)
+        self._prefill_tokens = replica.prefix_cache.uncached_tokens(
+            state.request
+        )
         # Prompt tokens that are read before its first event.
         self._tokens_to_read = self._prefill_tokens + replica.tokens_ahead(
             self._priority, self._sent_at
@@ -436,7 +438,7 @@
             self._tokens_to_read,
             took_ms / self._replica.service_time.factor(now),
         )
-        self._replica.remember_prefix(self._state.request)
+        self._replica.prefix_cache.remember(self._state.request)
         self._end_prefill()
 
     def _end_prefill(self) -> None:
--- a/src/geraniumlink/serving/_balance.py
+++ b/src/geraniumlink/serving/_balance.py
@@ -172,7 +172,7 @@
         return (1 + ahead / slots) * PLAIN_CALL_MS + replica.excess_latency_ms(
             now
         )
-    tokens = replica.uncached_tokens(request)
+    tokens = replica.prefix_cache.uncached_tokens(request)
     tokens += replica.tokens_ahead(priority, now)
     tokens += waiting * WAITING_PROMPT_TOKENS
     busy = replica.in_flight + running
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -19,6 +19,7 @@
 from geraniumlink.serving import _call_times
 from geraniumlink.serving import _engine_memory
 from geraniumlink.serving import _prefill_speed
+from geraniumlink.serving import _prefix_cache
 from geraniumlink.serving import _rejections
 from geraniumlink.serving import _service_times
 from geraniumlink.serving import _types
@@ -42,8 +43,6 @@
 # How long the controller's report of a load overrides the replica's entry,
 # which shows it only with the next heartbeat.
 LOADED_TTL_MS = 4000
-# Prefix blocks remembered for each replica, the most recently used.
-MAX_PREFIX_BLOCKS = 4096
 # The load that other instances reported is ignored after this time, within
 # which it changes.
 PEER_LOAD_STALE_MS = 1500
@@ -142,10 +141,7 @@
         self._excess_latency_ms = 0.0
         # When decay was last applied to the two averages.
         self._decayed_at = 0
-        # By model and key, the least recently used first.
-        self._prefix_blocks: collections.OrderedDict[tuple[str, str], None] = (
-            collections.OrderedDict()
-        )
+        self.prefix_cache = _prefix_cache.PrefixCache()
         # Models and adapters that override the entry's, by (model, adapter),
         # until the given time; an adapter of "" means the model itself.
         self._not_loaded_until: dict[tuple[str, str], int] = {}
@@ -408,27 +404,6 @@
             if token_priority <= priority
         )
 
-    def uncached_tokens(self, request: _types.Request) -> int:
-        """Return how many prompt tokens are probably not in its cache.
-
-        Only prefix blocks that this instance sent there count as cached.
-        """
-        left = request.prompt_tokens
-        for block in request.prefix_blocks:
-            if (request.model, block.key) not in self._prefix_blocks:
-                break
-            left -= block.tokens
-        return max(0, left)
-
-    def remember_prefix(self, request: _types.Request) -> None:
-        """Record that the request's prefix blocks are in its cache."""
-        for block in request.prefix_blocks:
-            key = (request.model, block.key)
-            self._prefix_blocks[key] = None
-            self._prefix_blocks.move_to_end(key)
-        while len(self._prefix_blocks) > MAX_PREFIX_BLOCKS:
-            self._prefix_blocks.popitem(last=False)
-
     def _decay_factor(self, now: int) -> float:
         return 0.5 ** ((now - self._decayed_at) / HALF_LIFE_MS)
 
--- a/tests/test_call_times.py
+++ b/tests/test_call_times.py
@@ -169,7 +169,9 @@
     if not request.model:
         ahead = replica.in_flight + running + waiting
         return (1 + ahead / 8) * 20.0 + replica.excess_latency_ms(9)
-    tokens = replica.uncached_tokens(request) + replica.tokens_ahead(1, 9)
+    tokens = replica.prefix_cache.uncached_tokens(
+        request
+    ) + replica.tokens_ahead(1, 9)
     tokens += waiting * 1500
     busy = replica.in_flight + running
     full = 400.0 if busy >= 8 else 0.0
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -88,12 +88,15 @@
         _types.PrefixBlock("p1", 800),
         _types.PrefixBlock("own", 200),
     ]
-    warm.remember_prefix(_request(prefix_blocks=prefix_blocks))
+    warm.prefix_cache.remember(_request(prefix_blocks=prefix_blocks))
     sharing = [
         _types.PrefixBlock("p1", 800),
         _types.PrefixBlock("another", 200),
     ]
-    assert warm.uncached_tokens(_request(prefix_blocks=sharing)) == 200
+    assert (
+        warm.prefix_cache.uncached_tokens(_request(prefix_blocks=sharing))
+        == 200
+    )
     assert _choose([cold, warm], _request(prefix_blocks=sharing)) is warm
 
 
