--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -149,6 +149,8 @@
         # Bounds in the settings of instances that are started from now on,
         # where they differ from those of ``node_settings``.
         self.bounds: dict[str, float] = {}
+        # Limits of the machine, in the same settings.
+        self.limits: dict[str, int] = {}
 
     async def start(
         self,
@@ -217,6 +219,8 @@
         """
         settings = node_settings(self.store, f"i-{len(self._settings) + 1}")
         settings["bounds"] |= self.bounds
+        if self.limits:
+            settings["limits"] = self.limits
         if store_address:
             settings["platform"]["address"] = store_address
         process = self.fleet.hosted(
@@ -265,6 +269,9 @@
         address = self._settings[index]["listen"]["ready"]
         return int(address.rpartition(":")[2])
 
+    def peer_port(self, index: int = 0) -> int:
+        return int(self._settings[index]["internal_ports"][0])
+
     async def configure(self, spec: dict) -> None:
         await self.put("config", "main", spec)
 
