Bound what clients can make a process hold

Cause: bytes that a client sends were kept before a limit was checked. A segment of 256 KiB waited on each connection. The parser keeps the name or value of a field until it is complete, of a trailer too, and uvicorn the target. Empty lines reach no callback. A field of 4 bytes takes over 100. Up to 4 KiB of requests were queued at once, 227 of the smallest. Bodies had no limit over all connections. Connections weren't counted, so that accepting failed with EMFILE. Each refusal had a log line. The own interface had no limit of a head, of its time, or of a silent connection.

Change: _connection_limits.ConnectionTable has the connections of all listeners of a process, what each holds, and decides who is refused or closed first; a request that was received whole is not dropped. 8 KiB are read at once. Heads, fields, empty lines and framing have limits before they are kept, with 414, 431, 400 and 503. The limits come from memory_mb and max_fds of the platform's settings, max_connections and max_received_mb of the own interface's.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -7,11 +7,16 @@
 A connection that is closed with unread bytes is reset, and the client may lose
 the response. So a connection is closed in two steps (section 9.6): its sending
 side first, the rest a little later.
+
+Bytes that a client sends are bounded before they are kept: what is read at
+once, what precedes a request, its head, what frames its body, and what all
+connections hold (``_connection_limits``).
 """
 
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import http
 import select
@@ -21,6 +26,7 @@
 from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
+from geraniumlink import _connection_limits
 from geraniumlink import _logs
 
 # After a response to a request that was not received whole, the rest of it is
@@ -33,6 +39,27 @@
 # bytes as are parsed at once may hold further ones.
 MAX_QUEUED_REQUESTS = 4
 MAX_PARSED_BYTES = 4096
+# The end of a body in chunks isn't known before it is parsed, and as many
+# bytes may hold further requests.
+MAX_PARSED_CHUNK_BYTES = 512
+# Size of the receive buffer. As much may be unparsed on each connection.
+READ_BYTES = 8192
+# Limit of empty lines before a request, which the parser skips without a call
+# back. RFC 9112, section 2.2, asks to accept one.
+MAX_EMPTY_BYTES = 1024
+# Limit of chunk sizes, chunk extensions and trailers without a byte of a body
+# between them.
+MAX_FRAMING_BYTES = 16_384
+# Default limits of a request's head, as it is sent, and of its fields: one
+# field for this many bytes. A field is kept in three objects of at least 33
+# bytes each besides its text.
+MAX_HEAD_BYTES = 65_536
+MIN_FIELD_BYTES = 16
+FIELD_OVERHEAD_BYTES = 128
+# What a request takes besides its text.
+REQUEST_OVERHEAD_BYTES = 2048
+# How long a client may take to send a head, by default.
+HEADER_TIMEOUT_S = 10.0
 # How long a client has to receive a response behind which it has sent bytes
 # that are not read.
 UNREAD_LINGER_MS = 500
@@ -48,6 +75,20 @@
     return bool(poll.poll(0))
 
 
+def _content_length(headers: list[tuple[bytes, bytes]]) -> int | None:
+    """Return the length of a body; None if it is in chunks.
+
+    The parser has checked it.
+    """
+    length: int | None = 0
+    for name, value in headers:
+        if name == b"transfer-encoding":
+            return None
+        if name == b"content-length":
+            length = int(value)
+    return length
+
+
 class _Refusal(typing.NamedTuple):
     status: http.HTTPStatus
     reason: str
@@ -112,7 +153,7 @@
         self._protocol.close_connection()
 
 
-class HttpProtocol(httptools_impl.HttpToolsProtocol):
+class HttpProtocol(httptools_impl.HttpToolsProtocol, asyncio.BufferedProtocol):
     """Serves the requests of one connection in turn.
 
     An ASGI scope has ``target`` besides, the request target as the client
@@ -122,12 +163,20 @@
     have ``connection: close``.
     """
 
+    # All connections of the process, unless a subclass has another table.
+    _table = _connection_limits.ConnectionTable(
+        _connection_limits.DEFAULT_LIMITS
+    )
+    # Bytes are copied from it before the event loop reads again.
+    _receive_buffer = memoryview(bytearray(READ_BYTES))
     # The request whose response is being sent, or was sent last.
     _current: httptools_impl.RequestResponseCycle | None = None
     _head_complete = True
     # The request being received asks for another protocol. It is parsed again
     # without that.
     _offers_upgrade = False
+    # The bytes parsed last have the end of a request.
+    _ended_request = False
     # A part of a request has been received, and its end hasn't.
     _receives_request = False
     # The response to what was received behind the last request in the queue
@@ -138,6 +187,20 @@
     _discarded_bytes = 0
     # One further request is read at most.
     _reads_last = False
+    # Bytes received since the last request ended, before the next one.
+    _empty_bytes = 0
+    # Of the request being received: the bytes of its head; those held, with
+    # what they take besides; and those of the body that are still to come,
+    # None for a body in chunks.
+    _head_bytes = 0
+    _request_bytes = 0
+    _body_left: int | None = 0
+    # Bytes that frame the body, received since its last byte.
+    _framing_bytes = 0
+    _header_timer: asyncio.TimerHandle | None = None
+    # When a part of a response was written, or the client had read enough for
+    # a further one, in seconds of the event loop.
+    _last_written = 0.0
     # The client has asked to close the connection.
     _asks_to_close = False
 
@@ -150,6 +213,45 @@
             or self._refusal is not None
         )
 
+    @property
+    def stage(self) -> _connection_limits.Stage:
+        """See ``_connection_limits.Connection``."""
+        stages = _connection_limits.Stage
+        if self._whole_transport.get_write_buffer_size():
+            stalled_s = self.loop.time() - self._last_written
+            is_stalled = stalled_s > self._idle_s
+            return stages.STALLED if is_stalled else stages.SERVING
+        if self.lingers or self._whole_transport.is_closing():
+            return stages.ENDING
+        if self._is_serving and self._accepted:
+            return stages.SERVING
+        if self._current is None or self._receives_request:
+            return stages.UNUSED
+        if has_unread_bytes(self._whole_transport):
+            # A request has arrived, and will be read next.
+            return stages.SERVING
+        return stages.IDLE
+
+    @property
+    def incomplete_bytes(self) -> int:
+        """See ``_connection_limits.Connection``."""
+        return self._request_bytes if self._receives_request else 0
+
+    @property
+    def _idle_s(self) -> float:
+        """How long a connection may stay open without a request."""
+        return self.config.timeout_keep_alive
+
+    @property
+    def _header_timeout_s(self) -> float:
+        """How long a client may take to send a request head."""
+        return HEADER_TIMEOUT_S
+
+    @property
+    def _max_head_bytes(self) -> int:
+        """Size of a head, as it is sent, above which it isn't received."""
+        return MAX_HEAD_BYTES
+
     @property
     def lingers(self) -> bool:
         """Whether only the sending side of the connection has been closed."""
@@ -161,11 +263,18 @@
             typing.cast(typing.Any, _ClosingTransport(transport, self))
         )
         self._unparsed = bytearray()
+        # Bytes held of the requests that were received whole, in turn.
+        self._accepted: collections.deque[int] = collections.deque()
         self.flow: _FlowControl = _FlowControl(
             self.transport, lambda: not self._unparsed and self._has_room
         )
+        self._start_idle_timer()
+        self._table.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._table.remove(self)
+        self._stop_header_timer()
+        self._unset_keepalive_if_required()
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         if self.pipeline and self._current is not None:
@@ -179,6 +288,93 @@
             self._current.message_event.set()
         super().connection_lost(exc)
 
+    def resume_writing(self) -> None:
+        self._last_written = self.loop.time()
+        super().resume_writing()
+
+    def refuse_incomplete(self) -> None:
+        """See ``_connection_limits.Connection``."""
+        self.refuse_rest(
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            "too much is being received",
+            _connection_limits.Cause.RECEIVED_BYTES,
+        )
+        # It stays held if it can't be refused, as its response has begun.
+        self._request_bytes = 0
+        self._note_held()
+
+    def close_for_room(self) -> None:
+        """See ``_connection_limits.Connection``."""
+        if (
+            self.stage == _connection_limits.Stage.UNUSED
+            and self._receives_request
+        ):
+            self._write_refusal(
+                _Refusal(
+                    http.HTTPStatus.SERVICE_UNAVAILABLE,
+                    "there are too many connections",
+                )
+            )
+        if self._current is not None:
+            self._current.disconnected = True
+            self._current.message_event.set()
+        if self._whole_transport.get_write_buffer_size():
+            # What the client doesn't read would keep it open.
+            self._whole_transport.abort()
+        else:
+            self._whole_transport.close()
+
+    def _note_held(self) -> None:
+        """Tell how many received bytes this connection holds."""
+        self._table.hold(
+            self,
+            len(self._unparsed) + self._request_bytes + sum(self._accepted),
+        )
+
+    def _drop_incomplete(self) -> None:
+        """Forget what was received of a request that is refused."""
+        self._stop_header_timer()
+        self._unparsed.clear()
+        self._request_bytes = 0
+        # The parser and these keep the parts of a head. An application that
+        # reads the request has them, too.
+        self.url = b""
+        self.headers = []
+        self.scope = typing.cast(typing.Any, {})
+        self._make_parser()
+        self._note_held()
+
+    def _start_idle_timer(self) -> None:
+        """Close a new connection on which no request begins in time."""
+        self.timeout_keep_alive = self._idle_s  # type: ignore[assignment]
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self._idle_s, self.timeout_keep_alive_handler
+        )
+
+    def _on_header_timeout(self) -> None:
+        """Refuse a request whose head is incomplete."""
+        self._header_timer = None
+        if self.flow.read_paused:
+            # The rest of the head may have arrived.
+            self._start_header_timer()
+        else:
+            self.refuse_rest(
+                http.HTTPStatus.REQUEST_TIMEOUT,
+                "the head takes too long",
+                _connection_limits.Cause.TIMEOUT,
+            )
+
+    def _start_header_timer(self) -> None:
+        self._stop_header_timer()
+        self._header_timer = self.loop.call_later(
+            self._header_timeout_s, self._on_header_timeout
+        )
+
+    def _stop_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
     def close_connection(self) -> None:
         """Close the connection so that a response is not lost in a reset."""
         if self.lingers or self._whole_transport.is_closing():
@@ -208,6 +404,7 @@
         A client that asks for that itself sends nothing more; reading goes on
         there, so that its end of the connection is noticed.
         """
+        self._last_written = self.loop.time()
         if (
             self._current is not None
             and not self._current.keep_alive
@@ -250,16 +447,23 @@
         else:
             super().shutdown()
 
-    def refuse_rest(self, status: http.HTTPStatus, reason: str) -> None:
+    def refuse_rest(
+        self,
+        status: http.HTTPStatus,
+        reason: str,
+        cause: _connection_limits.Cause,
+    ) -> None:
         """Refuse what is being received, after all responses before it.
 
         Nothing that is received later is served.
         """
         if self._refusal is not None or self.transport.is_closing():
             return
-        _logs.event("bad_request", status=int(status), reason=reason)
+        if self._table.may_log_refusal():
+            _logs.event("bad_request", status=int(status), reason=reason)
+        self._table.count_refusal(cause)
         self._refusal = _Refusal(status, reason)
-        self._unparsed.clear()
+        self._drop_incomplete()
         if not self._receives_request or not self._head_complete:
             if not self._is_serving:
                 self._send_refusal(self._refusal)
@@ -278,6 +482,10 @@
             self._send_refusal(refusal)
 
     def _send_refusal(self, refusal: _Refusal) -> None:
+        self._write_refusal(refusal)
+        self.close_connection()
+
+    def _write_refusal(self, refusal: _Refusal) -> None:
         status, reason = refusal
         self._whole_transport.write(
             f"HTTP/1.1 {int(status)} {status.phrase}\r\n"
@@ -285,7 +493,14 @@
             f"content-length: {len(reason)}\r\n"
             f"connection: close\r\n\r\n{reason}".encode()
         )
-        self.close_connection()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer into which the event loop reads."""
+        return self._receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what the event loop has read."""
+        self.data_received(bytes(self._receive_buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         if self.lingers:
@@ -300,14 +515,91 @@
         """Parse what has been received while there is room in the queue."""
         try:
             while self._unparsed and self._refusal is None and self._has_room:
-                size = self._feed(bytes(self._unparsed[:MAX_PARSED_BYTES]))
+                data = bytes(self._unparsed[: self._part_bytes])
+                size = self._feed(data)
                 del self._unparsed[:size]
+                self._check_limits(size)
         except httptools.HttpParserError:
             self.refuse_rest(
-                http.HTTPStatus.BAD_REQUEST, "this is not an HTTP request"
+                http.HTTPStatus.BAD_REQUEST,
+                "this is not an HTTP request",
+                _connection_limits.Cause.INVALID,
             )
         if self._unparsed and self._refusal is None:
             self.flow.pause_reading()
+        self._note_held()
+
+    @property
+    def _part_bytes(self) -> int:
+        """How many bytes to parse now, so that requests end with them.
+
+        Otherwise the smallest requests would exceed the room in the queue
+        many times.
+        """
+        if self._receives_request and self._head_complete:
+            if self._body_left is None:
+                return MAX_PARSED_CHUNK_BYTES
+            return self._body_left or MAX_PARSED_BYTES
+        end = self._unparsed.find(b"\n\r\n", 0, MAX_PARSED_BYTES)
+        return end + 3 if end >= 0 else MAX_PARSED_BYTES
+
+    def _check_limits(self, size: int) -> None:
+        """Refuse a request with too large a part.
+
+        :param size: how many bytes have just been parsed.
+        """
+        if self._refusal is not None:
+            return
+        if not self._receives_request:
+            self._check_empty(size)
+        elif not self._head_complete:
+            self._head_bytes += size
+            self._request_bytes += size
+            self._check_head()
+        else:
+            self._framing_bytes += size
+            if self._framing_bytes > MAX_FRAMING_BYTES:
+                self.refuse_rest(
+                    http.HTTPStatus.BAD_REQUEST,
+                    "the framing of the body is too large",
+                    _connection_limits.Cause.FRAMING,
+                )
+
+    def _check_empty(self, size: int) -> None:
+        if self._ended_request:
+            self._ended_request = False
+            return
+        self._empty_bytes += size
+        # Behind a request that asks to close the connection, everything is
+        # ignored.
+        if self._empty_bytes > MAX_EMPTY_BYTES and (
+            self.cycle is None or self.cycle.keep_alive
+        ):
+            self.refuse_rest(
+                http.HTTPStatus.BAD_REQUEST,
+                "there are too many empty lines before a request",
+                _connection_limits.Cause.FRAMING,
+            )
+
+    def _check_head(self) -> None:
+        limit = self._max_head_bytes
+        if (
+            self._head_bytes <= limit
+            and len(self.headers) <= limit // MIN_FIELD_BYTES
+        ):
+            return
+        if 2 * len(self.url) > self._head_bytes:
+            self.refuse_rest(
+                http.HTTPStatus.REQUEST_URI_TOO_LONG,
+                "the target is too long",
+                _connection_limits.Cause.TARGET,
+            )
+        else:
+            self.refuse_rest(
+                http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                "the head is too large",
+                _connection_limits.Cause.HEAD,
+            )
 
     def _feed(self, data: bytes) -> int:
         """Pass bytes to the parser; return how many it has used."""
@@ -347,23 +639,45 @@
         self._unset_keepalive_if_required()
         self._head_complete = False
         self._receives_request = True
+        self._empty_bytes = self._head_bytes = self._framing_bytes = 0
+        self._request_bytes = REQUEST_OVERHEAD_BYTES
+        self._start_header_timer()
         super().on_message_begin()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         # Fields behind the body are not part of the head (RFC 9110, section
         # 6.5.1).
         if not self._head_complete:
+            self._request_bytes += FIELD_OVERHEAD_BYTES
             super().on_header(name, value)
 
+    def on_body(self, body: bytes) -> None:
+        if self._refusal is not None:
+            return
+        self._framing_bytes = -len(body)
+        if self._body_left is not None:
+            self._body_left -= len(body)
+        if not self.cycle.response_complete:
+            self._request_bytes += len(body)
+        super().on_body(body)
+
     def on_headers_complete(self) -> None:
+        self._stop_header_timer()
         if self.parser.get_method() == b"CONNECT":
             self.refuse_rest(
-                http.HTTPStatus.NOT_IMPLEMENTED, "this is no HTTP tunnel"
+                http.HTTPStatus.NOT_IMPLEMENTED,
+                "this is no HTTP tunnel",
+                _connection_limits.Cause.INVALID,
             )
             return
         self._offers_upgrade = self.parser.should_upgrade()
         if self._offers_upgrade:
             return
+        # May refuse this request.
+        self._note_held()
+        if self._refusal is not None:
+            return
+        self._body_left = _content_length(self.headers)
         # Fails if the target is malformed.
         super().on_headers_complete()
         self._head_complete = True
@@ -380,11 +694,23 @@
         if self._offers_upgrade or self._refusal is not None:
             return
         self._receives_request = False
+        self._ended_request = True
+        self._table.note_use(self)
+        if self._is_serving:
+            self._accepted.append(self._request_bytes)
+        self._request_bytes = 0
         super().on_message_complete()
         if self._reads_last:
             self.flow.end_reading()
 
     def on_response_complete(self) -> None:
+        if self._accepted:
+            self._accepted.popleft()
+        else:
+            # The rest of the body is dropped.
+            self._request_bytes = 0
+        self._note_held()
+        self.timeout_keep_alive = self._idle_s  # type: ignore[assignment]
         super().on_response_complete()
         if self.transport.is_closing():
             return
@@ -405,3 +731,14 @@
         # It has been running if the head began before the last response ended.
         self._unset_keepalive_if_required()
         super()._start_asgi_task(cycle, app)
+
+
+def make_protocol(
+    table: _connection_limits.ConnectionTable,
+) -> type[asyncio.Protocol]:
+    """Return a protocol class whose connections are in a table."""
+
+    class TableProtocol(HttpProtocol):
+        _table = table
+
+    return TableProtocol
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -27,7 +27,9 @@
 import anyio
 
 from geraniumlink import _clock
+from geraniumlink import _connection_limits
 from geraniumlink import _http
+from geraniumlink import _http_protocol
 from geraniumlink import _log_buffer
 from geraniumlink import _logs
 from geraniumlink import _metrics
@@ -155,8 +157,18 @@
             ],
             traffic=self._traffic,
         )
+        protocol = _http_protocol.make_protocol(
+            _connection_limits.ConnectionTable(
+                _connection_limits.state_limits(
+                    settings.max_connections, settings.max_received_mb
+                ),
+                lambda cause: self._metrics.clients_refused.inc(
+                    {"cause": cause.value}
+                ),
+            )
+        )
         self._listener = _server.Listener(
-            self._rpc, [settings.address], self._clock
+            self._rpc, [settings.address], self._clock, protocol
         )
         self._controller = _controller.Controller(
             settings,
@@ -169,7 +181,10 @@
             self._metrics,
         )
         self._peer_listener = _server.Listener(
-            self._peers.application, [settings.peer_address], self._clock
+            self._peers.application,
+            [settings.peer_address],
+            self._clock,
+            protocol,
         )
 
     def _build_method_table(self, router: _routing.Router) -> _rpc.MethodTable:
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -164,8 +164,8 @@
     ),
     "bad_request": Message(
         _REQUEST,
-        "a client sent something that can't be read as a request, or not in"
-        " time; it was refused with `status`",
+        "a client sent something that can't be read as a request, too much, or"
+        " not in time; it was refused with `status`; up to 10 lines a second",
         ("reason", "status"),
     ),
     "bad_suspicions": Message(
@@ -226,6 +226,19 @@
     "configuration_finding": Message(
         _STATE, "an accepted deployment has an error", ("place", "problem")
     ),
+    "clients_refused": Message(
+        _STATE,
+        "connections of clients were closed, or their requests refused, so"
+        " often since the last such line, by cause; with what all connections"
+        " hold, and the limits",
+        (
+            "connections",
+            "counts",
+            "held_bytes",
+            "max_connections",
+            "max_held_bytes",
+        ),
+    ),
     "configuration_in_force": Message(
         _STATE,
         "this instance applied a newer configuration",
--- a/src/geraniumlink/_metrics.py
+++ b/src/geraniumlink/_metrics.py
@@ -34,6 +34,10 @@
             "geraniumlink_control_faults_total",
             "Invalid ledgers and reports by kind",
         )
+        self.clients_refused = self._counter(
+            "geraniumlink_clients_refused_total",
+            "Connections closed and requests refused at a limit, by cause",
+        )
         self.in_flight = self._gauge(
             "geraniumlink_requests_in_flight", "Requests being served"
         )
--- a/src/geraniumlink/_server.py
+++ b/src/geraniumlink/_server.py
@@ -24,6 +24,10 @@
 # During shutdown, how long clients may take to read buffered responses after
 # the last request has completed.
 FLUSH_TIMEOUT_MS = 30_000
+# Connections that wait to be accepted, and how many of them are accepted in
+# one turn of the event loop, each with a descriptor, before any is refused.
+BACKLOG = 1024
+ACCEPTED_AT_ONCE = 16
 # Interval of the check for idle connections during shutdown.
 _IDLE_CHECK_INTERVAL_MS = 20
 
@@ -40,6 +44,18 @@
     def capture_signals(self) -> Iterator[None]:
         yield
 
+    async def startup(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        """Start to listen.
+
+        asyncio accepts as many connections at once as may wait. The second
+        call of ``listen`` changes the latter alone.
+        """
+        await super().startup(sockets)
+        for listening in sockets or []:
+            listening.listen(BACKLOG)
+
     def request_exit(self) -> None:
         """Have the server shut down."""
         self.should_exit = True
@@ -151,7 +167,7 @@
             access_log=False,
             log_config=None,
             timeout_keep_alive=KEEP_ALIVE_S,
-            backlog=1024,
+            backlog=ACCEPTED_AT_ONCE,
         )
         self._addresses = addresses
         self._server = _GracefulServer(config, clock)
--- a/src/geraniumlink/_settings.py
+++ b/src/geraniumlink/_settings.py
@@ -37,6 +37,8 @@
     instance_list: Address
     max_requests: int
     max_request_bytes: int
+    max_connections: int
+    max_received_mb: int
     drain_lag_ms: int
     lease_ms: int
     heartbeat_ms: int
@@ -116,6 +118,12 @@
         _whole_number_parser(1024, 2**24),
         str(2**21),
     ),
+    _Option(
+        "limits", "max_connections", _whole_number_parser(0, 100_000), "0"
+    ),
+    _Option(
+        "limits", "max_received_mb", _whole_number_parser(16, 65_536), "20"
+    ),
     _Option(
         "limits", "replicas_per_service", _whole_number_parser(1, 64), "16"
     ),
--- a/src/geraniumlink/hosting/_gauges.py
+++ b/src/geraniumlink/hosting/_gauges.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from geraniumlink import _connection_limits
 from geraniumlink import _log_buffer
 from geraniumlink.hosting import _application
 from geraniumlink.hosting import _host_metrics
@@ -32,6 +33,7 @@
     budgets: _retry_budgets.RetryBudgets
     log_buffer: _log_buffer.LogBuffer
     load_monitor: _load_monitor.LoadMonitor
+    connection_table: _connection_limits.ConnectionTable
 
 
 def add_gauges(
@@ -128,3 +130,13 @@
         "Bytes of answers sent to other instances",
         lambda: sources.load_monitor.total_sent_bytes,
     )
+    add_gauge(
+        "geraniumlink_client_connections",
+        "Open connections to all listeners",
+        lambda: sources.connection_table.connections,
+    )
+    add_gauge(
+        "geraniumlink_client_held_bytes",
+        "Received bytes of requests that connections hold, with overhead",
+        lambda: sources.connection_table.received_bytes,
+    )
--- a/src/geraniumlink/hosting/_host_metrics.py
+++ b/src/geraniumlink/hosting/_host_metrics.py
@@ -7,6 +7,8 @@
 import aioprometheus
 from aioprometheus import renderer
 
+from geraniumlink import _connection_limits
+
 
 class HostMetrics:
     """A registry whose gauges are read when the metrics are rendered."""
@@ -16,6 +18,15 @@
         self._gauges: list[
             tuple[aioprometheus.Gauge, Callable[[], float]]
         ] = []
+        self._refusals = aioprometheus.Counter(
+            "geraniumlink_clients_refused_total",
+            "Connections closed and requests refused at a limit, by cause",
+            registry=self.registry,
+        )
+
+    def count_refusal(self, cause: _connection_limits.Cause) -> None:
+        """Count a closed connection or a refused request."""
+        self._refusals.inc({"cause": cause.value})
 
     def add_gauge(
         self, name: str, description: str, read_value: Callable[[], float]
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -29,6 +29,7 @@
 import anyio
 
 from geraniumlink import _clock
+from geraniumlink import _connection_limits
 from geraniumlink import _http
 from geraniumlink import _log_buffer
 from geraniumlink import _logs
@@ -154,6 +155,12 @@
         self._log_buffer = log_buffer
         self._metrics_port = metrics_port
         self._metrics = _host_metrics.HostMetrics()
+        self._connection_table = _connection_limits.ConnectionTable(
+            _connection_limits.derive_limits(
+                settings.max_descriptors, settings.memory_mb
+            ),
+            self._metrics.count_refusal,
+        )
         self._load_monitor = _load_monitor.LoadMonitor(clock)
         self._random = random.Random()
         self._draining = False
@@ -252,7 +259,9 @@
             [address for address in self._addresses() if address],
             self._clock,
             http=_http_protocol.make_limited_protocol(
-                self._active_configuration, lambda: self._draining
+                self._active_configuration,
+                lambda: self._draining,
+                self._connection_table,
             ),
         )
         _gauges.add_gauges(
@@ -268,6 +277,7 @@
                 leadership=self._leadership,
                 budgets=self._budgets,
                 log_buffer=self._log_buffer,
+                connection_table=self._connection_table,
                 load_monitor=self._load_monitor,
             ),
         )
--- a/src/geraniumlink/platform/_settings.py
+++ b/src/geraniumlink/platform/_settings.py
@@ -9,6 +9,7 @@
 
 import orjson
 
+from geraniumlink import _connection_limits
 from geraniumlink import _findings
 from geraniumlink import _settings
 from geraniumlink.platform import _fields
@@ -50,6 +51,10 @@
     retry_constant: int
     # Rate of this machine's network link; None if it isn't stated.
     link_mbit_per_s: float | None
+    # Memory of this machine in MiB, and descriptors that this process may
+    # have; None if they aren't stated.
+    memory_mb: int | None
+    max_descriptors: int | None
     # Whether the whole system starts for the first time; called bootstrap.
     is_first_start: bool
 
@@ -87,6 +92,8 @@
         retry_window_ms=reader.read("bounds", "retry_window_s", _ceiling_ms),
         retry_constant=reader.read("bounds", "retry_slack", _fields.floor),
         link_mbit_per_s=reader.read("", "limits", _link_rate),
+        memory_mb=reader.read("", "limits", _memory_mb),
+        max_descriptors=reader.read("", "limits", _max_descriptors),
         is_first_start=reader.read("", "bootstrap", _flag),
     )
     if reader.findings:
@@ -168,6 +175,33 @@
     return float(_fields.number(limits, "link_mbps"))
 
 
+def _memory_mb(message: typing.Any, name: str) -> int | None:
+    """Return the machine's memory, if stated."""
+    return _limit(message, name, "memory_mb", _connection_limits.MIN_MEMORY_MB)
+
+
+def _max_descriptors(message: typing.Any, name: str) -> int | None:
+    """Return the number of descriptors a process may have, if stated."""
+    return _limit(message, name, "max_fds", _connection_limits.MIN_DESCRIPTORS)
+
+
+def _limit(
+    message: typing.Any, name: str, field: str, lowest: int
+) -> int | None:
+    """Return a limit of the machine, rounded down; None if not stated."""
+    if name not in message:
+        return None
+    limits = _fields.mapping(message, name)
+    if limits.get(field) is None:
+        return None
+    value = _fields.floor(limits, field)
+    if value < lowest:
+        raise _fields.FormatError(
+            f"{field} is {value}, but at least {lowest} are needed"
+        )
+    return value
+
+
 def _flag(message: typing.Any, name: str) -> bool:
     """Return whether a flag is set; one that is missing is not."""
     return _fields.boolean(message, name, False)
--- /dev/null
+++ b/tests/test_connection_limits.py
@@ -0,0 +1,180 @@
+"""Limits over all connections: who is refused, and who never is."""
+
+import dataclasses
+import json
+
+import anyio
+import pytest
+
+from geraniumlink import _connection_limits
+from geraniumlink import platform
+from tests import hosts
+
+pytestmark = pytest.mark.anyio
+
+_Stage = _connection_limits.Stage
+
+
+@dataclasses.dataclass(eq=False)
+class _Connection:
+    stage: _connection_limits.Stage = _Stage.UNUSED
+    incomplete_bytes: int = 0
+    is_closed: bool = False
+    is_refused: bool = False
+    table: _connection_limits.ConnectionTable | None = None
+
+    def refuse_incomplete(self):
+        self.incomplete_bytes = 0
+        self.is_refused = True
+        if self.table is not None:
+            self.table.hold(self, 0)
+
+    def close_for_room(self):
+        self.is_closed = True
+
+
+def _table(max_connections=3, max_received_bytes=100):
+    counts = []
+    limits = _connection_limits.ConnectionLimits(
+        max_connections, max_received_bytes
+    )
+    return _connection_limits.ConnectionTable(limits, counts.append), counts
+
+
+@pytest.mark.parametrize(
+    ("stages", "closed"),
+    (
+        ((_Stage.SERVING, _Stage.UNUSED, _Stage.UNUSED), 1),
+        ((_Stage.IDLE, _Stage.IDLE, _Stage.UNUSED), 2),
+        ((_Stage.SERVING, _Stage.STALLED, _Stage.SERVING), 1),
+        ((_Stage.SERVING, _Stage.SERVING, _Stage.SERVING), 3),
+        ((_Stage.STALLED, _Stage.SERVING, _Stage.IDLE), 2),
+    ),
+)
+def test_a_request_is_dropped_for_a_new_connection(stages, closed):
+    """The new connection, the last one, has sent nothing yet."""
+    table, counts = _table()
+    connections = [*(_Connection(stage) for stage in stages), _Connection()]
+    for connection in connections:
+        table.add(connection)
+        if connection.stage > _Stage.UNUSED:
+            table.note_use(connection)
+    assert [c.is_closed for c in connections] == [
+        number == closed for number in range(4)
+    ]
+    assert table.connections == 3
+    assert counts == [_connection_limits.Cause.CONNECTIONS]
+
+
+def test_a_small_request_is_refused_for_a_large_one():
+    table, _ = _table()
+    small, large, whole = [_Connection(table=table) for _ in range(3)]
+    for connection, held_bytes in ((small, 10), (large, 50), (whole, 60)):
+        table.add(connection)
+        connection.incomplete_bytes = 0 if connection is whole else held_bytes
+        table.hold(connection, held_bytes)
+    assert large.is_refused
+    assert not small.is_refused
+    assert not whole.is_refused
+
+
+def test_what_a_closed_connection_held_is_not_released():
+    table, _ = _table()
+    connection = _Connection()
+    table.add(connection)
+    table.hold(connection, 101)
+    assert not table.has_room()
+    table.remove(connection)
+    table.hold(connection, 50)
+    assert (table.received_bytes, table.connections) == (0, 0)
+
+
+def test_limits_follow_the_machine():
+    small = _connection_limits.derive_limits(1638, 160)
+    assert small == (708, 20 * 2**20)
+    assert _connection_limits.derive_limits(1638, 64) == (512, 8 * 2**20)
+    stated = _connection_limits.state_limits(10, 16)
+    assert stated == (10, 16 * 2**20)
+    unstated = _connection_limits.state_limits(0, 16)
+    assert unstated.max_connections > 10
+
+
+@pytest.mark.parametrize("limits", ({"max_fds": 127}, {"memory_mb": -1}))
+def test_too_low_a_limit_is_no_error_at_the_start(tmp_path, limits):
+    store = hosts.fleets.Process("store", [], 1, tmp_path / "log")
+    settings = {**hosts.node_settings(store, "i-1"), "limits": limits}
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(settings))
+    with pytest.raises(platform.FormatError, match=next(iter(limits))):
+        platform.read_settings(path)
+
+
+def _head(target: str, size: int, field: str) -> bytes:
+    """Return a head of a size, padded with a field that is repeated."""
+    start = hosts.request_bytes(target, Connection="keep-alive")[:-2]
+    count, rest = divmod(size - len(start) - 2, len(field))
+    padding = field * count
+    assert rest < len(field)
+    return start + padding.encode() + b"\r\n"
+
+
+async def _receive(connection: anyio.abc.SocketStream, count: int) -> bytes:
+    received = b""
+    with anyio.fail_after(10):
+        while received.count(b"HTTP/1.1 ") < count:
+            received += await connection.receive()
+    return received
+
+
+@pytest.mark.parametrize(
+    "field", ("a:bcdefghijkl\r\n", f"a: {'b' * 1000}\r\n")
+)
+async def test_a_client_within_the_limits_is_refused(fleet, field):
+    """Four requests at once, each with the largest head; a large body."""
+    site = await hosts.Site(fleet).start(replicas=1, instances=0)
+    configuration = hosts.configuration(2)
+    configuration["limits"] = {
+        "max_header_bytes": 16_384,
+        "max_body_bytes": 4_194_304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15_000,
+    }
+    await site.configure(configuration)
+    site.limits = {"memory_mb": 160, "max_fds": 1638}
+    instance = await site.add_instance()
+    async with await anyio.connect_tcp(
+        "127.0.0.1", instance.port
+    ) as connection:
+        await connection.send(4 * _head("/safe/x", 14_000, field))
+        received = await _receive(connection, 4)
+    assert received.count(b"HTTP/1.1 200 ") == 4
+    body = hosts.request_bytes("/safe/x", b"x" * 4_194_304)
+    assert (await hosts.send(instance.port, body)).status == 200
+    assert not hosts.find_log_lines(instance, "clients_refused")
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    (
+        (b"GET /" + 20_000 * b"a", 414),
+        (b"GET / HTTP/1.1\r\nx: " + 20_000 * b"a", 431),
+        (b"GET / HTTP/1.1\r\n" + 20_000 * b"a", 431),
+        (b"GET / HTTP/1.1\r\n" + 4000 * b"a:\r\n", 431),
+        (1000 * b"\r\n", 400),
+        (
+            b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;"
+            + 20_000 * b"a",
+            400,
+        ),
+    ),
+    ids=("target", "value", "name", "fields", "empty lines", "extension"),
+)
+async def test_a_part_without_an_end_has_another_status(fleet, data, status):
+    site = await hosts.Site(fleet).start(replicas=1)
+    instance = site.instances[0]
+    answer = await hosts.send(instance.port, data)
+    assert answer.status == status
+    (line,) = hosts.find_log_lines(instance, "clients_refused")
+    assert sum(line["counts"].values()) == 1
+    assert line["connections"] >= 1
+    assert (await hosts.send_request(instance.port, "/safe/x")).status == 200
