--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -60,6 +60,7 @@
     "configuration_version": _WHOLE,
     # Null if it never was confirmed, or doesn't matter.
     "confirmed_age_ms": Field(Kind.WHOLE, nullable=True),
+    "connections": _WHOLE,
     "controller": _TEXT,
     "cost": Field(Kind.NUMBER),
     "counts": Field(Kind.COUNTS),
@@ -83,6 +84,7 @@
     # What marks the end of a body: length, chunks, or connection.
     "framing": _TEXT,
     "granted": _FLAG,
+    "held_bytes": _WHOLE,
     "holder": _TEXT,
     "in_flight": _WHOLE,
     "in_flight_elsewhere": Field(Kind.WHOLE, nullable=True),
@@ -107,6 +109,8 @@
     "load": Field(Kind.WHOLES, nullable=True),
     "load_age_ms": Field(Kind.WHOLE, nullable=True),
     "lost_ms": _WHOLE,
+    "max_connections": _WHOLE,
+    "max_held_bytes": _WHOLE,
     "max_rejections": Field(Kind.NUMBER, nullable=True),
     "member": _TEXT,
     "messages": _WHOLE,
