--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -24,6 +24,7 @@
 from geraniumlink.residency import _controller_link
 from geraniumlink.residency import _demand
 from geraniumlink.residency import _instance_directory
+from geraniumlink.residency import _issuer_table
 from geraniumlink.residency import _leadership
 from geraniumlink.residency import _limit_exchange
 from geraniumlink.residency import _load_columns
@@ -72,8 +73,17 @@
     def encode_changes(self, known: dict[str, int]) -> dict[str, typing.Any]:
         """Return the changes since the revisions that an instance knows."""
 
-    def apply_changes(self, told: typing.Any) -> None:
-        """Apply the changes that the controller sent."""
+    def confirmed_ages_ms(self) -> dict[str, int | None]:
+        """Return how long ago what is encoded now was confirmed, by kind."""
+
+    def apply_changes(
+        self, told: typing.Any, ages_ms: typing.Any, sent_at: int
+    ) -> None:
+        """Apply the changes that the controller sent.
+
+        :param ages_ms: its ``confirmed_ages_ms``, if it sent them.
+        :param sent_at: time since boot before the report was sent.
+        """
 
 
 class PermitIssuer(typing.Protocol):
@@ -109,6 +119,7 @@
         directory: _instance_directory.InstanceDirectory,
         clock: _clock.Clock,
         instance: str,
+        issuers: _issuer_table.IssuerTable | None = None,
     ) -> None:
         self._controller = controller
         self._leadership = leadership
@@ -125,6 +136,8 @@
         self._directory = directory
         self._clock = clock
         self._instance = instance
+        # None if this instance charges no quotas.
+        self._issuers = issuers
         # Prompt tokens since the last report, by service, model and adapter.
         self._prompt_tokens: dict[tuple[str, str, str], int] = {}
         self._totals = _load_totals.LoadTotals(clock)
@@ -215,6 +228,7 @@
         """Report to the controller every REPORT_INTERVAL_MS, for ever."""
         while True:
             await self._clock.sleep(REPORT_INTERVAL_MS)
+            sent_at = self._clock.since_boot()
             prompt_tokens, self._prompt_tokens = self._prompt_tokens, {}
             report = _messages.Report(
                 instance=self._instance,
@@ -229,17 +243,20 @@
                 leaving=self._replicas.leaving_unregistered(),
                 back_off_ms=self._replicas.back_off_times(),
                 limits=self._limits.make_report(),
+                issuers=(
+                    self._issuers.make_report() if self._issuers else None
+                ),
                 suspicions=self._request_sync.make_report(),
                 suspected_parts=self._part_sync.make_report(),
             )
             if self._leadership.is_leader:
-                self._apply_answer(self._answer_report(report))
+                self._apply_answer(self._answer_report(report), sent_at)
                 continue
             answer = await self._link.call(
                 self._leadership.leader, REPORT_PATH, report
             )
             if answer is not None:
-                self._apply_answer(answer)
+                self._apply_answer(answer, sent_at)
 
     async def handle_message(self, path: str, body: bytes) -> typing.Any:
         """Return the answer to another instance's message.
@@ -311,6 +328,12 @@
         limits = None
         if "limits" in report:
             limits = self._limits.answer_report(report["limits"])
+        issuers = None
+        issuer_report = report.get("issuers")
+        if self._issuers is not None and issuer_report is not None:
+            issuers = self._issuers.answer_report(
+                str(report["address"]), issuer_report
+            )
         answer: dict[str, typing.Any] = {
             "instances": len(self._last_reports),
             "instance_list": (
@@ -328,6 +351,7 @@
             )[:MAX_WITHOUT_PATH],
             "leaving": self._leaving_elsewhere(sender),
             "limits": limits,
+            "issuers": issuers,
             "suspicions": suspicions,
             "suspected_parts": suspected_parts,
         }
@@ -337,10 +361,14 @@
         if sender != self._instance and self._leadership.may_order():
             answer["lease_version"] = self._leadership.lease_version
             answer["objects"] = self._relay.encode_changes(report["known"])
+            answer["objects_age_ms"] = self._relay.confirmed_ages_ms()
         return answer
 
-    def _apply_answer(self, answer: typing.Any) -> None:
-        """Apply the controller's answer to a report; log a malformed one."""
+    def _apply_answer(self, answer: typing.Any, sent_at: int) -> None:
+        """Apply the controller's answer to a report; log a malformed one.
+
+        :param sent_at: time since boot before the report was sent.
+        """
         try:
             self._budgets.set_instances(int(answer["instances"]))
             self._directory.apply_list(answer.get("instance_list"))
@@ -354,13 +382,19 @@
             self._apply_other_loads(self._load_decoder.decode(answer["loads"]))
             if answer.get("limits") is not None:
                 self._limits.apply_answer(answer["limits"])
+            # Instances of older versions don't send it.
+            issuers = answer.get("issuers")
+            if self._issuers is not None and issuers is not None:
+                self._issuers.apply_answer(issuers, sent_at)
             self._request_sync.apply_answer(answer["suspicions"])
             self._part_sync.apply_answer(answer["suspected_parts"])
             if "objects" in answer:
                 self._leadership.record_leader_renewal(
                     int(answer["lease_version"])
                 )
-                self._relay.apply_changes(answer["objects"])
+                self._relay.apply_changes(
+                    answer["objects"], answer.get("objects_age_ms"), sent_at
+                )
         except (KeyError, TypeError, ValueError) as error:
             _logs.event("bad_report_answer", error=repr(error))
             return
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -7,23 +7,51 @@
 from __future__ import annotations
 
 from geraniumlink import _logs
+from geraniumlink.serving import _accounts
 from geraniumlink.serving import _balance
 from geraniumlink.serving import _outcomes
 from geraniumlink.serving import _permits
+from geraniumlink.serving import _quotas
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_state
 from geraniumlink.serving import _stream_origins
+from geraniumlink.serving import _types
+
+
+def denied(
+    request: _types.Request,
+    decision: _accounts.Denied | _accounts.Undecided,
+    version: int,
+) -> None:
+    """Log why a request may not run under any account."""
+    _logs.event(
+        "denied",
+        request_id=request.id.decode("latin-1"),
+        route=decision.route,
+        reason=decision.reason,
+        configuration_version=version,
+        confirmed_age_ms=decision.age_ms,
+    )
 
 
 def admitted(
-    state: _request_state.RequestState, version: int, now: int
+    state: _request_state.RequestState,
+    version: int,
+    confirmed_age_ms: int | None,
+    now: int,
 ) -> None:
-    """Log the route and the configuration version of a new request."""
+    """Log the route and the configuration version of a new request.
+
+    :param confirmed_age_ms: how long ago the configuration was confirmed;
+        None if that isn't known, or doesn't matter.
+    """
     _logs.event(
         "admitted",
         request_id=state.log_id,
         route=state.route.name,
+        account=state.request.account,
         configuration_version=version,
+        confirmed_age_ms=confirmed_age_ms,
         service=state.service,
         model=state.request.model,
         adapter=state.request.adapter,
@@ -89,6 +117,33 @@
     )
 
 
+def quota_charged(
+    state: _request_state.RequestState, decision: _quotas.Decision
+) -> None:
+    """Log a refused charge, or one that the issuer didn't decide on."""
+    answer = decision.answer
+    wait_ms = 0
+    if isinstance(answer, _quotas.OverQuota):
+        wait_ms = answer.wait_ms
+    _logs.event(
+        "quota_charged",
+        request_id=state.log_id,
+        account=decision.account,
+        cost=decision.cost,
+        granted=decision.is_charged,
+        source=decision.source.value,
+        issuer=decision.issuer,
+        quota_per_s=decision.limit.rate_per_s,
+        burst=decision.limit.burst,
+        level=round(answer.level, 3),
+        account_per_s=round(answer.total_per_s, 3),
+        share=decision.share,
+        told_age_ms=decision.told_age_ms,
+        wait_ms=wait_ms,
+        took_ms=decision.took_ms,
+    )
+
+
 def attempt(
     state: _request_state.RequestState, choice: _balance.Choice, now: int
 ) -> None:
@@ -209,6 +264,7 @@
         "request",
         request_id=state.log_id,
         route=state.route.name,
+        account=state.request.account,
         service=state.service,
         model=state.request.model,
         adapter=state.request.adapter,
