--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -145,6 +145,7 @@
         # Requests of other instances that are in flight here.
         self._relayed_in_flight = 0
         self._chooser = _replica_choice.ReplicaChooser(
+            active_configuration=active_configuration,
             replicas=replicas,
             permits=permits,
             final_answers=self._final_answers,
@@ -619,6 +620,8 @@
         """
         if not may_load:
             return self._final_answers.make_refusal("the model isn't loaded")
+        if not _retry_rules.may_wait_for_copy(state):
+            return self._final_answers.make_refusal("all holders are full")
         if self._quota_gate is not None:
             self._quota_gate.suspend(state)
         began = self._clock.now()
@@ -850,8 +853,9 @@
                 replica.note_outcome(False, now)
                 self._suspicions.clear_crashes(state.fingerprint)
                 self._prompt_parts.note_completion(state.shared_parts)
-            case _outcomes.NotRun():
+            case _outcomes.NotRun(is_full=is_full):
                 state.rejections += 1
+                state.was_rejected_as_full |= is_full
             case _outcomes.Failed(status=status):
                 replica.note_outcome(status >= 500, now)
             case _:  # Interrupted.
