Let waiting models gain as before, whatever their loads take

Change: only the rule that puts starving models before all others is left out for loads over 7 s.

Result: tests/test_starving_models.py passes.

--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -80,8 +80,6 @@
 
     since: int
     asked_at: int
-    # Until when a load may begin that ends in time for some request.
-    load_by: int = 0
 
 
 class Controller:
@@ -238,13 +236,11 @@
         if known is None:
             self._requirement_added.set()
         since = known.since if known else now
-        load_ms = self._estimated_load_ms(requirement, engine)
-        load_by = max(known.load_by if known else 0, deadline - load_ms)
-        self._waiting[key] = _Waiting(since, now, load_by)
+        self._waiting[key] = _Waiting(since, now)
         expected_at = self._expected_ready_at.get(key)
         wait_ms = ANSWER_TIMEOUT_MS
         if expected_at is None:
-            expected_at = now + load_ms
+            expected_at = now + self._estimated_load_ms(requirement, engine)
             # After this a load that is decided then would end too late.
             wait_ms = min(wait_ms, deadline - expected_at + 1)
         if expected_at > deadline:
@@ -332,10 +328,7 @@
         budget = self._budget_of(service, engine)
         load_ms = max((m.load_ms for m in engine.models.values()), default=0)
         store_loads = budget.available(engine.loads_per_s, load_ms)
-        waiting_ms = self._waiting_times(service)
-        demand = self._demands.demand_of(
-            service, waiting_ms, self._patient_models(service)
-        )
+        demand = self._demands.demand_of(service, self._waiting_times(service))
         views = [
             _replica_view(state)
             for state in self._directory.available(service)
@@ -388,15 +381,6 @@
             if of_service == service
         }
 
-    def _patient_models(self, service: str) -> frozenset[str]:
-        """Return the models that some request can wait for until loaded."""
-        now = self._clock.now()
-        return frozenset(
-            model
-            for (of_service, model), waiting in self._waiting.items()
-            if of_service == service and waiting.load_by >= now
-        )
-
     def _waits_until(self, key: tuple[str, str], asked_at: int) -> int:
         """Return until when a model counts as waited for.
 
--- a/src/geraniumlink/residency/_demand.py
+++ b/src/geraniumlink/residency/_demand.py
@@ -61,16 +61,11 @@
             self._adapter_last_used_at[(*key, sample.adapter)] = now
 
     def demand_of(
-        self,
-        service: str,
-        waiting_ms: dict[str, int],
-        patient: frozenset[str] = frozenset(),
+        self, service: str, waiting_ms: dict[str, int]
     ) -> _packing.Demand:
         """Return the present demand for a service's models.
 
         :param waiting_ms: models that requests wait for, and for how long.
-        :param patient: those of them whose load would end in time for some
-            request.
         """
         now = self._clock.now()
         rates, idle_ms = {}, {}
@@ -82,9 +77,7 @@
             if decayed > MIN_TOKENS_PER_S:
                 rates[key[1]] = decayed
         observed_ms = now - self._observed_since
-        return _packing.Demand(
-            rates, idle_ms, waiting_ms, observed_ms, patient
-        )
+        return _packing.Demand(rates, idle_ms, waiting_ms, observed_ms)
 
     def model_last_used_at(self, service: str, model: str) -> int:
         """Return when use of a model was last reported; 0 if never."""
--- a/src/geraniumlink/residency/_packing.py
+++ b/src/geraniumlink/residency/_packing.py
@@ -61,9 +61,6 @@
     # For how long demand has been observed. A model without a request is not
     # known to have been idle for longer.
     observed_ms: int = IDLE_DECAY_MS
-    # Models for which some request waits that can still be served after a
-    # load that begins now.
-    patient: frozenset[str] = frozenset()
 
 
 class Room(typing.NamedTuple):
--- a/src/geraniumlink/residency/_planner.py
+++ b/src/geraniumlink/residency/_planner.py
@@ -42,9 +42,10 @@
 # before any other gets another copy. Clients wait about as long for a first
 # event.
 STARVING_MS = 2000
-# A load that takes longer than this ends after the clients that wait for the
-# model have given up, so it isn't more urgent for them.
-LONG_LOAD_MS = 5000
+# Where a load takes longer than this, nearly all that wait for the model have
+# given up before it ends. Putting such loads before all others would serve
+# few, and keep models that many ask for from getting copies.
+LONG_LOAD_MS = 7000
 # Moves that gain less than LARGE_GAIN, in tokens a second, may occupy only
 # this fraction of the replicas. A replica that loads a model can't load
 # another for seconds, so the rest is kept free for moves that gain more.
@@ -144,29 +145,18 @@
         )
         return not is_starving, -gains[model]
 
-    def _loads_too_late(self, model: str) -> bool:
-        """Whether a model's load ends too late for those that wait for it."""
-        return self._takes_long(model) and model not in self._demand.patient
-
     def _takes_long(self, model: str) -> bool:
-        """Whether most clients give up before a load of a model ends."""
+        """Whether clients give up before a load of a model ends."""
         declared = self._engine.models.get(model)
         return declared is not None and declared.load_ms > LONG_LOAD_MS
 
-    def _waiting_gain(self, model: str, waited_ms: int) -> float:
-        """Return what a load gains for the clients that wait for a model."""
-        if self._loads_too_late(model):
-            return 0.0
-        return (
-            WAITING_GAIN + min(waited_ms, MAX_GAINING_MS) * WAITING_GAIN_PER_MS
-        )
-
     def _gains(self) -> dict[str, float]:
         """Return the gain of a load of each model that may be worth one."""
         rates = self._demand.rates
         gains = {
             model: rates.get(model, 0.0)
-            + self._waiting_gain(model, waited_ms)
+            + WAITING_GAIN
+            + min(waited_ms, MAX_GAINING_MS) * WAITING_GAIN_PER_MS
             for model, waited_ms in self._demand.waiting_ms.items()
             if model not in self._unplaceable
             and not self._packing.holders(model)
