Count calls of no time as 1 ms

Cause: the learned time of a call was 0 after one that took less than a millisecond. All costs were 0 then, and each choice of a replica raised ZeroDivisionError until the time was forgotten. Found in a review.

Change: a call counts as at least 1 ms.

Result: the new test raised before and passes.

--- a/src/geraniumlink/serving/_call_times.py
+++ b/src/geraniumlink/serving/_call_times.py
@@ -22,6 +22,9 @@
 # The learned time is dropped after this long without a completed call. If it
 # is too long, all calls are refused, and none would correct it.
 FORGET_MS = 20_000
+# A call counts as at least this long. Times are in whole milliseconds, so a
+# shorter one would make the learned time, and all costs, 0.
+MIN_CALL_MS = 1.0
 # Added for each request ahead that doesn't make a call wait, as a part of its
 # time: among replicas with free slots the emptiest is chosen.
 TIE_PART = 0.1
@@ -62,6 +65,7 @@
         :param ahead: requests there when it was sent, as far as known.
         """
         call_ms = took_ms / (factor * expected_ms(1.0, ahead, slots))
+        call_ms = max(MIN_CALL_MS, call_ms)
         known_ms = self.call_ms(now)
         if known_ms is None:
             self._ms, self._count = call_ms, 0
--- a/tests/test_call_times.py
+++ b/tests/test_call_times.py
@@ -89,6 +89,13 @@
     assert times.call_ms(50) < 100
 
 
+def test_a_call_of_no_time_makes_the_choice_fail():
+    times = _call_times.CallTimes()
+    times.note_call(0.0, 1.0, 0.0, 6, now=0)
+    cost = _call_times.expected_ms(times.call_ms(0), 0.0, 6)
+    assert _call_times.draw_replica([cost, cost], 0.5, random.Random(1)) < 2
+
+
 def test_a_learned_time_that_is_too_long_is_never_corrected():
     times = _call_times.CallTimes()
     times.note_call(10_000, 1.0, 0, 6, 0)
