Order requests by account, then by route

Cause: the priority of an account replaced that of the route.

Change: an account's priority still goes first; among equal ones the route's decides. Without accounts the route's alone counts, as before.

--- a/src/geraniumlink/serving/_accounts.py
+++ b/src/geraniumlink/serving/_accounts.py
@@ -27,6 +27,9 @@
 # was confirmed this recently, in ms. In normal operation the age is at most
 # twice the longest watch of the store (4 s), and some round trips.
 MAX_DENYING_AGE_MS = 10_000
+# Priorities of routes that are told apart among requests of one account's
+# priority. Replicas know 10 levels in all, which leaves three of accounts.
+ROUTE_LEVELS = 3
 _NOT_CONFIRMED = "the configuration isn't confirmed"
 
 
@@ -132,15 +135,26 @@
     # confirmed; None if it never was.
     version: int
     age_ms: int | None
+    # Whether the configuration has accounts.
+    has_accounts: bool = True
 
     @property
     def effective_route(self) -> _types.Route | None:
-        """The route, with the priority of the account if that has one."""
-        if self.route is None or self.account is None:
-            return self.route
-        if self.account.priority is None:
+        """The route, with the priority that the request has.
+
+        That of the account comes first, if it has one, and routes come in
+        their order among requests of the same priority. Without accounts it
+        is the route's alone.
+        """
+        if self.route is None or not self.has_accounts:
             return self.route
-        return self.route._replace(priority=self.account.priority)
+        level = self.route.priority
+        if self.account is not None and self.account.priority is not None:
+            level = self.account.priority
+        return self.route._replace(
+            priority=ROUTE_LEVELS * level
+            + min(self.route.priority, ROUTE_LEVELS - 1)
+        )
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/geraniumlink/serving/_active_configuration.py
+++ b/src/geraniumlink/serving/_active_configuration.py
@@ -79,6 +79,7 @@
             self.find_account(request.account),
             self.version,
             None,
+            self._current is not None and self._current.accounts is not None,
         )
 
     def find_account(self, name: str) -> _types.ClientAccount | None:
