Send the table to instances that ask in error

Cause: an instance that has just started has no table for 250 ms, and its charges are decided on from less than the issuer has. Without a controller that names issuers, the local share goes by the known instances after 5 s.

--- a/src/geraniumlink/hosting/_quota_exchange.py
+++ b/src/geraniumlink/hosting/_quota_exchange.py
@@ -35,6 +35,10 @@
 SILENCE_MS = 1000
 # Charges without an answer that are remembered: a late answer is refunded.
 MAX_LATE = 1024
+# Without a table, the number of instances is taken as known only this long
+# after the start: all may have started together. Later there is none as the
+# controller is of a build that names no issuers.
+SETTLE_MS = 5000
 # Accounts whose use is remembered; those used last are.
 MAX_ACCOUNTS = 16_384
 # An issuer that the controller doesn't confirm checks how many instances it
@@ -115,6 +119,7 @@
         self._bounds = bounds
         self._clock = clock
         self._random = random_source
+        self._started_at = clock.now()
         self._issuer = _quotas.Issuer(bounds, clock)
         # Since when this instance issues for each row; None if it doesn't.
         self._issues_since: list[int | None] = [None] * _issuer_table.ROWS
@@ -192,7 +197,10 @@
 
     def _count_instances(self) -> int:
         """Return how many share a quota; 0 if that isn't known."""
-        if not self._table.current.rows:
+        if (
+            not self._table.current.rows
+            and self._clock.now() - self._started_at < SETTLE_MS
+        ):
             return 0
         return len(self._directory.others) + 1
 
@@ -408,11 +416,14 @@
             case _:
                 raise ValueError(f"malformed message: {message!r:.60}")
         duty = self._find_duty(account, (epoch, serial))
+        is_asked_in_error = (
+            duty is None or duty.role is _quotas.Role.BACKUP
+        ) and (epoch, serial) < self._table.current.version
+        if is_asked_in_error:
+            self._datagrams.send(
+                [str(sender)], ["issuers_known", self._table.to_json()]
+            )
         if duty is None:
-            if (epoch, serial) < self._table.current.version:
-                self._datagrams.send(
-                    [str(sender)], ["issuers_known", self._table.to_json()]
-                )
             return
         limit = self._find_limit(account) or _quotas.Limit(rate_per_s, burst)
         answer = self._issuer.charge(
