--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -108,10 +108,14 @@
         "a replica was chosen for a request, and the estimates for it",
         (
             "attempt",
+            "call_ms",
+            "elsewhere_age_ms",
             "expected_ms",
             "failures",
             "in_flight",
             "in_flight_elsewhere",
+            "kv_tokens",
+            "kv_tokens_elsewhere",
             "last_event_id",
             "left_ms",
             "limit_per_s",
@@ -119,6 +123,8 @@
             "load_age_ms",
             "replica",
             "request_id",
+            "service_time_percent",
+            "smoothed_percent",
             "software_version",
         ),
     ),
@@ -130,6 +136,7 @@
             "attempt",
             "outcome",
             "reason",
+            "rejections",
             "replica",
             "request_id",
             "why_final",
@@ -178,8 +185,8 @@
     ),
     "bad_request": Message(
         _REQUEST,
-        "a client sent something that can't be read as a request, or not in"
-        " time; it was refused with `status`",
+        "a client sent something that can't be read as a request, too much, or"
+        " not in time; it was refused with `status`; up to 10 lines a second",
         ("reason", "status"),
     ),
     "bad_suspicions": Message(
@@ -240,6 +247,19 @@
     "configuration_finding": Message(
         _STATE, "an accepted deployment has an error", ("place", "problem")
     ),
+    "clients_refused": Message(
+        _STATE,
+        "connections of clients were closed, or their requests refused, so"
+        " often since the last such line, by cause; with what all connections"
+        " hold, and the limits",
+        (
+            "connections",
+            "counts",
+            "held_bytes",
+            "max_connections",
+            "max_held_bytes",
+        ),
+    ),
     "configuration_in_force": Message(
         _STATE,
         "this instance applied a newer configuration",
--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -13,11 +13,13 @@
 from geraniumlink import _http
 from geraniumlink import _logs
 from geraniumlink import platform
+from geraniumlink.serving import _balance
 from geraniumlink.serving import _connections
 from geraniumlink.serving import _decision_log
 from geraniumlink.serving import _events
 from geraniumlink.serving import _failover
 from geraniumlink.serving import _outcomes
+from geraniumlink.serving import _rejections
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_state
 from geraniumlink.serving import _stream_origins
@@ -75,11 +77,17 @@
         self._failover = failover
         self._sent_at = clock.now()
         self._priority = state.route.priority
-        self._prefill_tokens = replica.uncached_tokens(state.request)
+        self._prefill_tokens = replica.prefix_cache.uncached_tokens(
+            state.request
+        )
         # Prompt tokens that are read before its first event.
         self._tokens_to_read = self._prefill_tokens + replica.tokens_ahead(
             self._priority, self._sent_at
         )
+        # Requests at the replica before it, as far as known.
+        self._ahead = replica.in_flight + _balance.requests_of_others(
+            replica, self._sent_at
+        )
         self._body_sent = False
         # Whether the connection may carry another request.
         self.reusable = False
@@ -106,6 +114,7 @@
         replica = self._replica
         replica.begin_request(self._sent_at)
         replica.prefill_tokens[self._priority] += self._prefill_tokens
+        replica.memory.begin(self._state.request)
         try:
             return await self._exchange()
         except _http.BrokenError as error:
@@ -116,6 +125,7 @@
             if self._stall_timer is not None:
                 self._stall_timer.cancel()
             replica.in_flight -= 1
+            replica.memory.end(self._state.request)
             self._end_prefill()
             await self._failover.stop()
 
@@ -207,17 +217,21 @@
         return _outcomes.Failed(head.status, head.headers, body)
 
     def _record_refusal(self, head: platform.ResponseHead) -> None:
-        """Record that the replica can't serve the model or the adapter now.
+        """Record why the replica can't serve the request now.
 
-        Status 421 says so. A replica that is unloading a model refuses
-        requests for it even with free slots, and lists it as resident until
-        its last run has ended.
+        A replica that is unloading a model refuses requests for it even with
+        free slots, and lists it as resident until its last run has ended.
         """
         request, now = self._state.request, self._clock.now()
-        if head.status == 421:
-            self._replica.note_not_loaded(request.model, request.adapter, now)
-        elif head.load is not None and head.load.has_room:
-            self._replica.note_not_loaded(request.model, "", now)
+        match _rejections.find_cause(head.status, head.load, request.model):
+            case _rejections.Cause.NOT_LOADED:
+                self._replica.note_not_loaded(
+                    request.model, request.adapter, now
+                )
+            case _rejections.Cause.CLOSING:
+                self._replica.note_not_loaded(request.model, "", now)
+            case _rejections.Cause.NO_ROOM:
+                self._replica.last_rejection.note(now)
 
     async def _read_head(self) -> platform.ResponseHead:
         """Return the response head; skip responses to other requests."""
@@ -269,6 +283,7 @@
                 await response.write(bytes(held))
                 held.clear()
         self._finish_response(head)
+        self._record_call(head)
         if response.started:
             await response.finish()
         else:
@@ -386,6 +401,28 @@
             and not is_nameless_refusal
         )
 
+    def _record_call(self, head: platform.ResponseHead) -> None:
+        """Record how long a call to a service without an engine took.
+
+        A body that was sent in parts may have waited for the client.
+        """
+        load, replica = head.load, self._replica
+        if (
+            self._state.request.model
+            or self._state.response.started
+            or load is None
+            or load.service_time_percent is None
+        ):
+            return
+        now = self._clock.now()
+        replica.call_times.note_call(
+            now - self._sent_at,
+            replica.service_time.factor(now),
+            self._ahead,
+            max(1, replica.entry.slots),
+            now,
+        )
+
     def _record_first_event(self) -> None:
         """Record the time to first event; the prompt has been read."""
         if self._first_event_at is None:
@@ -398,9 +435,10 @@
         took_ms = now - self._sent_at
         self._replica.note_excess_latency(took_ms - self._expected_ms, now)
         self._replica.prefill_speed.note_first_event(
-            self._tokens_to_read, took_ms
+            self._tokens_to_read,
+            took_ms / self._replica.service_time.factor(now),
         )
-        self._replica.remember_prefix(self._state.request)
+        self._replica.prefix_cache.remember(self._state.request)
         self._end_prefill()
 
     def _end_prefill(self) -> None:
@@ -484,7 +522,7 @@
         route = self._state.route
         if (
             not self._state.can_be_repeated
-            or self._state.attempts >= route.max_attempts
+            or self._state.runs >= route.max_attempts
         ):
             return None
         if self._state.response.started and route.gap_target_ms:
--- a/src/geraniumlink/serving/_types.py
+++ b/src/geraniumlink/serving/_types.py
@@ -67,7 +67,7 @@
     # 0 is the most urgent.
     priority: int
     shares: tuple[Share, ...]
-    # Replicas that one client request may be sent to, one after another.
+    # Replicas on which one client request may run, one after another.
     max_attempts: int
     # Whether another replica can continue a stream after a given event.
     resumable: bool
@@ -287,6 +287,9 @@
     running: int
     waiting: int
     slots: int
+    # Its current service time in percent of the usual one; None if it did
+    # not say.
+    service_time_percent: float | None = None
 
     @property
     def has_room(self) -> bool:
