Pace requests to replicas that have just started or recovered

Cause: 86 instances see a new replica at once, it seems empty to each, and while it is slow their requests are late or rejected there.

Change: where replicas state their service time, the controller sums how requests ended at a replica that warms up and at the others of its service, and sets the share of the requests for which the replica is considered. PACES_WARM_UPS in hosting/_instance.py turns it off. Reports and answers get a member "warm_up", which other builds ignore.

Not measured over a network.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -10,6 +10,7 @@
 from emulator import _experiments
 from emulator import _replay
 from emulator import _report
+from emulator import _warm_up_trials
 
 
 def main() -> None:
@@ -32,6 +33,12 @@
             _recover,
             "measure recovery at several numbers of instances",
         ),
+        (
+            "warm-up",
+            _warm_up,
+            "measure requests to a replica that starts, with and without"
+            " its warm-up",
+        ),
     ):
         command = commands.add_parser(name, help=text, description=text)
         command.set_defaults(run=run)
@@ -108,6 +115,22 @@
         )
 
 
+def _warm_up(options: argparse.Namespace) -> None:
+    results = _warm_up_trials.compare(range(options.seeds), options.jobs)
+    _report.write_json(options.out / "warm-up.json", results)
+    for entry in results:
+        print(f"{entry['trial']}, of {options.seeds} seeds:")
+        for name, counts in (
+            ("without", entry["without"]),
+            ("with", entry["with_warm_ups"]),
+        ):
+            totals = _warm_up_trials.Counts(
+                *map(sum, zip(*counts, strict=True))
+            )
+            figures = [f"{k} {v}" for k, v in totals._asdict().items()]
+            print(f"  {name:8}", ", ".join(figures))
+
+
 def _replay_log(options: argparse.Namespace) -> None:
     results = _replay.replay(options.log)
     name = options.log.with_suffix(".json").name
--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -37,6 +37,7 @@
 from geraniumlink.serving import _retry_budgets
 from geraniumlink.serving import _stream_origins
 from geraniumlink.serving import _types
+from geraniumlink.serving import _warm_up
 from geraniumlink.suspicion import _prompt_parts
 from geraniumlink.suspicion import _suspicions
 from geraniumlink.suspicion import _table_sync
@@ -103,6 +104,7 @@
             _active_configuration.ActiveConfiguration()
         )
         self._replicas = _replicas.Replicas(clock, _LEAVING_BOUND_MS)
+        self._warm_ups = _warm_up.WarmUps(self._replicas, clock)
         self._budgets = _retry_budgets.RetryBudgets(_RETRY_LIMIT, clock)
         self._suspicions = _suspicions.SuspicionTable(clock)
         self._prompt_parts = _prompt_parts.PromptParts(clock, self._random)
@@ -171,6 +173,7 @@
             data_centre=data_centres[number % len(data_centres)],
             random_source=self._random,
             choose=policy.choose,
+            warm_ups=self._warm_ups,
         )
         self._active_configuration.apply_if_newer(environment.configuration)
 
@@ -264,4 +267,5 @@
             directory=self._directory,
             clock=self._environment.clock,
             instance=str(self.address),
+            warm_ups=self._warm_ups,
         )
--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -76,6 +76,7 @@
     "in_flight": _WHOLE,
     "in_flight_elsewhere": Field(Kind.WHOLE, nullable=True),
     "incarnation": _WHOLE,
+    "in_time": _WHOLE,
     "instances": _WHOLE,
     # False if another instance was told.
     "is_own": _FLAG,
@@ -98,6 +99,7 @@
     "messages": _WHOLE,
     "method": _TEXT,
     "missing_ms": _WHOLE,
+    "missed": _WHOLE,
     "model": _TEXT,
     "name": _TEXT,
     "near": _FLAG,
@@ -111,6 +113,8 @@
     "partial_bytes": _WHOLE,
     "parts": _TEXTS,
     "passed_on": _FLAG,
+    "others_in_time": _WHOLE,
+    "others_missed": _WHOLE,
     "path": _TEXT,
     "pause_ms": _WHOLE,
     "peer": _TEXT,
@@ -146,6 +150,7 @@
     "service": _TEXT,
     "service_time_percent": Field(Kind.NUMBER, nullable=True),
     "shard": _TEXT,
+    "share": Field(Kind.NUMBER),
     "silent_ms": _WHOLE,
     "size_mb": _WHOLE,
     "smoothed_percent": Field(Kind.WHOLE, nullable=True),
@@ -162,6 +167,7 @@
     "versions": _TEXTS,
     "wait_ms": _WHOLE,
     "why_final": _TEXT,
+    "window_ms": _WHOLE,
 }
 # Fields whose type in one message differs from that in ``FIELDS``, by message
 # and field.
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -790,6 +790,34 @@
         "a request waits: no known replica holds what it needs",
         ("adapter", "model", "replicas", "request_id", "wait_ms"),
     ),
+    "warm_up_began": Message(
+        _STATE,
+        "a replica started or recovered; `share` is that of the requests for"
+        " which it is considered",
+        ("replica", "share"),
+    ),
+    "warm_up_ended": Message(
+        _STATE,
+        "a replica that started or recovered gets requests like others",
+        ("replica", "share", "took_ms"),
+    ),
+    "warm_up_share": Message(
+        _STATE,
+        "a replica that started or recovered is considered for another share"
+        " of the requests, by how they ended in the last `window_ms` there,"
+        " and in the last second at the others of its service",
+        (
+            "in_time",
+            "missed",
+            "others_in_time",
+            "others_missed",
+            "previous",
+            "replica",
+            "service_time_percent",
+            "share",
+            "window_ms",
+        ),
+    ),
     "watch_compacted": Message(
         _STATE,
         "the object API no longer has the changes that a watch needs; all"
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -72,6 +72,7 @@
 from geraniumlink.serving import _retry_budgets
 from geraniumlink.serving import _stream_origins
 from geraniumlink.serving import _types
+from geraniumlink.serving import _warm_up
 from geraniumlink.suspicion import _prompt_parts
 from geraniumlink.suspicion import _suspicions
 from geraniumlink.suspicion import _table_sync
@@ -114,6 +115,11 @@
 CONFIGURATION_BATCH_DELAY_MS = 250
 REPLICAS_BATCH_DELAY_SHARE = 0.25
 
+# Whether requests to replicas that have just started or recovered are paced.
+# False serves for measurements without it; other services than those whose
+# replicas state their service time are never affected.
+PACES_WARM_UPS = True
+
 
 async def serve(
     settings_path: pathlib.Path, metrics_port: int | None = None
@@ -167,6 +173,11 @@
         self._replicas = _replicas.Replicas(
             self._clock, settings.leaving_bound_ms
         )
+        self._warm_ups = (
+            _warm_up.WarmUps(self._replicas, self._clock)
+            if PACES_WARM_UPS
+            else None
+        )
         self._suspicions = _suspicions.SuspicionTable(self._clock)
         self._prompt_parts = _prompt_parts.PromptParts(
             self._clock, self._random
@@ -305,6 +316,7 @@
             directory=self._directory,
             clock=self._clock,
             instance=self._settings.instance,
+            warm_ups=self._warm_ups,
         )
 
     def _make_forwarder(self) -> _forward.Forwarder:
@@ -330,6 +342,7 @@
             clock=self._clock,
             data_centre=self._settings.data_centre,
             random_source=self._random,
+            warm_ups=self._warm_ups,
         )
 
     def _make_application(self) -> _application.Application:
--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -35,6 +35,7 @@
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _retry_budgets
 from geraniumlink.serving import _types
+from geraniumlink.serving import _warm_up
 from geraniumlink.suspicion import _table_sync
 
 REPORT_PATH = "/instances/report"
@@ -109,6 +110,7 @@
         directory: _instance_directory.InstanceDirectory,
         clock: _clock.Clock,
         instance: str,
+        warm_ups: _warm_up.WarmUps | None = None,
     ) -> None:
         self._controller = controller
         self._leadership = leadership
@@ -125,6 +127,8 @@
         self._directory = directory
         self._clock = clock
         self._instance = instance
+        # None if new replicas get requests like all others.
+        self._warm_ups = warm_ups
         # Prompt tokens since the last report, by service, model and adapter.
         self._prompt_tokens: dict[tuple[str, str, str], int] = {}
         self._totals = _load_totals.LoadTotals(clock)
@@ -232,6 +236,9 @@
                 suspicions=self._request_sync.make_report(),
                 suspected_parts=self._part_sync.make_report(),
             )
+            warm_up = self._warm_ups.make_report() if self._warm_ups else None
+            if warm_up is not None:
+                report["warm_up"] = warm_up
             if self._leadership.is_leader:
                 self._apply_answer(self._answer_report(report))
                 continue
@@ -328,6 +335,9 @@
             "suspicions": suspicions,
             "suspected_parts": suspected_parts,
         }
+        warm_up = self._answer_warm_up(report)
+        if warm_up is not None:
+            answer["warm_up"] = warm_up
         # A leader that renewed its lease recently has reached the store, so
         # what it knows of the store is up to date. Others must not pass it
         # on.
@@ -349,6 +359,8 @@
                 }
             )
             self._apply_other_loads(self._load_decoder.decode(answer["loads"]))
+            if self._warm_ups is not None and "warm_up" in answer:
+                self._warm_ups.apply_answer(answer["warm_up"])
             if answer.get("limits") is not None:
                 self._limits.apply_answer(answer["limits"])
             self._request_sync.apply_answer(answer["suspicions"])
@@ -390,13 +402,28 @@
 
         A single instance may be the one that is cut off.
         """
-        votes = collections.Counter(
+        votes = self._count_unreachable()
+        needed = len(self._last_reports) / 2
+        return {replica for replica, n in votes.items() if n >= needed}
+
+    def _count_unreachable(self) -> collections.Counter[str]:
+        """Return how many instances can't reach each replica."""
+        return collections.Counter(
             replica
             for last_report in self._last_reports.values()
             for replica in last_report.unreachable
         )
-        needed = len(self._last_reports) / 2
-        return {replica for replica, n in votes.items() if n >= needed}
+
+    def _answer_warm_up(
+        self, report: _messages.Report
+    ) -> _warm_up.Answer | None:
+        """Record how requests ended; return the shares of new replicas."""
+        if self._warm_ups is None:
+            return None
+        self._warm_ups.note_unreachable(
+            self._count_unreachable(), len(self._last_reports)
+        )
+        return self._warm_ups.answer_report(report.get("warm_up"))
 
     def _leaving_elsewhere(self, sender: str) -> list[tuple[str, int]]:
         """Return the replicas that announced to others that they leave."""
--- a/src/geraniumlink/residency/_messages.py
+++ b/src/geraniumlink/residency/_messages.py
@@ -5,6 +5,7 @@
 import typing
 
 from geraniumlink.residency import _limit_exchange
+from geraniumlink.serving import _warm_up
 from geraniumlink.suspicion import _table_sync
 
 
@@ -127,3 +128,6 @@
     suspicions: _table_sync.News
     # Parts of prompts that may have crashed replicas.
     suspected_parts: _table_sync.News
+    # How requests ended at replicas that state the time that work takes
+    # there.
+    warm_up: typing.NotRequired[_warm_up.Report]
--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -427,6 +427,10 @@
         """Record the time to first event; the prompt has been read."""
         if self._first_event_at is None:
             self._first_event_at = self._clock.now()
+            target_at = self._sent_at + self._state.route.target_ms
+            self._replica.answers = self._replica.answers.with_one(
+                is_in_time=self._first_event_at <= target_at
+            )
         if self._state.first_event_at is None:
             self._state.first_event_at = self._first_event_at
         if not self._prefill_tokens:
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -39,6 +39,7 @@
 from geraniumlink.serving import _retry_rules
 from geraniumlink.serving import _stream_origins
 from geraniumlink.serving import _types
+from geraniumlink.serving import _warm_up
 from geraniumlink.suspicion import _prompt_parts
 from geraniumlink.suspicion import _suspicions
 
@@ -119,6 +120,7 @@
         data_centre: str,
         random_source: random.Random,
         choose: _balance.ChooseReplica = _balance.choose_replica,
+        warm_ups: _warm_up.WarmUps | None = None,
     ) -> None:
         self._active_configuration = active_configuration
         self._replicas = replicas
@@ -149,6 +151,7 @@
             data_centre=data_centre,
             random_source=random_source,
             choose=choose,
+            warm_ups=warm_ups,
         )
         self._waiting_count = 0
         # The requests in progress end when these time out.
--- a/src/geraniumlink/serving/_replica_choice.py
+++ b/src/geraniumlink/serving/_replica_choice.py
@@ -20,6 +20,7 @@
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _request_state
 from geraniumlink.serving import _types
+from geraniumlink.serving import _warm_up
 
 # Replicas with a limit that one request asks for a permit in turn. Each answer
 # takes a message to another instance and back.
@@ -42,7 +43,12 @@
         data_centre: str,
         random_source: random.Random,
         choose: _balance.ChooseReplica,
+        warm_ups: _warm_up.WarmUps | None = None,
     ) -> None:
+        """Create a chooser.
+
+        :param warm_ups: None if new replicas get requests like all others.
+        """
         self._active_configuration = active_configuration
         self._replicas = replicas
         self._permits = permits
@@ -51,6 +57,7 @@
         self._data_centre = data_centre
         self._random = random_source
         self._choose_replica = choose
+        self._warm_ups = warm_ups
         # Requests that wait for a permit, by service.
         self._waiting: collections.Counter[str] = collections.Counter()
 
@@ -179,10 +186,10 @@
 
         :param outcome: None if it was given up.
         """
+        is_rejected = isinstance(outcome, _outcomes.NotRun) and outcome.is_full
+        if is_rejected or _has_failed(outcome):
+            replica.answers = replica.answers.with_one(is_in_time=False)
         if self._replicas.needs_permit(replica):
-            is_rejected = (
-                isinstance(outcome, _outcomes.NotRun) and outcome.is_full
-            )
             self._permits.release(replica, is_rejected)
 
     def _choose_in_time(
@@ -202,14 +209,10 @@
             for replica in candidates
             if _balance.has_memory(replica, state.request, kv_tokens, now)
         ]
-        choice = self._choose_replica(
-            with_memory or candidates,
-            state.request,
-            state.route.priority,
-            self._data_centre,
-            now,
-            self._random,
-        )
+        preferred = with_memory or candidates
+        choice = self._choose_warm(state, preferred, now)
+        if choice is None:
+            choice = self._choose_among(state, preferred, now)
         if not with_memory:
             choice = _balance.add_memory_wait(choice, now)
         late_ms = choice.expected_ms - (state.latest_next_event - now)
@@ -219,6 +222,41 @@
             )
         return choice
 
+    def _choose_warm(
+        self,
+        state: _request_state.RequestState,
+        candidates: list[_replicas.Replica],
+        now: int,
+    ) -> _balance.Choice | None:
+        """Choose a candidate, but for those that are held back now.
+
+        :returns: None if none is, or if no other would be in time; a request
+            that was sent somewhere else in vain takes what there is.
+        """
+        if self._warm_ups is None or state.tried_replicas:
+            return None
+        considered = self._warm_ups.considered(candidates, self._random)
+        if len(considered) == len(candidates):
+            return None
+        choice = self._choose_among(state, considered, now)
+        target_at = state.request.received_at + state.route.target_ms
+        return choice if now + choice.expected_ms <= target_at else None
+
+    def _choose_among(
+        self,
+        state: _request_state.RequestState,
+        candidates: list[_replicas.Replica],
+        now: int,
+    ) -> _balance.Choice:
+        return self._choose_replica(
+            candidates,
+            state.request,
+            state.route.priority,
+            self._data_centre,
+            now,
+            self._random,
+        )
+
     def _kv_tokens(self, state: _request_state.RequestState) -> int | None:
         """Return the tokens that an engine of the service holds, if known."""
         if not state.request.model:
@@ -226,3 +264,13 @@
         service = self._active_configuration.find_service(state.service)
         engine = service.engine if service else None
         return (engine.kv_tokens or None) if engine else None
+
+
+def _has_failed(outcome: _outcomes.Outcome | None) -> bool:
+    """Whether a replica broke off, was silent or answered with an error."""
+    match outcome:
+        case _outcomes.Interrupted():
+            return True
+        case _outcomes.Failed(status=status):
+            return status >= 500
+    return False
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -16,6 +16,7 @@
 
 from geraniumlink import _clock
 from geraniumlink import _logs
+from geraniumlink.serving import _answer_counts
 from geraniumlink.serving import _call_times
 from geraniumlink.serving import _engine_memory
 from geraniumlink.serving import _prefill_speed
@@ -115,6 +116,8 @@
         # The load that it last stated with a response, and when.
         self.load: _types.LoadReport | None = None
         self.load_at = 0
+        # Of requests from this instance.
+        self.answers = _answer_counts.NONE
         # Requests from this instance that the load includes.
         self.load_own = 0
         self.rate_limit = NO_LIMIT
