--- a/tests/test_warm_up.py
+++ b/tests/test_warm_up.py
@@ -206,7 +206,7 @@
 def test_fewer_requests_miss_at_a_replica_that_starts_slowly():
     without, paced = (_totals(_TRIAL, paces) for paces in (False, True))
     missed = without.late + without.rejected
-    assert paced.late + paced.rejected < 0.7 * missed
+    assert paced.late + paced.rejected < 0.5 * missed
     assert paced.in_time > without.in_time
 
 
