--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -89,6 +89,7 @@
     "in_flight": _WHOLE,
     "in_flight_elsewhere": Field(Kind.WHOLE, nullable=True),
     "incarnation": _WHOLE,
+    "in_time": _WHOLE,
     "instances": _WHOLE,
     # False if another instance was told.
     "is_own": _FLAG,
@@ -117,6 +118,7 @@
     "method": _TEXT,
     "missing": _WHOLE,
     "missing_ms": _WHOLE,
+    "missed": _WHOLE,
     "model": _TEXT,
     "name": _TEXT,
     "near": _FLAG,
@@ -130,6 +132,8 @@
     "partial_bytes": _WHOLE,
     "parts": _TEXTS,
     "passed_on": _FLAG,
+    "others_in_time": _WHOLE,
+    "others_missed": _WHOLE,
     "path": _TEXT,
     "pause_ms": _WHOLE,
     "peer": _TEXT,
@@ -168,7 +172,7 @@
     "service": _TEXT,
     "service_time_percent": Field(Kind.NUMBER, nullable=True),
     "shard": _TEXT,
-    # This instance's part of the account's use; null if it isn't known.
+    # Of an account's use or of requests; null if it isn't known.
     "share": Field(Kind.NUMBER, nullable=True),
     "silent_ms": _WHOLE,
     "size_mb": _WHOLE,
@@ -188,6 +192,7 @@
     "versions": _TEXTS,
     "wait_ms": _WHOLE,
     "why_final": _TEXT,
+    "window_ms": _WHOLE,
 }
 # Fields whose type in one message differs from that in ``FIELDS``, by message
 # and field.
