--- a/src/geraniumlink/residency/_planner.py
+++ b/src/geraniumlink/residency/_planner.py
@@ -42,9 +42,10 @@
 # before any other gets another copy. Clients wait about as long for a first
 # event.
 STARVING_MS = 2000
-# Where a load takes longer than this, nearly all that wait for the model have
-# given up before it ends. Putting such loads before all others would serve
-# few, and keep models that many ask for from getting copies.
+# Where a load takes longer than this, those that wait for the model have given
+# up before it ends, and a replica that loads is lost to others for as long.
+# There a model counts as starving only after the time of a load: else such
+# models would keep those that many ask for from getting copies.
 LONG_LOAD_MS = 7000
 # Moves that gain less than LARGE_GAIN, in tokens a second, may occupy only
 # this fraction of the replicas. A replica that loads a model can't load
@@ -138,17 +139,17 @@
         replicas for as long as they are busy.
         """
         waited_ms = self._demand.waiting_ms.get(model, 0)
-        is_starving = (
-            waited_ms >= STARVING_MS
-            and not self._packing.holders(model)
-            and not self._takes_long(model)
-        )
+        is_starving = waited_ms >= self._starving_ms(
+            model
+        ) and not self._packing.holders(model)
         return not is_starving, -gains[model]
 
-    def _takes_long(self, model: str) -> bool:
-        """Whether clients give up before a load of a model ends."""
+    def _starving_ms(self, model: str) -> float:
+        """Return after which wait a model is loaded before all others."""
         declared = self._engine.models.get(model)
-        return declared is not None and declared.load_ms > LONG_LOAD_MS
+        if declared is None or declared.load_ms <= LONG_LOAD_MS:
+            return STARVING_MS
+        return declared.load_ms
 
     def _gains(self) -> dict[str, float]:
         """Return the gain of a load of each model that may be worth one."""
