Bound the memory and time of a body in small pieces

A body was collected as a list of the received pieces, so a body in pieces of 2 bytes took 28 times the bytes that the connection table accounts for. It is collected in one bytearray. A message of another instance was read without a time limit; an incomplete one now gets 408 after 10 s.

--- a/src/geraniumlink/hosting/_application.py
+++ b/src/geraniumlink/hosting/_application.py
@@ -25,6 +25,10 @@
 Receive = typing.Callable[[], typing.Awaitable[typing.Any]]
 Send = _response_writer.Send
 
+# How long another instance may take to send a message. The largest, 256 KiB,
+# takes 2.1 s on a link of 1 Mbit/s.
+MESSAGE_TIMEOUT_MS = 10_000
+
 
 class BodyTooLargeError(Exception):
     """A request body is larger than its limit."""
@@ -127,17 +131,25 @@
     ) -> None:
         """Pass another instance's message to the controller protocol."""
         try:
-            body = await _read_body(
-                receive, _controller_protocol.MAX_MESSAGE_BYTES
-            )
+            with anyio.fail_after(MESSAGE_TIMEOUT_MS / 1000):
+                body = await _read_body(
+                    receive, _controller_protocol.MAX_MESSAGE_BYTES
+                )
+        except TimeoutError:
+            await _reject(scope, response, 408, "the message takes too long")
+            return
+        except BodyTooLargeError as error:
+            await _refuse_message(scope, response, error)
+            return
+        except ClientDisconnectedError:
+            _logs.event("instance_left", path=scope["path"])
+            return
+        try:
             answer = await self._controller_protocol.handle_message(
                 scope["path"], body
             )
-        except (ValueError, BodyTooLargeError) as error:
-            _logs.event("bad_message", path=scope["path"], error=str(error))
-            await response.send_complete(400, [], str(error).encode())
-        except ClientDisconnectedError:
-            _logs.event("instance_left", path=scope["path"])
+        except ValueError as error:
+            await _refuse_message(scope, response, error)
         else:
             encoded = orjson.dumps(answer)
             self._load_monitor.count_message(len(body), len(encoded))
@@ -270,6 +282,16 @@
     return [(k.lower().encode(), v.encode()) for k, v in headers.items()]
 
 
+async def _refuse_message(
+    scope: Scope,
+    response: _response_writer.ResponseWriter,
+    error: Exception,
+) -> None:
+    """Respond to another instance's message that can't be read."""
+    _logs.event("bad_message", path=scope["path"], error=str(error))
+    await response.send_complete(400, [], str(error).encode())
+
+
 async def _reject(
     scope: Scope,
     response: _response_writer.ResponseWriter,
@@ -329,15 +351,17 @@
     :raises BodyTooLargeError: if it has more than ``max_bytes``.
     :raises ClientDisconnectedError: if the connection ends before the body.
     """
-    parts: list[bytes] = []
-    total_bytes = 0
+    # One object for each part would take many times the bytes of small ones.
+    body = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise ClientDisconnectedError
-        parts.append(message["body"])
-        total_bytes += len(message["body"])
-        if total_bytes > max_bytes:
+        part, is_last = message["body"], not message["more_body"]
+        if len(body) + len(part) > max_bytes:
             raise BodyTooLargeError
-        if not message["more_body"]:
-            return b"".join(parts)
+        if is_last and not body:
+            return bytes(part)
+        body += part
+        if is_last:
+            return bytes(body)
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -87,6 +87,9 @@
     ),
 }
 
+# Sent in blocks of 1 to 2 bytes, each block reaches the application alone.
+STARTED_BODY = Shape(b"HEADContent-Length: 4194304\r\n\r\nx", b"x")
+
 
 def _expand(data: bytes, target: str) -> bytes:
     head = f"GET {target} HTTP/1.1\r\nHost: {hosts.HOST}\r\n"
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -135,6 +135,19 @@
     await check(instance, meter, _ordinary(instance))
 
 
+@pytest.mark.parametrize("block_bytes", (1, 2))
+@pytest.mark.parametrize("listener", ("clients", "instances"))
+async def test_a_started_body_in_small_pieces_takes_a_bounded_memory(
+    fleet, check, listener, block_bytes
+):
+    """An object for each piece took 28 times the accounted memory."""
+    site, instance = await _start_site(fleet)
+    port = instance.port if listener == "clients" else site.peer_port()
+    crowd = crowds.Crowd(port, block_bytes=block_bytes)
+    meter = await _apply_crowd(instance, crowd, [crowds.STARTED_BODY], 60)
+    await check(instance, meter, _ordinary(instance))
+
+
 @pytest.mark.parametrize("listener", ("callers", "peers"))
 async def test_all_shapes_at_the_own_interface_take_a_bounded_memory(
     fleet, check, listener
