Give instances and the load balancer a connection table of their own

All listeners shared one table, so that a flood at the client port closed or refused connections of other instances and readiness probes. The listeners for clients now have one table, the others a second one with a reserve out of the same totals: a quarter of the connections, 600 at most, and 2 MiB with four of the largest messages, a quarter of the bytes at most. The least recently used connection is closed first, not the oldest. At the second table a request that holds 8 KiB at most isn't refused for room.

--- a/src/geraniumlink/_connection_limits.py
+++ b/src/geraniumlink/_connection_limits.py
@@ -1,8 +1,11 @@
-"""Limits of what all connections of clients together hold.
-
-Every listener's connections are in one table. It knows how many there are and
-how many received bytes each one holds, and decides who is refused or closed
-when a limit is reached. A request that was received whole is never dropped.
+"""Limits of what all connections to a process together hold.
+
+The connections to the listeners for clients are in one table, those to the
+other listeners (readiness, instances, metrics) in a second one, so that a
+flood of clients takes no room from instances and the load balancer. A table
+knows how many connections there are and how many received bytes each one
+holds, and decides who is refused or closed when a limit is reached. A request
+that was received whole is never dropped.
 """
 
 from __future__ import annotations
@@ -32,6 +35,17 @@
 MAX_RECEIVED_BYTES = 20 * 2**20
 MAX_MEMORY_SHARE = 0.125
 MIN_MEMORY_MB = 64
+# Of both limits, what is reserved for the listeners that clients don't use:
+# a connection for messages and one for a relayed request from each of 300
+# instances, but no more than a share; and requests of 2 MiB besides a few
+# messages of the largest size.
+INTERNAL_CONNECTIONS = 600
+INTERNAL_RECEIVED_BYTES = 2 * 2**20
+INTERNAL_MESSAGES = 4
+MAX_INTERNAL_SHARE = 0.25
+# A request at these listeners that holds no more is never refused for room: a
+# request without a body holds 2 KiB and 128 bytes a field besides its text.
+INTERNAL_EXEMPT_BYTES = 8192
 # Requests are refused until this share is held, so that not each part that
 # arrives leads to a search through all connections.
 LOW_WATER_SHARE = 0.9
@@ -45,12 +59,20 @@
 
 
 class ConnectionLimits(typing.NamedTuple):
-    """Limits over all connections of clients to one process."""
+    """Limits over all connections of one table."""
 
     max_connections: int
     max_received_bytes: int
 
 
+class SplitLimits(typing.NamedTuple):
+    """Limits of a process, by listeners."""
+
+    clients: ConnectionLimits
+    # Of the listeners for readiness, instances and metrics.
+    internal: ConnectionLimits
+
+
 def derive_limits(
     max_descriptors: int | None = None, memory_mb: int | None = None
 ) -> ConnectionLimits:
@@ -94,6 +116,30 @@
     )
 
 
+def split_limits(
+    limits: ConnectionLimits, max_message_bytes: int
+) -> SplitLimits:
+    """Return limits that are no higher together than those of a process.
+
+    :param max_message_bytes: size of the largest message of an instance.
+    """
+    internal = ConnectionLimits(
+        min(
+            INTERNAL_CONNECTIONS,
+            int(MAX_INTERNAL_SHARE * limits.max_connections),
+        ),
+        min(
+            INTERNAL_RECEIVED_BYTES + INTERNAL_MESSAGES * max_message_bytes,
+            int(MAX_INTERNAL_SHARE * limits.max_received_bytes),
+        ),
+    )
+    clients = ConnectionLimits(
+        limits.max_connections - internal.max_connections,
+        limits.max_received_bytes - internal.max_received_bytes,
+    )
+    return SplitLimits(clients, internal)
+
+
 class Stage(enum.IntEnum):
     """What a connection is at; those of lower stages are closed first."""
 
@@ -140,17 +186,21 @@
 
 
 class ConnectionTable:
-    """The connections of all listeners of a process, the oldest first.
+    """The connections of some listeners, the least recently used first.
 
     :param on_refusal: called with each cause, for a metric.
+    :param exempt_bytes: requests that hold no more than this aren't refused
+        to make room.
     """
 
     def __init__(
         self,
         limits: ConnectionLimits,
         on_refusal: Callable[[Cause], None] = lambda _cause: None,
+        exempt_bytes: int = 0,
     ) -> None:
         self._limits = limits
+        self._exempt_bytes = exempt_bytes
         self._on_refusal = on_refusal
         # Received bytes that each connection holds.
         self._held: dict[Connection, int] = {}
@@ -189,6 +239,10 @@
     def note_use(self, connection: Connection) -> None:
         """Note that a whole request was received on a connection."""
         self._unused.pop(connection, None)
+        held_bytes = self._held.pop(connection, None)
+        if held_bytes is not None:
+            # At the end, as the most recently used one.
+            self._held[connection] = held_bytes
 
     def hold(self, connection: Connection, held_bytes: int) -> None:
         """Note how many bytes a connection holds; make room if needed."""
@@ -247,7 +301,7 @@
         self.count_refusal(Cause.CONNECTIONS)
 
     def _find_used(self) -> Connection | None:
-        """Return the oldest idle connection, or else the oldest stalled one.
+        """Return the first idle connection, or else the first stalled one.
 
         All have sent a whole request. None are looked at for a while after
         none was found.
@@ -270,8 +324,10 @@
         """Refuse the largest incomplete requests until there is room."""
         if self.has_room():
             return
-        incomplete = [c for c in self._held if c.incomplete_bytes]
-        # Stable, so that the oldest of those that are equal come first.
+        incomplete = [
+            c for c in self._held if c.incomplete_bytes > self._exempt_bytes
+        ]
+        # Stable: of those that are equal, the least recently used come first.
         incomplete.sort(key=lambda c: c.incomplete_bytes, reverse=True)
         for connection in incomplete:
             connection.refuse_incomplete()
@@ -281,5 +337,14 @@
                 return
 
 
+def make_tables(
+    limits: SplitLimits, on_refusal: Callable[[Cause], None]
+) -> tuple[ConnectionTable, ConnectionTable]:
+    """Return the tables for the listeners of clients, and for the others."""
+    return ConnectionTable(limits.clients, on_refusal), ConnectionTable(
+        limits.internal, on_refusal, INTERNAL_EXEMPT_BYTES
+    )
+
+
 # For connections without a table of their own.
 DEFAULT_LIMITS = ConnectionLimits(2**20, MAX_RECEIVED_BYTES)
--- a/src/geraniumlink/_instance.py
+++ b/src/geraniumlink/_instance.py
@@ -157,18 +157,22 @@
             ],
             traffic=self._traffic,
         )
-        protocol = _http_protocol.make_protocol(
-            _connection_limits.ConnectionTable(
+        client_table, peer_table = _connection_limits.make_tables(
+            _connection_limits.split_limits(
                 _connection_limits.state_limits(
                     settings.max_connections, settings.max_received_mb
                 ),
-                lambda cause: self._metrics.clients_refused.inc(
-                    {"cause": cause.value}
-                ),
-            )
+                _peer_protocol.MAX_MESSAGE_BYTES,
+            ),
+            lambda cause: self._metrics.clients_refused.inc(
+                {"cause": cause.value}
+            ),
         )
         self._listener = _server.Listener(
-            self._rpc, [settings.address], self._clock, protocol
+            self._rpc,
+            [settings.address],
+            self._clock,
+            _http_protocol.make_protocol(client_table),
         )
         self._controller = _controller.Controller(
             settings,
@@ -184,7 +188,7 @@
             self._peers.application,
             [settings.peer_address],
             self._clock,
-            protocol,
+            _http_protocol.make_protocol(peer_table),
         )
 
     def _build_method_table(self, router: _routing.Router) -> _rpc.MethodTable:
--- a/src/geraniumlink/hosting/_gauges.py
+++ b/src/geraniumlink/hosting/_gauges.py
@@ -4,10 +4,10 @@
 
 import typing
 
-from geraniumlink import _connection_limits
 from geraniumlink import _log_buffer
 from geraniumlink.hosting import _application
 from geraniumlink.hosting import _host_metrics
+from geraniumlink.hosting import _http_protocol
 from geraniumlink.hosting import _load_monitor
 from geraniumlink.hosting import _object_watcher
 from geraniumlink import platform
@@ -35,7 +35,7 @@
     budgets: _retry_budgets.RetryBudgets
     log_buffer: _log_buffer.LogBuffer
     load_monitor: _load_monitor.LoadMonitor
-    connection_table: _connection_limits.ConnectionTable
+    connection_tables: _http_protocol.Tables
 
 
 def add_gauges(
@@ -144,13 +144,23 @@
     )
     add_gauge(
         "geraniumlink_client_connections",
-        "Open connections to all listeners",
-        lambda: sources.connection_table.connections,
+        "Open connections to the listener for clients",
+        lambda: sources.connection_tables.clients.connections,
     )
     add_gauge(
         "geraniumlink_client_held_bytes",
         "Received bytes of requests that connections hold, with overhead",
-        lambda: sources.connection_table.received_bytes,
+        lambda: sources.connection_tables.clients.received_bytes,
+    )
+    add_gauge(
+        "geraniumlink_internal_connections",
+        "Open connections to the other listeners",
+        lambda: sources.connection_tables.internal.connections,
+    )
+    add_gauge(
+        "geraniumlink_internal_held_bytes",
+        "As geraniumlink_client_held_bytes, of the other listeners",
+        lambda: sources.connection_tables.internal.received_bytes,
     )
 
 
--- a/src/geraniumlink/hosting/_http_protocol.py
+++ b/src/geraniumlink/hosting/_http_protocol.py
@@ -23,24 +23,36 @@
 DEFAULT_MAX_HEADER_BYTES = 65536
 
 
+class Tables(typing.NamedTuple):
+    """The tables of an instance's connections, by the port of a listener."""
+
+    client_port: int
+    clients: _connection_limits.ConnectionTable
+    # Of all other listeners.
+    internal: _connection_limits.ConnectionTable
+
+    def find(self, port: int) -> _connection_limits.ConnectionTable:
+        """Return the table of a listener."""
+        return self.clients if port == self.client_port else self.internal
+
+
 def make_limited_protocol(
     active_configuration: _active_configuration.ActiveConfiguration,
     is_draining: typing.Callable[[], bool],
-    table: _connection_limits.ConnectionTable | None = None,
+    tables: Tables | None = None,
 ) -> type[asyncio.Protocol]:
     """Return a protocol class with the limits of the active configuration.
 
-    :param table: of all connections of the process, if it has one.
+    :param tables: of the connections, if the process has tables.
 
     While the instance drains, a connection is closed after its response, even
     if the response began before and has no ``connection: close`` header.
     """
 
-    connection_table = table
+    connection_tables = tables
 
     class LimitedProtocol(_LimitedProtocol):
-        if connection_table is not None:
-            _table = connection_table
+        _tables = connection_tables
         _active_configuration = active_configuration
         _is_draining = staticmethod(is_draining)
 
@@ -56,6 +68,7 @@
 
     _active_configuration: _active_configuration.ActiveConfiguration
     _is_draining: typing.Callable[[], bool]
+    _tables: Tables | None = None
 
     @property
     def _idle_s(self) -> float:
@@ -84,6 +97,9 @@
         return PARSER_HEADER_FACTOR * current.limits.max_header_bytes
 
     def connection_made(self, transport: typing.Any) -> None:
+        if self._tables is not None:
+            port = transport.get_extra_info("sockname")[1]
+            self._table = self._tables.find(port)
         super().connection_made(transport)
         transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
 
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -161,12 +161,7 @@
         self._log_buffer = log_buffer
         self._metrics_port = metrics_port
         self._metrics = _host_metrics.HostMetrics()
-        self._connection_table = _connection_limits.ConnectionTable(
-            _connection_limits.derive_limits(
-                settings.max_descriptors, settings.memory_mb
-            ),
-            self._metrics.count_refusal,
-        )
+        self._connection_tables = self._make_connection_tables()
         self._load_monitor = _load_monitor.LoadMonitor(clock)
         self._random = random.Random()
         self._draining = False
@@ -278,7 +273,7 @@
             http=_http_protocol.make_limited_protocol(
                 self._active_configuration,
                 lambda: self._draining,
-                self._connection_table,
+                self._connection_tables,
             ),
         )
         _gauges.add_gauges(
@@ -295,11 +290,26 @@
                 leadership=self._leadership,
                 budgets=self._budgets,
                 log_buffer=self._log_buffer,
-                connection_table=self._connection_table,
+                connection_tables=self._connection_tables,
                 load_monitor=self._load_monitor,
             ),
         )
 
+    def _make_connection_tables(self) -> _http_protocol.Tables:
+        settings = self._settings
+        limits = _connection_limits.derive_limits(
+            settings.max_descriptors, settings.memory_mb
+        )
+        return _http_protocol.Tables(
+            settings.client_address.port,
+            *_connection_limits.make_tables(
+                _connection_limits.split_limits(
+                    limits, _controller_protocol.MAX_MESSAGE_BYTES
+                ),
+                self._metrics.count_refusal,
+            ),
+        )
+
     def _make_leadership(self) -> _leadership.Leadership:
         leases = _leases.Leases(
             self._store,
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -1,5 +1,6 @@
 """Limits over all connections: who is refused, and who never is."""
 
+import contextlib
 import dataclasses
 import json
 
@@ -33,12 +34,15 @@
         self.is_closed = True
 
 
-def _table(max_connections=3, max_received_bytes=100):
+def _table(max_connections=3, max_received_bytes=100, exempt_bytes=0):
     counts = []
     limits = _connection_limits.ConnectionLimits(
         max_connections, max_received_bytes
     )
-    return _connection_limits.ConnectionTable(limits, counts.append), counts
+    table = _connection_limits.ConnectionTable(
+        limits, counts.append, exempt_bytes
+    )
+    return table, counts
 
 
 @pytest.mark.parametrize(
@@ -66,6 +70,44 @@
     assert counts == [_connection_limits.Cause.CONNECTIONS]
 
 
+def test_a_connection_in_use_is_closed_before_one_that_isnt():
+    """The load balancer's connection is old, and used all the time."""
+    table, _ = _table()
+    connections = [_Connection(_Stage.IDLE) for _ in range(3)]
+    for connection in connections:
+        table.add(connection)
+        table.note_use(connection)
+    table.note_use(connections[0])
+    table.add(_Connection())
+    assert [c.is_closed for c in connections] == [False, True, False]
+
+
+def test_a_request_without_a_body_is_refused_for_its_head():
+    table, _ = _table(exempt_bytes=20)
+    probe, large, whole = [_Connection(table=table) for _ in range(3)]
+    for connection, held_bytes in ((whole, 90), (large, 21), (probe, 20)):
+        table.add(connection)
+        connection.incomplete_bytes = 0 if connection is whole else held_bytes
+        table.hold(connection, held_bytes)
+    assert large.is_refused
+    assert not probe.is_refused
+
+
+@pytest.mark.parametrize(
+    ("limits", "clients", "internal"),
+    (
+        ((4583, 20 * 2**20), (3983, 17 * 2**20), (600, 3 * 2**20)),
+        ((708, 20 * 2**20), (531, 17 * 2**20), (177, 3 * 2**20)),
+        ((512, 8 * 2**20), (384, 6 * 2**20), (128, 2 * 2**20)),
+    ),
+)
+def test_other_listeners_have_a_reserve(limits, clients, internal):
+    """A flood at the client port closed connections of instances."""
+    process = _connection_limits.ConnectionLimits(*limits)
+    split = _connection_limits.split_limits(process, 2**18)
+    assert split == (clients, internal)
+
+
 def test_a_small_request_is_refused_for_a_large_one():
     table, _ = _table()
     small, large, whole = [_Connection(table=table) for _ in range(3)]
@@ -118,6 +160,36 @@
     return start + padding.encode() + b"\r\n"
 
 
+async def test_a_crowd_of_clients_closes_connections_to_other_listeners(
+    fleet,
+):
+    """Idle connections of instances and the load balancer stay open."""
+    site = hosts.Site(fleet)
+    site.limits = {"max_fds": 300}
+    await site.start(replicas=1, instances=0)
+    await site.configure(hosts.configuration(2))
+    instance = await site.add_instance()
+    async with contextlib.AsyncExitStack() as stack:
+        used = []
+        for port in (site.ready_port(), site.peer_port()):
+            stream = await anyio.connect_tcp("127.0.0.1", port)
+            used.append(await stack.enter_async_context(stream))
+            await stream.send(_probe())
+            assert b"HTTP/1.1 " in await _receive(stream, 1)
+        for _ in range(300):
+            stream = await anyio.connect_tcp("127.0.0.1", instance.port)
+            await stack.enter_async_context(stream)
+            await stream.send(_probe())
+            assert b"HTTP/1.1 " in await _receive(stream, 1)
+        for stream in used:
+            await stream.send(_probe())
+            assert b"HTTP/1.1 " in await _receive(stream, 1)
+
+
+def _probe() -> bytes:
+    return hosts.request_bytes("/v1/ready", Connection="keep-alive")
+
+
 async def _receive(connection: anyio.abc.SocketStream, count: int) -> bytes:
     received = b""
     with anyio.fail_after(10):
