Ignore a watch response that is older than the copy

A watch whose response was ready as newer relayed changes were applied wasn't cancelled, and its older objects replaced the newer ones: a removed key could be in force again. Such a response is ignored and confirms nothing.

Measured: the new test in test_confirmed_copies.py failed before and passes now.

--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -310,6 +310,11 @@
             return
         if changes is None:
             return
+        if changes.revision < self.revision:
+            # Newer relayed changes were applied as it arrived: older objects
+            # must not replace them, such as an account with a removed key.
+            await self._clock.sleep(self._batch_delay_ms)
+            return
         self._apply_changes(changes)
         self._note_confirmed(sent_at)
         if changes.objects:
--- a/tests/test_confirmed_copies.py
+++ b/tests/test_confirmed_copies.py
@@ -136,6 +136,29 @@
     assert (watcher.revision, watcher.confirmed_age_ms) == (9, 700)
 
 
+async def test_a_watch_doesnt_replace_newer_relayed_changes():
+    """A key that the newer configuration removed would be in force again."""
+    clock, _, watcher = _make((0, _listing(3)))
+    await watcher._list_or_watch()
+    clock.advance(1000)
+    applied = []
+    watcher._on_change = applied.append
+
+    async def watch_late(_revision):
+        clock.advance(400)
+        newer = _objects.Object("config", "main", 9, {"tenants": []})
+        relayed = _object_watcher.Changes(9, False, [newer])
+        watcher.apply_relayed(relayed, clock.since_boot() - 700)
+        return _listing(
+            5, _objects.Object("config", "main", 5, {"tenants": ["old"]})
+        )
+
+    watcher._watch = watch_late
+    await watcher._list_or_watch()
+    assert [item.version for item in applied] == [9]
+    assert (watcher.revision, watcher.confirmed_age_ms) == (9, 700)
+
+
 async def test_time_of_a_freeze_and_of_a_suspended_machine_counts():
     clock, store, watcher = _make((0, _listing(3)))
     await _run(store, watcher)
