Serve a public route without an account while the copy is stale

Under strict revocation a stale copy may have a key that has been removed, but a request with it on a public route ran under the key's account. It is now admitted without an account until the copy is confirmed.

--- a/src/geraniumlink/serving/_accounts.py
+++ b/src/geraniumlink/serving/_accounts.py
@@ -195,12 +195,15 @@
     :param age_ms: as of ``is_stale``.
     """
     account, accounts = None, configuration.accounts
-    if accounts is not None and isinstance(credential, bytes):
+    stale = is_stale(age_ms, bound_ms)
+    # A stale copy may have a key that has been removed, so a public route is
+    # then served without an account.
+    if accounts is not None and isinstance(credential, bytes) and not stale:
         account = accounts.find_by_digest(credential)
     if accounts is not None and route is not None and not route.public:
         # A newer configuration may have the key, or a public route.
         may_deny = age_ms is not None and age_ms <= MAX_DENYING_AGE_MS
-        if is_stale(age_ms, bound_ms) or not (account or may_deny):
+        if stale or not (account or may_deny):
             return Undecided(_NOT_CONFIRMED, route.name, age_ms)
         if account is None:
             return Denied(_why_denied(credential), route.name, age_ms)
