Let no key grant anything where the accounts are null

A configuration whose member tenants is null was read as one without accounts, which opened all routes. Only an absent member means that; any other value that isn't a list, also null, grants nothing, with one problem logged.

--- a/src/geraniumlink/platform/_accounts.py
+++ b/src/geraniumlink/platform/_accounts.py
@@ -23,11 +23,13 @@
 def decode_accounts(spec: dict[str, typing.Any]) -> _accounts.Accounts | None:
     """Decode the accounts of a configuration.
 
-    None if it has no such member, or null. A malformed account is left out.
+    None if it has no such member. A member that isn't a list, also null,
+    grants nothing: read as absent it would open all routes. A malformed
+    account is left out.
     """
-    entries = spec.get(_TENANTS)
-    if entries is None:
+    if _TENANTS not in spec:
         return None
+    entries = spec[_TENANTS]
     if not isinstance(entries, list):
         problem = _accounts.Problem("", "the accounts aren't a list")
         return _accounts.Accounts((), [problem])
