Allow 4 KiB more for the head of a relayed request

The instance that relays a request adds headers, so a client's head close to max_header_bytes got 431 from the next instance.

Measured: the new test in test_connection_limits.py failed before and passes now.

--- a/src/geraniumlink/hosting/_application.py
+++ b/src/geraniumlink/hosting/_application.py
@@ -28,6 +28,9 @@
 # How long another instance may take to send a message. The largest, 256 KiB,
 # takes 2.1 s on a link of 1 Mbit/s.
 MESSAGE_TIMEOUT_MS = 10_000
+# Size of the headers that an instance adds to a request that it relays, at
+# most. The client's own were within the limit there.
+MAX_RELAYED_BYTES = 4096
 
 
 class BodyTooLargeError(Exception):
@@ -190,7 +193,11 @@
         limits = None
         if self._active_configuration.current is not None:
             limits = self._active_configuration.current.limits
-        if limits and _head_bytes(scope) > limits.max_header_bytes:
+        added_bytes = 0 if relayed_attempts is None else MAX_RELAYED_BYTES
+        if (
+            limits
+            and _head_bytes(scope) > limits.max_header_bytes + added_bytes
+        ):
             await _reject(scope, response, 431, "the head is too large")
             return
         had_accounts = self._account_check.has_accounts
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -250,3 +250,20 @@
     assert sum(line["counts"].values()) == 1
     assert line["connections"] >= 1
     assert (await hosts.send_request(instance.port, "/safe/x")).status == 200
+
+
+async def test_headers_of_a_relaying_instance_count_as_the_clients(fleet):
+    """A head at the limit got 431 from the instance that it was relayed to."""
+    site = await hosts.Site(fleet).start(replicas=1)
+    limit = hosts.configuration()["limits"]["max_header_bytes"]
+    own = {"Geraniumlink_Relayed_Attempts": "0", "X_Padding": "a" * limit}
+    relayed = hosts.request_bytes("/safe/x", **own)
+    answer = await hosts.send(site.peer_port(), relayed)
+    assert answer.status == 200
+    own["X_Padding"] = "a" * (limit + 4096)
+    relayed = hosts.request_bytes("/safe/x", **own)
+    assert (await hosts.send(site.peer_port(), relayed)).status == 431
+    answer = await hosts.send_request(
+        site.instances[0].port, "/safe/x", X_Padding="a" * limit
+    )
+    assert answer.status == 431
