Reserve room for a relayed request with the largest body

The reserve for instances was 3 MiB, so a relayed request with a body of 4 MiB was refused even on an idle instance. The reserve is 4 MiB larger (7 of 20 MiB, 0.375 of the bytes at most), and what clients may hold smaller.

--- a/src/geraniumlink/_connection_limits.py
+++ b/src/geraniumlink/_connection_limits.py
@@ -37,12 +37,13 @@
 MIN_MEMORY_MB = 64
 # Of both limits, what is reserved for the listeners that clients don't use:
 # a connection for messages and one for a relayed request from each of 300
-# instances, but no more than a share; and requests of 2 MiB besides a few
-# messages of the largest size.
+# instances; and requests of 2 MiB besides a few messages of the largest size
+# and a relayed request; each no more than a share.
 INTERNAL_CONNECTIONS = 600
 INTERNAL_RECEIVED_BYTES = 2 * 2**20
 INTERNAL_MESSAGES = 4
-MAX_INTERNAL_SHARE = 0.25
+MAX_INTERNAL_CONNECTION_SHARE = 0.25
+MAX_INTERNAL_RECEIVED_SHARE = 0.375
 # A request at these listeners that holds no more is never refused for room: a
 # request without a body holds 2 KiB and 128 bytes a field besides its text.
 INTERNAL_EXEMPT_BYTES = 8192
@@ -117,20 +118,26 @@
 
 
 def split_limits(
-    limits: ConnectionLimits, max_message_bytes: int
+    limits: ConnectionLimits,
+    max_message_bytes: int,
+    max_relayed_bytes: int = 0,
 ) -> SplitLimits:
     """Return limits that are no higher together than those of a process.
 
     :param max_message_bytes: size of the largest message of an instance.
+    :param max_relayed_bytes: size of the largest body of a client's request
+        that an instance relays; 0 if none are relayed.
     """
     internal = ConnectionLimits(
         min(
             INTERNAL_CONNECTIONS,
-            int(MAX_INTERNAL_SHARE * limits.max_connections),
+            int(MAX_INTERNAL_CONNECTION_SHARE * limits.max_connections),
         ),
         min(
-            INTERNAL_RECEIVED_BYTES + INTERNAL_MESSAGES * max_message_bytes,
-            int(MAX_INTERNAL_SHARE * limits.max_received_bytes),
+            INTERNAL_RECEIVED_BYTES
+            + INTERNAL_MESSAGES * max_message_bytes
+            + max_relayed_bytes,
+            int(MAX_INTERNAL_RECEIVED_SHARE * limits.max_received_bytes),
         ),
     )
     clients = ConnectionLimits(
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -112,6 +112,9 @@
 # logged once, and how many characters of their names are logged.
 MAX_LOGGED_ENTRIES = 512
 MAX_LOGGED_NAME = 80
+# Room for the body of a relayed request: the usual max_body_bytes of a
+# configuration, which isn't known when the limits are derived.
+RELAYED_BODY_BYTES = 4 * 2**20
 # Interval at which idle connections to replicas are checked.
 CLOSE_STALE_INTERVAL_MS = 1000
 # Changes within this time are read by one call to the store. A configuration
@@ -304,7 +307,9 @@
             settings.client_address.port,
             *_connection_limits.make_tables(
                 _connection_limits.split_limits(
-                    limits, _controller_protocol.MAX_MESSAGE_BYTES
+                    limits,
+                    _controller_protocol.MAX_MESSAGE_BYTES,
+                    RELAYED_BODY_BYTES,
                 ),
                 self._metrics.count_refusal,
             ),
