Answer 421 for want of room at the listener for instances

A relayed request that was refused there for want of room got 503, which the relaying instance took for the answer of a run and returned to the client. It gets 421, as from an instance that drains, and is sent elsewhere.

Measured: the new test in test_connection_limits.py failed before and passes now.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -167,6 +167,8 @@
     _table = _connection_limits.ConnectionTable(
         _connection_limits.DEFAULT_LIMITS
     )
+    # Status of a refusal for want of room.
+    _no_room_status = http.HTTPStatus.SERVICE_UNAVAILABLE
     # Bytes are copied from it before the event loop reads again.
     _receive_buffer = memoryview(bytearray(READ_BYTES))
     # The request whose response is being sent, or was sent last.
@@ -295,7 +297,7 @@
     def refuse_incomplete(self) -> None:
         """See ``_connection_limits.Connection``."""
         self.refuse_rest(
-            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            self._no_room_status,
             "too much is being received",
             _connection_limits.Cause.RECEIVED_BYTES,
         )
@@ -311,7 +313,7 @@
         ):
             self._write_refusal(
                 _Refusal(
-                    http.HTTPStatus.SERVICE_UNAVAILABLE,
+                    self._no_room_status,
                     "there are too many connections",
                 )
             )
--- a/src/geraniumlink/hosting/_http_protocol.py
+++ b/src/geraniumlink/hosting/_http_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import http
 import typing
 
 from geraniumlink import _connection_limits
@@ -27,6 +28,7 @@
     """The tables of an instance's connections, by the port of a listener."""
 
     client_port: int
+    peer_port: int
     clients: _connection_limits.ConnectionTable
     # Of all other listeners.
     internal: _connection_limits.ConnectionTable
@@ -100,6 +102,10 @@
         if self._tables is not None:
             port = transport.get_extra_info("sockname")[1]
             self._table = self._tables.find(port)
+            if port == self._tables.peer_port:
+                # The instance that relays a request would take 503 for the
+                # answer of a run, and goes elsewhere after this.
+                self._no_room_status = http.HTTPStatus.MISDIRECTED_REQUEST
         super().connection_made(transport)
         transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
 
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -305,6 +305,7 @@
         )
         return _http_protocol.Tables(
             settings.client_address.port,
+            settings.peer_address.port,
             *_connection_limits.make_tables(
                 _connection_limits.split_limits(
                     limits,
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -221,6 +221,28 @@
     assert (await hosts.send(site.peer_port(), relayed)).status == 200
 
 
+async def test_a_refusal_of_a_relayed_request_looks_like_a_response(fleet):
+    """The relaying instance would return a 503, and try no other one."""
+    site = await hosts.Site(fleet).start(replicas=1, instances=0)
+    instance = await _add_small_instance(site)
+    relayed = hosts.request_bytes(
+        "/safe/x", b"x" * 4_194_304, Geraniumlink_Relayed_Attempts="0"
+    )
+    answers = []
+    for port, count in ((site.peer_port(), 3), (instance.port, 5)):
+        async with contextlib.AsyncExitStack() as stack:
+            streams = []
+            for _ in range(count):
+                stream = await anyio.connect_tcp("127.0.0.1", port)
+                streams.append(await stack.enter_async_context(stream))
+                await stream.send(relayed[:-500_000])
+            with anyio.fail_after(10):
+                # The first one is the oldest of those that are equal.
+                answers.append(await streams[0].receive())
+    assert answers[0].startswith(b"HTTP/1.1 421 ")
+    assert answers[1].startswith(b"HTTP/1.1 503 ")
+
+
 @pytest.mark.parametrize(
     "field", ("a:bcdefghijkl\r\n", f"a: {'b' * 1000}\r\n")
 )
