Refuse no more incomplete requests than make room

While whole requests alone held more than the low-water mark, each part that arrived had all incomplete requests refused, and a search through all connections even if none was incomplete. Refusing now stops as soon as there is room, and a running total of incomplete bytes saves the search if it is 0.

Speed: not measured.

--- a/src/geraniumlink/_connection_limits.py
+++ b/src/geraniumlink/_connection_limits.py
@@ -192,6 +192,16 @@
     INVALID = "invalid"
 
 
+class _Held(typing.NamedTuple):
+    """Received bytes that a connection holds."""
+
+    total: int
+    incomplete: int
+
+
+_NOTHING_HELD = _Held(0, 0)
+
+
 class ConnectionTable:
     """The connections of some listeners, the least recently used first.
 
@@ -209,12 +219,14 @@
         self._limits = limits
         self._exempt_bytes = exempt_bytes
         self._on_refusal = on_refusal
-        # Received bytes that each connection holds.
-        self._held: dict[Connection, int] = {}
+        # Received bytes that each connection holds, and those of them that
+        # belong to a request that has not been received whole.
+        self._held: dict[Connection, _Held] = {}
         # Those that have sent no whole request so far.
         self._unused: dict[Connection, None] = {}
         self._searched_at_s = 0.0
         self._total_bytes = 0
+        self._incomplete_bytes = 0
         self._counts: collections.Counter[str] = collections.Counter()
         self._logged_at_ms: int | None = None
         self._log_second = 0
@@ -235,30 +247,34 @@
         if len(self._held) >= self._limits.max_connections:
             self._close_one_for(connection)
         else:
-            self._held[connection] = 0
+            self._held[connection] = _NOTHING_HELD
             self._unused[connection] = None
 
     def remove(self, connection: Connection) -> None:
         """Remove a connection that has been closed."""
-        self._total_bytes -= self._held.pop(connection, 0)
+        held = self._held.pop(connection, _NOTHING_HELD)
+        self._total_bytes -= held.total
+        self._incomplete_bytes -= held.incomplete
         self._unused.pop(connection, None)
 
     def note_use(self, connection: Connection) -> None:
         """Note that a whole request was received on a connection."""
         self._unused.pop(connection, None)
-        held_bytes = self._held.pop(connection, None)
-        if held_bytes is not None:
+        held = self._held.pop(connection, None)
+        if held is not None:
             # At the end, as the most recently used one.
-            self._held[connection] = held_bytes
+            self._held[connection] = held
 
     def hold(self, connection: Connection, held_bytes: int) -> None:
         """Note how many bytes a connection holds; make room if needed."""
         before = self._held.get(connection)
         if before is None:
             return
-        self._held[connection] = held_bytes
-        self._total_bytes += held_bytes - before
-        if held_bytes > before:
+        held = _Held(held_bytes, connection.incomplete_bytes)
+        self._held[connection] = held
+        self._total_bytes += held.total - before.total
+        self._incomplete_bytes += held.incomplete - before.incomplete
+        if held.total > before.total:
             self._refuse_largest()
 
     def has_room(self) -> bool:
@@ -302,7 +318,7 @@
         closed = next(iter(self._unused), None) or self._find_used()
         if closed is not None:
             self.remove(closed)
-            self._held[new] = 0
+            self._held[new] = _NOTHING_HELD
             self._unused[new] = None
         (closed or new).close_for_room()
         self.count_refusal(Cause.CONNECTIONS)
@@ -328,9 +344,16 @@
         return stalled
 
     def _refuse_largest(self) -> None:
-        """Refuse the largest incomplete requests until there is room."""
-        if self.has_room():
+        """Refuse the largest incomplete requests until there is room.
+
+        They are refused until the low-water mark is reached, unless the whole
+        requests alone hold more: refusing all others wouldn't reach it.
+        """
+        if self.has_room() or not self._incomplete_bytes:
             return
+        target_bytes = LOW_WATER_SHARE * self._limits.max_received_bytes
+        if self._total_bytes - self._incomplete_bytes > target_bytes:
+            target_bytes = self._limits.max_received_bytes
         incomplete = [
             c for c in self._held if c.incomplete_bytes > self._exempt_bytes
         ]
@@ -338,9 +361,7 @@
         incomplete.sort(key=lambda c: c.incomplete_bytes, reverse=True)
         for connection in incomplete:
             connection.refuse_incomplete()
-            if self._total_bytes <= (
-                LOW_WATER_SHARE * self._limits.max_received_bytes
-            ):
+            if self._total_bytes <= target_bytes:
                 return
 
 
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -120,6 +120,43 @@
     assert not whole.is_refused
 
 
+def test_all_requests_are_refused_while_whole_ones_hold_most():
+    """Refusing every incomplete one wouldn't reach the low-water mark."""
+    table, _ = _table()
+    whole, small, large = [_Connection(table=table) for _ in range(3)]
+    for connection, held_bytes in ((whole, 92), (small, 3), (large, 6)):
+        table.add(connection)
+        connection.incomplete_bytes = 0 if connection is whole else held_bytes
+        table.hold(connection, held_bytes)
+    assert large.is_refused
+    assert not small.is_refused
+
+
+def test_a_search_is_made_while_none_can_be_refused():
+    """A search looks at each connection, and would find nothing."""
+    table, _ = _table()
+    reads = []
+
+    class _Whole(_Connection):
+        @property
+        def incomplete_bytes(self):
+            reads.append(self)
+            return 0
+
+        @incomplete_bytes.setter
+        def incomplete_bytes(self, _value):
+            pass
+
+    connections = [_Whole() for _ in range(3)]
+    for connection in connections:
+        table.add(connection)
+    table.hold(connections[0], 101)
+    reads.clear()
+    table.hold(connections[1], 1)
+    # Only what the connection itself holds is read.
+    assert reads == [connections[1]]
+
+
 def test_what_a_closed_connection_held_is_not_released():
     table, _ = _table()
     connection = _Connection()
