Read the present changes after a failed watch where the age is bounded

After a failed call the next watch lasted up to 1 s, so the copy was confirmed that much later.

Measured: the new test in test_confirmed_copies.py failed before and passes now.

--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -332,7 +332,8 @@
     def _watch_wait_ms(self) -> int:
         if self._freshness is None:
             return WATCH_TIMEOUT_MS
-        if self._is_too_old():
+        if self._is_too_old() or not self._reachable:
+            # The copy is confirmed at once, not only as a watch ends.
             return REFRESH_WAIT_MS
         return self._freshness.watch_timeout_ms
 
--- a/tests/test_confirmed_copies.py
+++ b/tests/test_confirmed_copies.py
@@ -121,6 +121,17 @@
     assert watcher.confirmed_age_ms == 60
 
 
+async def test_after_a_failed_watch_the_copy_isnt_confirmed_at_once():
+    """The age would grow by a whole watch more."""
+    _, store, watcher = _make(
+        (0, _listing(3)), (50, _REFUSED), (5, _listing(3)), (900, _listing(3))
+    )
+    await _run(store, watcher)
+    longest = _object_watcher.MAX_BOUNDED_WATCH_MS
+    refresh = _object_watcher.REFRESH_WAIT_MS
+    assert store.waits[:3] == [longest, refresh, longest]
+
+
 async def test_a_list_doesnt_replace_newer_relayed_changes():
     """The copy would be older than the time as of which it is confirmed."""
     clock, store, watcher = _make()
