--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -113,6 +113,9 @@
 # logged once, and how many characters of their names are logged.
 MAX_LOGGED_ENTRIES = 512
 MAX_LOGGED_NAME = 80
+# Room for the body of a relayed request: the usual max_body_bytes of a
+# configuration, which isn't known when the limits are derived.
+RELAYED_BODY_BYTES = 4 * 2**20
 # Interval at which idle connections to replicas are checked.
 CLOSE_STALE_INTERVAL_MS = 1000
 # Changes within this time are read by one call to the store. A configuration
@@ -167,12 +170,7 @@
         self._log_buffer = log_buffer
         self._metrics_port = metrics_port
         self._metrics = _host_metrics.HostMetrics()
-        self._connection_table = _connection_limits.ConnectionTable(
-            _connection_limits.derive_limits(
-                settings.max_descriptors, settings.memory_mb
-            ),
-            self._metrics.count_refusal,
-        )
+        self._connection_tables = self._make_connection_tables()
         self._load_monitor = _load_monitor.LoadMonitor(clock)
         self._random = random.Random()
         self._draining = False
@@ -289,7 +287,7 @@
             http=_http_protocol.make_limited_protocol(
                 self._active_configuration,
                 lambda: self._draining,
-                self._connection_table,
+                self._connection_tables,
             ),
         )
         _gauges.add_gauges(
@@ -306,11 +304,29 @@
                 leadership=self._leadership,
                 budgets=self._budgets,
                 log_buffer=self._log_buffer,
-                connection_table=self._connection_table,
+                connection_tables=self._connection_tables,
                 load_monitor=self._load_monitor,
             ),
         )
 
+    def _make_connection_tables(self) -> _http_protocol.Tables:
+        settings = self._settings
+        limits = _connection_limits.derive_limits(
+            settings.max_descriptors, settings.memory_mb
+        )
+        return _http_protocol.Tables(
+            settings.client_address.port,
+            settings.peer_address.port,
+            *_connection_limits.make_tables(
+                _connection_limits.split_limits(
+                    limits,
+                    _controller_protocol.MAX_MESSAGE_BYTES,
+                    RELAYED_BODY_BYTES,
+                ),
+                self._metrics.count_refusal,
+            ),
+        )
+
     def _make_leadership(self) -> _leadership.Leadership:
         leases = _leases.Leases(
             self._store,
--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -310,6 +310,11 @@
             return
         if changes is None:
             return
+        if changes.revision < self.revision:
+            # Newer relayed changes were applied as it arrived: older objects
+            # must not replace them, such as an account with a removed key.
+            await self._clock.sleep(self._batch_delay_ms)
+            return
         self._apply_changes(changes)
         self._note_confirmed(sent_at)
         if changes.objects:
@@ -327,7 +332,8 @@
     def _watch_wait_ms(self) -> int:
         if self._freshness is None:
             return WATCH_TIMEOUT_MS
-        if self._is_too_old():
+        if self._is_too_old() or not self._reachable:
+            # The copy is confirmed at once, not only as a watch ends.
             return REFRESH_WAIT_MS
         return self._freshness.watch_timeout_ms
 
--- a/tests/test_confirmed_copies.py
+++ b/tests/test_confirmed_copies.py
@@ -121,6 +121,17 @@
     assert watcher.confirmed_age_ms == 60
 
 
+async def test_after_a_failed_watch_the_copy_isnt_confirmed_at_once():
+    """The age would grow by a whole watch more."""
+    _, store, watcher = _make(
+        (0, _listing(3)), (50, _REFUSED), (5, _listing(3)), (900, _listing(3))
+    )
+    await _run(store, watcher)
+    longest = _object_watcher.MAX_BOUNDED_WATCH_MS
+    refresh = _object_watcher.REFRESH_WAIT_MS
+    assert store.waits[:3] == [longest, refresh, longest]
+
+
 async def test_a_list_doesnt_replace_newer_relayed_changes():
     """The copy would be older than the time as of which it is confirmed."""
     clock, store, watcher = _make()
@@ -136,6 +147,29 @@
     assert (watcher.revision, watcher.confirmed_age_ms) == (9, 700)
 
 
+async def test_a_watch_doesnt_replace_newer_relayed_changes():
+    """A key that the newer configuration removed would be in force again."""
+    clock, _, watcher = _make((0, _listing(3)))
+    await watcher._list_or_watch()
+    clock.advance(1000)
+    applied = []
+    watcher._on_change = applied.append
+
+    async def watch_late(_revision):
+        clock.advance(400)
+        newer = _objects.Object("config", "main", 9, {"tenants": []})
+        relayed = _object_watcher.Changes(9, False, [newer])
+        watcher.apply_relayed(relayed, clock.since_boot() - 700)
+        return _listing(
+            5, _objects.Object("config", "main", 5, {"tenants": ["old"]})
+        )
+
+    watcher._watch = watch_late
+    await watcher._list_or_watch()
+    assert [item.version for item in applied] == [9]
+    assert (watcher.revision, watcher.confirmed_age_ms) == (9, 700)
+
+
 async def test_time_of_a_freeze_and_of_a_suspended_machine_counts():
     clock, store, watcher = _make((0, _listing(3)))
     await _run(store, watcher)
