Replace issuers that report but don't answer

An issuer that is slow (answers in 70 ms) or unreachable for some instances went on reporting, so it was never replaced, and its backup refused accounts at 55 % of their limits. Each report now names the issuers that did and did not answer in the last 2 s. The controller replaces one that did not answer a quarter, and at least two, of those that asked it. Instances that didn't ask it are not counted: with one small account few do. What an instance reported is dropped with its entry, so suspicions are pruned, too.

--- a/src/geraniumlink/hosting/_quota_exchange.py
+++ b/src/geraniumlink/hosting/_quota_exchange.py
@@ -293,12 +293,12 @@
         now = self._clock.now()
         missing = self._missing.get(address, 0) + 1
         self._missing[address] = missing
+        self._table.note_silent(address)
         if (
             missing >= MAX_MISSING
             and self._silent_until.get(address, now) <= now
         ):
             self._silent_until[address] = now + SILENCE_MS
-            self._table.note_silent(address)
             _logs.event("quota_issuer_silent", issuer=address, missing=missing)
 
     def _apply_table(
--- a/src/geraniumlink/residency/_issuer_table.py
+++ b/src/geraniumlink/residency/_issuer_table.py
@@ -24,7 +24,14 @@
 # An instance that has not reported for this long is replaced, or sooner if
 # an instance that asked it had no answer. Reports come every 250 ms.
 LOST_MS = 1000
-ACCUSED_LOST_MS = 600
+SUSPECTED_LOST_MS = 600
+# One that reports is replaced if it didn't answer so many of the instances
+# that asked it in the last ASKED_MS: a backup issues only a small part of the
+# quota while the issuer stays named. An instance asks again 1 s after two
+# answers were missing.
+SUSPECTING_PART = 0.25
+MIN_SUSPECTING = 2
+ASKED_MS = 2000
 # The controller names issuers only after this long in its term: the running
 # instances have reported by then, with the table of its predecessor.
 OBSERVATION_MS = 1000
@@ -35,7 +42,8 @@
 # second of 300 instances it would cost the square of their number.
 EVALUATION_INTERVAL_MS = 50
 # Rows of an instance that has more than its part are moved one by one, so
-# that no two moves fall into the window of a quota.
+# that no two moves fall into the window of a quota. Nor is a row changed again
+# within it because of an instance that still reports.
 REBALANCE_INTERVAL_MS = 10_000
 # An instance that ended its reports without draining may still serve clients,
 # cut off from the others. It counts for this long.
@@ -45,8 +53,8 @@
 # the others may use. Accounts use 55 % of their limit on average.
 ABSENT_PART = 0.02
 MIN_PRESENT_PART = 0.6
-# Instances that a report accuses at most.
-MAX_ACCUSED = 16
+# Instances that a report suspects at most, and that it names as answering.
+MAX_SUSPECTED = 16
 
 
 class Row(typing.NamedTuple):
@@ -84,8 +92,10 @@
     known: tuple[int, int]
     # The table, if it is newer than that of the last answer.
     table: list[typing.Any] | None
-    # Issuers that did not answer it.
+    # Issuers that did not answer it when it last asked, in the last ASKED_MS.
     silent: list[str]
+    # Issuers that did; reports of earlier builds don't have it.
+    answering: typing.NotRequired[list[str]]
     # Whether it ends soon.
     is_draining: bool
     data_centre: str
@@ -129,6 +139,9 @@
     reported_at: int
     is_draining: bool
     data_centre: str
+    # Issuers that did not answer it, and those that did.
+    silent: frozenset[str]
+    answering: frozenset[str]
 
 
 class IssuerTable:
@@ -160,14 +173,16 @@
         # In time since boot.
         self._confirmed_at: int | None = None
         self._rate_part = 1.0
-        # Issuers that did not answer this instance, until they do.
-        self._silent: set[str] = set()
+        # When this instance asked issuers last, by whether they answered.
+        self._silent: dict[str, int] = {}
+        self._answering: dict[str, int] = {}
+        # When each row was changed last; None if only named.
+        self._changed_at: list[int | None] = [None] * ROWS
         self._is_draining = False
         # As the controller.
         self._term = 0
         self._term_since = 0
         self._seen: dict[str, _Seen] = {}
-        self._accused: dict[str, int] = {}
         self._rebalanced_at = 0
         self._evaluated_at = clock.now()
         self._present = 1.0
@@ -196,12 +211,13 @@
 
     def note_silent(self, address: str) -> None:
         """Record that an issuer did not answer this instance."""
-        if len(self._silent) < MAX_ACCUSED:
-            self._silent.add(address)
+        self._answering.pop(address, None)
+        self._silent[address] = self._clock.now()
 
     def note_answered(self, address: str) -> None:
         """Record that an issuer answered this instance."""
-        self._silent.discard(address)
+        self._silent.pop(address, None)
+        self._answering[address] = self._clock.now()
 
     def start_draining(self) -> None:
         """Have others issue in place of this instance, as it ends soon."""
@@ -213,7 +229,8 @@
         return ReportPart(
             known=self._table.version,
             table=_to_json(self._table) if is_newer else None,
-            silent=sorted(self._silent),
+            silent=self._asked_lately(self._silent),
+            answering=self._asked_lately(self._answering),
             is_draining=self._is_draining,
             data_centre=self._data_centre,
         )
@@ -228,15 +245,16 @@
         if self._term != self._leadership.epoch:
             self._term, self._term_since = self._leadership.epoch, now
             self._seen.clear()
-            self._accused.clear()
             self._rebalanced_at = now
         if report["table"] is not None:
             self._accept(_from_json(report["table"]))
         self._seen[address] = _Seen(
-            now, bool(report["is_draining"]), str(report["data_centre"])
+            now,
+            bool(report["is_draining"]),
+            str(report["data_centre"]),
+            frozenset(map(str, report["silent"][:MAX_SUSPECTED])),
+            frozenset(map(str, report.get("answering", [])[:MAX_SUSPECTED])),
         )
-        for accused in report["silent"][:MAX_ACCUSED]:
-            self._accused[str(accused)] = now
         if now - self._evaluated_at >= EVALUATION_INTERVAL_MS:
             self._evaluated_at = now
             if self._leadership.may_order() and self._is_needed():
@@ -276,13 +294,26 @@
         """Return the table for another instance."""
         return _to_json(self._table)
 
+    def _asked_lately(self, asked: dict[str, int]) -> list[str]:
+        now = self._clock.now()
+        return sorted(
+            address for address, at in asked.items() if now - at < ASKED_MS
+        )[:MAX_SUSPECTED]
+
     def _accept(self, table: Table) -> None:
         if table.version <= self._table.version:
             return
         former, self._table = self._table, table
         named = {row.issuer for row in table.rows}
         named |= {row.backup for row in table.rows}
-        self._silent &= named
+        for asked in (self._silent, self._answering):
+            for address in asked.keys() - named:
+                del asked[address]
+        for number, rows in enumerate(
+            zip(former.rows, table.rows, strict=False)
+        ):
+            if rows[0] != rows[1]:
+                self._changed_at[number] = self._clock.now()
         _logs.event(
             "quota_issuers",
             epoch=table.epoch,
@@ -293,7 +324,7 @@
         self._on_change(former, table)
 
     def _name_issuers(self, now: int) -> None:
-        """Replace the issuers that don't report any more."""
+        """Replace the issuers that don't report or don't answer any more."""
         if now - self._term_since < OBSERVATION_MS:
             return
         self._seen = {
@@ -302,55 +333,83 @@
             if now - seen.reported_at < ABSENT_MS
         }
         rows = self._table.rows or (Row("", ""),) * ROWS
+        silent, answering = self._count_answers(now)
         usable = {
             address
             for address, seen in self._seen.items()
-            if not seen.is_draining and not self._is_lost(address, now)
+            if not seen.is_draining
+            and not self._is_lost(address, silent[address] > 0, now)
+        }
+        suspected = {
+            address
+            for address, count in silent.items()
+            if count >= MIN_SUSPECTING
+            and count >= SUSPECTING_PART * (count + answering[address])
         }
         # The end of the controller must not take issuers with it.
         if len(usable) > 2:
             usable.discard(self._own_address)
         if not usable:
             return
-        renewed = self._replace(rows, usable)
+        renewed = self._replace(rows, usable, usable - suspected, now)
         if (
             renewed == rows
             and now - self._rebalanced_at >= REBALANCE_INTERVAL_MS
         ):
             self._rebalanced_at = now
-            renewed = self._rebalance(rows, usable)
+            renewed = self._rebalance(rows, usable - suspected or usable)
         if renewed != rows:
             self._accept(
                 Table(self._leadership.epoch, self._table.serial + 1, renewed)
             )
 
-    def _is_lost(self, address: str, now: int) -> bool:
+    def _count_answers(
+        self, now: int
+    ) -> tuple[collections.Counter[str], collections.Counter[str]]:
+        """Return how many instances each issuer didn't answer, and did."""
+        silent: collections.Counter[str] = collections.Counter()
+        answering: collections.Counter[str] = collections.Counter()
+        for seen in self._seen.values():
+            if now - seen.reported_at < LOST_MS:
+                silent.update(seen.silent)
+                answering.update(seen.answering)
+        return silent, answering
+
+    def _is_lost(self, address: str, is_suspected: bool, now: int) -> bool:
         silent_ms = now - self._seen[address].reported_at
-        accused_at = self._accused.get(address)
-        if accused_at is not None and now - accused_at < LOST_MS:
-            return silent_ms >= ACCUSED_LOST_MS
-        return silent_ms >= LOST_MS
+        return silent_ms >= (SUSPECTED_LOST_MS if is_suspected else LOST_MS)
 
     def _replace(
-        self, rows: tuple[Row, ...], usable: set[str]
+        self,
+        rows: tuple[Row, ...],
+        usable: set[str],
+        answering: set[str],
+        now: int,
     ) -> tuple[Row, ...]:
         """Return the rows with usable instances only.
 
         The backup takes the place of its issuer: it may already have issued.
+
+        :param answering: usable ones that aren't suspected.
         """
         roles = collections.Counter(
             address for row in rows for address in row if address in usable
         )
+        choosable = answering or usable
         renewed = []
-        for row in rows:
-            issuer = row.issuer if row.issuer in usable else ""
-            backup = row.backup if row.backup in usable else ""
+        for row, changed_at in zip(rows, self._changed_at, strict=True):
+            may_keep = usable
+            if changed_at is None or now - changed_at >= REBALANCE_INTERVAL_MS:
+                may_keep = choosable
+            issuer = row.issuer if row.issuer in may_keep else ""
+            backup = row.backup if row.backup in may_keep else ""
             if not issuer:
                 issuer, backup = backup, ""
             if not issuer:
-                issuer = self._choose(usable, "", roles)
+                issuer = self._choose(choosable, "", roles)
             if not backup:
-                backup = self._choose(usable - {issuer}, issuer, roles)
+                others = choosable - {issuer} or usable - {issuer}
+                backup = self._choose(others, issuer, roles)
             renewed.append(Row(issuer, backup))
         return tuple(renewed)
 
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -62,6 +62,10 @@
         # A frozen instance's messages are kept, those of a dead one are lost.
         self.alive, self.frozen, self.group = True, False, 0
         self.inbox = []
+        # Added to the latency of its datagrams, and who gets none of them;
+        # its reports arrive as usual.
+        self.delay_ms = 0
+        self.unreached = set()
         self.datagrams = Datagrams(fleet, self.address)
         leadership = Leadership(fleet, self.address)
         self.directory = _instance_directory.InstanceDirectory(
@@ -173,7 +177,10 @@
             if target is not None and self.is_linked(sender, receiver):
                 target.receive(sender, message)
 
-        asyncio.get_running_loop().call_later(LATENCY_MS / 1000, arrive)
+        source = self.by_address[sender]
+        if receiver not in source.unreached:
+            delay_ms = LATENCY_MS + source.delay_ms
+            asyncio.get_running_loop().call_later(delay_ms / 1000, arrive)
 
     def is_linked(self, sender, receiver):
         source, target = self.by_address[sender], self.by_address[receiver]
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -57,6 +57,17 @@
     fleet.restart_one(fleet.issuer_of(account))
 
 
+async def _issuer_answers_late(fleet, account):
+    """It goes on reporting to the controller."""
+    fleet.issuer_of(account).delay_ms = 70
+
+
+async def _issuer_is_unreachable_for_some(fleet, account):
+    """Half of the instances get no answers; the controller gets reports."""
+    issuer = fleet.issuer_of(account)
+    issuer.unreached = {i.address for i in fleet.instances[::2]}
+
+
 async def _controller_ends(fleet, _account):
     await fleet.end_controller()
 
@@ -81,6 +92,8 @@
     _issuer_is_cut_off,
     _issuer_is_replaced,
     _issuer_starts_anew,
+    _issuer_answers_late,
+    _issuer_is_unreachable_for_some,
     _controller_ends,
     _data_centre_is_cut_off,
     _all_restart,
