Refund no charges older than a second or the burst

Charges that were held for long and refunded while the account was used were credited in full, though their tokens belonged to an earlier window. A decision now has its time of charging, and the asking instance drops refunds older than max(1 s, burst / rate), also those of late answers.

--- a/src/geraniumlink/hosting/_quota_exchange.py
+++ b/src/geraniumlink/hosting/_quota_exchange.py
@@ -64,7 +64,9 @@
 
     issuer: str
     account: str
+    limit: _quotas.Limit
     cost: float
+    charged_at: int
     answer: asyncio.Future[tuple[_quotas.Role, _quotas.Answer]]
 
 
@@ -175,19 +177,27 @@
             decided,
             source,
             address,
+            began,
             now - began,
             use.share,
             told_age_ms,
         )
 
-    def refund(self, decision: _quotas.Decision) -> None:
-        """Take back the charge of a request that has not run."""
+    def refund(self, decision: _quotas.Decision) -> bool:
+        """Take back the charge of a request that has not run.
+
+        :returns: False if the charge is too old.
+        """
+        age_ms = self._clock.now() - decision.charged_at
+        if not _quotas.is_refundable(decision.limit, age_ms):
+            return False
         if decision.source is _quotas.Source.LOCAL:
             use = self._uses.get(decision.account)
             if use is not None:
                 use.refund_locally(decision.cost)
         else:
             self._send_refund(decision.issuer, decision.account, decision.cost)
+        return True
 
     async def run(self) -> None:
         """Check how many instances are reached while not confirmed."""
@@ -253,7 +263,9 @@
         pending = _Pending(
             address,
             account,
+            limit,
             cost,
+            now,
             asyncio.get_running_loop().create_future(),
         )
         self._pending[number] = pending
@@ -489,7 +501,10 @@
                 pending.answer.set_result((role, answer))
             return
         late = self._late.pop(number, None)
-        if late is not None and isinstance(answer, _quotas.Charged):
+        if late is None or not isinstance(answer, _quotas.Charged):
+            return
+        age_ms = self._clock.now() - late.charged_at
+        if _quotas.is_refundable(late.limit, age_ms):
             self._send_refund(late.issuer, late.account, late.cost)
 
     def _handle_check(
--- a/src/geraniumlink/serving/_quota_gate.py
+++ b/src/geraniumlink/serving/_quota_gate.py
@@ -132,8 +132,8 @@
         charge = state.charge
         if charge is not None and not _may_have_run(state):
             state.charge = None
-            self._quotas.refund(charge)
-            self._metrics.record_refund(charge)
+            if self._quotas.refund(charge):
+                self._metrics.record_refund(charge)
 
 
 def _may_have_run(state: _request_state.RequestState) -> bool:
--- a/src/geraniumlink/serving/_quotas.py
+++ b/src/geraniumlink/serving/_quotas.py
@@ -38,6 +38,9 @@
 LOCAL_EQUAL_PART = 0.25
 # Assumed number of instances while there is no table of issuers.
 UNKNOWN_INSTANCES = 100
+# A charge is refunded if it is at most this old, or at most as old as the
+# burst lasts at the quota's rate.
+MIN_REFUNDABLE_MS = 1000
 # Longest wait that is stated to a client.
 MAX_WAIT_MS = 8000
 # What is known of an account that isn't used is dropped after this long. Its
@@ -69,6 +72,16 @@
     return bounds.overshoot * in_window + bounds.slack
 
 
+def is_refundable(limit: Limit, age_ms: int) -> bool:
+    """Whether a charge of some age may be taken back.
+
+    Its tokens would be used up to the age later than they became available:
+    charges of 15 s that were refunded together exceeded a window's bound.
+    """
+    burst_ms = 1000 * limit.burst / limit.rate_per_s
+    return age_ms <= max(MIN_REFUNDABLE_MS, burst_ms)
+
+
 class Role(enum.Enum):
     """Why an instance issues for an account."""
 
@@ -474,6 +487,8 @@
     source: Source
     # Address of the instance that decided.
     issuer: str
+    # When it was asked for, by this instance's clock.
+    charged_at: int
     took_ms: int
     # This instance's part of the account's use, and the age of the issuer's
     # last answer; None if not known.
@@ -493,5 +508,8 @@
     ) -> Decision:
         """Charge a request to an account; takes at most 100 ms."""
 
-    def refund(self, decision: Decision) -> None:
-        """Take back the charge of a request that has not run."""
+    def refund(self, decision: Decision) -> bool:
+        """Take back the charge of a request that has not run.
+
+        :returns: False if the charge is too old.
+        """
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -219,6 +219,51 @@
     )
 
 
+def test_refunds_of_old_charges_do_not_exceed_the_bound():
+    """Charges held for long must not become available again."""
+
+    async def main(clock):
+        fleet = quota_fleet.Fleet(clock, 4, [], _BOUNDS)
+        sent = []
+        async with anyio.create_task_group() as group:
+            group.start_soon(fleet.run)
+            await clock.sleep(5000)
+            asking = fleet.instances[-1].quotas
+            held = []
+            for _ in range(150):
+                held.append(await asking.charge("a", _LIMIT, 100))
+                await clock.sleep(100)
+            await clock.sleep(2000)
+            for decisions in zip(held[::2], held[1::2], strict=True):
+                for decision in decisions:
+                    if decision.is_charged:
+                        asking.refund(decision)
+                for _ in range(5):
+                    decision = await asking.charge("a", _LIMIT, 100)
+                    sent.append(100 * decision.is_charged)
+                await clock.sleep(80)
+            fleet.stop()
+        return sum(sent), held
+
+    sent, held = _virtual_time.run(main)
+    assert sum(d.is_charged for d in held) > 100
+    bound = 9000 + _quotas.allowed_overshoot(_LIMIT, _BOUNDS)
+    assert sent <= bound
+
+
+def test_an_old_charge_is_not_refunded():
+    async def main(clock):
+        fleet = quota_fleet.Fleet(clock, 1, [], _BOUNDS)
+        quotas = quota_fleet.Instance(fleet, 0).quotas
+        decision = await quotas.charge("a", _LIMIT, 1)
+        await clock.sleep(1000)
+        recent = quotas.refund(decision)
+        await clock.sleep(10)
+        return recent, quotas.refund(decision)
+
+    assert _virtual_time.run(main) == (True, False)
+
+
 def test_a_lowered_limit_lowers_what_is_left():
     issuer, _ = _issuer()
     issuer.charge("a", _LIMIT, 1, _PRIMARY)
