Replace no issuers after a stall of the controller

A controller that stalled for 0.75 to 1.15 s found on waking that the reports of healthy issuers were older than 1 s, as theirs were not handled yet, and replaced them. After 400 ms without any report, the times of all instances that weren't lost before are set to now.

--- a/src/geraniumlink/residency/_issuer_table.py
+++ b/src/geraniumlink/residency/_issuer_table.py
@@ -32,6 +32,9 @@
 SUSPECTING_PART = 0.25
 MIN_SUSPECTING = 2
 ASKED_MS = 2000
+# If the controller handled no report for this long it was stalled itself: the
+# times of all reports are old, and count from the next report on.
+CONTROLLER_GAP_MS = 400
 # The controller names issuers only after this long in its term: the running
 # instances have reported by then, with the table of its predecessor.
 OBSERVATION_MS = 1000
@@ -183,6 +186,7 @@
         self._term = 0
         self._term_since = 0
         self._seen: dict[str, _Seen] = {}
+        self._last_report_at = clock.now()
         self._rebalanced_at = 0
         self._evaluated_at = clock.now()
         self._present = 1.0
@@ -248,6 +252,12 @@
             self._rebalanced_at = now
         if report["table"] is not None:
             self._accept(_from_json(report["table"]))
+        if now - self._last_report_at > CONTROLLER_GAP_MS:
+            for other, seen in self._seen.items():
+                # Those lost before stay so.
+                if self._last_report_at - seen.reported_at < LOST_MS:
+                    self._seen[other] = seen._replace(reported_at=now)
+        self._last_report_at = now
         self._seen[address] = _Seen(
             now,
             bool(report["is_draining"]),
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -8,6 +8,7 @@
 from emulator import _virtual_time
 from geraniumlink import _clock
 from geraniumlink import _settings
+from geraniumlink.residency import _issuer_table
 from geraniumlink.serving import _quotas
 from tests import quota_fleet
 
@@ -172,6 +173,43 @@
     assert {old for old, _ in moved} <= {leader}
 
 
+@pytest.mark.parametrize("stall_ms", (500, 800, 1100))
+def test_a_stalled_controller_replaces_no_healthy_issuers(stall_ms):
+    """On waking, it has handled only the first of the waiting reports."""
+    clock = _clock.ManualClock(100_000)
+
+    class Leadership:
+        is_leader, epoch = True, 1
+
+        def may_order(self):
+            return True
+
+    def make(number):
+        return _issuer_table.IssuerTable(
+            leadership=Leadership(),
+            own_address=f"10.0.0.{number}:7000",
+            data_centre="dc1",
+            is_needed=lambda: True,
+            clock=clock,
+        )
+
+    tables = {f"10.0.0.{number}:7000": make(number) for number in range(1, 7)}
+    controller = tables["10.0.0.1:7000"]
+
+    def report_all(pause_ms):
+        for address, table in tables.items():
+            controller.answer_report(address, table.make_report())
+            clock.advance(pause_ms)
+
+    for _ in range(8):
+        report_all(40)
+    named = controller.current
+    assert named.rows
+    clock.advance(stall_ms)
+    report_all(60)
+    assert controller.current == named
+
+
 def _issuer():
     clock = _clock.ManualClock(100_000)
     return _quotas.Issuer(_BOUNDS, clock), clock
