Report what was admitted without an issuer once

Concurrent charges each reported what the instance had admitted without the issuer, which deducted it each time; and an answer cleared also what had been admitted since the charge was sent. The amount now belongs to one charge. If no answer comes in time it is given back, and a late answer has it refunded, with the cost if that was charged. A backup isn't told any more: it would deduct what the issuer is told, too.

--- a/src/geraniumlink/hosting/_quota_exchange.py
+++ b/src/geraniumlink/hosting/_quota_exchange.py
@@ -66,6 +66,8 @@
     account: str
     limit: _quotas.Limit
     cost: float
+    # What was admitted without the issuer's knowledge, by admitter.
+    unreported: dict[str, float]
     charged_at: int
     answer: asyncio.Future[tuple[_quotas.Role, _quotas.Answer]]
 
@@ -248,41 +250,28 @@
         timeout_ms: int,
     ) -> tuple[_quotas.Role, _quotas.Answer] | None:
         """Ask an instance; None if it doesn't issue, or doesn't answer."""
-        now = self._clock.now()
-        hint = use.hint_for(address, now)
-        elsewhere = use.untold_to(address, now)
-        version = self._table.current.version
         if address == self._own_address:
-            duty = self._find_duty(account, version)
-            if duty is None:
-                return None
-            return duty.role, self._issuer.charge(
-                account, limit, cost, duty, hint, elsewhere
-            )
+            return self._charge_here(account, limit, cost, use)
+        now = self._clock.now()
+        table = self._table.current
+        unreported: dict[str, float] = {}
+        # A backup has a part of the overshoot of its own; the issuer is told.
+        if not table.rows or table.row_of(account).issuer == address:
+            unreported = use.take_unreported(address, now)
         number = next(self._numbers)
         pending = _Pending(
             address,
             account,
             limit,
             cost,
+            unreported,
             now,
             asyncio.get_running_loop().create_future(),
         )
         self._pending[number] = pending
-        message: list[typing.Any] = [
-            "charge",
-            number,
-            account,
-            _shorten(cost),
-            limit.rate_per_s,
-            limit.burst,
-            version,
-        ]
-        if hint is not None or elsewhere:
-            message += [
-                _shorten(elsewhere),
-                hint and [*map(_shorten, hint[:2]), hint.age_ms],
-            ]
+        message = _encode_charge(
+            number, pending, table.version, use.hint_for(address, now)
+        )
         self._datagrams.send([address], message)
         answer = None
         try:
@@ -291,6 +280,7 @@
         finally:
             del self._pending[number]
             if answer is None:
+                use.give_back_unreported(unreported, self._clock.now())
                 self._late[number] = pending
                 if len(self._late) > MAX_LATE:
                     del self._late[next(iter(self._late))]
@@ -301,6 +291,30 @@
             self._table.note_answered(address)
         return answer
 
+    def _charge_here(
+        self,
+        account: str,
+        limit: _quotas.Limit,
+        cost: float,
+        use: _quotas.AccountUse,
+    ) -> tuple[_quotas.Role, _quotas.Answer] | None:
+        """Charge a request of this instance; None if it doesn't issue."""
+        now = self._clock.now()
+        duty = self._find_duty(account, self._table.current.version)
+        if duty is None:
+            return None
+        unreported: dict[str, float] = {}
+        if duty.role is _quotas.Role.PRIMARY:
+            unreported = use.take_unreported(self._own_address, now)
+        return duty.role, self._issuer.charge(
+            account,
+            limit,
+            cost,
+            duty,
+            use.hint_for(self._own_address, now),
+            sum(unreported.values()),
+        )
+
     def _note_missing(self, address: str) -> None:
         now = self._clock.now()
         missing = self._missing.get(address, 0) + 1
@@ -501,11 +515,15 @@
                 pending.answer.set_result((role, answer))
             return
         late = self._late.pop(number, None)
-        if late is None or not isinstance(answer, _quotas.Charged):
+        if late is None:
             return
+        # What it reported was given back to be reported again.
+        amount = sum(late.unreported.values())
+        if isinstance(answer, _quotas.Charged):
+            amount += late.cost
         age_ms = self._clock.now() - late.charged_at
-        if _quotas.is_refundable(late.limit, age_ms):
-            self._send_refund(late.issuer, late.account, late.cost)
+        if amount and _quotas.is_refundable(late.limit, age_ms):
+            self._send_refund(late.issuer, late.account, amount)
 
     def _handle_check(
         self, message: list[typing.Any], sender: _settings.Address
@@ -538,6 +556,31 @@
                 raise ValueError(f"malformed message: {message!r:.60}")
 
 
+def _encode_charge(
+    number: int,
+    charge: _Pending,
+    version: tuple[int, int],
+    hint: _quotas.Hint | None,
+) -> list[typing.Any]:
+    """Return the message of a charge."""
+    message: list[typing.Any] = [
+        "charge",
+        number,
+        charge.account,
+        _shorten(charge.cost),
+        charge.limit.rate_per_s,
+        charge.limit.burst,
+        version,
+    ]
+    elsewhere = sum(charge.unreported.values())
+    if hint is not None or elsewhere:
+        message += [
+            _shorten(elsewhere),
+            hint and [*map(_shorten, hint[:2]), hint.age_ms],
+        ]
+    return message
+
+
 def _decode_past(
     items: list[typing.Any],
 ) -> tuple[float, _quotas.Hint | None]:
--- a/src/geraniumlink/serving/_quotas.py
+++ b/src/geraniumlink/serving/_quotas.py
@@ -360,8 +360,8 @@
         self._promises = _Promises()
         # What was sent without the issuer's knowledge, by who admitted it
         # ("": this instance), less this instance's share of the rate since.
-        self._untold: dict[str, float] = {}
-        self._untold_at = now
+        self._unreported: dict[str, float] = {}
+        self._unreported_at = now
         self._limit = Limit(0.0, 0.0)
         self._part = 0.0
         self.used_at = now
@@ -397,14 +397,26 @@
             return None
         return Hint(self._told_level, self._told_total_per_s, age_ms)
 
-    def untold_to(self, issuer: str, now: int) -> float:
-        """Return what was sent without an issuer's knowledge."""
-        self._settle_untold(now)
-        return sum(
-            cost
-            for admitter, cost in self._untold.items()
+    def take_unreported(self, issuer: str, now: int) -> dict[str, float]:
+        """Return what was sent without an issuer's knowledge, by admitter.
+
+        It is left to the charge that reports it: concurrent ones don't report
+        it again.
+        """
+        self._settle_unreported(now)
+        taken = {
+            admitter: cost
+            for admitter, cost in self._unreported.items()
             if admitter != issuer
-        )
+        }
+        for admitter in taken:
+            del self._unreported[admitter]
+        return taken
+
+    def give_back_unreported(self, taken: dict[str, float], now: int) -> None:
+        """Have a later charge report it, as the answer hasn't come in time."""
+        for admitter, cost in taken.items():
+            self._add_unreported(admitter, cost, now)
 
     def note_answer(
         self, issuer: str, role: Role, answer: Answer, cost: float, now: int
@@ -412,11 +424,12 @@
         """Record an issuer's answer to a charge of a cost."""
         self.used_at = now
         if role is Role.PRIMARY:
-            self._untold.clear()
+            # The issuer itself admitted this, before it was named.
+            self._unreported.pop(issuer, None)
         if isinstance(answer, Charged):
             self._own.add(cost, now)
             if role is Role.BACKUP:
-                self._add_untold(issuer, cost, now)
+                self._add_unreported(issuer, cost, now)
         if role is Role.PRIMARY:
             # A backup's level says nothing of what the issuer has left.
             self._told_by, self._told_at = issuer, now
@@ -443,30 +456,30 @@
             return OverQuota(wait_ms, self._level, total_per_s)
         self._level -= cost
         self._own.add(cost, now)
-        self._add_untold("", cost, now)
+        self._add_unreported("", cost, now)
         return Charged(self._level, total_per_s)
 
     def refund_locally(self, cost: float) -> None:
         """Take back a charge to this instance's share."""
         self._level += cost
-        untold = self._untold.get("", 0.0) - cost
-        self._untold[""] = max(0.0, untold)
+        unreported = self._unreported.get("", 0.0) - cost
+        self._unreported[""] = max(0.0, unreported)
 
-    def _add_untold(self, admitter: str, cost: float, now: int) -> None:
-        self._settle_untold(now)
-        self._untold[admitter] = self._untold.get(admitter, 0.0) + cost
+    def _add_unreported(self, admitter: str, cost: float, now: int) -> None:
+        self._settle_unreported(now)
+        self._unreported[admitter] = self._unreported.get(admitter, 0.0) + cost
 
-    def _settle_untold(self, now: int) -> None:
+    def _settle_unreported(self, now: int) -> None:
         """Deduct this instance's share of the rate, which it may use."""
-        total = sum(self._untold.values())
+        total = sum(self._unreported.values())
         allowed = self._limit.rate_per_s * self._part / 1000
-        left = total - allowed * (now - self._untold_at)
-        self._untold_at = now
+        left = total - allowed * (now - self._unreported_at)
+        self._unreported_at = now
         if left <= 0:
-            self._untold.clear()
+            self._unreported.clear()
         else:
-            for admitter in self._untold:
-                self._untold[admitter] *= left / total
+            for admitter in self._unreported:
+                self._unreported[admitter] *= left / total
 
 
 class Source(enum.Enum):
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -324,14 +324,54 @@
 
 
 def test_what_was_sent_without_the_issuer_is_charged_once():
+    """Concurrent charges must not report it twice, nor an answer drop it."""
     use = _quotas.AccountUse(_BOUNDS, 0)
     use.set_terms(_LIMIT, 10)
     use.charge_locally(500, 0)
-    assert use.untold_to("i1", 0) == 500
+    taken = use.take_unreported("i1", 0)
+    assert taken == {"": 500}
+    assert use.take_unreported("i1", 0) == {}
+    use.note_answer(
+        "b1", _quotas.Role.BACKUP, _quotas.Charged(100, 500), 30, 0
+    )
     use.note_answer(
         "i1", _quotas.Role.PRIMARY, _quotas.Charged(100, 500), 1, 0
     )
-    assert use.untold_to("i1", 0) == 0
+    # What was admitted since the charge was sent isn't lost.
+    assert use.take_unreported("i1", 0) == {"b1": 30}
+    use.give_back_unreported(taken, 0)
+    assert use.take_unreported("i1", 0) == {"": 500}
+
+
+def test_a_late_answer_refunds_what_the_charge_reported():
+    """It was given back and is reported again by the next charge."""
+
+    async def main(clock):
+        fleet = quota_fleet.Fleet(clock, 6, [], _BOUNDS)
+        account = quota_fleet.Account("a1", 1000, 1)
+        async with anyio.create_task_group() as group:
+            group.start_soon(fleet.run)
+            await clock.sleep(9000)
+            issuer = fleet.issuer_of(account)
+            row = issuer.table.current.row_of("a1")
+            asking = next(
+                i for i in fleet.instances if i.address not in row
+            ).quotas
+            await asking.charge("a1", account.limit, 1)
+            issuer.delay_ms = 70
+            use = asking._uses["a1"]
+            use.charge_locally(400, clock.now())
+            first = await asking.charge("a1", account.limit, 1)
+            await clock.sleep(20)
+            issuer.delay_ms = 0
+            second = await asking.charge("a1", account.limit, 1)
+            fleet.stop()
+        return first, second
+
+    first, second = _virtual_time.run(main)
+    assert first.source is _quotas.Source.BACKUP
+    assert second.source is _quotas.Source.ISSUER
+    assert second.answer.level > 600
 
 
 def test_a_malformed_message_is_an_error():
