Ignore answers of instances that weren't asked

An answer was matched by its number only, and the numbers of each process began at 1: that to an earlier process at the address could reach a charge. The sender must now be the one asked, and numbers begin at random.

--- a/src/geraniumlink/hosting/_quota_exchange.py
+++ b/src/geraniumlink/hosting/_quota_exchange.py
@@ -132,7 +132,7 @@
         self._reach = _Reach()
         # As the asking instance; the accounts used last come last.
         self._uses: dict[str, _quotas.AccountUse] = {}
-        self._numbers = itertools.count(1)
+        self._numbers = itertools.count(random_source.getrandbits(32))
         self._pending: dict[int, _Pending] = {}
         self._late: dict[int, _Pending] = {}
         # Answers missing in a row, and until when it isn't asked, by address.
@@ -481,10 +481,13 @@
                 raise ValueError(f"malformed message: {message!r:.60}")
 
     def _handle_answer(
-        self, message: list[typing.Any], _: _settings.Address
+        self, message: list[typing.Any], sender: _settings.Address
     ) -> None:
         """Pass an issuer's answer to the request that waits for it.
 
+        One of an instance that was not asked is ignored: it may be meant for
+        an earlier process at this address.
+
         :raises ValueError: if the message is malformed.
         """
         answer: _quotas.Answer
@@ -509,14 +512,16 @@
             case _:
                 raise ValueError(f"malformed message: {message!r:.60}")
         role = _quotas.Role.PRIMARY if is_primary else _quotas.Role.BACKUP
-        pending = self._pending.get(number)
-        if pending is not None:
+        pending = self._pending.get(number) or self._late.get(number)
+        if pending is None or _settings.parse_address(
+            pending.issuer
+        ) != _settings.Address(*sender):
+            return
+        if number in self._pending:
             if not pending.answer.done():
                 pending.answer.set_result((role, answer))
             return
-        late = self._late.pop(number, None)
-        if late is None:
-            return
+        late = self._late.pop(number)
         # What it reported was given back to be reported again.
         amount = sum(late.unreported.values())
         if isinstance(answer, _quotas.Charged):
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -374,6 +374,39 @@
     assert second.answer.level > 600
 
 
+def test_answers_of_others_are_ignored():
+    """An answer must not reach a charge that another instance was asked."""
+
+    async def main(clock):
+        fleet = quota_fleet.Fleet(clock, 6, [], _BOUNDS)
+        account = quota_fleet.Account("a1", 1000, 1)
+        async with anyio.create_task_group() as group:
+            group.start_soon(fleet.run)
+            await clock.sleep(9000)
+            row = fleet.instances[0].table.current.row_of("a1")
+            asking = next(i for i in fleet.instances if i.address not in row)
+            issuer = fleet.by_address[row.issuer]
+            numbers = []
+            asked = issuer.datagrams.handlers["charge"]
+
+            def forge(message, sender):
+                numbers.append(message[1])
+                forged = ["over_quota", message[1], 0.0, 0.0, True, 500]
+                other = _settings.parse_address(row.backup)
+                asking.datagrams.handlers["over_quota"](forged, other)
+                asked(message, sender)
+
+            issuer.datagrams.handlers["charge"] = forge
+            decision = await asking.quotas.charge("a1", account.limit, 1)
+            fleet.stop()
+        return decision, numbers
+
+    decision, (number,) = _virtual_time.run(main)
+    assert decision.is_charged
+    # Numbers of an earlier process at the same address aren't used again.
+    assert number > 100
+
+
 def test_a_malformed_message_is_an_error():
     """Other instances' messages must not end this one's socket."""
 
