--- a/src/geraniumlink/hosting/_quota_exchange.py
+++ b/src/geraniumlink/hosting/_quota_exchange.py
@@ -64,7 +64,11 @@
 
     issuer: str
     account: str
+    limit: _quotas.Limit
     cost: float
+    # What was admitted without the issuer's knowledge, by admitter.
+    unreported: dict[str, float]
+    charged_at: int
     answer: asyncio.Future[tuple[_quotas.Role, _quotas.Answer]]
 
 
@@ -128,7 +132,7 @@
         self._reach = _Reach()
         # As the asking instance; the accounts used last come last.
         self._uses: dict[str, _quotas.AccountUse] = {}
-        self._numbers = itertools.count(1)
+        self._numbers = itertools.count(random_source.getrandbits(32))
         self._pending: dict[int, _Pending] = {}
         self._late: dict[int, _Pending] = {}
         # Answers missing in a row, and until when it isn't asked, by address.
@@ -175,19 +179,27 @@
             decided,
             source,
             address,
+            began,
             now - began,
             use.share,
             told_age_ms,
         )
 
-    def refund(self, decision: _quotas.Decision) -> None:
-        """Take back the charge of a request that has not run."""
+    def refund(self, decision: _quotas.Decision) -> bool:
+        """Take back the charge of a request that has not run.
+
+        :returns: False if the charge is too old.
+        """
+        age_ms = self._clock.now() - decision.charged_at
+        if not _quotas.is_refundable(decision.limit, age_ms):
+            return False
         if decision.source is _quotas.Source.LOCAL:
             use = self._uses.get(decision.account)
             if use is not None:
                 use.refund_locally(decision.cost)
         else:
             self._send_refund(decision.issuer, decision.account, decision.cost)
+        return True
 
     async def run(self) -> None:
         """Check how many instances are reached while not confirmed."""
@@ -238,39 +250,28 @@
         timeout_ms: int,
     ) -> tuple[_quotas.Role, _quotas.Answer] | None:
         """Ask an instance; None if it doesn't issue, or doesn't answer."""
-        now = self._clock.now()
-        hint = use.hint_for(address, now)
-        elsewhere = use.untold_to(address, now)
-        version = self._table.current.version
         if address == self._own_address:
-            duty = self._find_duty(account, version)
-            if duty is None:
-                return None
-            return duty.role, self._issuer.charge(
-                account, limit, cost, duty, hint, elsewhere
-            )
+            return self._charge_here(account, limit, cost, use)
+        now = self._clock.now()
+        table = self._table.current
+        unreported: dict[str, float] = {}
+        # A backup has a part of the overshoot of its own; the issuer is told.
+        if not table.rows or table.row_of(account).issuer == address:
+            unreported = use.take_unreported(address, now)
         number = next(self._numbers)
         pending = _Pending(
             address,
             account,
+            limit,
             cost,
+            unreported,
+            now,
             asyncio.get_running_loop().create_future(),
         )
         self._pending[number] = pending
-        message: list[typing.Any] = [
-            "charge",
-            number,
-            account,
-            _shorten(cost),
-            limit.rate_per_s,
-            limit.burst,
-            version,
-        ]
-        if hint is not None or elsewhere:
-            message += [
-                _shorten(elsewhere),
-                hint and [*map(_shorten, hint[:2]), hint.age_ms],
-            ]
+        message = _encode_charge(
+            number, pending, table.version, use.hint_for(address, now)
+        )
         self._datagrams.send([address], message)
         answer = None
         try:
@@ -279,6 +280,7 @@
         finally:
             del self._pending[number]
             if answer is None:
+                use.give_back_unreported(unreported, self._clock.now())
                 self._late[number] = pending
                 if len(self._late) > MAX_LATE:
                     del self._late[next(iter(self._late))]
@@ -289,16 +291,40 @@
             self._table.note_answered(address)
         return answer
 
+    def _charge_here(
+        self,
+        account: str,
+        limit: _quotas.Limit,
+        cost: float,
+        use: _quotas.AccountUse,
+    ) -> tuple[_quotas.Role, _quotas.Answer] | None:
+        """Charge a request of this instance; None if it doesn't issue."""
+        now = self._clock.now()
+        duty = self._find_duty(account, self._table.current.version)
+        if duty is None:
+            return None
+        unreported: dict[str, float] = {}
+        if duty.role is _quotas.Role.PRIMARY:
+            unreported = use.take_unreported(self._own_address, now)
+        return duty.role, self._issuer.charge(
+            account,
+            limit,
+            cost,
+            duty,
+            use.hint_for(self._own_address, now),
+            sum(unreported.values()),
+        )
+
     def _note_missing(self, address: str) -> None:
         now = self._clock.now()
         missing = self._missing.get(address, 0) + 1
         self._missing[address] = missing
+        self._table.note_silent(address)
         if (
             missing >= MAX_MISSING
             and self._silent_until.get(address, now) <= now
         ):
             self._silent_until[address] = now + SILENCE_MS
-            self._table.note_silent(address)
             _logs.event("quota_issuer_silent", issuer=address, missing=missing)
 
     def _apply_table(
@@ -455,10 +481,13 @@
                 raise ValueError(f"malformed message: {message!r:.60}")
 
     def _handle_answer(
-        self, message: list[typing.Any], _: _settings.Address
+        self, message: list[typing.Any], sender: _settings.Address
     ) -> None:
         """Pass an issuer's answer to the request that waits for it.
 
+        One of an instance that was not asked is ignored: it may be meant for
+        an earlier process at this address.
+
         :raises ValueError: if the message is malformed.
         """
         answer: _quotas.Answer
@@ -483,14 +512,23 @@
             case _:
                 raise ValueError(f"malformed message: {message!r:.60}")
         role = _quotas.Role.PRIMARY if is_primary else _quotas.Role.BACKUP
-        pending = self._pending.get(number)
-        if pending is not None:
+        pending = self._pending.get(number) or self._late.get(number)
+        if pending is None or _settings.parse_address(
+            pending.issuer
+        ) != _settings.Address(*sender):
+            return
+        if number in self._pending:
             if not pending.answer.done():
                 pending.answer.set_result((role, answer))
             return
-        late = self._late.pop(number, None)
-        if late is not None and isinstance(answer, _quotas.Charged):
-            self._send_refund(late.issuer, late.account, late.cost)
+        late = self._late.pop(number)
+        # What it reported was given back to be reported again.
+        amount = sum(late.unreported.values())
+        if isinstance(answer, _quotas.Charged):
+            amount += late.cost
+        age_ms = self._clock.now() - late.charged_at
+        if amount and _quotas.is_refundable(late.limit, age_ms):
+            self._send_refund(late.issuer, late.account, amount)
 
     def _handle_check(
         self, message: list[typing.Any], sender: _settings.Address
@@ -523,6 +561,31 @@
                 raise ValueError(f"malformed message: {message!r:.60}")
 
 
+def _encode_charge(
+    number: int,
+    charge: _Pending,
+    version: tuple[int, int],
+    hint: _quotas.Hint | None,
+) -> list[typing.Any]:
+    """Return the message of a charge."""
+    message: list[typing.Any] = [
+        "charge",
+        number,
+        charge.account,
+        _shorten(charge.cost),
+        charge.limit.rate_per_s,
+        charge.limit.burst,
+        version,
+    ]
+    elsewhere = sum(charge.unreported.values())
+    if hint is not None or elsewhere:
+        message += [
+            _shorten(elsewhere),
+            hint and [*map(_shorten, hint[:2]), hint.age_ms],
+        ]
+    return message
+
+
 def _decode_past(
     items: list[typing.Any],
 ) -> tuple[float, _quotas.Hint | None]:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -8,6 +8,7 @@
 from emulator import _virtual_time
 from geraniumlink import _clock
 from geraniumlink import _settings
+from geraniumlink.residency import _issuer_table
 from geraniumlink.serving import _quotas
 from tests import quota_fleet
 
@@ -57,6 +58,17 @@
     fleet.restart_one(fleet.issuer_of(account))
 
 
+async def _issuer_answers_late(fleet, account):
+    """It goes on reporting to the controller."""
+    fleet.issuer_of(account).delay_ms = 70
+
+
+async def _issuer_is_unreachable_for_some(fleet, account):
+    """Half of the instances get no answers; the controller gets reports."""
+    issuer = fleet.issuer_of(account)
+    issuer.unreached = {i.address for i in fleet.instances[::2]}
+
+
 async def _controller_ends(fleet, _account):
     await fleet.end_controller()
 
@@ -81,6 +93,8 @@
     _issuer_is_cut_off,
     _issuer_is_replaced,
     _issuer_starts_anew,
+    _issuer_answers_late,
+    _issuer_is_unreachable_for_some,
     _controller_ends,
     _data_centre_is_cut_off,
     _all_restart,
@@ -159,6 +173,43 @@
     assert {old for old, _ in moved} <= {leader}
 
 
+@pytest.mark.parametrize("stall_ms", (500, 800, 1100))
+def test_a_stalled_controller_replaces_no_healthy_issuers(stall_ms):
+    """On waking, it has handled only the first of the waiting reports."""
+    clock = _clock.ManualClock(100_000)
+
+    class Leadership:
+        is_leader, epoch = True, 1
+
+        def may_order(self):
+            return True
+
+    def make(number):
+        return _issuer_table.IssuerTable(
+            leadership=Leadership(),
+            own_address=f"10.0.0.{number}:7000",
+            data_centre="dc1",
+            is_needed=lambda: True,
+            clock=clock,
+        )
+
+    tables = {f"10.0.0.{number}:7000": make(number) for number in range(1, 7)}
+    controller = tables["10.0.0.1:7000"]
+
+    def report_all(pause_ms):
+        for address, table in tables.items():
+            controller.answer_report(address, table.make_report())
+            clock.advance(pause_ms)
+
+    for _ in range(8):
+        report_all(40)
+    named = controller.current
+    assert named.rows
+    clock.advance(stall_ms)
+    report_all(60)
+    assert controller.current == named
+
+
 def _issuer():
     clock = _clock.ManualClock(100_000)
     return _quotas.Issuer(_BOUNDS, clock), clock
@@ -206,6 +257,51 @@
     )
 
 
+def test_refunds_of_old_charges_do_not_exceed_the_bound():
+    """Charges held for long must not become available again."""
+
+    async def main(clock):
+        fleet = quota_fleet.Fleet(clock, 4, [], _BOUNDS)
+        sent = []
+        async with anyio.create_task_group() as group:
+            group.start_soon(fleet.run)
+            await clock.sleep(5000)
+            asking = fleet.instances[-1].quotas
+            held = []
+            for _ in range(150):
+                held.append(await asking.charge("a", _LIMIT, 100))
+                await clock.sleep(100)
+            await clock.sleep(2000)
+            for decisions in zip(held[::2], held[1::2], strict=True):
+                for decision in decisions:
+                    if decision.is_charged:
+                        asking.refund(decision)
+                for _ in range(5):
+                    decision = await asking.charge("a", _LIMIT, 100)
+                    sent.append(100 * decision.is_charged)
+                await clock.sleep(80)
+            fleet.stop()
+        return sum(sent), held
+
+    sent, held = _virtual_time.run(main)
+    assert sum(d.is_charged for d in held) > 100
+    bound = 9000 + _quotas.allowed_overshoot(_LIMIT, _BOUNDS)
+    assert sent <= bound
+
+
+def test_an_old_charge_is_not_refunded():
+    async def main(clock):
+        fleet = quota_fleet.Fleet(clock, 1, [], _BOUNDS)
+        quotas = quota_fleet.Instance(fleet, 0).quotas
+        decision = await quotas.charge("a", _LIMIT, 1)
+        await clock.sleep(1000)
+        recent = quotas.refund(decision)
+        await clock.sleep(10)
+        return recent, quotas.refund(decision)
+
+    assert _virtual_time.run(main) == (True, False)
+
+
 def test_a_lowered_limit_lowers_what_is_left():
     issuer, _ = _issuer()
     issuer.charge("a", _LIMIT, 1, _PRIMARY)
@@ -228,14 +324,87 @@
 
 
 def test_what_was_sent_without_the_issuer_is_charged_once():
+    """Concurrent charges must not report it twice, nor an answer drop it."""
     use = _quotas.AccountUse(_BOUNDS, 0)
     use.set_terms(_LIMIT, 10)
     use.charge_locally(500, 0)
-    assert use.untold_to("i1", 0) == 500
+    taken = use.take_unreported("i1", 0)
+    assert taken == {"": 500}
+    assert use.take_unreported("i1", 0) == {}
+    use.note_answer(
+        "b1", _quotas.Role.BACKUP, _quotas.Charged(100, 500), 30, 0
+    )
     use.note_answer(
         "i1", _quotas.Role.PRIMARY, _quotas.Charged(100, 500), 1, 0
     )
-    assert use.untold_to("i1", 0) == 0
+    # What was admitted since the charge was sent isn't lost.
+    assert use.take_unreported("i1", 0) == {"b1": 30}
+    use.give_back_unreported(taken, 0)
+    assert use.take_unreported("i1", 0) == {"": 500}
+
+
+def test_a_late_answer_refunds_what_the_charge_reported():
+    """It was given back and is reported again by the next charge."""
+
+    async def main(clock):
+        fleet = quota_fleet.Fleet(clock, 6, [], _BOUNDS)
+        account = quota_fleet.Account("a1", 1000, 1)
+        async with anyio.create_task_group() as group:
+            group.start_soon(fleet.run)
+            await clock.sleep(9000)
+            issuer = fleet.issuer_of(account)
+            row = issuer.table.current.row_of("a1")
+            asking = next(
+                i for i in fleet.instances if i.address not in row
+            ).quotas
+            await asking.charge("a1", account.limit, 1)
+            issuer.delay_ms = 70
+            use = asking._uses["a1"]
+            use.charge_locally(400, clock.now())
+            first = await asking.charge("a1", account.limit, 1)
+            await clock.sleep(20)
+            issuer.delay_ms = 0
+            second = await asking.charge("a1", account.limit, 1)
+            fleet.stop()
+        return first, second
+
+    first, second = _virtual_time.run(main)
+    assert first.source is _quotas.Source.BACKUP
+    assert second.source is _quotas.Source.ISSUER
+    assert second.answer.level > 600
+
+
+def test_answers_of_others_are_ignored():
+    """An answer must not reach a charge that another instance was asked."""
+
+    async def main(clock):
+        fleet = quota_fleet.Fleet(clock, 6, [], _BOUNDS)
+        account = quota_fleet.Account("a1", 1000, 1)
+        async with anyio.create_task_group() as group:
+            group.start_soon(fleet.run)
+            await clock.sleep(9000)
+            row = fleet.instances[0].table.current.row_of("a1")
+            asking = next(i for i in fleet.instances if i.address not in row)
+            issuer = fleet.by_address[row.issuer]
+            numbers = []
+            asked = issuer.datagrams.handlers["charge"]
+
+            def forge(message, sender):
+                numbers.append(message[1])
+                forged = ["over_quota", message[1], 0.0, 0.0, True, 500]
+                other = _settings.parse_address(row.backup)
+                asking.datagrams.handlers["over_quota"](forged, other)
+                asked(message, sender)
+
+            issuer.datagrams.handlers["charge"] = forge
+            decision = await asking.quotas.charge("a1", account.limit, 1)
+            fleet.stop()
+        return decision, numbers
+
+    decision, (number,) = _virtual_time.run(main)
+    assert decision.is_charged
+    # Numbers of an earlier process at the same address aren't used again.
+    assert number > 100
 
 
 def test_a_malformed_message_is_an_error():
