Let an ambiguous path or host open no public route

A route is found by the path as it was sent. A path with dot segments below a public route's prefix, also encoded, reached a route behind it at a replica that removes them; a second Host field could do the same. Such requests need a key where accounts are in force.

Measured: the new tests in test_accounts.py failed before and pass now.

--- a/src/geraniumlink/serving/_account_check.py
+++ b/src/geraniumlink/serving/_account_check.py
@@ -8,6 +8,7 @@
 
 import random
 import typing
+import urllib.parse
 
 from geraniumlink import platform
 from geraniumlink.serving import _accounts
@@ -21,6 +22,7 @@
 _UNAUTHORIZED = 401
 # How the client has to send its key (RFC 9110, section 11.6.1).
 _CHALLENGE = (b"www-authenticate", b"Token")
+_DOT_SEGMENTS = frozenset((b".", b".."))
 
 
 class AccountCheck:
@@ -71,11 +73,14 @@
         current = self._active_configuration.current
         if current is None or current.accounts is None:
             return None
+        route = self._active_configuration.find_route(
+            request.host, request.target
+        )
+        if route is not None and _may_be_elsewhere(request, headers):
+            route = route._replace(public=False)
         decision = _accounts.decide(
             current,
-            self._active_configuration.find_route(
-                request.host, request.target
-            ),
+            route,
             platform.decode_credential(headers),
             self._confirmed_age_ms(),
             self._bound_ms,
@@ -104,3 +109,18 @@
                 refusal = self._final_answers.make_refusal(reason)
                 own = platform.refusal_headers(refusal.retry_after_ms)
         await response.send_complete(status, [*own, *headers], reason.encode())
+
+
+def _may_be_elsewhere(
+    request: _types.Request, headers: _types.Headers
+) -> bool:
+    """Whether a replica may read another path or host than this instance.
+
+    The route is found by the path as it was sent, so a path with dot segments
+    would reach one behind a public route (RFC 3986, section 5.2.4).
+    """
+    path = urllib.parse.unquote_to_bytes(request.target.partition(b"?")[0])
+    return (
+        not _DOT_SEGMENTS.isdisjoint(path.split(b"/"))
+        or sum(name == b"host" for name, _ in headers) > 1
+    )
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -1,5 +1,6 @@
 """Accounts of clients: their configuration and the decision on requests."""
 
+import random
 import types
 
 import aioprometheus
@@ -8,6 +9,7 @@
 from geraniumlink.interface import _log_analysis
 from geraniumlink.interface import _log_reader
 from geraniumlink import platform
+from geraniumlink.serving import _account_check
 from geraniumlink.serving import _accounts
 from geraniumlink.serving import _active_configuration
 from geraniumlink.serving import _request_metrics
@@ -251,6 +253,51 @@
             assert decision == 503
 
 
+def _check_account(target, *headers):
+    """Return the decision on a request without a key."""
+    active = _active_configuration.ActiveConfiguration()
+    route = hosts.route("open", "safe", public=True)
+    spec = {**hosts.configuration(1, route), "tenants": []}
+    active.apply_if_newer(platform.decode_configuration(spec))
+    check = _account_check.AccountCheck(
+        active_configuration=active,
+        confirmed_age_ms=lambda: 0,
+        bound_ms=None,
+        metrics=_request_metrics.RequestMetrics(aioprometheus.Registry()),
+        random_source=random.Random(1),
+    )
+    headers = [(b"host", hosts.HOST.encode()), *headers]
+    request = platform.decode_request_head(b"GET", target, headers, 0)
+    return check.decide(request, headers)
+
+
+@pytest.mark.parametrize(
+    ("target", "is_public"),
+    (
+        (b"/open/x", True),
+        (b"/open/..x/.y/z..?/../", True),
+        (b"/open/../safe/x", False),
+        (b"/open/./x", False),
+        (b"/open/..", False),
+        (b"/open/%2e%2E/safe/x", False),
+        (b"/open/x%2f..%2f../safe/x", False),
+    ),
+)
+def test_a_path_with_dot_segments_leads_out_of_a_public_route(
+    target, is_public
+):
+    """A replica that removes them would run a request on another route."""
+    decision = _check_account(target)
+    expected = _accounts.Admitted if is_public else _accounts.Denied
+    assert isinstance(decision, expected)
+
+
+def test_a_second_host_leads_out_of_a_public_route():
+    """A replica may go by the first field, and this instance by the last."""
+    host = (b"host", hosts.HOST.encode())
+    assert isinstance(_check_account(b"/open/x", host), _accounts.Denied)
+
+
 def test_without_accounts_every_request_is_admitted():
     """Also as a copy of any age is stale: strictness concerns keys only."""
     found = _accounts.decide(
