Cut the request id in denied lines to 128 characters

Requests without a known key, which anyone may send, wrote ids as long as a head may be into the log.

Measured: the new test in test_accounts.py failed before and passes now.

--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -17,6 +17,10 @@
 from geraniumlink.serving import _stream_origins
 from geraniumlink.serving import _types
 
+# Length to which the id of a request without a known key is cut: anyone may
+# send such requests, with an id as long as a head may be.
+MAX_LOGGED_ID = 128
+
 
 def denied(
     request: _types.Request,
@@ -26,7 +30,7 @@
     """Log why a request may not run under any account."""
     _logs.event(
         "denied",
-        request_id=request.id.decode("latin-1"),
+        request_id=request.id[:MAX_LOGGED_ID].decode("latin-1"),
         route=decision.route,
         reason=decision.reason,
         configuration_version=version,
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -12,6 +12,7 @@
 from geraniumlink.serving import _account_check
 from geraniumlink.serving import _accounts
 from geraniumlink.serving import _active_configuration
+from geraniumlink.serving import _decision_log
 from geraniumlink.serving import _request_metrics
 from geraniumlink.serving import _types
 from tests import hosts
@@ -298,6 +299,19 @@
     assert isinstance(_check_account(b"/open/x", host), _accounts.Denied)
 
 
+def test_a_long_request_id_fills_the_log(monkeypatch):
+    """Anyone may send requests without a key."""
+    logged = []
+    monkeypatch.setattr(
+        _decision_log._logs,
+        "event",
+        lambda message, **fields: logged.append((message, fields)),
+    )
+    _check_account(b"/safe/x", (b"x-request-id", b"i" * 16_000))
+    ((_, fields),) = [entry for entry in logged if entry[0] == "denied"]
+    assert fields["request_id"] == "i" * 128
+
+
 def test_without_accounts_every_request_is_admitted():
     """Also as a copy of any age is stale: strictness concerns keys only."""
     found = _accounts.decide(
