Reject settings in which two listeners have the same port

A request is served by the port on which it arrived, so listeners with one port on different addresses would serve each other's requests: a client's as an instance's. Such settings are an error at the start.

--- a/src/geraniumlink/platform/_settings.py
+++ b/src/geraniumlink/platform/_settings.py
@@ -115,6 +115,8 @@
         ),
         quota_slack=reader.read("bounds", "quota_slack", _quota_slack),
     )
+    if not reader.findings:
+        _check_ports(reader, settings)
     if reader.findings:
         raise _fields.FormatError(str(reader.findings))
     return settings
@@ -149,11 +151,15 @@
                 message = _fields.mapping(message, section)
             return decode_field(message, name)
         except _fields.FormatError as error:
-            field = f"{section}.{name}" if section else name
-            place = f"{self._path}:{self._line_of(section, name)}: {field}"
-            self.findings.add(place, str(error))
+            self.report(section, name, str(error))
             return None
 
+    def report(self, section: str, name: str, error: str) -> None:
+        """Add an error of a field to ``findings``."""
+        field = f"{section}.{name}" if section else name
+        place = f"{self._path}:{self._line_of(section, name)}: {field}"
+        self.findings.add(place, error)
+
     def _line_of(self, section: str, name: str) -> int:
         """Return the line number of a field.
 
@@ -170,6 +176,22 @@
         return self._text.count("\n", 0, position) + 1
 
 
+def _check_ports(reader: _Reader, settings: NodeSettings) -> None:
+    """Report listeners with one port, also on different addresses.
+
+    A request is served by the port on which it arrived.
+    """
+    used: dict[int, str] = {}
+    for section, name, address in (
+        ("", "internal_ports", settings.peer_address),
+        ("listen", "front", settings.client_address),
+        ("listen", "ready", settings.readiness_address),
+    ):
+        other = used.setdefault(address.port, name)
+        if other != name:
+            reader.report(section, name, f"{name} has the port of {other}")
+
+
 def _first_port(message: typing.Any, name: str) -> int:
     """Return the first of the ports for traffic between instances."""
     ports = _fields.array(message, name)
--- a/tests/test_hosted_bad_input.py
+++ b/tests/test_hosted_bad_input.py
@@ -123,6 +123,9 @@
         (_settings(listen={"front": "127.0.0.1:1"}), "ready"),
         (_settings(listen={"front": "here", "ready": "x"}), "front"),
         (_settings(internal_ports=[]), "internal_ports"),
+        # A client's request would be served as one of an instance.
+        (_settings(ip="127.0.0.2", internal_ports=[1]), "front has the port"),
+        (_settings(internal_ports=[2]), "ready has the port"),
         (_settings(bounds={}), "grace_s"),
         (_settings(platform=[]), "platform"),
         (_with_bounds(quota_window_s=0), "quota_window_s"),
