Read the body of a rejection for 100 ms at most

The head of a rejection proves that the request has not run. If its body had no end, a repeatable request that stalled in it counted as interrupted, that is as maybe run, and an at-most-once request waited for its deadline. Now both go on to another replica, and the connection is closed.

--- a/src/geraniumlink/serving/_attempt.py
+++ b/src/geraniumlink/serving/_attempt.py
@@ -40,6 +40,9 @@
 MAX_HELD_BODY_BYTES = 8192
 # A stream with a longer event counts as broken off.
 MAX_EVENT_BYTES = 8192
+# The body of a rejection is read for this long, so that the connection can be
+# used again. The head alone proves that the request has not run.
+REJECTION_BODY_MS = 100
 # Answers to other requests that are skipped before the awaited one.
 MAX_SKIPPED_ANSWERS = 16
 # A response counts as starting for this long after its first event, since
@@ -204,7 +207,10 @@
         if head.not_run:
             self._record_refusal(head)
             # What was said holds even if the body has no end.
-            with contextlib.suppress(_http.BrokenError):
+            with (
+                contextlib.suppress(_http.BrokenError, StalledError),
+                anyio.move_on_after(REJECTION_BODY_MS / 1000),
+            ):
                 await self._read_short_body()
                 self._finish_response(head)
             has_room = head.load is not None and head.load.has_room
--- a/tests/scripted_replicas.py
+++ b/tests/scripted_replicas.py
@@ -38,6 +38,7 @@
     FULL = "503, not run, no room"
     CLOSING = "503, not run, with room"
     NOT_RUN = "429, not run"
+    ENDLESS = "421, not run, head whole, body silent"
     FAILED = "500"
     BROKEN = "runs it, and closes the connection"
     CUT_OFF = "runs it, and closes the connection within the response"
@@ -53,6 +54,7 @@
     Reply.FULL: b"503 -\r\nX-Not-Executed: 1\r\nX-Server-Load: 8,1,8\r\n",
     Reply.CLOSING: b"503 -\r\nX-Not-Executed: 1\r\nX-Server-Load: 1,0,8\r\n",
     Reply.NOT_RUN: b"429 -\r\nX-Not-Executed: 1\r\n",
+    Reply.ENDLESS: b"421 -\r\n",
 }
 _SEALED = b"200 -\r\nX-Response-Seal: 1\r\nContent-Type: text/event-stream\r\n"
 
@@ -137,6 +139,10 @@
                 transport.respond(b"", closes=True)
             case Reply.SILENT:
                 pass
+            case Reply.ENDLESS:
+                transport.respond(
+                    b"HTTP/1.1 " + _REJECTIONS[reply] + end + length
+                )
             case _:
                 head = b"HTTP/1.1 " + _REJECTIONS[reply] + end
                 transport.respond(head + b"Content-Length: 0\r\n\r\n")
