Charge a request again only when it has a replica

A request that waited for its model gave its charge back and was charged again in each 50 ms round of waiting for a replica that only the controller knew: up to 60 datagrams a second. It is now charged again once a replica, or another instance, was chosen for it.

--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -429,14 +429,35 @@
         """
         if not self._must_pass_on(state):
             choice = await self._select_replica(state, may_load)
-            if choice is not None:
+            if isinstance(choice, _outcomes.Refusal):
                 return choice
+            if choice is not None:
+                return await self._charge_again(state, choice)
         peer = self._peer_relay.choose()
         if peer is None:
             return self._final_answers.make_refusal(
                 "no replica can be reached"
             )
-        return peer
+        return await self._charge_again(state, peer)
+
+    async def _charge_again(
+        self, state: _request_state.RequestState, target: _failover.Target
+    ) -> _failover.Target | _outcomes.Refusal:
+        """Charge a request that waited for its model; return its target.
+
+        Not before there is one: while it waits it may find none many times.
+        """
+        if self._quota_gate is None or state.charge is not None:
+            return target
+        refusal: _outcomes.Refusal | None = None
+        is_charged = False
+        try:
+            refusal = await self._quota_gate.admit(state)
+            is_charged = refusal is None
+        finally:
+            if not is_charged and not isinstance(target, _peers.Peer):
+                self._chooser.note_end(target.replica, None)
+        return target if refusal is None else refusal
 
     def _must_pass_on(self, state: _request_state.RequestState) -> bool:
         """Whether only another instance can send the request to a replica."""
@@ -640,8 +661,6 @@
             # The controller knows a replica that this instance doesn't know
             # yet. Without a pause the caller would loop without waiting.
             await self._clock.sleep(REPLICA_POLL_MS)
-        if refusal is None and self._quota_gate is not None:
-            refusal = await self._quota_gate.admit(state)
         return refusal
 
     def _excluded_names(self, state: _request_state.RequestState) -> set[str]:
--- a/src/geraniumlink/serving/_quota_gate.py
+++ b/src/geraniumlink/serving/_quota_gate.py
@@ -1,9 +1,9 @@
 """Charges client requests to their accounts' quotas, or refuses them.
 
 A request holds its charge while it is on its way to a replica. One that waits
-for a model gives it back and is charged again afterwards: else what was
-charged during the wait would be sent all at once. One that ends without
-having run gives it back, too.
+for a model gives it back and is charged again when it has a replica: else
+what was charged during the wait would be sent all at once. One that ends
+without having run gives it back, too.
 """
 
 from __future__ import annotations
--- a/tests/scripted_replicas.py
+++ b/tests/scripted_replicas.py
@@ -184,7 +184,14 @@
     """
 
     def __init__(
-        self, clock, replies, replicas, max_attempts, limit, priority=1
+        self,
+        clock,
+        replies,
+        replicas,
+        max_attempts,
+        limit,
+        priority=1,
+        quota_gate=None,
     ) -> None:
         self.clock = clock
         self.log = []
@@ -200,12 +207,13 @@
         }
         self.budgets = _retry_budgets.RetryBudgets(limit, clock)
         self.budgets.set_instances(1)
-        self._residency = _Residency()
+        self.residency = _Residency()
+        self._quota_gate = quota_gate
         self._forwarder = self._make_forwarder(max_attempts, priority)
 
     @property
     def residency_calls(self) -> int:
-        return self._residency.calls
+        return self.residency.calls
 
     def _make_forwarder(self, max_attempts, priority) -> _forward.Forwarder:
         async def dial(address):
@@ -228,7 +236,7 @@
         return _forward.Forwarder(
             active_configuration=active,
             replicas=self.replicas,
-            residency=self._residency,
+            residency=self.residency,
             budgets=self.budgets,
             suspicions=_suspicions.SuspicionTable(self.clock),
             prompt_parts=_prompt_parts.PromptParts(
@@ -241,6 +249,7 @@
             connections=_connections.ConnectionPool(self.clock, dial),
             reachability=_Reachability(),
             peer_relay=None,
+            quota_gate=self._quota_gate,
             clock=self.clock,
             data_centre="dc1",
             random_source=random.Random(1),
--- a/tests/test_rejections.py
+++ b/tests/test_rejections.py
@@ -6,6 +6,7 @@
 
 from emulator import _virtual_time
 from geraniumlink import _clock
+from geraniumlink import _settings
 from geraniumlink.serving import _rejections
 from geraniumlink.serving import _replicas
 from geraniumlink.serving import _retry_budgets
@@ -101,6 +102,51 @@
     assert _virtual_time.run(play) == (503, int(waits))
 
 
+class _CountingGate:
+    """Charges requests, and counts that."""
+
+    def __init__(self):
+        self.charges = 0
+
+    async def admit(self, state):
+        if state.charge is None:
+            self.charges += 1
+            state.charge = "charged"
+
+    def suspend(self, state):
+        state.charge = None
+
+    def settle(self, state):
+        pass
+
+
+def test_a_request_is_charged_in_each_round_of_a_wait():
+    """Where the controller knows of a replica that isn't known here yet."""
+
+    async def play(clock):
+        gate = _CountingGate()
+        site = scripted_replicas.Site(clock, [], 1, 1, _LIMIT, 1, gate)
+        rounds = 0
+
+        async def ensure_loaded(*_args):
+            nonlocal rounds
+            rounds += 1
+            if rounds == 6:
+                entry = builders.replica_entry("r0", models=("m2",))
+                site.replicas.update(
+                    entry._replace(address=_settings.Address("127.0.0.1", 1))
+                )
+
+        site.residency.ensure_loaded = ensure_loaded
+        status, _ = await site.send(b"1", "safe", "m2")
+        return status, rounds, gate.charges
+
+    status, rounds, charges = _virtual_time.run(play)
+    assert (status, rounds) == (200, 6)
+    # Before the first attempt, and once after the wait.
+    assert charges == 2
+
+
 def test_a_replica_that_rejected_is_chosen_again_at_once():
     async def play(clock):
         replies = [_Reply.FULL] + [_Reply.SERVED] * 20
