Tell a restarted issuer what its earlier process stated

An issuer that was started again at its address got no hint, as the last answer was of that address, and began with the first level of an unknown account. Answers and charges now state the process, a random number, and an issuer applies what another process stated. Both fields may be missing, as in messages of earlier builds.

The bytes of a charge were not measured.

--- a/src/geraniumlink/hosting/_quota_exchange.py
+++ b/src/geraniumlink/hosting/_quota_exchange.py
@@ -52,6 +52,11 @@
 UNSURE_PART = 0.6
 
 
+# Where a charge states the process that gave the hint, after the items that
+# all builds have.
+_PROCESS_ITEM = 2
+
+
 class Leadership(typing.Protocol):
     """Tells which instance is the controller."""
 
@@ -59,6 +64,15 @@
     def leader(self) -> str: ...
 
 
+class _Answered(typing.NamedTuple):
+    """An issuer's answer, and as what it was given."""
+
+    role: _quotas.Role
+    answer: _quotas.Answer
+    # Random number of the issuer's process; None if its build states none.
+    process: int | None
+
+
 class _Pending(typing.NamedTuple):
     """A charge whose answer hasn't come."""
 
@@ -69,7 +83,7 @@
     # What was admitted without the issuer's knowledge, by admitter.
     unreported: dict[str, float]
     charged_at: int
-    answer: asyncio.Future[tuple[_quotas.Role, _quotas.Answer]]
+    answer: asyncio.Future[_Answered]
 
 
 class _Reach:
@@ -124,6 +138,9 @@
         self._clock = clock
         self._random = random_source
         self._started_at = clock.now()
+        # Tells an issuer's buckets from those of an earlier process at its
+        # address, which are lost.
+        self._process = random_source.getrandbits(31) + 1
         self._issuer = _quotas.Issuer(bounds, clock)
         # Since when this instance issues for each row; None if it doesn't.
         self._issues_since: list[int | None] = [None] * _issuer_table.ROWS
@@ -159,9 +176,9 @@
             )
             if answer is None:
                 continue
-            role, decided = answer
+            role, decided, process = answer
             now = self._clock.now()
-            use.note_answer(address, role, decided, cost, now)
+            use.note_answer(address, role, decided, cost, now, process)
             source = (
                 _quotas.Source.ISSUER
                 if role is _quotas.Role.PRIMARY
@@ -248,7 +265,7 @@
         cost: float,
         use: _quotas.AccountUse,
         timeout_ms: int,
-    ) -> tuple[_quotas.Role, _quotas.Answer] | None:
+    ) -> _Answered | None:
         """Ask an instance; None if it doesn't issue, or doesn't answer."""
         if address == self._own_address:
             return self._charge_here(account, limit, cost, use)
@@ -297,7 +314,7 @@
         limit: _quotas.Limit,
         cost: float,
         use: _quotas.AccountUse,
-    ) -> tuple[_quotas.Role, _quotas.Answer] | None:
+    ) -> _Answered | None:
         """Charge a request of this instance; None if it doesn't issue."""
         now = self._clock.now()
         duty = self._find_duty(account, self._table.current.version)
@@ -306,14 +323,22 @@
         unreported: dict[str, float] = {}
         if duty.role is _quotas.Role.PRIMARY:
             unreported = use.take_unreported(self._own_address, now)
-        return duty.role, self._issuer.charge(
+        hint = use.hint_for(self._own_address, now)
+        answer = self._issuer.charge(
             account,
             limit,
             cost,
             duty,
-            use.hint_for(self._own_address, now),
+            self._without_own(hint),
             sum(unreported.values()),
         )
+        return _Answered(duty.role, answer, self._process)
+
+    def _without_own(self, hint: _quotas.Hint | None) -> _quotas.Hint | None:
+        """Return a hint unless this process gave it."""
+        if hint is not None and hint.process == self._process:
+            return None
+        return hint
 
     def _note_missing(self, address: str) -> None:
         now = self._clock.now()
@@ -453,7 +478,7 @@
             return
         limit = self._find_limit(account) or _quotas.Limit(rate_per_s, burst)
         answer = self._issuer.charge(
-            account, limit, cost, duty, hint, elsewhere
+            account, limit, cost, duty, self._without_own(hint), elsewhere
         )
         stated = [
             _shorten(answer.level),
@@ -465,6 +490,9 @@
                 reply = ["charged", number, *stated]
             case _quotas.OverQuota(wait_ms):
                 reply = ["over_quota", number, *stated, wait_ms]
+        if len(more) > _PROCESS_ITEM:
+            # Readers of earlier builds refuse an answer with another item.
+            reply.append(self._process)
         self._datagrams.send([str(sender)], reply)
 
     def _handle_refund(
@@ -498,6 +526,7 @@
                 (int() | float()) as level,
                 (int() | float()) as total_per_s,
                 bool(is_primary),
+                *more,
             ]:
                 answer = _quotas.Charged(level, total_per_s)
             case [
@@ -507,19 +536,23 @@
                 (int() | float()) as total_per_s,
                 bool(is_primary),
                 int(wait_ms),
+                *more,
             ]:
                 answer = _quotas.OverQuota(wait_ms, level, total_per_s)
             case _:
                 raise ValueError(f"malformed message: {message!r:.60}")
         role = _quotas.Role.PRIMARY if is_primary else _quotas.Role.BACKUP
         pending = self._pending.get(number) or self._late.get(number)
-        if pending is None or _settings.parse_address(
-            pending.issuer
-        ) != _settings.Address(*sender):
+        if (
+            pending is None
+            or _settings.parse_address(pending.issuer) != sender
+        ):
             return
         if number in self._pending:
             if not pending.answer.done():
-                pending.answer.set_result((role, answer))
+                pending.answer.set_result(
+                    _Answered(role, answer, _decode_process(more))
+                )
             return
         late = self._late.pop(number)
         # What it reported was given back to be reported again.
@@ -577,13 +610,12 @@
         charge.limit.burst,
         version,
     ]
-    elsewhere = sum(charge.unreported.values())
-    if hint is not None or elsewhere:
-        message += [
-            _shorten(elsewhere),
-            hint and [*map(_shorten, hint[:2]), hint.age_ms],
-        ]
-    return message
+    return [
+        *message,
+        _shorten(sum(charge.unreported.values())),
+        hint and [*map(_shorten, hint[:2]), hint.age_ms],
+        hint and hint.process,
+    ]
 
 
 def _decode_past(
@@ -607,11 +639,21 @@
             ],
             *_,
         ] if elsewhere >= 0 and total_per_s >= 0 and age_ms >= 0:
-            return elsewhere, _quotas.Hint(level, total_per_s, age_ms)
+            process = _decode_process(items[_PROCESS_ITEM:])
+            return elsewhere, _quotas.Hint(level, total_per_s, age_ms, process)
         case _:
             raise ValueError(f"malformed charge: {items!r:.60}")
 
 
+def _decode_process(items: list[typing.Any]) -> int | None:
+    """Return the number of an issuer's process; None if it isn't stated."""
+    match items:
+        case [int(process), *_]:
+            return process
+        case _:
+            return None
+
+
 def _shorten(number: float) -> float:
     """Return a number with as many digits as a message needs."""
     return round(number, 3)
--- a/src/geraniumlink/serving/_quotas.py
+++ b/src/geraniumlink/serving/_quotas.py
@@ -90,12 +90,17 @@
 
 
 class Hint(typing.NamedTuple):
-    """What another issuer last told the asking instance."""
+    """What an issuer last told the asking instance.
+
+    It is for another issuer, or for another process at the same address.
+    """
 
     # Tokens in the bucket, and the account's total use a second.
     level: float
     total_per_s: float
     age_ms: int
+    # Random number of the process that told it; None if not known.
+    process: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -350,6 +355,7 @@
         self._bounds = bounds
         self._own = DecayingSum(bounds.window_ms)
         self._told_by = ""
+        self._told_by_process: int | None = None
         self._told_level = 0.0
         self._told_total_per_s = 0.0
         self._told_at = now
@@ -389,13 +395,24 @@
         return now - self._told_at if self._told_by else None
 
     def hint_for(self, issuer: str, now: int) -> Hint | None:
-        """Return what an issuer other than the given one told last."""
-        if not self._told_by or self._told_by == issuer:
+        """Return what an issuer told last.
+
+        The given one drops what its own process told. It isn't sent that if
+        its build doesn't state its process.
+        """
+        if not self._told_by or (
+            self._told_by == issuer and self._told_by_process is None
+        ):
             return None
         age_ms = now - self._told_at
         if age_ms > FORGET_MS:
             return None
-        return Hint(self._told_level, self._told_total_per_s, age_ms)
+        return Hint(
+            self._told_level,
+            self._told_total_per_s,
+            age_ms,
+            self._told_by_process,
+        )
 
     def take_unreported(self, issuer: str, now: int) -> dict[str, float]:
         """Return what was sent without an issuer's knowledge, by admitter.
@@ -419,9 +436,18 @@
             self._add_unreported(admitter, cost, now)
 
     def note_answer(
-        self, issuer: str, role: Role, answer: Answer, cost: float, now: int
+        self,
+        issuer: str,
+        role: Role,
+        answer: Answer,
+        cost: float,
+        now: int,
+        process: int | None = None,
     ) -> None:
-        """Record an issuer's answer to a charge of a cost."""
+        """Record an issuer's answer to a charge of a cost.
+
+        :param process: random number of the issuer's process, if known.
+        """
         self.used_at = now
         if role is Role.PRIMARY:
             # The issuer itself admitted this, before it was named.
@@ -433,6 +459,7 @@
         if role is Role.PRIMARY:
             # A backup's level says nothing of what the issuer has left.
             self._told_by, self._told_at = issuer, now
+            self._told_by_process = process
             self._told_level = answer.level
         self._told_total_per_s = answer.total_per_s
         if answer.total_per_s > 0:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -374,6 +374,37 @@
     assert second.answer.level > 600
 
 
+def test_an_issuer_that_restarts_goes_on_where_it_was():
+    """A used up account must not get a new burst by the restart."""
+
+    async def main(clock):
+        fleet = quota_fleet.Fleet(clock, 6, [], _BOUNDS)
+        account = quota_fleet.Account("a1", 1000, 1)
+        async with anyio.create_task_group() as group:
+            group.start_soon(fleet.run)
+            await clock.sleep(9000)
+            issuer = fleet.issuer_of(account)
+            row = issuer.table.current.row_of("a1")
+            asking = next(
+                i for i in fleet.instances if i.address not in row
+            ).quotas
+            levels = [
+                (await asking.charge("a1", account.limit, cost)).answer.level
+                for cost in (1000, 1)
+            ]
+            table = issuer.table.to_json()
+            fleet.restart_one(issuer)
+            fleet.by_address[row.issuer].table.accept_json(table)
+            decision = await asking.charge("a1", account.limit, 1)
+            fleet.stop()
+        return levels, decision
+
+    levels, decision = _virtual_time.run(main)
+    assert decision.source is _quotas.Source.ISSUER
+    # It has what there was, not the first level of an unknown account.
+    assert decision.answer.level < levels[-1] + 10
+
+
 def test_answers_of_others_are_ignored():
     """An answer must not reach a charge that another instance was asked."""
 
