--- a/tests/scripted_replicas.py
+++ b/tests/scripted_replicas.py
@@ -38,6 +38,7 @@
     FULL = "503, not run, no room"
     CLOSING = "503, not run, with room"
     NOT_RUN = "429, not run"
+    ENDLESS = "421, not run, head whole, body silent"
     FAILED = "500"
     BROKEN = "runs it, and closes the connection"
     CUT_OFF = "runs it, and closes the connection within the response"
@@ -53,6 +54,7 @@
     Reply.FULL: b"503 -\r\nX-Not-Executed: 1\r\nX-Server-Load: 8,1,8\r\n",
     Reply.CLOSING: b"503 -\r\nX-Not-Executed: 1\r\nX-Server-Load: 1,0,8\r\n",
     Reply.NOT_RUN: b"429 -\r\nX-Not-Executed: 1\r\n",
+    Reply.ENDLESS: b"421 -\r\n",
 }
 _SEALED = b"200 -\r\nX-Response-Seal: 1\r\nContent-Type: text/event-stream\r\n"
 
@@ -137,6 +139,10 @@
                 transport.respond(b"", closes=True)
             case Reply.SILENT:
                 pass
+            case Reply.ENDLESS:
+                transport.respond(
+                    b"HTTP/1.1 " + _REJECTIONS[reply] + end + length
+                )
             case _:
                 head = b"HTTP/1.1 " + _REJECTIONS[reply] + end
                 transport.respond(head + b"Content-Length: 0\r\n\r\n")
@@ -178,7 +184,14 @@
     """
 
     def __init__(
-        self, clock, replies, replicas, max_attempts, limit, priority=1
+        self,
+        clock,
+        replies,
+        replicas,
+        max_attempts,
+        limit,
+        priority=1,
+        quota_gate=None,
     ) -> None:
         self.clock = clock
         self.log = []
@@ -194,12 +207,13 @@
         }
         self.budgets = _retry_budgets.RetryBudgets(limit, clock)
         self.budgets.set_instances(1)
-        self._residency = _Residency()
+        self.residency = _Residency()
+        self._quota_gate = quota_gate
         self._forwarder = self._make_forwarder(max_attempts, priority)
 
     @property
     def residency_calls(self) -> int:
-        return self._residency.calls
+        return self.residency.calls
 
     def _make_forwarder(self, max_attempts, priority) -> _forward.Forwarder:
         async def dial(address):
@@ -222,7 +236,7 @@
         return _forward.Forwarder(
             active_configuration=active,
             replicas=self.replicas,
-            residency=self._residency,
+            residency=self.residency,
             budgets=self.budgets,
             suspicions=_suspicions.SuspicionTable(self.clock),
             prompt_parts=_prompt_parts.PromptParts(
@@ -235,6 +249,7 @@
             connections=_connections.ConnectionPool(self.clock, dial),
             reachability=_Reachability(),
             peer_relay=None,
+            quota_gate=self._quota_gate,
             clock=self.clock,
             data_centre="dc1",
             random_source=random.Random(1),
