State the reasons of connection and account limits

Some comments didn't say why a limit has its value, or described it vaguely. No change of behaviour.

--- a/src/geraniumlink/_connection_limits.py
+++ b/src/geraniumlink/_connection_limits.py
@@ -53,7 +53,8 @@
 # For how long a search for a connection to close isn't repeated if it found
 # none.
 SEARCH_INTERVAL_MS = 100
-# Refusals in a second that have a log line each.
+# Refusals in a second that have a log line each. Enough to see what is sent;
+# a flood would fill the disk.
 MAX_LOGGED_REFUSALS = 10
 # Interval of the log lines that count refusals.
 LOG_INTERVAL_MS = 1000
@@ -163,7 +164,7 @@
 
 
 class Connection(typing.Protocol):
-    """What the table asks of a connection."""
+    """Interface of a connection in the table."""
 
     @property
     def stage(self) -> Stage:
@@ -290,7 +291,10 @@
         return self._lines_in_second <= MAX_LOGGED_REFUSALS
 
     def count_refusal(self, cause: Cause) -> None:
-        """Count a refusal, and log their number now and then."""
+        """Count a refusal.
+
+        Their number is logged at most once per LOG_INTERVAL_MS.
+        """
         self._on_refusal(cause)
         self._counts[cause.value] += 1
         now_ms = int(1000 * time.monotonic())
@@ -326,8 +330,8 @@
     def _find_used(self) -> Connection | None:
         """Return the first idle connection, or else the first stalled one.
 
-        All have sent a whole request. None are looked at for a while after
-        none was found.
+        All have sent a whole request. A search that finds none isn't repeated
+        within SEARCH_INTERVAL_MS.
         """
         now_s = time.monotonic()
         if now_s - self._searched_at_s < SEARCH_INTERVAL_MS / 1000:
--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -45,7 +45,8 @@
 # Size of the receive buffer. As much may be unparsed on each connection.
 READ_BYTES = 8192
 # Limit of empty lines before a request, which the parser skips without a call
-# back. RFC 9112, section 2.2, asks to accept one.
+# back. RFC 9112, section 2.2, asks to accept one; more are allowed for clients
+# that send some between requests.
 MAX_EMPTY_BYTES = 1024
 # Limit of chunk sizes, chunk extensions and trailers without a byte of a body
 # between them.
--- a/src/geraniumlink/serving/_accounts.py
+++ b/src/geraniumlink/serving/_accounts.py
@@ -23,9 +23,10 @@
 # confirmed as of this share of the settings' bound ago. The rest is a margin
 # for the drift of clocks.
 _MAX_AGE_SHARE = 0.9
-# Without such a bound a key or a route is denied only by a configuration that
-# was confirmed this recently, in ms. In normal operation the age is at most
-# twice the longest watch of the store (4 s), and some round trips.
+# Without such a bound 401 is sent only if the configuration was confirmed this
+# recently, in ms; an older one may lack a key that has been added. In normal
+# operation the age is at most twice the longest watch of the store (4 s), and
+# some round trips.
 MAX_DENYING_AGE_MS = 10_000
 _NOT_CONFIRMED = "the configuration isn't confirmed"
 
