Answer 502 if a peer refuses what may have run before

Another instance's 429 or 503 was passed on to the client, though an earlier attempt here may have run the request; and an instance that took a relayed request refused it with 503 after attempts elsewhere that may have run it. Both state that the request has not run. They are 502 now.

--- a/src/geraniumlink/serving/_final_answers.py
+++ b/src/geraniumlink/serving/_final_answers.py
@@ -59,12 +59,17 @@
 
         A failure that a replica sent is passed on. Otherwise the status is
         502 if a replica may have run the request, and 503 if none has.
+        Another instance's refusal says only that it has not run it.
         """
         if state.response.started:
             state.outcome = f"cut off: {_outcomes.reason_of(outcome)}"
             return
         match outcome:
-            case _outcomes.Failed(status, headers, body):
+            case _outcomes.Failed(status, headers, body) if not (
+                state.passed_on
+                and state.may_have_run
+                and status in (UNAVAILABLE, _TOO_MANY_REQUESTS)
+            ):
                 state.outcome = f"failed with {status}"
                 await state.response.send_complete(status, headers, body)
             case _outcomes.Interrupted(reason=reason) if state.may_have_run:
--- a/src/geraniumlink/serving/_request_state.py
+++ b/src/geraniumlink/serving/_request_state.py
@@ -54,8 +54,9 @@
         self.connect_failures = 0
         # Names of the replicas of all attempts, which are not chosen again.
         self.tried_replicas: set[str] = set()
-        # Whether some replica ran it, or may have.
-        self.may_have_run = False
+        # Whether some replica ran it, or may have, also by another instance
+        # before.
+        self.may_have_run = bool(request.relayed_attempts)
         # Whether it is at a replica, or at another instance.
         self.in_attempt = False
         # What its account's quota was charged; None if nothing.
