Use the usual terms in the modules of quotas

What is reported, stale information, roles of issuers and reservations had names of their own. The field told_age_ms of quota_charged is reported_age_ms now.

--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -153,6 +153,8 @@
     "replica": _TEXT,
     "replicas": _TEXTS,
     "reply": _TEXT,
+    # Null if no issuer has answered yet.
+    "reported_age_ms": Field(Kind.WHOLE, nullable=True),
     "request_id": _TEXT,
     "requests": _WHOLE,
     "resident": _TEXTS,
@@ -180,8 +182,6 @@
     "status": Field(Kind.WHOLE, nullable=True),
     "store_answered": Field(Kind.FLAG, nullable=True),
     "tokens_per_s": _WHOLE,
-    # Null if no issuer has answered yet.
-    "told_age_ms": Field(Kind.WHOLE, nullable=True),
     "took_ms": _WHOLE,
     "verdict": _TEXT,
     "version": _WHOLE,
--- a/src/geraniumlink/hosting/_quota_exchange.py
+++ b/src/geraniumlink/hosting/_quota_exchange.py
@@ -168,7 +168,7 @@
         """Charge a request to an account; takes at most 100 ms."""
         began = self._clock.now()
         use = self._find_use(account, began)
-        told_age_ms = use.told_age_ms(began)
+        reported_age_ms = use.reported_age_ms(began)
         use.set_terms(limit, self._count_instances())
         for address, timeout_ms in self._find_issuers(account):
             answer = await self._ask(
@@ -199,7 +199,7 @@
             began,
             now - began,
             use.share,
-            told_age_ms,
+            reported_age_ms,
         )
 
     def refund(self, decision: _quotas.Decision) -> bool:
@@ -317,22 +317,24 @@
     ) -> _Answered | None:
         """Charge a request of this instance; None if it doesn't issue."""
         now = self._clock.now()
-        duty = self._find_duty(account, self._table.current.version)
-        if duty is None:
+        issuer_role = self._find_issuer_role(
+            account, self._table.current.version
+        )
+        if issuer_role is None:
             return None
         unreported: dict[str, float] = {}
-        if duty.role is _quotas.Role.PRIMARY:
+        if issuer_role.role is _quotas.Role.PRIMARY:
             unreported = use.take_unreported(self._own_address, now)
         hint = use.hint_for(self._own_address, now)
         answer = self._issuer.charge(
             account,
             limit,
             cost,
-            duty,
+            issuer_role,
             self._without_own(hint),
             sum(unreported.values()),
         )
-        return _Answered(duty.role, answer, self._process)
+        return _Answered(issuer_role.role, answer, self._process)
 
     def _without_own(self, hint: _quotas.Hint | None) -> _quotas.Hint | None:
         """Return a hint unless this process gave it."""
@@ -378,9 +380,9 @@
         self._missing.clear()
         self._silent_until.clear()
 
-    def _find_duty(
+    def _find_issuer_role(
         self, account: str, asker_version: tuple[int, int]
-    ) -> _quotas.Duty | None:
+    ) -> _quotas.IssuerRole | None:
         """Return why this instance issues for an account; None if not.
 
         :param asker_version: version of the asking instance's table.
@@ -391,24 +393,24 @@
             if is_leader and asker_version == table.version:
                 if self._provisional_since is None:
                     self._provisional_since = now
-                return _quotas.Duty(
+                return _quotas.IssuerRole(
                     _quotas.Role.PRIMARY, self._provisional_since
                 )
         else:
             number = _issuer_table.find_row(account)
             since = self._issues_since[number]
             if since is not None:
-                return _quotas.Duty(
+                return _quotas.IssuerRole(
                     _quotas.Role.PRIMARY, since, self._rate_part()
                 )
             if table.rows[number].backup == self._own_address:
-                return _quotas.Duty(_quotas.Role.BACKUP, now)
+                return _quotas.IssuerRole(_quotas.Role.BACKUP, now)
         # One that has no table yet asks the controller. One with a newer
         # table may know that this instance has been named.
         if asker_version > table.version or (
             is_leader and asker_version == _issuer_table.NO_TABLE.version
         ):
-            return _quotas.Duty(_quotas.Role.BACKUP, now)
+            return _quotas.IssuerRole(_quotas.Role.BACKUP, now)
         return None
 
     def _rate_part(self) -> float:
@@ -466,24 +468,29 @@
                 elsewhere, hint = _decode_past(more)
             case _:
                 raise ValueError(f"malformed message: {message!r:.60}")
-        duty = self._find_duty(account, (epoch, serial))
+        issuer_role = self._find_issuer_role(account, (epoch, serial))
         is_asked_in_error = (
-            duty is None or duty.role is _quotas.Role.BACKUP
+            issuer_role is None or issuer_role.role is _quotas.Role.BACKUP
         ) and (epoch, serial) < self._table.current.version
         if is_asked_in_error:
             self._datagrams.send(
                 [str(sender)], ["issuers_known", self._table.to_json()]
             )
-        if duty is None:
+        if issuer_role is None:
             return
         limit = self._find_limit(account) or _quotas.Limit(rate_per_s, burst)
         answer = self._issuer.charge(
-            account, limit, cost, duty, self._without_own(hint), elsewhere
+            account,
+            limit,
+            cost,
+            issuer_role,
+            self._without_own(hint),
+            elsewhere,
         )
         stated = [
             _shorten(answer.level),
             _shorten(answer.total_per_s),
-            duty.role is _quotas.Role.PRIMARY,
+            issuer_role.role is _quotas.Role.PRIMARY,
         ]
         match answer:
             case _quotas.Charged():
--- a/src/geraniumlink/serving/_call_times.py
+++ b/src/geraniumlink/serving/_call_times.py
@@ -130,7 +130,7 @@
 
 
 def share_of_others(own: int, of_others: float) -> float:
-    """Return the share of calls that are known only by old news."""
+    """Return the share of calls that are known only by stale information."""
     return of_others / (own + of_others) if own or of_others else 1.0
 
 
@@ -144,7 +144,8 @@
     of the calls are refused.
 
     :param wait_ms: the mean.
-    :param of_others: the share of calls that are known only by old news.
+    :param of_others: the share of calls that are known only by stale
+        information.
     """
     return wait_ms * random_source.uniform(1 - of_others, 1 + of_others)
 
@@ -154,13 +155,14 @@
 ) -> int:
     """Return the index of the replica that gets a call, drawn by its cost.
 
-    All instances have the same old news of each other's calls. If each took
-    the replica that seems best, all would take the same one, and another one
-    as the next reports arrive. So each draws; the more of the calls are its
-    own, of which it knows at once, the surer it takes the best.
+    All instances have the same stale information of each other's calls. If
+    each took the replica that seems best, all would take the same one, and
+    another one as the next reports arrive. So each draws; the more of the
+    calls are its own, of which it knows at once, the surer it takes the best.
     Source: M. Mitzenmacher, "How Useful Is Old Information?", IEEE TPDS 2000.
 
-    :param of_others: the share of calls that are known only by old news.
+    :param of_others: the share of calls that are known only by stale
+        information.
     """
     sharpness = MIN_SHARPNESS + OWN_SHARPNESS * (1 - of_others)
     least = min(costs)
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -133,7 +133,7 @@
         level=round(answer.level, 3),
         account_per_s=round(answer.total_per_s, 3),
         share=decision.share,
-        told_age_ms=decision.told_age_ms,
+        reported_age_ms=decision.reported_age_ms,
         wait_ms=wait_ms,
         took_ms=decision.took_ms,
     )
--- a/src/geraniumlink/serving/_quotas.py
+++ b/src/geraniumlink/serving/_quotas.py
@@ -90,7 +90,7 @@
 
 
 class Hint(typing.NamedTuple):
-    """What an issuer last told the asking instance.
+    """What an issuer last reported to the asking instance.
 
     It is for another issuer, or for another process at the same address.
     """
@@ -99,7 +99,7 @@
     level: float
     total_per_s: float
     age_ms: int
-    # Random number of the process that told it; None if not known.
+    # Random number of the process that reported it; None if not known.
     process: int | None = None
 
 
@@ -123,7 +123,7 @@
 Answer = Charged | OverQuota
 
 
-class Duty(typing.NamedTuple):
+class IssuerRole(typing.NamedTuple):
     """The conditions under which an instance issues for an account."""
 
     role: Role
@@ -158,7 +158,7 @@
         return self._sum * math.exp(min(0, self._at - now) / self._decay_ms)
 
 
-class _Promises:
+class _Reservations:
     """Spreads the times at which refused requests are told to come back."""
 
     def __init__(self) -> None:
@@ -169,7 +169,7 @@
     ) -> int:
         """Return when the tokens for a request are there.
 
-        Those that were promised to others are not.
+        Those that are reserved for others are not.
 
         :param missing: tokens that the request lacks now.
         """
@@ -182,23 +182,23 @@
     """One account's tokens at an issuer."""
 
     def __init__(
-        self, limit: Limit, bounds: Bounds, duty: Duty, now: int
+        self, limit: Limit, bounds: Bounds, issuer_role: IssuerRole, now: int
     ) -> None:
         self._bounds = bounds
         self._limit = limit
         self._overshoot = allowed_overshoot(limit, bounds)
-        self._role = duty.role
-        self._rate_part = duty.rate_part
+        self._role = issuer_role.role
+        self._rate_part = issuer_role.rate_part
         # When this bucket began, or began again, as a backup's.
         self._backup_since = now
         self._started_at = now
         self._at = now
         self._use = DecayingSum(bounds.window_ms)
-        self._promises = _Promises()
+        self._reservations = _Reservations()
         level = INITIAL_PART * self._overshoot
-        if duty.role is Role.PRIMARY:
+        if issuer_role.role is Role.PRIMARY:
             # No other one has issued since it was named.
-            level += limit.rate_per_s * max(0, now - duty.since) / 1000
+            level += limit.rate_per_s * max(0, now - issuer_role.since) / 1000
         self._level = self._start = min(level, self._capacity())
 
     @property
@@ -209,12 +209,12 @@
         self,
         limit: Limit,
         cost: float,
-        duty: Duty,
+        issuer_role: IssuerRole,
         hint: Hint | None,
         elsewhere: float,
         now: int,
     ) -> Answer:
-        self._update(limit, duty, now)
+        self._update(limit, issuer_role, now)
         if hint is not None:
             self._apply_hint(hint, now)
         self._use.add(elsewhere, now)
@@ -225,7 +225,7 @@
             self._level -= cost
             self._use.add(cost, now)
             return Charged(self._level, self._use.per_s(now))
-        wait_ms = self._promises.wait_ms(
+        wait_ms = self._reservations.wait_ms(
             needed - self._level, cost, limit.rate_per_s / 1000, now
         )
         return OverQuota(wait_ms, self._level, self._use.per_s(now))
@@ -239,21 +239,21 @@
             return min(burst, INITIAL_PART * self._overshoot)
         return burst + MARGIN_PART * self._overshoot
 
-    def _update(self, limit: Limit, duty: Duty, now: int) -> None:
+    def _update(self, limit: Limit, issuer_role: IssuerRole, now: int) -> None:
         """Add the tokens that have become available, by the present terms."""
-        if duty.role is not self._role:
-            if duty.role is Role.PRIMARY:
-                self._refill(min(max(self._at, duty.since), now))
-            self._role = duty.role
+        if issuer_role.role is not self._role:
+            if issuer_role.role is Role.PRIMARY:
+                self._refill(min(max(self._at, issuer_role.since), now))
+            self._role = issuer_role.role
             self._backup_since = now
         elif (
-            duty.role is Role.BACKUP
+            issuer_role.role is Role.BACKUP
             and now - self._at >= self._bounds.window_ms
         ):
             self._refill(now)
             self._backup_since = now
         self._refill(now)
-        self._rate_part = duty.rate_part
+        self._rate_part = issuer_role.rate_part
         if limit != self._limit:
             self._limit = limit
             self._overshoot = allowed_overshoot(limit, self._bounds)
@@ -283,10 +283,10 @@
 
         What another issuer had, with the rate since, is an upper bound.
         """
-        told_at = now - hint.age_ms
+        reported_at = now - hint.age_ms
         if now - self._started_at > self._bounds.window_ms:
             return
-        since_ms = max(0, self._started_at - told_at)
+        since_ms = max(0, self._started_at - reported_at)
         bound = hint.level + self._limit.rate_per_s * since_ms / 1000
         bound = max(bound, -self._limit.burst - self._overshoot)
         if bound < self._start:
@@ -310,22 +310,22 @@
         account: str,
         limit: Limit,
         cost: float,
-        duty: Duty,
+        issuer_role: IssuerRole,
         hint: Hint | None = None,
         elsewhere: float = 0.0,
     ) -> Answer:
         """Charge a request, or refuse it.
 
-        :param hint: what another issuer told the asking instance.
+        :param hint: what another issuer reported to the asking instance.
         :param elsewhere: what the asking instance sent without asking here.
         """
         now = self._clock.now()
         bucket = self._buckets.pop(account, None)
         if bucket is None:
             self._forget_idle(now)
-            bucket = _Bucket(limit, self._bounds, duty, now)
+            bucket = _Bucket(limit, self._bounds, issuer_role, now)
         self._buckets[account] = bucket
-        return bucket.charge(limit, cost, duty, hint, elsewhere, now)
+        return bucket.charge(limit, cost, issuer_role, hint, elsewhere, now)
 
     def refund(self, account: str, cost: float) -> None:
         """Take back the charge of a request that has not run."""
@@ -354,16 +354,16 @@
     def __init__(self, bounds: Bounds, now: int) -> None:
         self._bounds = bounds
         self._own = DecayingSum(bounds.window_ms)
-        self._told_by = ""
-        self._told_by_process: int | None = None
-        self._told_level = 0.0
-        self._told_total_per_s = 0.0
-        self._told_at = now
+        self._reported_by = ""
+        self._reported_by_process: int | None = None
+        self._reported_level = 0.0
+        self._reported_total_per_s = 0.0
+        self._reported_at = now
         # Part of the account's use that is this instance's; None if unknown.
         self._share: float | None = None
         self._level = 0.0
         self._level_at = now
-        self._promises = _Promises()
+        self._reservations = _Reservations()
         # What was sent without the issuer's knowledge, by who admitted it
         # ("": this instance), less this instance's share of the rate since.
         self._unreported: dict[str, float] = {}
@@ -390,28 +390,28 @@
         """This instance's part of the account's use, if it is known."""
         return self._share
 
-    def told_age_ms(self, now: int) -> int | None:
+    def reported_age_ms(self, now: int) -> int | None:
         """Return how old the issuer's last answer is; None if none came."""
-        return now - self._told_at if self._told_by else None
+        return now - self._reported_at if self._reported_by else None
 
     def hint_for(self, issuer: str, now: int) -> Hint | None:
-        """Return what an issuer told last.
+        """Return what an issuer reported last.
 
-        The given one drops what its own process told. It isn't sent that if
-        its build doesn't state its process.
+        The given one drops what its own process reported. It isn't sent that
+        if its build doesn't state its process.
         """
-        if not self._told_by or (
-            self._told_by == issuer and self._told_by_process is None
+        if not self._reported_by or (
+            self._reported_by == issuer and self._reported_by_process is None
         ):
             return None
-        age_ms = now - self._told_at
+        age_ms = now - self._reported_at
         if age_ms > FORGET_MS:
             return None
         return Hint(
-            self._told_level,
-            self._told_total_per_s,
+            self._reported_level,
+            self._reported_total_per_s,
             age_ms,
-            self._told_by_process,
+            self._reported_by_process,
         )
 
     def take_unreported(self, issuer: str, now: int) -> dict[str, float]:
@@ -458,10 +458,10 @@
                 self._add_unreported(issuer, cost, now)
         if role is Role.PRIMARY:
             # A backup's level says nothing of what the issuer has left.
-            self._told_by, self._told_at = issuer, now
-            self._told_by_process = process
-            self._told_level = answer.level
-        self._told_total_per_s = answer.total_per_s
+            self._reported_by, self._reported_at = issuer, now
+            self._reported_by_process = process
+            self._reported_level = answer.level
+        self._reported_total_per_s = answer.total_per_s
         if answer.total_per_s > 0:
             own_per_s = self._own.per_s(now)
             self._share = min(1.0, own_per_s / answer.total_per_s)
@@ -477,9 +477,11 @@
         refilled = self._level + per_ms * (now - self._level_at)
         self._level = min(refilled, self._limit.burst * self._part)
         self._level_at = now
-        total_per_s = self._told_total_per_s
+        total_per_s = self._reported_total_per_s
         if self._level < 0:
-            wait_ms = self._promises.wait_ms(-self._level, cost, per_ms, now)
+            wait_ms = self._reservations.wait_ms(
+                -self._level, cost, per_ms, now
+            )
             return OverQuota(wait_ms, self._level, total_per_s)
         self._level -= cost
         self._own.add(cost, now)
@@ -533,7 +535,7 @@
     # This instance's part of the account's use, and the age of the issuer's
     # last answer; None if not known.
     share: float | None
-    told_age_ms: int | None
+    reported_age_ms: int | None
 
     @property
     def is_charged(self) -> bool:
--- a/src/geraniumlink/serving/_rejections.py
+++ b/src/geraniumlink/serving/_rejections.py
@@ -70,8 +70,8 @@
 def prefer_others(replicas: list[_R], now: int) -> list[_R]:
     """Return the replicas without a recent rejection; all if none is left.
 
-    What is left must not depend on old news alone: if all have rejected a
-    request, one may have room again.
+    What is left must not depend on stale information alone: if all have
+    rejected a request, one may have room again.
     """
     others = [r for r in replicas if not r.last_rejection.is_recent(now)]
     return others or replicas
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -216,7 +216,7 @@
 
 
 _LIMIT = _quotas.Limit(1000.0, 1000.0)
-_PRIMARY = _quotas.Duty(_quotas.Role.PRIMARY, 0)
+_PRIMARY = _quotas.IssuerRole(_quotas.Role.PRIMARY, 0)
 
 
 def test_waits_say_when_the_tokens_are_there():
@@ -314,12 +314,14 @@
 def test_a_new_issuer_goes_on_where_the_former_one_was():
     """An account at its limit must not get a new burst by a change."""
     issuer, clock = _issuer()
-    duty = _quotas.Duty(_quotas.Role.PRIMARY, clock.now())
+    issuer_role = _quotas.IssuerRole(_quotas.Role.PRIMARY, clock.now())
     hint = _quotas.Hint(3.0, 900.0, 10)
-    answer = issuer.charge("a", _LIMIT, 10, duty, hint)
+    answer = issuer.charge("a", _LIMIT, 10, issuer_role, hint)
     assert answer.level <= 3.0
     # One that asks later may know less.
-    later = issuer.charge("a", _LIMIT, 10, duty, _quotas.Hint(0.0, 900.0, 10))
+    later = issuer.charge(
+        "a", _LIMIT, 10, issuer_role, _quotas.Hint(0.0, 900.0, 10)
+    )
     assert later.level <= 0.0
 
 
