--- a/tests/test_builds_side_by_side.py
+++ b/tests/test_builds_side_by_side.py
@@ -9,7 +9,7 @@
 pytestmark = pytest.mark.anyio
 
 # Landings that may be in production when this build arrives.
-_LANDINGS = ("e0bb1ed", "ab72638", "42ef447")
+_LANDINGS = ("e0bb1ed", "ab72638", "42ef447", "61322b5")
 _TARGETS = ("/safe/x", "/once/x", "/stream/x")
 _EVENTS = b"".join(replicas.event(n) for n in range(1, replicas.EVENTS + 1))
 
