Review: replicas of the rig as PROTOCOL.md describes them

Cause: entries never showed a loaded adapter, reports had no lag and no pending adapters, loads took no time, and more than adapter_slots were taken.

--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -357,6 +357,7 @@
             self.remove(kind, name)
             return 200, found
         stored = self._put(kind, name, content["spec"])
+        self.record.note(f"store: write: {kind}/{name} from {tag}")
         if self.lose_answer(tag, kind, name, content["spec"]):
             self.record.note(f"store: answer lost: {kind}/{name} from {tag}")
             return None
@@ -388,6 +389,13 @@
         ]
 
 
+# As the sites have them: heartbeat_ms, an adapter's load, and places for
+# adapters; "some hundred ms" of age of what a report says.
+HEARTBEAT_S = 1.2
+ADAPTER_S = 0.007
+ADAPTER_SLOTS = 8
+LAG_S = 0.2
+
 # --- replicas ------------------------------------------------------------
 
 
@@ -423,10 +431,35 @@
         # (arrived at, holder, fencing token, order, status).
         self.orders: list[tuple] = []
         self._running = 0
+        # Runs by model and adapter; adapters on their way; what goes when its
+        # runs have ended.
+        self._used: dict[str, int] = {}
+        self._pending: set[str] = set()
+        self._leaving: set[str] = set()
+        # Reports as they were, the oldest first; they lag by LAG_S.
+        self._reports: list[tuple[float, dict]] = []
+        self._tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
         self.address = await self.listen(new_host())
         self.beat()
+        if self.models is not None:
+            self._tasks.append(asyncio.create_task(self._live()))
+
+    async def _live(self) -> None:
+        """Heartbeat every 1.2 s; keep what lagging reports say."""
+        beat_at = now() + HEARTBEAT_S
+        while not self.dead:
+            self._reports.append((now(), self._report()))
+            while len(self._reports) > 1 and (
+                self._reports[1][0] < now() - LAG_S
+            ):
+                self._reports.pop(0)
+            if now() >= beat_at:
+                beat_at += HEARTBEAT_S
+                # Nothing is written unless more than `sequence` changes.
+                self.beat()
+            await asyncio.sleep(0.05)
 
     def entry(self) -> dict:
         entry = {
@@ -488,19 +521,7 @@
         if headers.get("x-expect-instance", self.name) != self.name:
             return whole(421, b"", *own)
         if message.target == "/v1/report":
-            report = {
-                "stage": "unified",
-                "models": self._held(),
-                "busy": False,
-                "sequence": self.sequence,
-                "queue_depth": 0,
-                "active_requests": self._running,
-                "kv_used": 0,
-                "kv_total": 100_000,
-                "handles": 0,
-                "born": self.born,
-                "available": {"in_memory": [], "on_disk": []},
-            }
+            report = self._reports[0][1] if self._reports else self._report()
             return whole(200, json.dumps(report).encode())
         if message.target == "/v1/order":
             return self._order(json.loads(message.body))
@@ -509,9 +530,40 @@
             return whole(status, b"", f"X-Instance-Id: {self.name}", load)
         if not request_id:
             return whole(400, b"", "X-Not-Executed: 1")
-        if not self._holds(headers.get("x-model", "")):
+        model = headers.get("x-model", "")
+        if model in self._pending | self._leaving:
+            return whole(503, b"", "X-Not-Executed: 1", *own, load)
+        if not self._holds(model):
             return whole(421, b"", *own, load)
-        return await self._run(message, reader, own)
+        self._used[model] = self._used.get(model, 0) + 1
+        try:
+            return await self._run(message, reader, own)
+        finally:
+            self._used[model] -= 1
+            if model in self._leaving and not self._used[model]:
+                self._leaving.discard(model)
+                self._drop(model)
+
+    def _report(self) -> dict:
+        return {
+            "stage": "unified",
+            "models": self._held(),
+            "busy": False,
+            "sequence": self.sequence,
+            "queue_depth": 0,
+            "active_requests": self._running,
+            "kv_used": 0,
+            "kv_total": 100_000,
+            "handles": 0,
+            "born": self.born,
+            "available": {"in_memory": [], "on_disk": []},
+            "pending": [f"{entry}@1" for entry in sorted(self._pending)],
+        }
+
+    def _drop(self, entry: str) -> None:
+        model, _, adapter = entry.partition("/")
+        if adapter in (self.models or {}).get(model, []):
+            self.models[model].remove(adapter)
 
     async def _run(self, message: Message, reader, own):
         run = [now(), message.headers["x-request-id"], "running"]
@@ -519,7 +571,10 @@
         self._running += 1
         try:
             # Most replicas drop a request when its connection closes.
-            work = asyncio.create_task(asyncio.sleep(self.work_ms / 1000))
+            left_ms = int(message.headers.get("x-deadline-ms", 10_000))
+            work = asyncio.create_task(
+                asyncio.sleep(min(left_ms, self.work_ms) / 1000)
+            )
             gone = asyncio.create_task(_closes(reader))
             await asyncio.wait((work, gone), return_when="FIRST_COMPLETED")
             gone.cancel()
@@ -528,7 +583,9 @@
                 run[2] = "dropped"
                 return None
             if run[2] == "running":
-                run[2] = "whole"
+                run[2] = "whole" if left_ms >= self.work_ms else "deadline"
+            if run[2] == "deadline":
+                return whole(504, b"", *own)
         finally:
             self._running -= 1
         body, kind = f"answer to {message.target} by {self.name}", "text/plain"
@@ -561,25 +618,49 @@
         return whole(status, b"{}")
 
     def _carry_out(self, order: dict) -> int:
-        """Carry out an order for an adapter; models stay as they are."""
+        """Carry out an order for an adapter.
+
+        The one model stays: no case has it moved, and an order that would do
+        so is refused as one that doesn't exist, and shows in the record.
+        """
+        if "holder" not in order or "fencing_token" not in order:
+            return 400
         if order.get("precondition", self.sequence) != self.sequence:
             return 409
-        adapter = order.get("adapter")
-        adapters = (self.models or {}).get(order["model"])
+        model, adapter = order["model"], order.get("adapter")
+        adapters = (self.models or {}).get(model)
+        load = order["operation"] == "load"
         if adapters is None:
             return 421
         if not adapter:
-            return 200 if order["operation"] == "load" else 409
-        load = order["operation"] == "load"
-        if (adapter in adapters) == load:
+            return 200 if load else 400
+        entry = f"{model}/{adapter}"
+        if load:
+            if adapter in adapters and entry not in self._leaving:
+                return 200
+            self.sequence += 1
+            if len(adapters) + len(self._pending) >= ADAPTER_SLOTS:
+                self.record.note(f"{self.name} crashes: too many adapters")
+                self.end()
+                return 202
+            self._pending.add(entry)
+            asyncio.get_running_loop().call_later(
+                ADAPTER_S, self._end_load, model, adapter
+            )
+            return 202
+        if adapter not in adapters:
             return 200
         self.sequence += 1
-        if load:
-            adapters.append(adapter)
+        if self._used.get(entry):
+            self._leaving.add(entry)
             return 202
         adapters.remove(adapter)
         return 200
 
+    def _end_load(self, model: str, adapter: str) -> None:
+        self._pending.discard(f"{model}/{adapter}")
+        self.models[model].append(adapter)
+
 
 async def _closes(reader: asyncio.StreamReader) -> None:
     """Return when the other side has closed its connection.
