--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -278,6 +278,11 @@
         "this instance loaded its first configuration since it started",
         ("revision", "source"),
     ),
+    "configuration_older": Message(
+        _STATE,
+        "a configuration is older than the one in force, and passed over",
+        ("version", "version_in_force"),
+    ),
     "configuration_unreadable": Message(
         _STATE,
         "a configuration was invalid; the previous one stays in force",
@@ -379,8 +384,16 @@
     ),
     "lease_lost": Message(
         _STATE,
-        "this instance no longer holds a lease",
-        ("deployment", "epoch"),
+        "this instance no longer holds a lease; `found_version` is 0 if none"
+        " is stored, and left out if it wasn't renewed within its duration",
+        (
+            "deployment",
+            "epoch",
+            "found_epoch",
+            "found_holder",
+            "found_version",
+            "held_version",
+        ),
     ),
     "lease_not_released": Message(
         _STATE,
@@ -391,7 +404,10 @@
         _STATE, "a lease was released", ("deployment", "epoch")
     ),
     "lease_taken": Message(
-        _STATE, "this instance acquired a lease", ("deployment", "epoch")
+        _STATE,
+        "this instance acquired a lease; `found_epoch` and `found_holder` are"
+        " those of the stored one before",
+        ("deployment", "epoch", "found_epoch", "found_holder", "version"),
     ),
     "lease_unavailable": Message(
         _STATE, "the lease could not be read or renewed", ("error",)
@@ -592,6 +608,12 @@
         ("backups", "epoch", "issuers", "serial"),
     ),
     "record": _claim_step("an outcome was recorded with its claim"),
+    "relay_behind": Message(
+        _STATE,
+        "the controller relays changes that end before those known here; they"
+        " are passed over",
+        ("kind", "known_revision", "revision"),
+    ),
     "repeat_budget_used": Message(
         _REQUEST,
         "a request was not retried, because the retry budget is used up",
@@ -711,6 +733,12 @@
         ("deployment", "error"),
     ),
     "stopped": Message(_STATE, "the process is ending", ()),
+    "store_behind": Message(
+        _STATE,
+        "the platform's store is at a lower revision than one that it has"
+        " answered with before",
+        ("kind", "known_revision", "revision"),
+    ),
     "store_history_gone": Message(
         _STATE,
         "a watch was too far behind; all objects are listed again",
--- a/src/geraniumlink/control/_controller.py
+++ b/src/geraniumlink/control/_controller.py
@@ -176,17 +176,18 @@
             try:
                 self._held = await self._leases.renew(self._held)
                 renewed_at = began_at
-            except _leases.LeaseLostError:
+            except _leases.LeaseLostError as error:
                 self._lost = True
+                error.log()
                 break
             except _objects.UnavailableError:
                 if self._clock.now() - renewed_at > self._leases.duration_ms:
+                    _logs.event(
+                        "lease_lost",
+                        deployment=self._held.shard,
+                        epoch=self._held.lease.epoch,
+                    )
                     break
-        _logs.event(
-            "lease_lost",
-            deployment=self._held.shard,
-            epoch=self._held.lease.epoch,
-        )
         work.cancel()
 
     async def release(self) -> None:
--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -66,7 +66,25 @@
 
 
 class LeaseLostError(Exception):
-    """Another instance has taken the lease."""
+    """The stored lease is no longer this process's term of it."""
+
+    def __init__(self, held: HeldLease, found: _objects.Object) -> None:
+        super().__init__(held.shard)
+        self.held = held
+        self.found = found
+
+    def log(self) -> None:
+        """Log what was held, and what the store has in its place."""
+        lease = parse(self.found)
+        _logs.event(
+            "lease_lost",
+            deployment=self.held.shard,
+            epoch=self.held.lease.epoch,
+            held_version=self.held.version,
+            found_version=self.found.version,
+            found_epoch=lease.epoch if lease else None,
+            found_holder=lease.holder if lease else None,
+        )
 
 
 class ObjectStore(typing.Protocol):
@@ -168,7 +186,7 @@
             )
         except _objects.ConflictError:
             return None
-        taken = self._record_taken(shard, proposed, written.version)
+        taken = self._record_taken(shard, proposed, written.version, current)
         return taken._replace(previous=current)
 
     async def _renew_own(
@@ -183,7 +201,7 @@
             held = await self.renew(HeldLease(shard, lease, version))
         except LeaseLostError:
             return None
-        return self._record_taken(shard, held.lease, held.version)
+        return self._record_taken(shard, held.lease, held.version, lease)
 
     async def renew(self, held: HeldLease) -> HeldLease:
         """Write the lease again, so that its object changes.
@@ -197,7 +215,7 @@
         except _objects.ConflictError as conflict:
             current = parse(conflict.current)
             if current is None or not self._is_same_term(current, held.lease):
-                raise LeaseLostError(held.shard) from conflict
+                raise LeaseLostError(held, conflict.current) from conflict
             # An earlier renewal took effect, but its answer was lost.
             return held._replace(
                 lease=current, version=conflict.current.version
@@ -267,10 +285,20 @@
         return self._is_own(lease) and lease.epoch == held.epoch
 
     def _record_taken(
-        self, shard: str, lease: Lease, version: int
+        self, shard: str, lease: Lease, version: int, found: Lease | None
     ) -> HeldLease:
-        """Log that the lease was taken, and return it as held."""
-        _logs.event("lease_taken", deployment=shard, epoch=lease.epoch)
+        """Log that the lease was taken, and return it as held.
+
+        :param found: the stored lease before; None without a valid one.
+        """
+        _logs.event(
+            "lease_taken",
+            deployment=shard,
+            epoch=lease.epoch,
+            version=version,
+            found_epoch=found.epoch if found else None,
+            found_holder=found.holder if found else None,
+        )
         return HeldLease(shard, lease, version)
 
     def _is_available(
--- a/src/geraniumlink/hosting/_gauges.py
+++ b/src/geraniumlink/hosting/_gauges.py
@@ -110,6 +110,16 @@
         "1 where the controller's lease is held",
         lambda: sources.leadership.is_leader,
     )
+    add_gauge(
+        "geraniumlink_controller_epoch",
+        "Epoch of the controller's lease where it is held, else 0",
+        lambda: sources.leadership.epoch,
+    )
+    add_gauge(
+        "geraniumlink_store_revision",
+        "Lowest revision of the store up to which all changes are known",
+        lambda: min(watcher.revision for watcher in sources.watchers),
+    )
     add_gauge(
         "geraniumlink_models_resident",
         "Copies of models on known replicas",
--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -138,6 +138,8 @@
         # When the last ``refresh`` that the store answered was sent.
         self._refreshed_at = -1
         self._refreshing = anyio.Lock()
+        # Whether the last relayed changes ended before this copy.
+        self._relay_was_behind = False
         # When the store or relayed changes last confirmed the copy.
         self._confirmed_at = clock.now()
 
@@ -247,7 +249,7 @@
         :param confirmed_as_of: time since boot as of which the changes are
             complete; None if it isn't known.
         """
-        if not changes.revision or changes.revision < self.revision:
+        if self._is_relay_behind(changes.revision):
             return
         if self._freshness is not None and any(
             item.value == {} for item in changes.objects
@@ -272,6 +274,25 @@
         self._confirmed_at = self._clock.now()
         self._relay_valid_until = self._confirmed_at + RELAY_VALIDITY_MS
 
+    def _is_relay_behind(self, revision: int) -> bool:
+        """Return whether relayed changes end before this copy.
+
+        Logs the first of such changes in a row. Revision 0 is that of a
+        controller that has no copy yet.
+        """
+        if not revision:
+            return True
+        was_behind = self._relay_was_behind
+        self._relay_was_behind = revision < self.revision
+        if self._relay_was_behind and not was_behind:
+            _logs.event(
+                "relay_behind",
+                kind=self._kind,
+                revision=revision,
+                known_revision=self.revision,
+            )
+        return self._relay_was_behind
+
     async def run(self) -> None:
         """List and watch the objects while no relay is valid, for ever."""
         retry_ms = INITIAL_RETRY_MS
@@ -302,14 +323,22 @@
                 self._note_confirmed(sent_at)
             # Else relayed changes came meanwhile that end after it.
             return
+        asked_after = self._revision
         try:
-            changes = await self._watch(self._revision)
+            changes = await self._watch(asked_after)
         except _objects.RevisionCompactedError:
             _logs.event("store_history_gone", kind=self._kind)
             self._revision = None
             return
         if changes is None:
             return
+        if changes.revision < asked_after:
+            _logs.event(
+                "store_behind",
+                kind=self._kind,
+                revision=changes.revision,
+                known_revision=asked_after,
+            )
         if changes.revision < self.revision:
             # Newer relayed changes were applied as it arrived: older objects
             # must not replace them, such as an account with a removed key.
--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -193,8 +193,8 @@
         sent_at = self._clock.since_boot()
         try:
             renewed = await self._leases.renew(held)
-        except _leases.LeaseLostError:
-            _logs.event("lease_lost", epoch=held.lease.epoch)
+        except _leases.LeaseLostError as error:
+            error.log()
             self._held = None
             return
         if self._held is not None:
--- a/src/geraniumlink/serving/_active_configuration.py
+++ b/src/geraniumlink/serving/_active_configuration.py
@@ -19,6 +19,8 @@
 
     def __init__(self) -> None:
         self._current: _types.Configuration | None = None
+        # The last version that was passed over; each is logged once.
+        self._older_version: int | None = None
         # Routes by host, those with the longest path prefix first.
         self._by_host: dict[str, list[_types.Route]] = {}
 
@@ -39,6 +41,7 @@
         """
         known = self._current
         if known is not None and configuration.version <= known.version:
+            self._log_older(configuration.version)
             return False
         by_host = collections.defaultdict(list)
         for route in configuration.routes:
@@ -57,6 +60,16 @@
             _log_accounts(configuration.accounts)
         return True
 
+    def _log_older(self, version: int) -> None:
+        """Log a version that is older than the one in force."""
+        if version < self.version and version != self._older_version:
+            self._older_version = version
+            _logs.event(
+                "configuration_older",
+                version=version,
+                version_in_force=self.version,
+            )
+
     def find_route(self, host: str, target: bytes) -> _types.Route | None:
         """Return the host's route with the longest prefix of the path.
 
