--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -1,11 +1,15 @@
 """Stand-in for the metadata store of the users' platform.
 
-Fault switches: ``outage`` (every call is answered 503), ``silent`` (no call
-is answered), ``forget_before`` (watches after an older revision are answered
+Fault switches: ``outage`` (every call is answered 503), ``silent`` (no call is
+answered), ``forget_before`` (watches after an older revision are answered
 410), ``lose_answers`` (this many next writes take effect and the connection
-closes without an answer). The operator and the replicas of a test write
-through the same calls. ``/raw-specs/KIND/NAME`` takes a ``spec`` in base64
-and keeps its bytes as they are, so that it needn't be valid JSON.
+closes without an answer), ``refuse_unknown`` (watches after a revision that
+the store doesn't have are answered 410; otherwise they wait). ``/restore``
+takes the ``revision`` to which the store goes back, and whether it
+``counts_eras``: then its answers have the header Store-Era, which rises by
+one. The operator and the replicas of a test write through the same calls.
+``/raw-specs/KIND/NAME`` takes a ``spec`` in base64 and keeps its bytes as they
+are, so that it needn't be valid JSON.
 """
 
 from __future__ import annotations
@@ -35,6 +39,8 @@
         # Revision, kind, object and whether it was removed.
         self._history: list[tuple[int, str, dict, bool]] = []
         self._changed = asyncio.Condition()
+        # Rises with each restore; None while answers don't have it.
+        self._era: int | None = None
         self._calls: dict[str, int] = {}
         # By the text that stands for it in an object, as JSON.
         self._raw_specs: dict[bytes, bytes] = {}
@@ -47,6 +53,7 @@
             routing.Route(named, self._get),
             routing.Route(named, self._replace, methods=["PUT"]),
             routing.Route(named, self._delete, methods=["DELETE"]),
+            routing.Route("/restore", self._restore, methods=["POST"]),
             routing.Route(
                 "/raw-specs/{kind}/{name}", self._write_raw, methods=["POST"]
             ),
@@ -63,6 +70,26 @@
             ],
         }
 
+    async def _restore(self, request: requests.Request) -> responses.Response:
+        """Go back to the objects of an earlier revision."""
+        message = json.loads(await request.body())
+        self._revision = message["revision"]
+        if message.get("counts_eras"):
+            self._era = (self._era or 1) + 1
+        self._history = [
+            change for change in self._history if change[0] <= self._revision
+        ]
+        self._objects = {}
+        for _, kind, found, deleted in self._history:
+            key = (kind, found["metadata"]["name"])
+            if deleted:
+                self._objects.pop(key, None)
+            else:
+                self._objects[key] = found
+        async with self._changed:
+            self._changed.notify_all()
+        return responses.JSONResponse({})
+
     async def _out(self, call: str) -> bool:
         self._calls[call] = self._calls.get(call, 0) + 1
         while self.faults.silent:
@@ -91,7 +118,8 @@
 
     async def _watch(self, kind: str, query: typing.Any) -> responses.Response:
         after = int(query["watch"])
-        if after < (self.faults.forget_before or 0):
+        is_unknown = after > self._revision and self.faults.refuse_unknown
+        if after < (self.faults.forget_before or 0) or is_unknown:
             return self._respond({}, 410)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query["wait_ms"]) / 1000):
@@ -162,7 +190,10 @@
         body = json.dumps(content).encode()
         for text, spec in self._raw_specs.items():
             body = body.replace(text, spec)
-        return responses.Response(body, status, media_type="application/json")
+        headers = {} if self._era is None else {"Store-Era": str(self._era)}
+        return responses.Response(
+            body, status, headers, media_type="application/json"
+        )
 
     async def _delete(self, request: requests.Request) -> responses.Response:
         if await self._out("write"):
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -20,6 +20,8 @@
 from standins import fleet as fleets
 
 HOST = "shop.example"
+# How long a store that is restored from a copy doesn't answer.
+STORE_OUTAGE_S = 0.5
 _request_ids = itertools.count(1)
 
 
@@ -310,6 +312,24 @@
         path = f"/raw-specs/{kind}/{name}"
         await self.fleet.post(self.store, path, {"spec": encoded})
 
+    async def store_revision(self) -> int:
+        """Return the revision of the store's last change."""
+        return (await self.fleet.record(self.store))["revision"]
+
+    async def restore_store(
+        self, revision: int, *, counts_eras: bool = False
+    ) -> None:
+        """Let the store be gone for a moment, and come back older.
+
+        :param revision: that of the last change which it still has.
+        :param counts_eras: whether its answers tell that it was restored.
+        """
+        await self.fleet.faults(self.store, outage=True)
+        message = {"revision": revision, "counts_eras": counts_eras}
+        await self.fleet.post(self.store, "/restore", message)
+        await anyio.sleep(STORE_OUTAGE_S)
+        await self.fleet.faults(self.store, outage=False)
+
     async def remove(self, name: str) -> None:
         path = f"/v1/objects/servers/{name}"
         await self.fleet.post(self.store, path, {}, "DELETE")
