Wait as proposed after a lost answer to taking the lease

What callers saw: orders of two controllers to one replica 2.4 to 2.9 s apart, 3 s required. The answer to the write that takes a released lease is lost; the next read finds the lease held by this process and renews it, without the guard interval that the released lease called for.

A lease now carries the wait that its taking requires and the time of the proposal, and a proposal of unknown outcome is kept with both. A read that finds this term continues it, within the lease's duration, after which others may have held the lease. Any other lease of this process (a late write, a restored store) is taken as a new term with a new epoch, which waits the whole duration. The wait begins at the proposal rather than before the read: a release may fall between the two. lease_taken says the wait.

--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -197,6 +197,7 @@
     "version": _WHOLE,
     "version_in_force": _WHOLE,
     "versions": _TEXTS,
+    "wait": _TEXT,
     "wait_ms": _WHOLE,
     "why_final": _TEXT,
     "window_ms": _WHOLE,
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -406,8 +406,16 @@
     "lease_taken": Message(
         _STATE,
         "this instance acquired a lease; `found_epoch` and `found_holder` are"
-        " those of the stored one before",
-        ("deployment", "epoch", "found_epoch", "found_holder", "version"),
+        " those of the stored one before; `wait` is the time that it leaves"
+        " to former holders: none, guard (interval) or (its) duration",
+        (
+            "deployment",
+            "epoch",
+            "found_epoch",
+            "found_holder",
+            "version",
+            "wait",
+        ),
     ),
     "lease_unavailable": Message(
         _STATE, "the lease could not be read or renewed", ("error",)
--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -16,6 +16,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+import enum
 import hashlib
 import random
 import typing
@@ -54,15 +55,27 @@
     renewals: int = 0
 
 
+class Wait(enum.Enum):
+    """How long the taker of a lease leaves to what its former holder sent."""
+
+    # Former holders stopped long ago.
+    NONE = "none"
+    # The former holder may have acted until it released the lease.
+    GUARD = "guard"
+    # A former holder may not know yet that the lease was taken.
+    DURATION = "duration"
+
+
 class HeldLease(typing.NamedTuple):
-    """A lease that this instance holds."""
+    """A lease that this instance holds, or proposed to hold."""
 
     shard: str
     lease: Lease
     # Of the stored object, for the next conditional update.
     version: int
-    # The stored lease before it was taken, if known.
-    previous: Lease | None = None
+    wait: Wait = Wait.NONE
+    # Since boot, before the write that took the lease. ``wait`` begins then.
+    proposed_at: int = 0
 
 
 class LeaseLostError(Exception):
@@ -131,6 +144,9 @@
         self._random = random_source
         self._incarnation = f"{random_source.getrandbits(64):016x}"
         self._observations: dict[str, _Observation] = {}
+        # Leases that were proposed last, while it is unknown whether they
+        # were written.
+        self._proposals: dict[str, HeldLease] = {}
 
     @property
     def duration_ms(self) -> int:
@@ -164,44 +180,77 @@
     async def try_take(self, shard: str) -> HeldLease | None:
         """Take a lease that is free or expired; return None for any other.
 
+        A lease of this process that isn't the one it proposed last was
+        written late, or comes from a restored store. Others may have held
+        the lease since, so it is taken again.
+
         :raises _objects.UnavailableError: if the API does not answer. If
             the lease was taken and only the answer was lost, the next call
-            recognises it by its incarnation.
+            continues what was proposed.
         """
         found = await self._objects.get(KIND, shard)
         current = parse(found)
-        if current is not None and self._is_own(current):
-            return await self._renew_own(shard, current, found.version)
-        if not self._is_available(found, current):
+        proposal = self._proposals.pop(shard, None)
+        if proposal is not None and self._is_continued(current, proposal):
+            return await self._continue(
+                proposal._replace(lease=current, version=found.version)
+            )
+        wait = self._find_wait(found, current)
+        if wait is None:
             return None
         # Candidates may notice the expiry at the same time.
         max_delay_ms = self._duration_ms * TAKE_JITTER
         jitter_ms = self._random.uniform(0, max_delay_ms)
         await self._clock.sleep(self._take_delay_ms + jitter_ms)
         epoch = current.epoch + 1 if current else _first_epoch(found)
-        proposed = self._new_lease(epoch)
+        proposal = HeldLease(
+            shard,
+            self._new_lease(epoch),
+            found.version,
+            wait,
+            self._clock.since_boot(),
+        )
         try:
-            written = await self._objects.put(
-                KIND, shard, proposed._asdict(), found.version
-            )
+            written = await self._put(proposal, proposal.lease)
         except _objects.ConflictError:
             return None
-        taken = self._record_taken(shard, proposed, written.version, current)
-        return taken._replace(previous=current)
+        except _objects.UnavailableError:
+            self._proposals[shard] = proposal
+            raise
+        taken = proposal._replace(version=written.version)
+        _log_taken(taken, current)
+        return taken
+
+    def _is_continued(
+        self, current: Lease | None, proposal: HeldLease
+    ) -> typing.TypeGuard[Lease]:
+        """Whether the stored lease is still the term that was proposed.
+
+        Others may have held it after its duration, and a restored store
+        would show it all the same.
+        """
+        age_ms = self._clock.since_boot() - proposal.proposed_at
+        return (
+            current is not None
+            and self._is_same_term(current, proposal.lease)
+            and age_ms < self._duration_ms
+        )
 
-    async def _renew_own(
-        self, shard: str, lease: Lease, version: int
-    ) -> HeldLease | None:
-        """Renew a lease that was read as held by this process.
+    async def _continue(self, proposal: HeldLease) -> HeldLease | None:
+        """Renew a lease that was written although its answer was lost.
 
         Returns None if another instance has taken it: what was read may be
         out of date.
         """
         try:
-            held = await self.renew(HeldLease(shard, lease, version))
+            held = await self.renew(proposal)
         except LeaseLostError:
             return None
-        return self._record_taken(shard, held.lease, held.version, lease)
+        except _objects.UnavailableError:
+            self._proposals[proposal.shard] = proposal
+            raise
+        _log_taken(held, proposal.lease)
+        return held
 
     async def renew(self, held: HeldLease) -> HeldLease:
         """Write the lease again, so that its object changes.
@@ -284,29 +333,11 @@
         """Whether the lease was not taken again since ``held``."""
         return self._is_own(lease) and lease.epoch == held.epoch
 
-    def _record_taken(
-        self, shard: str, lease: Lease, version: int, found: Lease | None
-    ) -> HeldLease:
-        """Log that the lease was taken, and return it as held.
-
-        :param found: the stored lease before; None without a valid one.
-        """
-        _logs.event(
-            "lease_taken",
-            deployment=shard,
-            epoch=lease.epoch,
-            version=version,
-            found_epoch=found.epoch if found else None,
-            found_holder=found.holder if found else None,
-        )
-        return HeldLease(shard, lease, version)
-
-    def _is_available(
+    def _find_wait(
         self, found: _objects.Object, lease: Lease | None
-    ) -> bool:
-        """Whether this instance may take the lease.
+    ) -> Wait | None:
+        """Return how the lease may be taken; None if another one holds it.
 
-        It is absent, released, expired or held by an earlier process here.
         It is expired if its object did not change for its duration. An
         unreadable lease expires after this instance's own duration.
         """
@@ -316,13 +347,33 @@
             holder = lease.holder if lease else ""
             observation = _Observation(found.version, now, holder)
             self._observations[found.name] = observation
-        if found.value is None or (lease and not lease.holder):
-            return True
+        if found.value is None:
+            return Wait.NONE
+        if lease and not lease.holder:
+            return Wait.GUARD
         if lease and lease.holder == self._holder:
             # An earlier process of this instance held it and has ended.
-            return True
+            return Wait.DURATION if self._is_own(lease) else Wait.NONE
         duration_ms = lease.duration_ms if lease else self._duration_ms
-        return now - observation.observed_at >= duration_ms
+        if now - observation.observed_at >= duration_ms:
+            return Wait.NONE
+        return None
+
+
+def _log_taken(taken: HeldLease, found: Lease | None) -> None:
+    """Log that a lease was taken.
+
+    :param found: the stored lease before; None without a valid one.
+    """
+    _logs.event(
+        "lease_taken",
+        deployment=taken.shard,
+        epoch=taken.lease.epoch,
+        version=taken.version,
+        found_epoch=found.epoch if found else None,
+        found_holder=found.holder if found else None,
+        wait=taken.wait.value,
+    )
 
 
 def parse(found: _objects.Object) -> Lease | None:
--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -184,10 +184,17 @@
         # The time before the write counts: the machine may have been
         # suspended after it.
         self._renewed_at = before
-        # A holder that released the lease may have sent an order just
-        # before. After an expiry the guard interval has already passed.
-        released = held.previous is not None and not held.previous.holder
-        self._may_order_from = before + (self._guard_ms if released else 0)
+        self._may_order_from = held.proposed_at + self._wait_ms(held.wait)
+
+    def _wait_ms(self, wait: _leases.Wait) -> int:
+        """Return the time from taking the lease to the first order."""
+        match wait:
+            case _leases.Wait.NONE:
+                return 0
+            case _leases.Wait.GUARD:
+                return self._guard_ms
+            case _leases.Wait.DURATION:
+                return self._leases.duration_ms
 
     async def _renew(self, held: _leases.HeldLease) -> None:
         sent_at = self._clock.since_boot()
