Store in the lease whether its holder's wait is over

What callers saw: orders of two controllers to one replica 1.7 to 2.5 s apart. The taker of a released lease is killed while it waits. Its next process finds a lease of its own machine, takes it at once and orders: that the dead process still waited was known nowhere.

The stored lease has wait_over, written by the taking itself if nothing must be waited for, otherwise by the first renewal after the wait; it is absent, thus false, in leases of older builds. Whoever takes a lease of its own machine, or a released one, whose holder's wait wasn't over waits the whole duration. The guard interval alone would be too short if the holder waited for one that doesn't know yet that it lost the lease. A handover from an older build therefore waits the duration, too.

--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -53,6 +53,9 @@
     # Rises with each renewal, so that each renewal changes the object.
     # Watchers would not notice a write of equal content.
     renewals: int = 0
+    # The holder's wait for former holders has ended: a later process of its
+    # machine needn't wait for them. Older builds don't write it.
+    wait_over: bool = False
 
 
 class Wait(enum.Enum):
@@ -205,7 +208,7 @@
         epoch = current.epoch + 1 if current else _first_epoch(found)
         proposal = HeldLease(
             shard,
-            self._new_lease(epoch),
+            self._new_lease(epoch)._replace(wait_over=wait is Wait.NONE),
             found.version,
             wait,
             self._clock.since_boot(),
@@ -252,13 +255,19 @@
         _log_taken(held, proposal.lease)
         return held
 
-    async def renew(self, held: HeldLease) -> HeldLease:
+    async def renew(
+        self, held: HeldLease, wait_over: bool = False
+    ) -> HeldLease:
         """Write the lease again, so that its object changes.
 
+        :param wait_over: whether the wait of ``held`` has ended.
         :raises LeaseLostError: if another instance has taken it.
         :raises _objects.UnavailableError: if the outcome is unknown.
         """
-        renewed = held.lease._replace(renewals=held.lease.renewals + 1)
+        renewed = held.lease._replace(
+            renewals=held.lease.renewals + 1,
+            wait_over=held.lease.wait_over or wait_over,
+        )
         try:
             written = await self._put(held, renewed)
         except _objects.ConflictError as conflict:
@@ -349,16 +358,23 @@
             self._observations[found.name] = observation
         if found.value is None:
             return Wait.NONE
-        if lease and not lease.holder:
-            return Wait.GUARD
-        if lease and lease.holder == self._holder:
-            # An earlier process of this instance held it and has ended.
-            return Wait.DURATION if self._is_own(lease) else Wait.NONE
+        if lease and lease.holder in ("", self._holder):
+            return self._wait_after(lease)
         duration_ms = lease.duration_ms if lease else self._duration_ms
         if now - observation.observed_at >= duration_ms:
             return Wait.NONE
         return None
 
+    def _wait_after(self, lease: Lease) -> Wait:
+        """Return the wait for a lease that was released or held here.
+
+        Its holder may itself have waited for others. An earlier process of
+        this instance has ended.
+        """
+        if self._is_own(lease) or not lease.wait_over:
+            return Wait.DURATION
+        return Wait.NONE if lease.holder else Wait.GUARD
+
 
 def _log_taken(taken: HeldLease, found: Lease | None) -> None:
     """Log that a lease was taken.
@@ -387,6 +403,7 @@
             int(found.value["epoch"]),
             int(found.value["duration_ms"]),
             int(found.value.get("renewals", 0)),
+            _read_flag(found.value, "wait_over"),
         )
     except (
         AttributeError,
@@ -407,6 +424,17 @@
     return lease
 
 
+def _read_flag(value: dict[str, typing.Any], name: str) -> bool:
+    """Return a field that is absent in leases of older builds.
+
+    :raises TypeError: if it isn't a truth value.
+    """
+    flag = value.get(name, False)
+    if not isinstance(flag, bool):
+        raise TypeError(f"{name} is {flag!r}")
+    return flag
+
+
 def _first_epoch(found: _objects.Object) -> int:
     """Return the epoch for a lease that is absent or unreadable.
 
--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -199,7 +199,9 @@
     async def _renew(self, held: _leases.HeldLease) -> None:
         sent_at = self._clock.since_boot()
         try:
-            renewed = await self._leases.renew(held)
+            renewed = await self._leases.renew(
+                held, wait_over=sent_at >= self._may_order_from
+            )
         except _leases.LeaseLostError as error:
             error.log()
             self._held = None
