Check the lease again as an order is written

Cause: the lease was checked before the connection was opened, and the order written after it, up to ORDER_TIMEOUT_MS later, and any time later if the process was stopped in between.

A lease that ends, or that is lost and taken once more, while the connection is opened lets the order through, which arrives at a listener.

Fix: the permission is passed down, and asked before each part of the request is written. Between the question and the system call the event loop runs nothing else, as the connection's stream is only waited for when its buffer is full. An order without its body isn't one, so what is withheld counts as not sent. The permission holds for the term in which the order was made. The log line of an order has `written_after_ms`, null if it wasn't written: with the line's time and `took_ms` it tells a late order.

--- a/emulator/_control_plane.py
+++ b/emulator/_control_plane.py
@@ -115,8 +115,12 @@
         self._engines = {engine.name: engine for engine in engines}
         self._clock = clock
 
-    async def send(self, order: platform.Order) -> platform.OrderResult:
+    async def send(
+        self, order: platform.Order, may_write: Callable[[], bool]
+    ) -> platform.OrderResult:
         """Send an order to an engine and return its result."""
+        if not may_write():
+            return platform.OrderResult.REFUSED
         await self._clock.sleep(CALL_LATENCY_MS)
         engine = self._engines[order.replica]
         reply = engine.apply_order(
--- a/src/geraniumlink/_http.py
+++ b/src/geraniumlink/_http.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import json
 import typing
@@ -33,6 +34,10 @@
     """The connection was refused: no process listens at the address."""
 
 
+class WithheldError(NotSentError):
+    """The request might no longer be sent; at most a part of it was."""
+
+
 class BrokenError(Exception):
     """The request may have been sent, but no complete response arrived."""
 
@@ -99,14 +104,40 @@
         self._left_bytes -= len(data)
 
 
-class _LimitedStream(httpcore.AsyncNetworkStream):
-    """A network stream with a limit of heads."""
+class WritePermission(typing.NamedTuple):
+    """When a request may be written."""
+
+    # Asked immediately before each write.
+    may_write: Callable[[], bool]
+
+
+class _Call:
+    """The call that is in progress on a connection, if any."""
+
+    def __init__(self) -> None:
+        self.head_limit = _HeadLimit()
+        # None if the request may be written at any time.
+        self.permission: WritePermission | None = None
+
+    @contextlib.contextmanager
+    def begun(
+        self, permission: WritePermission | None
+    ) -> typing.Iterator[None]:
+        """Begin a call; end when the head of its response is complete."""
+        self.permission = permission
+        with self.head_limit.applied():
+            yield
+
+
+class _CallStream(httpcore.AsyncNetworkStream):
+    """A network stream that applies what is set for a call."""
 
     def __init__(
-        self, stream: httpcore.AsyncNetworkStream, limit: _HeadLimit
+        self, stream: httpcore.AsyncNetworkStream, call: _Call
     ) -> None:
         self._stream = stream
-        self._limit = limit
+        self._call = call
+        self._limit = call.head_limit
 
     async def read(
         self, max_bytes: int, timeout: float | None = None
@@ -118,6 +149,11 @@
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        permission = self._call.permission
+        # The write below passes the bytes to the kernel before the event loop
+        # runs anything else. Writes without bytes end the request.
+        if permission is not None and buffer and not permission.may_write():
+            raise WithheldError("the request may no longer be sent")
         await self._stream.write(buffer, timeout)
 
     async def aclose(self) -> None:
@@ -127,17 +163,17 @@
         return self._stream.get_extra_info(info)
 
 
-class _LimitedBackend(httpcore.AnyIOBackend):
-    """Opens network streams with a limit of heads."""
+class _CallBackend(httpcore.AnyIOBackend):
+    """Opens the network streams of a connection."""
 
-    def __init__(self, limit: _HeadLimit) -> None:
-        self._limit = limit
+    def __init__(self, call: _Call) -> None:
+        self._call = call
 
     async def connect_tcp(
         self, *args: typing.Any, **options: typing.Any
     ) -> httpcore.AsyncNetworkStream:
         stream = await super().connect_tcp(*args, **options)
-        return _LimitedStream(stream, self._limit)
+        return _CallStream(stream, self._call)
 
 
 class _Connection(httpcore.AsyncHTTPConnection):
@@ -147,20 +183,20 @@
     """
 
     def __init__(self, origin: httpcore.Origin) -> None:
-        self._head_limit = _HeadLimit()
+        self._call = _Call()
         # No retries in httpcore: whether a failed connection attempt is
         # repeated is up to the caller, who wouldn't see those retries.
         super().__init__(
             origin,
             keepalive_expiry=IDLE_EXPIRY_S,
             retries=0,
-            network_backend=_LimitedBackend(self._head_limit),
+            network_backend=_CallBackend(self._call),
         )
 
     async def handle_async_request(
         self, request: httpcore.Request
     ) -> httpcore.Response:
-        with self._head_limit.applied():
+        with self._call.begun(request.extensions.get("permission")):
             return await super().handle_async_request(request)
 
 
@@ -238,10 +274,12 @@
         body: bytes = b"",
         connect_ms: int = 1000,
         read_ms: int = 600_000,
+        permission: WritePermission | None = None,
     ) -> AsyncIterator[httpcore.Response]:
         """Send a request and yield the response, its body not yet read.
 
-        :raises NotSentError: if no connection was established.
+        :raises NotSentError: if no connection was established, or the request
+            may not be written.
         :raises BrokenError: on any later failure, also while the body is
             being read.
         """
@@ -268,7 +306,7 @@
             url,
             headers=sent_headers,
             content=body,
-            extensions={"timeout": timeouts},
+            extensions={"timeout": timeouts, "permission": permission},
         )
         pool = await self._pool_for(address)
         async with pool.borrow() as connection:
@@ -308,10 +346,12 @@
         connect_ms: int = 1000,
         read_ms: int = 600_000,
         max_body_bytes: int = MAX_BODY_BYTES,
+        permission: WritePermission | None = None,
     ) -> Response:
         """Send a request and return the complete response.
 
-        :raises NotSentError: if no connection was established.
+        :raises NotSentError: if no connection was established, or the request
+            may not be written.
         :raises BrokenError: on any later failure, or if the body is larger
             than ``max_body_bytes``.
         """
@@ -323,6 +363,7 @@
             body=body,
             connect_ms=connect_ms,
             read_ms=read_ms,
+            permission=permission,
         ) as response:
             data = bytearray()
             async for chunk in response.aiter_stream():
--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -200,6 +200,8 @@
     "wait_ms": _WHOLE,
     "why_final": _TEXT,
     "window_ms": _WHOLE,
+    # Null if the order wasn't written.
+    "written_after_ms": Field(Kind.WHOLE, nullable=True),
 }
 # Fields whose type in one message differs from that in ``FIELDS``, by message
 # and field.
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -484,7 +484,8 @@
     ),
     "order": Message(
         _STATE,
-        "an order was sent to a replica; `verdict` is its result",
+        "an order to a replica ended with `verdict`; `written_after_ms` is"
+        " null if it was not written",
         (
             "adapter",
             "address",
@@ -496,6 +497,7 @@
             "replica",
             "took_ms",
             "verdict",
+            "written_after_ms",
         ),
     ),
     "order_reply": _order_step(
--- a/src/geraniumlink/platform/_orders.py
+++ b/src/geraniumlink/platform/_orders.py
@@ -32,7 +32,7 @@
     ACCEPTED = "the replica is carrying it out"
     HOLDS = "the replica is in the ordered state now"
     CONFLICT = "another order is in progress, or the order count differs"
-    REFUSED = "the replica refused it, or could not be connected to"
+    REFUSED = "the replica refused it, or it was not sent"
     NO_LISTENER = "the replica's process has ended: it refuses connections"
     UNKNOWN = (
         "no clear response; the replica may have accepted it, or still may"
@@ -76,11 +76,16 @@
         self._client = client
         self._note_announcement = note_announcement
 
-    async def send(self, order: Order) -> OrderResult:
+    async def send(
+        self, order: Order, may_write: Callable[[], bool]
+    ) -> OrderResult:
         """Send an order once and return what is known of it.
 
         No failure raises: one before the request was sent is ``REFUSED`` or
         ``NO_LISTENER``, and a later one is ``UNKNOWN``.
+
+        :param may_write: asked when the connection is open, immediately
+            before the order is written.
         """
         message = {
             "operation": "load" if order.load else "unload",
@@ -99,6 +104,7 @@
                     "POST",
                     "/v1/order",
                     orjson.dumps(message),
+                    _http.WritePermission(may_write),
                 )
         except _http.NoListenerError:
             return OrderResult.NO_LISTENER
@@ -152,6 +158,7 @@
         method: str,
         path: str,
         body: bytes = b"",
+        permission: _http.WritePermission | None = None,
     ) -> _http.Response:
         """Send a request to a replica and pass on what it announces."""
         headers = [(b"X-Expect-Instance", replica.encode())]
@@ -166,6 +173,7 @@
             connect_ms=ORDER_TIMEOUT_MS,
             read_ms=ORDER_TIMEOUT_MS,
             max_body_bytes=MAX_RESPONSE_BYTES,
+            permission=permission,
         )
         self._note_announcement(
             replica,
--- a/src/geraniumlink/residency/_order_sender.py
+++ b/src/geraniumlink/residency/_order_sender.py
@@ -22,6 +22,34 @@
 ADAPTER_LOAD_MS = 15
 
 
+class _Term:
+    """Allows an order to be written in the term in which it was made."""
+
+    def __init__(
+        self,
+        leadership: _leadership.Leadership,
+        epoch: int,
+        clock: _clock.Clock,
+    ) -> None:
+        self._leadership = leadership
+        self._epoch = epoch
+        self._clock = clock
+        self.began_at = clock.now()
+        # None unless the whole order was written.
+        self.written_after_ms: int | None = None
+
+    def may_write(self) -> bool:
+        """Return whether a part of the order may be written now."""
+        self.written_after_ms = None
+        if (
+            self._leadership.epoch != self._epoch
+            or not self._leadership.may_order()
+        ):
+            return False
+        self.written_after_ms = self._clock.now() - self.began_at
+        return True
+
+
 class OrderSender:
     """Sends the controller's orders while its lease is held here.
 
@@ -210,9 +238,9 @@
             holder=self._instance,
             epoch=self._leadership.epoch,
         )
-        sent_at = self._clock.now()
-        verdict = await self._calls.send(order)
-        took_ms = self._clock.now() - sent_at
+        term = _Term(self._leadership, order.epoch, self._clock)
+        verdict = await self._calls.send(order, term.may_write)
+        took_ms = self._clock.now() - term.began_at
         # An unload of an adapter that no request uses is completed at once,
         # and the replica counts it as accepted.
         completed_at_once = (
@@ -229,6 +257,7 @@
             **order._asdict(),
             verdict=verdict.name,
             took_ms=took_ms,
+            written_after_ms=term.written_after_ms,
         )
         if verdict is platform.OrderResult.CONFLICT and adapter:
             await self.fetch_report(state)
--- a/tests/test_announced_leaving.py
+++ b/tests/test_announced_leaving.py
@@ -78,7 +78,8 @@
     client = builders.HttpClient(200, [(b"Server-Leaving", b"1")], b"{}")
     calls = _orders.OrderClient(client, lambda *news: heard.append(news))
     address = builders.replica_entry().address
-    await calls.send(_orders.Order("r-1", address, True, "m1", "", 0, "i", 1))
+    order = _orders.Order("r-1", address, True, "m1", "", 0, "i", 1)
+    await calls.send(order, lambda: True)
     assert heard == [("r-1", _LEAVES)]
 
 
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -570,7 +570,7 @@
         for cut in range(len(_head(b"", "connection", status))):
             broken = _head(b"", "connection", status)[:cut]
             server.answers[b""] = [_Answer(broken, end)]
-            result = await client.send(order)
+            result = await client.send(order, lambda: True)
             assert result is platform.OrderResult.UNKNOWN, cut
 
 
--- a/tests/test_ended_replicas.py
+++ b/tests/test_ended_replicas.py
@@ -22,11 +22,11 @@
         self.ended = set()
         self.orders = []
 
-    async def send(self, order):
+    async def send(self, order, may_write):
         self.orders.append(order)
         if order.replica in self.ended:
             return platform.OrderResult.NO_LISTENER
-        return await super().send(order)
+        return await super().send(order, may_write)
 
     async def fetch_report(self, replica, address):
         if replica in self.ended:
