Withdraw calls that are given up

With a higher order count in between the replica refuses it; without one it is carried out.

Cause: closing a connection leaves the bytes that the other side hasn't acknowledged in the kernel, which sends them again for as long as it likes. A process that is stopped can't even close.

Evidence: three new tests fail on the code before. A listener that reads nothing until an order, or another call, was given up got the whole request 1.2 s later; so it did while the sender's process stood still.

Fix: a connection whose response wasn't received to its end is reset as it is closed (SO_LINGER of 0 s), so that the kernel drops what wasn't acknowledged. This holds for all calls of the HTTP client: orders, reports, the store, engines. A connection with a complete response closes as before, unless the server said that it closes it. For orders the kernel also gives up data that isn't acknowledged within ORDER_TIMEOUT_MS (TCP_USER_TIMEOUT, where there is one), which needs no process.

Either part is needed: without SO_LINGER the test of any other call fails, without TCP_USER_TIMEOUT that of a stopped sender.

What remains: packets that are on their way as the order is given up, and bytes that the replica's kernel has while its process is stopped, arrive.

--- a/src/geraniumlink/_http.py
+++ b/src/geraniumlink/_http.py
@@ -2,7 +2,9 @@
 
 Errors say whether the server can have received the request: it can't have
 if the connection was never established (``NotSentError``), and it may have
-after any later failure (``BrokenError``).
+after any later failure (``BrokenError``). A call that is given up is
+withdrawn: its connection is reset, so that the kernel doesn't go on sending
+what the server hasn't acknowledged.
 """
 
 from __future__ import annotations
@@ -11,6 +13,8 @@
 from collections.abc import Callable
 import contextlib
 import json
+import socket
+import struct
 import typing
 
 import anyio
@@ -24,6 +28,9 @@
 # interim responses (1xx) included. Usual servers send heads of 8 to 16 KiB at
 # most.
 MAX_HEAD_BYTES = 32 * 2**10
+# Value of SO_LINGER with which closing a socket resets the connection and
+# drops what wasn't acknowledged.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class NotSentError(Exception):
@@ -105,10 +112,13 @@
 
 
 class WritePermission(typing.NamedTuple):
-    """When a request may be written."""
+    """When a request may be written, and how late it may be delivered."""
 
     # Asked immediately before each write.
     may_write: Callable[[], bool]
+    # The kernel gives the connection up if written data isn't acknowledged
+    # within this time, also while this process is stopped.
+    unacknowledged_ms: int
 
 
 class _Call:
@@ -118,6 +128,8 @@
         self.head_limit = _HeadLimit()
         # None if the request may be written at any time.
         self.permission: WritePermission | None = None
+        # Whether the last response was received to its end.
+        self.is_complete = False
 
     @contextlib.contextmanager
     def begun(
@@ -125,6 +137,7 @@
     ) -> typing.Iterator[None]:
         """Begin a call; end when the head of its response is complete."""
         self.permission = permission
+        self.is_complete = False
         with self.head_limit.applied():
             yield
 
@@ -150,15 +163,35 @@
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         permission = self._call.permission
-        # The write below passes the bytes to the kernel before the event loop
-        # runs anything else. Writes without bytes end the request.
-        if permission is not None and buffer and not permission.may_write():
-            raise WithheldError("the request may no longer be sent")
+        # Writes without bytes end the request.
+        if permission is not None and buffer:
+            self._bound_unacknowledged(permission.unacknowledged_ms)
+            # The write below passes the bytes to the kernel before the event
+            # loop runs anything else.
+            if not permission.may_write():
+                raise WithheldError("the request may no longer be sent")
         await self._stream.write(buffer, timeout)
 
+    def _bound_unacknowledged(self, timeout_ms: int) -> None:
+        if hasattr(socket, "TCP_USER_TIMEOUT"):
+            self._set_option(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+            )
+
     async def aclose(self) -> None:
+        if not self._call.is_complete:
+            self._set_option(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
         await self._stream.aclose()
 
+    def _set_option(self, level: int, option: int, value: int | bytes) -> None:
+        raw = self._stream.get_extra_info("socket")
+        # It fails if the connection has ended: then nothing is left to send.
+        with contextlib.suppress(OSError):
+            if raw is not None:
+                raw.setsockopt(level, option, value)
+
     def get_extra_info(self, info: str) -> typing.Any:
         return self._stream.get_extra_info(info)
 
@@ -177,7 +210,7 @@
 
 
 class _Connection(httpcore.AsyncHTTPConnection):
-    """A connection on which heads have a limit.
+    """A connection on which heads have a limit, and calls are withdrawn.
 
     httpcore drops interim responses, however many there are.
     """
@@ -199,6 +232,10 @@
         with self._call.begun(request.extensions.get("permission")):
             return await super().handle_async_request(request)
 
+    def note_end(self) -> None:
+        """Record whether the call was completed or given up."""
+        self._call.is_complete = self.is_available()
+
 
 class _ConnectionPool:
     """A pool of connections to one address that keeps idle ones for reuse.
@@ -237,6 +274,7 @@
         return _Connection(self._origin)
 
     async def _release(self, connection: _Connection) -> None:
+        connection.note_end()
         # Reusable only if its response has been read to the end.
         if self._keeps_alive and connection.is_available():
             self._idle.append(connection)
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -485,7 +485,7 @@
     "order": Message(
         _STATE,
         "an order to a replica ended with `verdict`; `written_after_ms` is"
-        " null if it was not written",
+        " null if it was not written, and one that is UNKNOWN was withdrawn",
         (
             "adapter",
             "address",
--- a/src/geraniumlink/platform/_orders.py
+++ b/src/geraniumlink/platform/_orders.py
@@ -82,7 +82,8 @@
         """Send an order once and return what is known of it.
 
         No failure raises: one before the request was sent is ``REFUSED`` or
-        ``NO_LISTENER``, and a later one is ``UNKNOWN``.
+        ``NO_LISTENER``, and a later one is ``UNKNOWN``. An order that isn't
+        answered in time is withdrawn: what wasn't delivered never will be.
 
         :param may_write: asked when the connection is open, immediately
             before the order is written.
@@ -104,7 +105,7 @@
                     "POST",
                     "/v1/order",
                     orjson.dumps(message),
-                    _http.WritePermission(may_write),
+                    _http.WritePermission(may_write, ORDER_TIMEOUT_MS),
                 )
         except _http.NoListenerError:
             return OrderResult.NO_LISTENER
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -18,13 +18,17 @@
 
 pytestmark = pytest.mark.anyio
 
+# More than the receive buffer of a connection that isn't read.
+_LONG_NAME = "a" * 200_000
 _RECEIVE_BUFFER_BYTES = 4096
+# Well over ORDER_TIMEOUT_MS, and less than the kernel's own patience.
+_SILENCE_S = 1.2
 
 
 class _Replica:
     """Listens, reads nothing for a while, and then whatever still comes."""
 
-    def __init__(self, silence_s=0):
+    def __init__(self, silence_s=_SILENCE_S):
         self._silence_s = silence_s
         self._listener = socket.socket()
         self._listener.setsockopt(
@@ -136,3 +140,44 @@
     # One question before the connection, and one for each part.
     assert replica.has_order == (allowed >= 3)
     assert bool(state.unconfirmed) == replica.has_order
+
+
+async def test_an_order_that_was_given_up_arrives_later():
+    with _Replica() as replica:
+        sender = _sender(_Leadership())
+        state = _state(replica.address)
+        assert not await sender.load_adapter(state, "m1", _LONG_NAME)
+        assert state.unconfirmed == {("m1", _LONG_NAME)}
+        await replica.wait()
+    assert replica.received
+    assert not replica.has_order
+
+
+async def test_a_call_that_was_given_up_arrives_later():
+    client = _http.Client()
+    with _Replica() as replica:
+        with pytest.raises(_http.BrokenError):
+            await client.post_json(
+                replica.address, "/v1/order", {"a": _LONG_NAME}, timeout_ms=200
+            )
+        await replica.wait()
+    assert replica.received
+    assert not replica.has_order
+
+
+@pytest.mark.skipif(
+    not hasattr(socket, "TCP_USER_TIMEOUT"), reason="the OS has no limit"
+)
+async def test_an_order_of_a_stopped_sender_arrives_later():
+    with _Replica() as replica:
+        sender = _sender(_Leadership())
+        async with anyio.create_task_group() as group:
+            group.start_soon(
+                sender.load_adapter, _state(replica.address), "m1", _LONG_NAME
+            )
+            await anyio.sleep(0.1)
+            # Stands in for a stop of the process: nothing is withdrawn.
+            time.sleep(2 * _SILENCE_S)
+        await replica.wait()
+    assert replica.received
+    assert not replica.has_order
