--- a/src/geraniumlink/_http.py
+++ b/src/geraniumlink/_http.py
@@ -2,14 +2,19 @@
 
 Errors say whether the server can have received the request: it can't have
 if the connection was never established (``NotSentError``), and it may have
-after any later failure (``BrokenError``).
+after any later failure (``BrokenError``). A call that is given up is
+withdrawn: its connection is reset, so that the kernel doesn't go on sending
+what the server hasn't acknowledged.
 """
 
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import json
+import socket
+import struct
 import typing
 
 import anyio
@@ -23,6 +28,9 @@
 # interim responses (1xx) included. Usual servers send heads of 8 to 16 KiB at
 # most.
 MAX_HEAD_BYTES = 32 * 2**10
+# Value of SO_LINGER with which closing a socket resets the connection and
+# drops what wasn't acknowledged.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class NotSentError(Exception):
@@ -33,6 +41,10 @@
     """The connection was refused: no process listens at the address."""
 
 
+class WithheldError(NotSentError):
+    """The request might no longer be sent; at most a part of it was."""
+
+
 class BrokenError(Exception):
     """The request may have been sent, but no complete response arrived."""
 
@@ -99,14 +111,46 @@
         self._left_bytes -= len(data)
 
 
-class _LimitedStream(httpcore.AsyncNetworkStream):
-    """A network stream with a limit of heads."""
+class WritePermission(typing.NamedTuple):
+    """When a request may be written, and how late it may be delivered."""
+
+    # Asked immediately before each write.
+    may_write: Callable[[], bool]
+    # The kernel gives the connection up if written data isn't acknowledged
+    # within this time, also while this process is stopped.
+    unacknowledged_ms: int
+
+
+class _Call:
+    """The call that is in progress on a connection, if any."""
+
+    def __init__(self) -> None:
+        self.head_limit = _HeadLimit()
+        # None if the request may be written at any time.
+        self.permission: WritePermission | None = None
+        # Whether the last response was received to its end.
+        self.is_complete = False
+
+    @contextlib.contextmanager
+    def begun(
+        self, permission: WritePermission | None
+    ) -> typing.Iterator[None]:
+        """Begin a call; end when the head of its response is complete."""
+        self.permission = permission
+        self.is_complete = False
+        with self.head_limit.applied():
+            yield
+
+
+class _CallStream(httpcore.AsyncNetworkStream):
+    """A network stream that applies what is set for a call."""
 
     def __init__(
-        self, stream: httpcore.AsyncNetworkStream, limit: _HeadLimit
+        self, stream: httpcore.AsyncNetworkStream, call: _Call
     ) -> None:
         self._stream = stream
-        self._limit = limit
+        self._call = call
+        self._limit = call.head_limit
 
     async def read(
         self, max_bytes: int, timeout: float | None = None
@@ -118,51 +162,80 @@
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        permission = self._call.permission
+        # Writes without bytes end the request.
+        if permission is not None and buffer:
+            self._bound_unacknowledged(permission.unacknowledged_ms)
+            # The write below passes the bytes to the kernel before the event
+            # loop runs anything else.
+            if not permission.may_write():
+                raise WithheldError("the request may no longer be sent")
         await self._stream.write(buffer, timeout)
 
+    def _bound_unacknowledged(self, timeout_ms: int) -> None:
+        if hasattr(socket, "TCP_USER_TIMEOUT"):
+            self._set_option(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+            )
+
     async def aclose(self) -> None:
+        if not self._call.is_complete:
+            self._set_option(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
         await self._stream.aclose()
 
+    def _set_option(self, level: int, option: int, value: int | bytes) -> None:
+        raw = self._stream.get_extra_info("socket")
+        # It fails if the connection has ended: then nothing is left to send.
+        with contextlib.suppress(OSError):
+            if raw is not None:
+                raw.setsockopt(level, option, value)
+
     def get_extra_info(self, info: str) -> typing.Any:
         return self._stream.get_extra_info(info)
 
 
-class _LimitedBackend(httpcore.AnyIOBackend):
-    """Opens network streams with a limit of heads."""
+class _CallBackend(httpcore.AnyIOBackend):
+    """Opens the network streams of a connection."""
 
-    def __init__(self, limit: _HeadLimit) -> None:
-        self._limit = limit
+    def __init__(self, call: _Call) -> None:
+        self._call = call
 
     async def connect_tcp(
         self, *args: typing.Any, **options: typing.Any
     ) -> httpcore.AsyncNetworkStream:
         stream = await super().connect_tcp(*args, **options)
-        return _LimitedStream(stream, self._limit)
+        return _CallStream(stream, self._call)
 
 
 class _Connection(httpcore.AsyncHTTPConnection):
-    """A connection on which heads have a limit.
+    """A connection on which heads have a limit, and calls are withdrawn.
 
     httpcore drops interim responses, however many there are.
     """
 
     def __init__(self, origin: httpcore.Origin) -> None:
-        self._head_limit = _HeadLimit()
+        self._call = _Call()
         # No retries in httpcore: whether a failed connection attempt is
         # repeated is up to the caller, who wouldn't see those retries.
         super().__init__(
             origin,
             keepalive_expiry=IDLE_EXPIRY_S,
             retries=0,
-            network_backend=_LimitedBackend(self._head_limit),
+            network_backend=_CallBackend(self._call),
         )
 
     async def handle_async_request(
         self, request: httpcore.Request
     ) -> httpcore.Response:
-        with self._head_limit.applied():
+        with self._call.begun(request.extensions.get("permission")):
             return await super().handle_async_request(request)
 
+    def note_end(self) -> None:
+        """Record whether the call was completed or given up."""
+        self._call.is_complete = self.is_available()
+
 
 class _ConnectionPool:
     """A pool of connections to one address that keeps idle ones for reuse.
@@ -201,6 +274,7 @@
         return _Connection(self._origin)
 
     async def _release(self, connection: _Connection) -> None:
+        connection.note_end()
         # Reusable only if its response has been read to the end.
         if self._keeps_alive and connection.is_available():
             self._idle.append(connection)
@@ -238,10 +312,12 @@
         body: bytes = b"",
         connect_ms: int = 1000,
         read_ms: int = 600_000,
+        permission: WritePermission | None = None,
     ) -> AsyncIterator[httpcore.Response]:
         """Send a request and yield the response, its body not yet read.
 
-        :raises NotSentError: if no connection was established.
+        :raises NotSentError: if no connection was established, or the request
+            may not be written.
         :raises BrokenError: on any later failure, also while the body is
             being read.
         """
@@ -268,7 +344,7 @@
             url,
             headers=sent_headers,
             content=body,
-            extensions={"timeout": timeouts},
+            extensions={"timeout": timeouts, "permission": permission},
         )
         pool = await self._pool_for(address)
         async with pool.borrow() as connection:
@@ -308,10 +384,12 @@
         connect_ms: int = 1000,
         read_ms: int = 600_000,
         max_body_bytes: int = MAX_BODY_BYTES,
+        permission: WritePermission | None = None,
     ) -> Response:
         """Send a request and return the complete response.
 
-        :raises NotSentError: if no connection was established.
+        :raises NotSentError: if no connection was established, or the request
+            may not be written.
         :raises BrokenError: on any later failure, or if the body is larger
             than ``max_body_bytes``.
         """
@@ -323,6 +401,7 @@
             body=body,
             connect_ms=connect_ms,
             read_ms=read_ms,
+            permission=permission,
         ) as response:
             data = bytearray()
             async for chunk in response.aiter_stream():
