Wait for holders that the store forgot

What callers saw: orders of two instances to one replica within the minimum interval after the store came back with less. An absent lease was taken at once and its taker ordered at once, although a holder whose lease the store forgot may order until its window ends. A version number that the restored store gave again counted as the lease unchanged.

The taker of an absent or unreadable lease waits its whole duration, and so does that of a lease with a lower epoch than was seen here before. An observation is of one lease only if epoch, renewals and holder are the same, too. The controller's answers carry lease_epoch and lease_renewals with lease_version, so that what it reports still stands in for a read; without them (older builds) the time until the lease expires starts at the first read. A release says, too, whether the wait was over.

The first start waits, too. Four tests of test_residency_state.py took the first holder of an absent lease to order at once; they now wait for its first order and then check the same as before.

--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -115,12 +115,32 @@
         """Write the object if its version is ``if_version``."""
 
 
+class _Content(typing.NamedTuple):
+    """What tells two leases apart that have one version in two histories."""
+
+    epoch: int
+    renewals: int
+    holder: str
+
+
 class _Observation(typing.NamedTuple):
     """A version of a stored lease, and when it was first seen here."""
 
     version: int
     observed_at: int
     holder: str
+    # None if the lease is absent or unreadable, or if its holder, of an older
+    # build, reported its version alone.
+    content: _Content | None
+
+    def is_newer_than(self, known: _Observation) -> bool:
+        """Whether another lease was seen before this one was written.
+
+        A restored store gives versions again, but epochs rise.
+        """
+        if self.content is None or known.content is None:
+            return self.version > known.version
+        return self.content[:2] > known.content[:2]
 
 
 class Leases:
@@ -147,6 +167,8 @@
         self._random = random_source
         self._incarnation = f"{random_source.getrandbits(64):016x}"
         self._observations: dict[str, _Observation] = {}
+        # The highest epoch seen of each lease.
+        self._highest_epochs: dict[str, int] = {}
         # Leases that were proposed last, while it is unknown whether they
         # were written.
         self._proposals: dict[str, HeldLease] = {}
@@ -161,16 +183,30 @@
         return observation.holder if observation else ""
 
     def record_observation(
-        self, shard: str, version: int, holder: str
+        self,
+        shard: str,
+        version: int,
+        holder: str,
+        epoch: int | None = None,
+        renewals: int | None = None,
     ) -> None:
         """Record a lease version that its holder reported.
 
         It has the effect of reading the lease, without a call of the API.
+
+        :param epoch: None if the holder didn't report it, as in older
+            builds; the lease then counts as unseen when it is read.
+        :param renewals: as ``epoch``.
         """
+        content = None
+        if epoch is not None and renewals is not None:
+            content = _Content(epoch, renewals, holder)
+            self._note_epoch(shard, epoch)
+        now = self._clock.now()
+        reported = _Observation(version, now, holder, content)
         known = self._observations.get(shard)
-        if known is None or known.version < version:
-            now = self._clock.now()
-            self._observations[shard] = _Observation(version, now, holder)
+        if known is None or reported.is_newer_than(known):
+            self._observations[shard] = reported
 
     async def read_holder(self, shard: str) -> str:
         """Return the holder as stored; '' if there is none.
@@ -280,10 +316,16 @@
             )
         return held._replace(lease=renewed, version=written.version)
 
-    async def release(self, held: HeldLease) -> None:
-        """Let another instance take the lease at once; log a failure."""
+    async def release(self, held: HeldLease, wait_over: bool = False) -> None:
+        """Let another instance take the lease at once; log a failure.
+
+        :param wait_over: as for ``renew``.
+        """
+        released = held.lease._replace(
+            holder="", wait_over=held.lease.wait_over or wait_over
+        )
         try:
-            await self._write_released(held)
+            await self._write_released(held, released)
         except (_objects.ConflictError, _objects.UnavailableError) as error:
             _logs.event(
                 "lease_not_released", shard=held.shard, error=str(error)
@@ -304,7 +346,7 @@
         if current is not None and self._is_own(current):
             await self.release(HeldLease(shard, current, found.version))
 
-    async def _write_released(self, held: HeldLease) -> None:
+    async def _write_released(self, held: HeldLease, released: Lease) -> None:
         """Write that nobody holds the lease.
 
         A renewal that was given up, or whose answer was lost, may have
@@ -312,7 +354,6 @@
 
         :raises _objects.ConflictError: if another instance has taken it.
         """
-        released = held.lease._replace(holder="")
         try:
             await self._put(held, released)
         except _objects.ConflictError as conflict:
@@ -348,30 +389,49 @@
         """Return how the lease may be taken; None if another one holds it.
 
         It is expired if its object did not change for its duration. An
-        unreadable lease expires after this instance's own duration.
+        unreadable lease expires after this instance's own duration. Of an
+        absent or unreadable one nothing is known about former holders.
         """
-        now = self._clock.now()
-        observation = self._observations.get(found.name)
-        if observation is None or observation.version != found.version:
-            holder = lease.holder if lease else ""
-            observation = _Observation(found.version, now, holder)
-            self._observations[found.name] = observation
+        observed_at = self._observe(found, lease)
         if found.value is None:
-            return Wait.NONE
+            return Wait.DURATION
         if lease and lease.holder in ("", self._holder):
-            return self._wait_after(lease)
+            return self._wait_after(found.name, lease)
         duration_ms = lease.duration_ms if lease else self._duration_ms
-        if now - observation.observed_at >= duration_ms:
-            return Wait.NONE
-        return None
-
-    def _wait_after(self, lease: Lease) -> Wait:
+        if self._clock.now() - observed_at < duration_ms:
+            return None
+        return Wait.NONE if lease else Wait.DURATION
+
+    def _observe(self, found: _objects.Object, lease: Lease | None) -> int:
+        """Record the stored lease; return when it was first seen so."""
+        content, holder = None, ""
+        if lease is not None:
+            content = _Content(lease.epoch, lease.renewals, lease.holder)
+            holder = lease.holder
+            self._note_epoch(found.name, lease.epoch)
+        now = self._clock.now()
+        observation = _Observation(found.version, now, holder, content)
+        known = self._observations.get(found.name)
+        if known is not None and known == observation._replace(
+            observed_at=known.observed_at
+        ):
+            return known.observed_at
+        self._observations[found.name] = observation
+        return now
+
+    def _note_epoch(self, shard: str, epoch: int) -> None:
+        highest = self._highest_epochs.get(shard, 0)
+        self._highest_epochs[shard] = max(highest, epoch)
+
+    def _wait_after(self, shard: str, lease: Lease) -> Wait:
         """Return the wait for a lease that was released or held here.
 
-        Its holder may itself have waited for others. An earlier process of
-        this instance has ended.
+        Its holder may itself have waited for others, and a restored store
+        may have forgotten later holders. An earlier process of this instance
+        has ended.
         """
-        if self._is_own(lease) or not lease.wait_over:
+        is_last = lease.epoch >= self._highest_epochs.get(shard, 0)
+        if self._is_own(lease) or not lease.wait_over or not is_last:
             return Wait.DURATION
         return Wait.NONE if lease.holder else Wait.GUARD
 
--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -367,6 +367,8 @@
         # on.
         if sender != self._instance and self._leadership.may_order():
             answer["lease_version"] = self._leadership.lease_version
+            answer["lease_epoch"] = self._leadership.epoch
+            answer["lease_renewals"] = self._leadership.lease_renewals
             answer["objects"] = self._relay.encode_changes(report["known"])
             answer["objects_age_ms"] = self._relay.confirmed_ages_ms()
         return answer
@@ -399,7 +401,9 @@
             self._part_sync.apply_answer(answer["suspected_parts"])
             if "objects" in answer:
                 self._leadership.record_leader_renewal(
-                    int(answer["lease_version"])
+                    int(answer["lease_version"]),
+                    _decode_optional(answer.get("lease_epoch")),
+                    _decode_optional(answer.get("lease_renewals")),
                 )
                 self._relay.apply_changes(
                     answer["objects"], answer.get("objects_age_ms"), sent_at
@@ -595,3 +599,8 @@
                 replica.note_loaded(
                     requirement.model, requirement.adapter, now
                 )
+
+
+def _decode_optional(count: typing.Any) -> int | None:
+    """Return a count that instances of older versions don't send."""
+    return None if count is None else int(count)
--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -85,6 +85,11 @@
         """The stored version of the lease; 0 when it isn't held here."""
         return self._held.version if self._held else 0
 
+    @property
+    def lease_renewals(self) -> int:
+        """How often the lease was renewed; 0 when it isn't held here."""
+        return self._held.lease.renewals if self._held else 0
+
     @property
     def is_leader(self) -> bool:
         """Whether this instance believes that it holds the lease.
@@ -111,12 +116,19 @@
             self._may_order_from <= now < self._renewed_at + ORDERING_WINDOW_MS
         )
 
-    def record_leader_renewal(self, lease_version: int) -> None:
+    def record_leader_renewal(
+        self, lease_version: int, epoch: int | None, renewals: int | None
+    ) -> None:
         """Record the lease version that the leader reports to have written.
 
         For a short time it stands in for a read of the lease.
+
+        :param epoch: None if the leader is of a build that doesn't send it.
+        :param renewals: as ``epoch``.
         """
-        self._leases.record_observation(SHARD, lease_version, self._leader)
+        self._leases.record_observation(
+            SHARD, lease_version, self._leader, epoch, renewals
+        )
         self._leader_confirmed_until = self._clock.now() + LEADER_CONFIRMED_MS
 
     def call_on_store_recovery(self, callback: Callable[[], None]) -> None:
@@ -163,13 +175,13 @@
         self._released = True
         held, self._held = self._held, None
         if held is not None:
-            await self._leases.release(held)
+            await self._leases.release(held, self._is_wait_over())
 
     async def _yield(self) -> None:
         """Release the lease if it is held, and look who holds it."""
         held, self._held = self._held, None
         if held is not None:
-            await self._leases.release(held)
+            await self._leases.release(held, self._is_wait_over())
         self._leader = await self._leases.read_holder(SHARD)
 
     async def _try_acquire(self) -> None:
@@ -186,6 +198,10 @@
         self._renewed_at = before
         self._may_order_from = held.proposed_at + self._wait_ms(held.wait)
 
+    def _is_wait_over(self) -> bool:
+        """Whether the lease acquired last was waited for long enough."""
+        return self._clock.since_boot() >= self._may_order_from
+
     def _wait_ms(self, wait: _leases.Wait) -> int:
         """Return the time from taking the lease to the first order."""
         match wait:
@@ -199,9 +215,7 @@
     async def _renew(self, held: _leases.HeldLease) -> None:
         sent_at = self._clock.since_boot()
         try:
-            renewed = await self._leases.renew(
-                held, wait_over=sent_at >= self._may_order_from
-            )
+            renewed = await self._leases.renew(held, self._is_wait_over())
         except _leases.LeaseLostError as error:
             error.log()
             self._held = None
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -108,3 +108,71 @@
     stored = builders.stored_lease(api)
     changed = stored._replace(value={**stored.value, "wait_over": flag})
     assert _leases.parse(changed) is None
+
+
+async def test_absent_lease_may_have_a_holder_that_the_store_forgot(
+    api, clock, machine
+):
+    first, second = machine("m1"), machine("m2")
+    await first.step_until_first_order()
+    builders.restore(api, None)
+    assert first.leadership.may_order()
+    last_order = clock.now()
+    first_order = await second.step_until_first_order()
+    assert first_order - last_order >= builders.DURATION_MS
+
+
+@pytest.mark.parametrize("release", (True, False))
+async def test_restored_lease_forgets_a_later_holder_that_was_seen(
+    api, clock, machine, release
+):
+    first, second = machine("m1"), machine("m2")
+    await first.step_until_first_order()
+    await first.step()
+    if release:
+        await first.leadership.release()
+    old = builders.stored_lease(api)
+    await second.step_until_first_order()
+    next_process = machine("m1", process=2)
+    await next_process.step()
+    builders.restore(api, old)
+    last_order = clock.now()
+    first_order = await next_process.step_until_first_order()
+    assert first_order - last_order >= builders.DURATION_MS
+
+
+@pytest.mark.parametrize("is_reported", (True, False))
+async def test_version_given_again_by_a_restored_store_is_another_lease(
+    api, clock, machine, is_reported
+):
+    first, second = machine("m1"), machine("m2")
+    await first.step_until_first_order()
+    old = builders.stored_lease(api)
+    await first.step()
+    leader = first.leadership
+    if is_reported:
+        second.leadership._leader = leader.leader
+        second.leadership.record_leader_renewal(
+            leader.lease_version, leader.epoch, leader.lease_renewals
+        )
+    else:
+        await second.step()
+    version = builders.stored_lease(api).version
+    clock.advance(builders.DURATION_MS)
+    builders.restore(api, old._replace(version=version))
+    assert not await second.step()
+    assert not second.leadership.is_leader
+
+
+async def test_lease_that_its_holder_reported_expires_without_a_read(
+    clock, machine
+):
+    first, second = machine("m1"), machine("m2")
+    await first.step_until_first_order()
+    leader = first.leadership
+    second.leadership._leader = leader.leader
+    second.leadership.record_leader_renewal(
+        leader.lease_version, leader.epoch, leader.lease_renewals
+    )
+    clock.advance(builders.DURATION_MS)
+    assert await second.step()
--- a/tests/test_residency_state.py
+++ b/tests/test_residency_state.py
@@ -248,6 +248,18 @@
         return
 
 
+async def _wait_for_orders(leadership, clock):
+    """Renew until the wait of an absent lease's taker is over, and once more.
+
+    The lease then says that it is over.
+    """
+    await _step(leadership)
+    while not leadership.may_order():
+        clock.advance(_leadership.RENEWAL_INTERVAL_MS)
+        await _step(leadership)
+    await _step(leadership)
+
+
 async def _race_for_lease(clock):
     """Return the holder: the slow link's instance looks first."""
     store = _Store()
@@ -284,7 +296,7 @@
     clock, store = _clock.ManualClock(start=10_000), _Store()
     first = _leadership_of(store, clock, "10.0.0.1:1")
     second = _leadership_of(store, clock, "10.0.0.2:1")
-    await _step(first)
+    await _wait_for_orders(first, clock)
     await _step(second)
     assert first.may_order()
     last_order = clock.now()
@@ -355,7 +367,7 @@
     clock, store = _clock.ManualClock(start=10_000), _Store()
     first = _leadership_of(store, clock, "10.0.0.1:1")
     second = _leadership_of(store, clock, "10.0.0.2:1")
-    await _step(first)
+    await _wait_for_orders(first, clock)
     for _ in range(40):
         clock.advance(_leadership.RENEWAL_INTERVAL_MS)
         await _step(first)
@@ -370,7 +382,7 @@
     clock, store = _clock.ManualClock(start=10_000), _Store()
     first = _leadership_of(store, clock, "10.0.0.1:1")
     second = _leadership_of(store, clock, "10.0.0.2:1")
-    await _step(first)
+    await _wait_for_orders(first, clock)
     await first.release()
     assert not first.may_order()
     await _step(second)
@@ -385,7 +397,7 @@
 @pytest.mark.anyio
 async def test_restarted_holder_may_order_at_once():
     clock, store = _clock.ManualClock(start=10_000), _Store()
-    await _step(_leadership_of(store, clock, "10.0.0.1:1"))
+    await _wait_for_orders(_leadership_of(store, clock, "10.0.0.1:1"), clock)
     restarted = _leadership_of(store, clock, "10.0.0.1:1")
     restarted._leases._incarnation = "another"
     await _step(restarted)
