Make fencing tokens rise when the store forgets the lease

What callers saw: one fencing token of two holders, or a lower one after a higher one. Epochs count up from the stored lease, or from the version of the object, so they start again when the store comes back without the lease or with an older one.

The controller's epochs come from control/_fencing_tokens.py: the highest epoch known here (stored, reported by the leader, or proposed) or the time of day if that is higher, followed by ten bits drawn once for each process; unlike epochs that count up, those of two processes that find the same state differ. A time of day before 1970 or after 2109 isn't used. Tokens stay below 2^53; a stored epoch near it is unreadable.

Readers of epochs: Python integers and JSON throughout, compared for order or equality only; the gauge is a double, exact to 2^53; datagrams and the schema have none of fixed size.

Without tokens, test_tokens_rise_and_differ_when_the_store_forgets_the _lease fails.

--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -12,6 +12,7 @@
 from emulator import _policies
 from emulator import _sites
 from emulator import _virtual_time
+from geraniumlink.control import _fencing_tokens
 from geraniumlink.control import _leases
 from geraniumlink.hosting import _datagrams
 from geraniumlink.hosting import _instance
@@ -229,6 +230,9 @@
             _instance.MIN_LEASE_EXPIRY_MS + _HANDOVER_GAP_MS,
             self._environment.clock,
             self._random,
+            tokens=_fencing_tokens.FencingTokens(
+                self._environment.clock, self._random
+            ),
         )
         return _leadership.Leadership(
             leases, _HANDOVER_GAP_MS, self._environment.clock
--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -24,6 +24,7 @@
 from geraniumlink import _clock
 from geraniumlink import _logs
 from geraniumlink import _objects
+from geraniumlink.control import _fencing_tokens
 
 KIND = "leases"
 # Number of instances that read the lease of a shard; the others make no
@@ -35,9 +36,12 @@
 TAKE_JITTER = 1 / 16
 # A stored lease with a longer duration is invalid.
 _MAX_DURATION_MS = 600_000
-# A stored lease with a higher epoch, or more renewals, is invalid: the counts
-# must still fit in 64 bits as they rise.
-_MAX_COUNT = 2**53
+# A stored lease with more renewals is invalid: they must still fit in 64 bits
+# as they rise.
+_MAX_RENEWALS = 2**53
+# A stored lease with a higher epoch is invalid: later ones must still be valid
+# fencing tokens.
+_MAX_EPOCH = _fencing_tokens.MAX_TOKEN - 2**20
 
 
 class Lease(typing.NamedTuple):
@@ -47,7 +51,7 @@
     holder: str
     # Differs between two processes of the same instance name.
     incarnation: str
-    # Rises by one whenever the lease is taken.
+    # Rises whenever the lease is taken.
     epoch: int
     duration_ms: int
     # Rises with each renewal, so that each renewal changes the object.
@@ -148,6 +152,8 @@
 
     :param take_delay_ms: how long to leave a free lease to candidates with a
         shorter delay.
+    :param tokens: makes the epochs; without it they count up from those that
+        are known, and may repeat if the store forgets a lease.
     """
 
     def __init__(
@@ -158,7 +164,9 @@
         clock: _clock.Clock,
         random_source: random.Random,
         take_delay_ms: int = 0,
+        tokens: _fencing_tokens.FencingTokens | None = None,
     ) -> None:
+        self._tokens = tokens
         self._take_delay_ms = take_delay_ms
         self._objects = objects
         self._holder = holder
@@ -167,8 +175,9 @@
         self._random = random_source
         self._incarnation = f"{random_source.getrandbits(64):016x}"
         self._observations: dict[str, _Observation] = {}
-        # The highest epoch seen of each lease.
+        # The highest epoch seen of each lease, and the one proposed last.
         self._highest_epochs: dict[str, int] = {}
+        self._proposed_epochs: dict[str, int] = {}
         # Leases that were proposed last, while it is unknown whether they
         # were written.
         self._proposals: dict[str, HeldLease] = {}
@@ -199,7 +208,7 @@
         :param renewals: as ``epoch``.
         """
         content = None
-        if epoch is not None and renewals is not None:
+        if epoch is not None and renewals is not None and epoch <= _MAX_EPOCH:
             content = _Content(epoch, renewals, holder)
             self._note_epoch(shard, epoch)
         now = self._clock.now()
@@ -241,10 +250,17 @@
         max_delay_ms = self._duration_ms * TAKE_JITTER
         jitter_ms = self._random.uniform(0, max_delay_ms)
         await self._clock.sleep(self._take_delay_ms + jitter_ms)
-        epoch = current.epoch + 1 if current else _first_epoch(found)
         proposal = HeldLease(
             shard,
-            self._new_lease(epoch)._replace(wait_over=wait is Wait.NONE),
+            Lease(
+                self._holder,
+                self._incarnation,
+                # The version of an unreadable lease is at least the number of
+                # writes, and so of epochs, before.
+                self._next_epoch(shard, 0 if current else found.version),
+                self._duration_ms,
+                wait_over=wait is Wait.NONE,
+            ),
             found.version,
             wait,
             self._clock.since_boot(),
@@ -369,8 +385,16 @@
             KIND, held.shard, lease._asdict(), held.version
         )
 
-    def _new_lease(self, epoch: int) -> Lease:
-        return Lease(self._holder, self._incarnation, epoch, self._duration_ms)
+    def _next_epoch(self, shard: str, at_least: int) -> int:
+        """Return an epoch for this process to propose, above all known."""
+        highest = max(
+            self._highest_epochs.get(shard, 0),
+            self._proposed_epochs.get(shard, 0),
+            at_least,
+        )
+        epoch = self._tokens.make(highest) if self._tokens else highest + 1
+        self._proposed_epochs[shard] = epoch
+        return epoch
 
     def _is_own(self, lease: Lease) -> bool:
         """Whether this process is the holder of a stored lease."""
@@ -476,8 +500,8 @@
         return None
     if not (
         0 < lease.duration_ms <= _MAX_DURATION_MS
-        and 0 <= lease.epoch <= _MAX_COUNT
-        and 0 <= lease.renewals <= _MAX_COUNT
+        and 0 <= lease.epoch <= _MAX_EPOCH
+        and 0 <= lease.renewals <= _MAX_RENEWALS
     ):
         _logs.event("lease_unreadable", shard=found.name, error=str(lease))
         return None
@@ -495,15 +519,6 @@
     return flag
 
 
-def _first_epoch(found: _objects.Object) -> int:
-    """Return the epoch for a lease that is absent or unreadable.
-
-    The object's version is at least the number of writes, and so of epochs,
-    before; epochs therefore keep rising.
-    """
-    return found.version + 1
-
-
 def candidates(shard: str, instances: Iterable[str]) -> list[str]:
     """Return the instances that contend for a shard's lease, best first.
 
--- a/tests/leadership_builders.py
+++ b/tests/leadership_builders.py
@@ -3,6 +3,7 @@
 import random
 
 from geraniumlink import _objects
+from geraniumlink.control import _fencing_tokens
 from geraniumlink.control import _leases
 from geraniumlink.hosting import _instance
 from geraniumlink.residency import _leadership
@@ -17,12 +18,14 @@
 
     def __init__(self, api, clock, name, process=1):
         self._clock = clock
+        random_source = random.Random(f"{name} {process}")
         self.leases = _leases.Leases(
             api,
             name,
             DURATION_MS,
             clock,
-            random.Random(f"{name} {process}"),
+            random_source,
+            tokens=_fencing_tokens.FencingTokens(clock, random_source),
         )
         self.leadership = _leadership.Leadership(self.leases, LEASE_MS, clock)
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -1,8 +1,11 @@
 """No two machines order within the platform's minimum interval."""
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from geraniumlink import _clock
+from geraniumlink.control import _fencing_tokens
 from geraniumlink.control import _leases
 from tests import leadership_builders as builders
 from tests import memory_api
@@ -176,3 +179,45 @@
     )
     clock.advance(builders.DURATION_MS)
     assert await second.step()
+
+
+async def test_tokens_rise_and_differ_when_the_store_forgets_the_lease(
+    api, machine
+):
+    tokens = []
+    for name in ("m1", "m2", "m3"):
+        taker = machine(name)
+        await taker.step_until_first_order()
+        tokens.append(taker.leadership.epoch)
+        builders.restore(api, None)
+    assert tokens == sorted(set(tokens))
+
+
+async def test_token_is_above_that_of_the_leaders_answer(api, machine):
+    taker = machine("m1")
+    reported = _fencing_tokens.MAX_TOKEN // 2
+    taker.leadership.record_leader_renewal(7, reported, 1)
+    await taker.step()
+    assert taker.leadership.epoch > reported
+
+
+async def test_token_is_above_a_proposal_that_may_arrive_late(api, machine):
+    taker = machine("m1")
+    api.lose_answers = 1
+    await taker.step()
+    late = builders.stored_lease(api)
+    builders.restore(api, None)
+    await taker.step()
+    assert taker.leadership.epoch > late.value["epoch"]
+
+
+@hypothesis.given(
+    st.integers(0, _leases._MAX_EPOCH),
+    st.integers(-(2**63), 2**63),
+    st.integers(0, 2**_fencing_tokens.PROCESS_BITS - 1),
+)
+def test_tokens_rise_whatever_the_time_of_day(highest, wall_ms, bits):
+    token = _fencing_tokens.next_token(highest, wall_ms, bits)
+    assert highest < token < _fencing_tokens.MAX_TOKEN
+    other = _fencing_tokens.next_token(highest, wall_ms, bits ^ 1)
+    assert token != other
