Write a renewal again when an earlier one took effect

What callers saw: orders of two controllers 2.2 s apart, 3 s required. The answer to a renewal is lost; the next renewal is refused, finds the earlier one and counts as done at its own time, although nothing was written then. Others count the lease's duration from the earlier one, so the holder orders for up to a second longer than it may.

A renewal that finds an earlier one of its term is written again, with the larger count of renewals + 1; a restored copy of the term thus goes on from the larger count, too, and no count is stored twice.

test_renewal_whose_answer_was_lost_does_not_extend_the_next and test_renewals_of_an_older_copy_go_on_from_the_larger_count failed before.

--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -34,6 +34,9 @@
 # so that candidates don't write together. All but the first write are
 # refused and cost a call each.
 TAKE_JITTER = 1 / 16
+# Writes of one renewal. All but the last meet a renewal that was sent before
+# and takes effect late.
+MAX_RENEWAL_WRITES = 3
 # A stored lease with a longer duration is invalid.
 _MAX_DURATION_MS = 600_000
 # A stored lease with more renewals is invalid: they must still fit in 64 bits
@@ -316,21 +319,34 @@
         :raises LeaseLostError: if another instance has taken it.
         :raises _objects.UnavailableError: if the outcome is unknown.
         """
-        renewed = held.lease._replace(
-            renewals=held.lease.renewals + 1,
-            wait_over=held.lease.wait_over or wait_over,
-        )
-        try:
-            written = await self._put(held, renewed)
-        except _objects.ConflictError as conflict:
-            current = parse(conflict.current)
-            if current is None or not self._is_same_term(current, held.lease):
-                raise LeaseLostError(held, conflict.current) from conflict
-            # An earlier renewal took effect, but its answer was lost.
-            return held._replace(
-                lease=current, version=conflict.current.version
+        latest = held
+        for _ in range(MAX_RENEWAL_WRITES):
+            renewed = held.lease._replace(
+                renewals=max(held.lease.renewals, latest.lease.renewals) + 1,
+                wait_over=wait_over or latest.lease.wait_over,
             )
-        return held._replace(lease=renewed, version=written.version)
+            try:
+                written = await self._put(latest, renewed)
+            except _objects.ConflictError as conflict:
+                # An earlier renewal may have taken effect without an answer.
+                # Others count the lease's duration from then, so it doesn't
+                # stand in for this one.
+                latest = self._find_latest(held, conflict)
+                continue
+            return held._replace(lease=renewed, version=written.version)
+        raise _objects.UnavailableError("earlier renewals still take effect")
+
+    def _find_latest(
+        self, held: HeldLease, conflict: _objects.ConflictError
+    ) -> HeldLease:
+        """Return a lease that is held as a refused renewal found it.
+
+        :raises LeaseLostError: if another instance has taken it.
+        """
+        current = parse(conflict.current)
+        if current is None or not self._is_same_term(current, held.lease):
+            raise LeaseLostError(held, conflict.current) from conflict
+        return held._replace(lease=current, version=conflict.current.version)
 
     async def release(self, held: HeldLease, wait_over: bool = False) -> None:
         """Let another instance take the lease at once; log a failure.
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -7,6 +7,7 @@
 from geraniumlink import _clock
 from geraniumlink.control import _fencing_tokens
 from geraniumlink.control import _leases
+from geraniumlink.residency import _leadership
 from tests import leadership_builders as builders
 from tests import memory_api
 
@@ -221,3 +222,34 @@
     assert highest < token < _fencing_tokens.MAX_TOKEN
     other = _fencing_tokens.next_token(highest, wall_ms, bits ^ 1)
     assert token != other
+
+
+async def test_renewal_whose_answer_was_lost_does_not_extend_the_next(
+    api, clock, machine
+):
+    first, second = machine("m1"), machine("m2")
+    await first.step_until_first_order()
+    api.lose_answers = 1
+    await first.step()
+    await second.step()
+    clock.advance(1000)
+    assert await first.step()
+    last_order = clock.now() + _leadership.ORDERING_WINDOW_MS
+    first_order = await second.step_until_first_order()
+    assert first_order - last_order >= builders.LEASE_MS
+
+
+async def test_renewals_of_an_older_copy_go_on_from_the_larger_count(
+    api, machine
+):
+    leader = machine("m1")
+    await leader.step_until_first_order()
+    old = builders.stored_lease(api)
+    for _ in range(3):
+        await leader.step()
+    before = builders.stored_lease(api).value
+    builders.restore(api, old)
+    assert await leader.step()
+    after = builders.stored_lease(api).value
+    assert after["epoch"] == before["epoch"]
+    assert after["renewals"] > before["renewals"]
