Derive the leaders' margin from the timeout of an order

An order that is permitted at the last moment may arrive until it times out, 250 ms later; the margin between two leaders was 200 ms, so that it could arrive 50 ms less than lease_ms before the successor's first order. The margin is now that timeout and 50 ms for the clocks; a takeover takes 100 ms longer (lease 4.5 s, guard interval 3.3 s).

test_margins_cover_an_order_that_arrives_as_it_times_out failed with the margin before. test_orders_after_a_release_wait_for_the_guard_interval had the sum of the old parts as a literal; it now steps through the guard interval itself.

--- a/src/geraniumlink/platform/__init__.py
+++ b/src/geraniumlink/platform/__init__.py
@@ -21,6 +21,7 @@
 from geraniumlink.platform._heads import refusal_headers
 from geraniumlink.platform._heads import ResponseHead
 from geraniumlink.platform._orders import Order
+from geraniumlink.platform._orders import ORDER_TIMEOUT_MS
 from geraniumlink.platform._orders import OrderClient
 from geraniumlink.platform._orders import OrderResult
 from geraniumlink.platform._replicas import decode_replica_entry
@@ -32,6 +33,7 @@
 __all__ = [
     "FormatError",
     "NodeSettings",
+    "ORDER_TIMEOUT_MS",
     "Order",
     "OrderClient",
     "OrderResult",
--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -18,6 +18,7 @@
 from geraniumlink import _logs
 from geraniumlink import _objects
 from geraniumlink.control import _leases
+from geraniumlink import platform
 
 # Name of the lease in the store.
 SHARD = "controller"
@@ -27,9 +28,13 @@
 # How long a leader may send orders after it sent its last successful
 # renewal.
 ORDERING_WINDOW_MS = 1200
+# Two machines' monotonic clocks differ by this at most over the lease's
+# duration, with the rounding of times to whole milliseconds.
+CLOCK_ERROR_MS = 50
 # Added to the platform's minimum interval between the last order of one
-# leader and the first order of the next.
-GUARD_MARGIN_MS = 200
+# leader and the first order of the next: an order may still arrive until it
+# times out.
+GUARD_MARGIN_MS = platform.ORDER_TIMEOUT_MS + CLOCK_ERROR_MS
 # How long an instance relies on the leader's report of its renewal before it
 # reads the lease itself.
 LEADER_CONFIRMED_MS = 700
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -7,6 +7,7 @@
 from geraniumlink import _clock
 from geraniumlink.control import _fencing_tokens
 from geraniumlink.control import _leases
+from geraniumlink import platform
 from geraniumlink.residency import _leadership
 from tests import leadership_builders as builders
 from tests import memory_api
@@ -253,3 +254,11 @@
     after = builders.stored_lease(api).value
     assert after["epoch"] == before["epoch"]
     assert after["renewals"] > before["renewals"]
+
+
+async def test_margins_cover_an_order_that_arrives_as_it_times_out(machine):
+    late_ms = platform.ORDER_TIMEOUT_MS + _leadership.CLOCK_ERROR_MS
+    after_expiry = builders.DURATION_MS - _leadership.ORDERING_WINDOW_MS
+    after_release = machine("m1").leadership.guard_ms
+    for gap_ms in (after_expiry, after_release):
+        assert gap_ms - late_ms >= builders.LEASE_MS
--- a/tests/test_residency_state.py
+++ b/tests/test_residency_state.py
@@ -389,7 +389,7 @@
     assert second.is_leader
     assert not second.may_order()
     for _ in range(8):
-        clock.advance(400)
+        clock.advance(-(-second.guard_ms // 8))
         await _step(second)
     assert second.may_order()
 
