Test of a forgotten version: change a replica's slots, not its state

The test moved the store's revision on by writing r-1 as draining and ready in turn. A process that was seen draining stays so for good, so that the routes were answered 503 afterwards on any code: with the history noticed and the new version in force at all instances, it failed in all 4 variants, after 60 s each.

Now slots change 60 times instead; the number of writes, the bounds and what is asked of the routes are the same.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -156,9 +156,9 @@
     await add("first")
     await _seconds_until_in_force(fleet, site, "first")
     # Other writes take the store far beyond the copy's revision.
-    for _ in range(30):
-        await site.register("r-1", "draining")
-        await site.register("r-1")
+    for number in range(60):
+        entry = site.entry("r-1", "ready") | {"slots": 8 + number % 2}
+        await site.put("servers", "r-1", entry)
     await site.restore_store(revision, counts_eras=counts_eras)
     await site.register("r-1")
     await add("second")
