Notice that the store went on from other contents, and list anew

Cause: revisions were compared as if they were always of one history. A watch after a revision that the store doesn't have hears nothing, and its answer, with a lower revision, was passed over for ever. After a new list (a 410), the controller's copy of the former history, with its higher revision, was relayed over it.

Now one object holds the present history and the highest revision known in it. Another one is noticed by any answer: a watch below the revision that it asked after, a list below what was known as it was sent, a changed object with a revision that isn't above that, a conflict below the version that was acknowledged, or another Store-Era, on errors too. Reads that may be stale prove nothing, nor do changes relayed during a call. Answers to calls from before are dropped unless they state the present era. All copies are then listed anew, whatever the revision; the configuration in force stays until a newer version.

A controller relays a kind once it is listed, and whole lists for the same time: an instance that hasn't noticed may know a revision that is in use again.

A store that states no era and passes the known revision before any call notices isn't found, as in docs/design/store-restore.md.

--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -69,10 +69,16 @@
     "data_centre": _TEXT,
     "deployment": _TEXT,
     "deployments": _TEXTS,
+    # Objects of the replaced copy that the new one doesn't have.
+    "dropped": _WHOLE,
     "duration_ms": _WHOLE,
     "elsewhere_age_ms": Field(Kind.WHOLE, nullable=True),
     "epoch": _WHOLE,
+    # Null where the store states none.
+    "era": Field(Kind.WHOLE, nullable=True),
     "error": _TEXT,
+    # What showed it: era or revision.
+    "evidence": _TEXT,
     "evicted": Field(Kind.TEXT, nullable=True),
     "evicted_tokens_per_s": _WHOLE,
     "expected_ms": _WHOLE,
@@ -101,6 +107,7 @@
     "issuer": _TEXT,
     "issuers": _TEXTS,
     "kind": _TEXT,
+    "known_era": Field(Kind.WHOLE, nullable=True),
     "known_revision": _WHOLE,
     "kv_tokens": Field(Kind.WHOLE, nullable=True),
     "kv_tokens_elsewhere": Field(Kind.WHOLE, nullable=True),
@@ -131,6 +138,7 @@
     "newest": _WHOLE,
     "nonce": _TEXT,
     "number": _WHOLE,
+    "objects": _WHOLE,
     "order_count": _WHOLE,
     "other_address": _TEXT,
     "outcome": _TEXT,
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -300,6 +300,12 @@
         _STATE, "the controller did not respond", ("controller", "error")
     ),
     "copy_lost": _reconciliation_step("a copy that was resident is gone"),
+    "copy_replaced": Message(
+        _STATE,
+        "a list of the store's present history replaced a copy of an earlier"
+        " one; a configuration in force stays until a newer version",
+        ("dropped", "kind", "known_revision", "objects", "revision"),
+    ),
     "crash_probe_failed": Message(
         _STATE,
         "a probe did not show whether a server crashed",
@@ -733,17 +739,18 @@
         ("deployment", "error"),
     ),
     "stopped": Message(_STATE, "the process is ending", ()),
-    "store_behind": Message(
-        _STATE,
-        "the platform's store is at a lower revision than one that it has"
-        " answered with before",
-        ("kind", "known_revision", "revision"),
-    ),
     "store_history_gone": Message(
         _STATE,
         "a watch was too far behind; all objects are listed again",
         ("kind",),
     ),
+    "store_history_changed": Message(
+        _STATE,
+        "the platform's store goes on from other contents than before, as its"
+        " era or a revision below one known here shows; all objects are listed"
+        " again, and relayed changes are passed over for a time",
+        ("era", "evidence", "known_era", "known_revision", "revision"),
+    ),
     "store_lost": Message(
         _STATE, "the platform's store does not respond", ("error", "kind")
     ),
--- a/src/geraniumlink/hosting/_gauges.py
+++ b/src/geraniumlink/hosting/_gauges.py
@@ -63,6 +63,11 @@
         "1 when the last call of each kind to the store was answered",
         lambda: all(watcher.reachable for watcher in sources.watchers),
     )
+    add_gauge(
+        "geraniumlink_store_history_changes_total",
+        "Times that the store went on from other contents than before",
+        lambda: sources.store.history.changes,
+    )
     add_gauge(
         "geraniumlink_store_objects_unreadable_total",
         "Objects in the store that this instance couldn't read, each revision",
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -576,6 +576,7 @@
                     if revocation_ms is None
                     else _object_watcher.freshness_for(revocation_ms)
                 ),
+                history=self._store.history,
             ),
             _object_watcher.ObjectWatcher(
                 self._store,
@@ -584,6 +585,7 @@
                 on_list=self._apply_replicas,
                 on_change=self._apply_replica,
                 batch_delay_ms=int(REPLICAS_BATCH_DELAY_SHARE * bound_ms),
+                history=self._store.history,
             ),
         ]
 
--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -6,6 +6,8 @@
 controller stops relaying once it can't renew its lease, that is, once it has
 lost the store. An instance without relayed changes for ``RELAY_VALIDITY_MS``
 watches the store itself, from the last revision that it knows.
+
+A copy of an earlier history of the store is listed anew and isn't relayed.
 """
 
 from __future__ import annotations
@@ -19,6 +21,9 @@
 from geraniumlink import _clock
 from geraniumlink import _logs
 from geraniumlink import _objects
+from geraniumlink import _store_history
+from geraniumlink.residency import _controller_link
+from geraniumlink.residency import _leadership
 
 # How long the store may hold a watch without a change. A connection that
 # fails silently is noticed only when its watch times out, and every change
@@ -40,6 +45,11 @@
 # Number of removed objects that ``changes_since`` can report. An instance
 # that lacks an older removal gets the whole list.
 MAX_REMEMBERED_REMOVALS = 512
+# How long after a change of the store's history a controller that hasn't
+# noticed it may relay, and its message may be on the way.
+FORMER_RELAY_MS = (
+    _leadership.ORDERING_WINDOW_MS + _controller_link.CALL_TIMEOUT_MS
+)
 
 
 # Where the age of the copy is bounded: the longest watch, and shares of the
@@ -109,7 +119,15 @@
         on_change: Callable[[_objects.Object], None],
         batch_delay_ms: int,
         freshness: Freshness | None = None,
+        history: _store_history.StoreHistory | None = None,
     ) -> None:
+        self._history = history or _store_history.StoreHistory()
+        self._history.call_on_change(self._drop_copy)
+        # Before this monotonic time relayed changes may be of an earlier
+        # history; None before the first change of history.
+        self._former_relay_until: int | None = None
+        # Revision of the copy of an earlier history, until it is replaced.
+        self._former_revision: int | None = None
         self._store = store
         self._kind = kind
         self._clock = clock
@@ -152,6 +170,19 @@
         """Revision up to which all changes are known; 0 before a list."""
         return self._revision or 0
 
+    @property
+    def position(self) -> _store_history.Position:
+        """The revision, and the store's history that it belongs to."""
+        return _store_history.Position(self._history.changes, self.revision)
+
+    @property
+    def is_history_new(self) -> bool:
+        """Whether other instances may not have noticed the history yet."""
+        return (
+            self._former_relay_until is not None
+            and self._clock.now() < self._former_relay_until
+        )
+
     @property
     def reachable(self) -> bool:
         """Whether the last call to the store was answered."""
@@ -223,8 +254,11 @@
         """Return what has changed after a revision.
 
         The whole list is returned for revision 0, and for one so old that
-        removals since then may have been dropped.
+        removals since then may have been dropped. While the objects must be
+        listed, nothing is returned, at revision 0.
         """
+        if self._revision is None:
+            return Changes(0, False, [])
         is_snapshot = revision < self._complete_after or not revision
         objects = [
             item
@@ -249,7 +283,7 @@
         :param confirmed_as_of: time since boot as of which the changes are
             complete; None if it isn't known.
         """
-        if self._is_relay_behind(changes.revision):
+        if self.is_history_new or self._is_relay_behind(changes.revision):
             return
         if self._freshness is not None and any(
             item.value == {} for item in changes.objects
@@ -257,6 +291,7 @@
             # The controller left a value out. It must not count as known.
             return
         has_news = changes.revision > self.revision
+        self._history.note_revision(changes.revision)
         listing = _objects.Listing(changes.revision, changes.objects)
         if changes.is_snapshot:
             self._apply_list(listing)
@@ -299,7 +334,7 @@
         while True:
             relay_left_ms = self._relay_valid_until - self._clock.now()
             if relay_left_ms > 0:
-                await self._clock.sleep(relay_left_ms)
+                await self._wait(relay_left_ms)
                 continue
             try:
                 await self._list_or_watch()
@@ -332,13 +367,6 @@
             return
         if changes is None:
             return
-        if changes.revision < asked_after:
-            _logs.event(
-                "store_behind",
-                kind=self._kind,
-                revision=changes.revision,
-                known_revision=asked_after,
-            )
         if changes.revision < self.revision:
             # Newer relayed changes were applied as it arrived: older objects
             # must not replace them, such as an account with a removed key.
@@ -358,6 +386,12 @@
             )
         return None
 
+    async def _wait(self, milliseconds: int) -> None:
+        """Sleep, unless ``restart_watch`` ends it."""
+        self._watch_scope = anyio.CancelScope()
+        with self._watch_scope:
+            await self._clock.sleep(milliseconds)
+
     def _watch_wait_ms(self) -> int:
         if self._freshness is None:
             return WATCH_TIMEOUT_MS
@@ -378,13 +412,42 @@
         if self._confirmed_as_of is None or as_of > self._confirmed_as_of:
             self._confirmed_as_of = as_of
 
+    def _drop_copy(self) -> None:
+        """List the objects anew, as the store has another history.
+
+        What was passed on stays until then.
+        """
+        if self._former_revision is None:
+            self._former_revision = self.revision
+        self._revision = None
+        now = self._clock.now()
+        self._former_relay_until = now + FORMER_RELAY_MS
+        self._relay_valid_until = now
+        self.restart_watch()
+
     def _apply_list(self, listing: _objects.Listing) -> None:
+        if self._former_revision is not None:
+            self._log_replaced(listing, self._former_revision)
+            self._former_revision = None
         self._objects_by_name = {item.name: item for item in listing.objects}
         self._removals.clear()
         self._complete_after = listing.revision
         self._revision = listing.revision
         self._on_list(listing.objects)
 
+    def _log_replaced(
+        self, listing: _objects.Listing, former_revision: int
+    ) -> None:
+        names = {item.name for item in listing.objects}
+        _logs.event(
+            "copy_replaced",
+            kind=self._kind,
+            revision=listing.revision,
+            known_revision=former_revision,
+            objects=len(names),
+            dropped=len(self._objects_by_name.keys() - names),
+        )
+
     def _apply_changes(self, listing: _objects.Listing) -> None:
         for item in listing.objects:
             if item.value is None:
--- a/src/geraniumlink/hosting/_relay.py
+++ b/src/geraniumlink/hosting/_relay.py
@@ -100,20 +100,24 @@
 
     def __init__(self, watcher: _object_watcher.ObjectWatcher) -> None:
         self._watcher = watcher
-        # By the revision after which they are; all end at _revision.
+        # By the revision after which they are; all end at _position.
         self._encoded: dict[int, str] = {}
-        self._revision = 0
+        self._position = watcher.position
 
     def encode_since(self, revision: int) -> str:
         """Return the changes after a revision; empty if it is the last."""
+        is_whole_list = self._watcher.is_history_new
+        if is_whole_list:
+            # The revision may be one of an earlier history.
+            revision = 0
         if revision and revision == self._watcher.revision:
             return ""
         if (
-            self._revision != self._watcher.revision
+            self._position != self._watcher.position
             or len(self._encoded) >= _MAX_ENCODED
         ):
             self._encoded.clear()
-            self._revision = self._watcher.revision
+            self._position = self._watcher.position
         if revision not in self._encoded:
             changes = self._watcher.changes_since(revision)
             self._encoded[revision] = _encode(changes)
--- a/src/geraniumlink/platform/_store.py
+++ b/src/geraniumlink/platform/_store.py
@@ -26,6 +26,7 @@
 from geraniumlink import _logs
 from geraniumlink import _objects
 from geraniumlink import _settings
+from geraniumlink import _store_history
 from geraniumlink.platform import _json_parts
 
 # Limit for a call other than a watch, and for connecting. The store responds
@@ -69,6 +70,14 @@
             collections.OrderedDict()
         )
         self._unreadable_objects = 0
+        self._history = _store_history.StoreHistory()
+        # The last object written of each kind, and its version.
+        self._written: dict[str, tuple[str, _store_history.Position]] = {}
+
+    @property
+    def history(self) -> _store_history.StoreHistory:
+        """The store's history, which each answer is checked against."""
+        return self._history
 
     @property
     def unreadable_objects(self) -> int:
@@ -91,7 +100,9 @@
         :raises _objects.UnavailableError: if the store does not answer.
         """
         path = _path(kind, name) + "?serializable=1"
-        status, body = await self._call("GET", path, accepted=(200, 404))
+        status, body = await self._call(
+            "GET", path, accepted=(200, 404), may_be_stale=True
+        )
         if status == 404:
             return _objects.Object(kind, name, _objects.ABSENT, None)
         return self._decode_only_object(kind, body)
@@ -103,16 +114,25 @@
         """
         objects: list[_objects.Object] = []
         revision, query, last_name = None, "", ""
+        history = 0
         for _ in range(MAX_PAGES):
+            sent = self._history.known
             _, body = await self._call(
                 "GET", _path(kind) + query, levels=_LIST_LEVELS
             )
             page = self._decode_items(kind, body, "items")
             objects += page
+            page_revision = _store_revision(body)
+            self._history.check_revision(page_revision, sent, sent.revision)
             if revision is None:
                 # The first page's revision: a watch from there reports the
                 # changes that were made while later pages were read.
-                revision = _store_revision(body)
+                revision = page_revision
+                history = self._history.changes
+            if history != self._history.changes:
+                raise _objects.UnavailableError(
+                    f"the pages of the list of {kind} are of two histories"
+                )
             if not body.get("more") or not body["items"]:
                 return _objects.Listing(revision, objects)
             if not page or page[-1].name == last_name:
@@ -133,9 +153,10 @@
         object has value None.
 
         :raises _objects.RevisionCompactedError: if the store no longer has
-            the changes since that revision.
+            the changes since that revision, or never had it.
         :raises _objects.UnavailableError: if the store does not answer.
         """
+        sent = self._history.known
         status, body = await self._call(
             "GET",
             f"{_path(kind)}?watch={after}&wait_ms={wait_ms}",
@@ -146,7 +167,10 @@
         if status == 410:
             raise _objects.RevisionCompactedError
         events = self._decode_items(kind, body, "events")
-        return _objects.Listing(_store_revision(body), [*events])
+        revision = _store_revision(body)
+        if not self._history.check_revision(revision, sent, after):
+            raise _objects.RevisionCompactedError
+        return _objects.Listing(revision, [*events])
 
     async def put(
         self, kind: str, name: str, value: typing.Any, if_version: int
@@ -165,15 +189,39 @@
             method, path = "PUT", _path(kind, name)
             metadata["revision"] = if_version
         message = orjson.dumps({"metadata": metadata, "spec": value})
+        sent = self._history.known
+        least = self._least_version(kind, name, sent)
         status, body = await self._call(
             method, path, message, accepted=(200, 201, 404, 409)
         )
         if status == 404:
             absent = _objects.Object(kind, name, _objects.ABSENT, None)
+            self._history.check_revision(absent.version, sent, least)
             raise _objects.ConflictError(absent)
+        stored = self._decode_only_object(kind, body)
         if status == 409:
-            raise _objects.ConflictError(self._decode_only_object(kind, body))
-        return self._decode_only_object(kind, body)
+            self._history.check_revision(stored.version, sent, least)
+            raise _objects.ConflictError(stored)
+        if stored.version != if_version:
+            # Each change gets a revision above all earlier ones.
+            least = sent.revision + 1
+        self._history.check_revision(stored.version, sent, least)
+        self._written[kind] = (
+            name,
+            _store_history.Position(self._history.changes, stored.version),
+        )
+        return stored
+
+    def _least_version(
+        self, kind: str, name: str, sent: _store_history.Position
+    ) -> int:
+        """Return the lowest version that a stored object can have now."""
+        written = self._written.get(kind)
+        if written is None or written[0] != name:
+            return _objects.ABSENT
+        position = written[1]
+        is_present = position.history == sent.history
+        return position.revision if is_present else _objects.ABSENT
 
     async def _call(
         self,
@@ -184,14 +232,16 @@
         accepted: tuple[int, ...] = (200,),
         timeout_ms: int = CALL_TIMEOUT_MS,
         levels: int = _GET_LEVELS,
+        may_be_stale: bool = False,
     ) -> tuple[int, typing.Any]:
         """Return the status and decoded body of a response.
 
         Parts of the body may be ``Undecodable``, down to ``levels``.
         Every failure is an ``UnavailableError``, as is a status that is not
-        in ``accepted``.
+        in ``accepted``, or of another history than the present one.
         """
         self._calls += 1
+        sent = self._history.known
         headers = [(b"Content-Type", b"application/json")] if message else []
         try:
             with anyio.fail_after(timeout_ms / 1000):
@@ -204,6 +254,11 @@
                     connect_ms=CALL_TIMEOUT_MS,
                     read_ms=timeout_ms,
                 )
+            self._history.check_era(
+                _store_history.parse_era(response.headers),
+                sent,
+                may_be_stale=may_be_stale,
+            )
             if response.status not in accepted:
                 raise _objects.UnavailableError(
                     f"the store responded with status {response.status}"
