Take no status below 100 for an informational one

Cause: the parser takes any three digits, and the reader of heads dropped each status below 200 as informational; then nothing more came.

Fix: a status below 100 is refused as one above 599 is: the bytes are no response, so that the connection is closed, a request that may be repeated goes elsewhere at once, and any other gets its 502. A status line within a header or a reason phrase counts with any three digits. Interim heads (100, 102, 103) before an answer have a test now that they go on working.

All readers that use these connections have it: requests to replicas, the hop over another instance, and messages between instances.

--- a/src/geraniumlink/_http.py
+++ b/src/geraniumlink/_http.py
@@ -28,6 +28,9 @@
 # interim responses (1xx) included. Usual servers send heads of 8 to 16 KiB at
 # most.
 MAX_HEAD_BYTES = 32 * 2**10
+# RFC 9110 defines no classes of status codes outside these bounds.
+MIN_STATUS = 100
+MAX_STATUS = 599
 # Value of SO_LINGER with which closing a socket resets the connection and
 # drops what wasn't acknowledged.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
--- a/src/geraniumlink/serving/_connections.py
+++ b/src/geraniumlink/serving/_connections.py
@@ -52,8 +52,6 @@
 # body between them, and of the headers of one response.
 MAX_FRAMING_BYTES = 8192
 MAX_HEADERS = 128
-# RFC 9110 defines no classes of status codes above it.
-MAX_STATUS = 599
 # Limit of the body of a response to another request, which is discarded.
 MAX_SKIPPED_BYTES = 1_048_576
 # Up to this length the kernel takes a body in one write; a longer body is sent
@@ -61,7 +59,7 @@
 SMALL_BODY_BYTES = 65536
 # In a header or a reason phrase: a head that broke off within it, and the one
 # that follows.
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: |$)")
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}(?: |$)")
 # Shared by all connections: what is received is parsed, and copied, at once.
 _READ_BUFFER = bytearray(READ_BYTES)
 
@@ -356,8 +354,8 @@
         if _STATUS_LINE.search(self._responses[-1].reason):
             raise ValueError("a head within a head")
         status = self._parser.get_status_code()
-        if status > MAX_STATUS:
-            raise ValueError(f"status {status}")
+        if not _http.MIN_STATUS <= status <= _http.MAX_STATUS:
+            raise ValueError(f"status {status:03}")
         self._responses[-1].status = status
         self._responses[-1].has_head = True
 
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -53,6 +53,11 @@
 _INTERIM = (
     b"HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n",
     b"HTTP/1.1 102 Processing\r\nContent-Length: 0\r\n\r\n" * 2,
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+)
+_UNKNOWN_STATUSES = (
+    *(b"000", b"001", b"099", b"0", b"20", b"600", b"999", b"2000", b"2OO"),
+    *(b"+20", b"-01", b" 00"),
 )
 _BODY = b"the whole body"
 _EVENTS = tuple(replicas.event(number) for number in range(1, 4))
@@ -400,7 +405,7 @@
 
 
 @pytest.mark.parametrize("end", _ENDS)
-@pytest.mark.parametrize("interim", _INTERIM, ids=("103", "102"))
+@pytest.mark.parametrize("interim", _INTERIM, ids=("103", "102", "100"))
 @pytest.mark.parametrize("kind", ("once", "stream-once"))
 async def test_an_answer_that_breaks_off_after_interim_heads_is_no_success(
     kind, interim, end
@@ -415,6 +420,58 @@
             assert received.status == 502, cut
 
 
+@pytest.mark.parametrize("over_peers", (False, True))
+@pytest.mark.parametrize("interim", _INTERIM, ids=("103", "102", "100"))
+@pytest.mark.parametrize("kind", ("safe", "once", "stream", "stream-once"))
+async def test_an_answer_is_lost_behind_interim_heads(
+    kind, interim, over_peers
+):
+    async with _setup(over_peers=over_peers) as setup:
+        request_id = setup.next_id()
+        whole = b"".join(_whole(request_id, kind, "length"))
+        for answer in (
+            _Answer(interim + whole),
+            _Answer(interim, rest=whole),
+        ):
+            received = await setup.send(request_id, kind, answer)
+            assert received.is_success
+
+
+def _unknown_answer(request_id, kind, status):
+    head = {"framing": "length", "status": status + b" -"}
+    return _Answer(b"".join(_whole(request_id, kind, **head)))
+
+
+@pytest.mark.parametrize("over_peers", (False, True))
+@pytest.mark.parametrize("status", _UNKNOWN_STATUSES)
+@pytest.mark.parametrize("kind", ("safe", "once", "stream", "stream-once"))
+async def test_an_unknown_status_is_an_answer(kind, status, over_peers):
+    async with _setup(over_peers=over_peers) as setup:
+        request_id = setup.next_id()
+        whole = b"".join(_whole(request_id, kind, "length"))
+        received = await setup.send(
+            request_id,
+            kind,
+            _unknown_answer(request_id, kind, status),
+            _Answer(whole),
+        )
+        if kind.endswith("once"):
+            assert received.status == 502
+        else:
+            assert received.is_success
+
+
+@pytest.mark.parametrize("status", _UNKNOWN_STATUSES)
+async def test_a_connection_is_used_again_after_an_unknown_status(status):
+    async with _setup(count=1) as setup:
+        request_id, next_id = setup.next_id(), setup.next_id()
+        broken = _unknown_answer(request_id, "once", status)
+        await setup.send(request_id, "once", broken)
+        whole = _Answer(b"".join(_whole(next_id, "once", "length")))
+        assert (await setup.send(next_id, "once", whole)).is_success
+        assert next_id not in setup.servers[0].kept
+
+
 @pytest.mark.parametrize("over_peers, framing", _PATHS)
 @pytest.mark.parametrize("end", _ENDS)
 @pytest.mark.parametrize("kind", ("once", "stream-once"))
@@ -448,7 +505,7 @@
 
 @pytest.mark.parametrize("kind", ("once", "stream-once"))
 @pytest.mark.parametrize("begun", (b"200 OK", b"204 -"))
-@pytest.mark.parametrize("status", (b"200 OK", b"500 -"))
+@pytest.mark.parametrize("status", (b"200 OK", b"500 -", b"000 -"))
 async def test_a_head_that_breaks_off_is_not_joined_with_the_next_answers(
     kind, begun, status
 ):
@@ -587,6 +644,15 @@
                 assert not await client.gets_response("r1", server.address)
 
 
+@pytest.mark.parametrize("status", _UNKNOWN_STATUSES)
+async def test_an_unknown_status_is_an_answer_to_a_message(status):
+    async with _serving() as (server,):
+        server.answers[b""] = [_unknown_answer(b"", "safe", status)]
+        messages = _message_client.MessageClient(_clock.ManualClock())
+        with anyio.fail_after(5), pytest.raises(_http.BrokenError):
+            await messages.post(server.address, "/v1/x", b"{}")
+
+
 def _order_client():
     return platform.OrderClient(
         _http.Client(keeps_alive=False), lambda *_: None
--- a/tests/test_hosted_requests.py
+++ b/tests/test_hosted_requests.py
@@ -1,11 +1,15 @@
 """Requests through a hosted instance: responses, refusals and retries."""
 
+import anyio
 import pytest
 
 from tests import hosts
 
 pytestmark = pytest.mark.anyio
 
+# Well under the routes' timeout.
+_AT_ONCE_S = 2
+
 
 async def _site(fleet, **fields):
     site = await hosts.Site(fleet).start(**fields)
@@ -113,13 +117,19 @@
 
 
 @pytest.mark.parametrize("path", ("safe", "once", "stream"))
+@pytest.mark.parametrize(
+    "status", ("000", "001", "099", "0", "600", 799, "999", "2OO")
+)
 async def test_a_client_gets_no_answer_if_a_replica_has_an_unknown_status(
-    fleet, path
+    fleet, status, path
 ):
     site, port = await _site(fleet)
     for name in site.replicas:
-        await site.faults(name, fail=799)
-    assert (await hosts.send_request(port, f"/{path}/x")).status == 502
+        await site.faults(name, fail=status)
+    with anyio.fail_after(_AT_ONCE_S):
+        assert (await hosts.send_request(port, f"/{path}/x")).status == 502
+    if path == "once":
+        assert len(await _all_runs(site)) == 1
 
 
 async def test_a_large_body_is_forwarded_and_its_loss_is_a_502(fleet):
