Refuse responses to calls whose status is none of HTTP

An answer of status 600 to 999 to a call by the HTTP client was taken for a response: calls of the own interface would pass it on, a replica that answers a report with it counted as reachable, and the command line failed with a KeyError.

Cause: httpcore takes three digits from 200 on, and 101. It refuses 000 to 099.

Fix: the HTTP client, and the command line, take a response only with a status from 200 to 599; any other is a broken response. Orders have an unknown result then, reports, the store's answers and engines' answers fail, and the caller of the command line gets the exit code for no answer.

--- a/src/geraniumlink/_http.py
+++ b/src/geraniumlink/_http.py
@@ -322,7 +322,7 @@
         :raises NotSentError: if no connection was established, or the request
             may not be written.
         :raises BrokenError: on any later failure, also while the body is
-            being read.
+            being read, and if the status isn't one of a final response.
         """
         sent_headers = [
             (b"Host", str(address).encode()),
@@ -354,6 +354,8 @@
             with _translated_errors():
                 response = await connection.handle_async_request(request)
                 try:
+                    if not is_final_status(response.status):
+                        raise BrokenError(f"status {response.status}")
                     yield response
                 finally:
                     with anyio.CancelScope(shield=True):
@@ -443,6 +445,15 @@
             await pool.close()
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a status is one of a final response.
+
+    httpcore takes three digits from 200 on, and 101, though no request asks
+    for another protocol.
+    """
+    return 200 <= status <= MAX_STATUS
+
+
 @contextlib.contextmanager
 def _translated_errors() -> typing.Iterator[None]:
     """Raise httpcore's errors as the exceptions of this module."""
--- a/src/geraniumlink/interface/_client.py
+++ b/src/geraniumlink/interface/_client.py
@@ -9,6 +9,8 @@
 
 import httpcore
 
+from geraniumlink import _http
+
 CONNECT_TIMEOUT_S = 5.0
 # Exceeds the largest timeout_ms that an instance accepts for a request
 # (600 s) by 10 s.
@@ -48,6 +50,8 @@
             extensions={"timeout": _TIMEOUT},
         )
         result = json.loads(response.content)
+        if not _http.is_final_status(response.status):
+            raise ValueError(f"status {response.status}")
     except (httpcore.NetworkError, httpcore.TimeoutException) as error:
         raise CommandError(
             f"{options.to} does not answer: {error}", Exit.NO_ANSWER
@@ -116,8 +120,11 @@
     """Return the exit code for a response and its last line.
 
     A stream that is refused midway has status 200 and an error in its last
-    line. A last line that is not JSON means that the response was cut.
+    line. A last line that is not JSON means that the response was cut, and so
+    does a status that is none of HTTP.
     """
+    if not _http.is_final_status(status):
+        return Exit.NO_ANSWER
     try:
         refused = status >= 400 or "error" in json.loads(last_line)
     except ValueError:
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -645,12 +645,21 @@
 
 
 @pytest.mark.parametrize("status", _UNKNOWN_STATUSES)
-async def test_an_unknown_status_is_an_answer_to_a_message(status):
+async def test_an_unknown_status_is_an_answer_to_a_call(status):
     async with _serving() as (server,):
         server.answers[b""] = [_unknown_answer(b"", "safe", status)]
+        address, client = server.address, _order_client()
+        order = platform.Order("r1", address, True, "m1", "", 0, "i1", 1)
+        result = await client.send(order, lambda: True)
+        assert result is platform.OrderResult.UNKNOWN
+        with pytest.raises(_http.BrokenError):
+            await client.fetch_report("r1", address)
+        assert not await client.gets_response("r1", address)
         messages = _message_client.MessageClient(_clock.ManualClock())
         with anyio.fail_after(5), pytest.raises(_http.BrokenError):
-            await messages.post(server.address, "/v1/x", b"{}")
+            await messages.post(address, "/v1/x", b"{}")
+        with anyio.fail_after(5), pytest.raises(_http.BrokenError):
+            await _http.Client().request("GET", address, "/")
 
 
 def _order_client():
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,11 +1,14 @@
 """Tests the command line against a running instance."""
 
+import argparse
+import asyncio
 import json
 import sys
 
 import anyio
 import pytest
 
+from geraniumlink.interface import _client
 from tests import builders
 
 pytestmark = pytest.mark.anyio
@@ -118,3 +121,28 @@
     code, out, _ = await run_command(instance, "call", method, "{}")
     assert code == 1
     assert json.loads(out)["code"] == "invalid_argument"
+
+
+@pytest.mark.parametrize("status", ("000", "099", "101", "0", "600", "999"))
+async def test_an_unknown_status_is_taken_for_a_response(status):
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        head = f"HTTP/1.1 {status} -\r\nContent-Length: 2\r\n\r\n"
+        writer.write(head.encode() + b"{}")
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    options = argparse.Namespace(to=f"{host}:{port}", json=False)
+    async with server:
+        for call, body in (
+            (_client.call_unary, {}),
+            (_client.call_and_print, b"{}"),
+        ):
+            try:
+                code = await anyio.to_thread.run_sync(
+                    call, options, "Operator/Status", body
+                )
+            except _client.CommandError as error:
+                code = error.code
+            assert code is _client.Exit.NO_ANSWER
