Test of a restored lease: let adapters go out of use between orders

The test asked for four adapters more often than every 2.5 s. Those that are resident then count as in use, and are rightly not unloaded: no orders followed, with any code.

Each adapter is now asked for in one second of four.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -35,11 +35,14 @@
 
 @contextlib.asynccontextmanager
 async def _orders_flow(site):
-    """Ask for adapters in turn at all instances, so that orders are sent."""
+    """Ask for an adapter at all instances, and each second for another one.
+
+    So each is out of use long enough to be replaced, and orders are sent.
+    """
 
     async def ask():
-        for number, adapter in enumerate(itertools.cycle(_ADAPTERS)):
-            instance = site.instances[number % len(site.instances)]
+        for instance in itertools.cycle(site.instances):
+            adapter = _ADAPTERS[int(anyio.current_time()) % len(_ADAPTERS)]
             with contextlib.suppress(OSError), anyio.move_on_after(0.3):
                 await hosts.send_request(
                     instance.port, "/safe/x", X_Model=f"m1/{adapter}"
