Confirm copies at once after a disturbance, and watch briefly then

Cause: an instance that gets no relayed changes any more watches the store. A watch that begins before the history is dropped hears nothing for the 4 s that it asked for, and it alone was relied on, while a configuration must be in force within 2 s.

After a disturbance (the relay lapsed or ended before this copy, a call failed, the history was gone, the store answers again or has another history) the present changes are now read first.

--- /dev/null
+++ b/src/geraniumlink/hosting/_change_delays.py
@@ -0,0 +1,38 @@
+"""How long a change in the store takes to reach every instance.
+
+Counted from the store's acknowledgement, while the store answers and messages
+between instances arrive.
+"""
+
+from __future__ import annotations
+
+from geraniumlink.hosting import _object_watcher
+from geraniumlink.residency import _controller_link
+from geraniumlink.residency import _controller_protocol
+
+# How long an answer of a slow store takes.
+STORE_ANSWER_MS = 240
+
+
+def longest_delays_ms(batch_delay_ms: int) -> dict[str, int]:
+    """Return the longest delay on each way that a change may take.
+
+    :param batch_delay_ms: that of the kind of object.
+    """
+    relay_lapsed_ms = _object_watcher.RELAY_VALIDITY_MS + STORE_ANSWER_MS
+    return {
+        "relayed by the controller": (
+            batch_delay_ms
+            + STORE_ANSWER_MS
+            + _controller_protocol.REPORT_INTERVAL_MS
+            + _controller_link.CALL_TIMEOUT_MS
+        ),
+        "read as the relay lapses": relay_lapsed_ms,
+        # The first read hears nothing, nor does a watch; then all objects are
+        # listed.
+        "unheard, as the store drops its history": (
+            relay_lapsed_ms
+            + _object_watcher.SETTLING_WATCH_MS
+            + 2 * STORE_ANSWER_MS
+        ),
+    }
--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -30,6 +30,10 @@
 # must be known within 5 s of such a failure. A shorter watch would cost more
 # calls to the store, which are billed.
 WATCH_TIMEOUT_MS = 4000
+# The shortest watch after a disturbance. The store may drop its history while
+# a watch waits, without an answer. So a watch lasts no longer than the time
+# since the disturbance, and what it misses is known after twice that time.
+SETTLING_WATCH_MS = 500
 # Delay before a failed call is repeated; it doubles up to the maximum.
 INITIAL_RETRY_MS = 100
 MAX_RETRY_MS = 800
@@ -142,6 +146,10 @@
         # time since boot; None before the first confirmation.
         self._confirmed_as_of: int | None = None
         self._watch_scope: anyio.CancelScope | None = None
+        # Whether the present changes must be read, without a wait for others.
+        self._must_confirm = False
+        # Monotonic time of the last disturbance; None before the first.
+        self._disturbed_at: int | None = None
         # None when the objects must be listed, not watched.
         self._revision: int | None = None
         self._objects_by_name: dict[str, _objects.Object] = {}
@@ -205,7 +213,17 @@
         return self._clock.since_boot() - self._confirmed_as_of
 
     def restart_watch(self) -> None:
-        """Start a new watch, as the current connection may be dead."""
+        """Confirm the copy, as the current connection may be dead."""
+        self._note_disturbance()
+        self._end_wait()
+
+    def _note_disturbance(self) -> None:
+        """Read the present changes next, and watch for a short time then."""
+        self._must_confirm = True
+        self._disturbed_at = self._clock.now()
+
+    def _end_wait(self) -> None:
+        """Cancel the running watch, or the wait for the relay's end."""
         if self._watch_scope is not None:
             self._watch_scope.cancel()
 
@@ -246,7 +264,7 @@
         )
         if changes.revision > self.revision and changes.objects:
             # What a running watch has read may be older by now.
-            self.restart_watch()
+            self._end_wait()
             self._apply_changes(changes)
         return True
 
@@ -302,10 +320,10 @@
         if self._is_too_old():
             if has_news:
                 # What a running watch has read may be older.
-                self.restart_watch()
+                self._end_wait()
             return
         if self._clock.now() >= self._relay_valid_until:
-            self.restart_watch()
+            self._end_wait()
         self._confirmed_at = self._clock.now()
         self._relay_valid_until = self._confirmed_at + RELAY_VALIDITY_MS
 
@@ -320,6 +338,7 @@
         was_behind = self._relay_was_behind
         self._relay_was_behind = revision < self.revision
         if self._relay_was_behind and not was_behind:
+            self.restart_watch()
             _logs.event(
                 "relay_behind",
                 kind=self._kind,
@@ -335,10 +354,13 @@
             relay_left_ms = self._relay_valid_until - self._clock.now()
             if relay_left_ms > 0:
                 await self._wait(relay_left_ms)
+                if self._clock.now() >= self._relay_valid_until:
+                    self._note_disturbance()
                 continue
             try:
                 await self._list_or_watch()
             except _objects.UnavailableError as error:
+                self._note_disturbance()
                 self._set_reachable(False, str(error))
                 await self._clock.sleep(retry_ms)
                 retry_ms = min(2 * retry_ms, MAX_RETRY_MS)
@@ -363,10 +385,12 @@
             changes = await self._watch(asked_after)
         except _objects.RevisionCompactedError:
             _logs.event("store_history_gone", kind=self._kind)
+            self._note_disturbance()
             self._revision = None
             return
         if changes is None:
             return
+        self._must_confirm = False
         if changes.revision < self.revision:
             # Newer relayed changes were applied as it arrived: older objects
             # must not replace them, such as an account with a removed key.
@@ -378,7 +402,7 @@
             await self._clock.sleep(self._batch_delay_ms)
 
     async def _watch(self, revision: int) -> _objects.Listing | None:
-        """Return the changes, or None if ``restart_watch`` cancelled it."""
+        """Return the changes, or None if ``_end_wait`` cancelled it."""
         self._watch_scope = anyio.CancelScope()
         with self._watch_scope:
             return await self._store.watch(
@@ -387,18 +411,22 @@
         return None
 
     async def _wait(self, milliseconds: int) -> None:
-        """Sleep, unless ``restart_watch`` ends it."""
+        """Sleep, unless ``_end_wait`` ends it."""
         self._watch_scope = anyio.CancelScope()
         with self._watch_scope:
             await self._clock.sleep(milliseconds)
 
     def _watch_wait_ms(self) -> int:
-        if self._freshness is None:
-            return WATCH_TIMEOUT_MS
-        if self._is_too_old() or not self._reachable:
+        if self._must_confirm or self._is_too_old():
             # The copy is confirmed at once, not only as a watch ends.
             return REFRESH_WAIT_MS
-        return self._freshness.watch_timeout_ms
+        longest_ms = WATCH_TIMEOUT_MS
+        if self._freshness is not None:
+            longest_ms = self._freshness.watch_timeout_ms
+        if self._disturbed_at is None:
+            return longest_ms
+        calm_ms = self._clock.now() - self._disturbed_at
+        return min(longest_ms, max(SETTLING_WATCH_MS, calm_ms))
 
     def _is_too_old(self) -> bool:
         """Whether the copy must be confirmed by this instance's own calls."""
