Tests of first placement wait until the controller may order

The taker of an absent lease waits its duration since, so three tests of test_hosted_placement.py got 503 for the first adapter: they took an instance that has the lease to be able to order at once.

--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -314,6 +314,15 @@
         path = f"/v1/objects/servers/{name}"
         await self.fleet.post(self.store, path, {}, "DELETE")
 
+    async def wait_for_orders(self) -> None:
+        """Wait until the stored lease says that its holder may order."""
+
+        async def wait_over() -> bool:
+            stored = (await self.fleet.record(self.store))["objects"]
+            return any(o["spec"].get("wait_over") for o in stored)
+
+        await self.fleet.until(wait_over, "the controller may order")
+
     async def faults(self, replica: str, **switches: object) -> None:
         await self.fleet.faults(self.replicas[replica], **switches)
 
--- a/tests/test_hosted_placement.py
+++ b/tests/test_hosted_placement.py
@@ -21,14 +21,7 @@
     site = await hosts.Site(fleet).start(
         replicas=replicas, instances=instances, models=("m1",)
     )
-
-    async def has_leader():
-        return any(
-            hosts.find_log_lines(host, "lease_taken")
-            for host in site.instances
-        )
-
-    await fleet.until(has_leader, "an instance is the controller")
+    await site.wait_for_orders()
     return site
 
 
