Take an expired lease anew instead of renewing it

What a review showed: the controller is frozen or cut off, another instance takes the lease and orders, and the store comes back from a copy of before. The former controller's renewal, conditional on a version that is there again, succeeds, and it orders at once under its old token, after a higher one.

Cause: that the stored lease is unchanged was taken as proof that nobody held it meanwhile. A restored store shows it all the same.

A holder whose last successful renewal is older than the lease's duration, by the clock that counts suspension, now counts it as lost, and contends like others: a new term, a new token, and the wait. After an outage of the store that is longer than that, orders begin later unless another instance, which read the lease unchanged before and after, takes it.

--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -219,6 +219,17 @@
 
     async def _renew(self, held: _leases.HeldLease) -> None:
         sent_at = self._clock.since_boot()
+        if sent_at - self._renewed_at >= self._leases.duration_ms:
+            # Others may have held it since. That the stored lease is
+            # unchanged doesn't exclude it: the store may have been restored.
+            _logs.event(
+                "lease_lost",
+                deployment=SHARD,
+                epoch=held.lease.epoch,
+                held_version=held.version,
+            )
+            self._held = None
+            return
         try:
             renewed = await self._leases.renew(held, self._is_wait_over())
         except _leases.LeaseLostError as error:
