Drop the pages of a list that was asked of an earlier history

A list that is asked for before another call's answer shows that the store has another history may arrive after it, and then became the new copy, if the store states the same era in both. Found by review. test_late_list_of_an_unchanged_era_is_taken_for_the_newest failed before and passes.

--- a/src/geraniumlink/platform/_store.py
+++ b/src/geraniumlink/platform/_store.py
@@ -120,6 +120,10 @@
             _, body = await self._call(
                 "GET", _path(kind) + query, levels=_LIST_LEVELS
             )
+            if sent.history != self._history.changes:
+                raise _objects.UnavailableError(
+                    f"the store's history changed as {kind} were listed"
+                )
             page = self._decode_items(kind, body, "items")
             objects += page
             page_revision = _store_revision(body)
