Begin each relayed copy with a whole list of its controller

The store came back older and passed the instance's revision before the instance made a call. What is relayed after that revision are the changes of another history: what came back with it is never sent, and the copy mixes two histories.

Cause: a revision is compared across histories. Whole lists were relayed for 1.8 s after the controller noticed, and never by a controller that started later.

An instance now states the source of the whole list with which its copy began, the controller's process and its count of histories, and gets a whole list if that isn't the controller's present one. Instances of older builds state none and get changes as before.

test_relay_of_controller_without_a_past_mixes_two_histories and test_relay_later_than_the_window_mixes_two_histories failed before and pass; test_relay, test_store_history, test_confirmed_copies, test_odd_entries and test_controller_protocol pass, one run.

--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -292,9 +292,11 @@
 
     def apply_relayed(
         self, changes: Changes, confirmed_as_of: int | None = None
-    ) -> None:
+    ) -> bool:
         """Apply the controller's changes, unless they end before this copy.
 
+        Returns whether they were applied.
+
         A running watch is cancelled, since the relay replaces it; but not
         while the copy is too old for that.
 
@@ -302,12 +304,12 @@
             complete; None if it isn't known.
         """
         if self.is_history_new or self._is_relay_behind(changes.revision):
-            return
+            return False
         if self._freshness is not None and any(
             item.value == {} for item in changes.objects
         ):
             # The controller left a value out. It must not count as known.
-            return
+            return False
         has_news = changes.revision > self.revision
         self._history.note_revision(changes.revision)
         listing = _objects.Listing(changes.revision, changes.objects)
@@ -321,11 +323,12 @@
             if has_news:
                 # What a running watch has read may be older.
                 self._end_wait()
-            return
+            return True
         if self._clock.now() >= self._relay_valid_until:
             self._end_wait()
         self._confirmed_at = self._clock.now()
         self._relay_valid_until = self._confirmed_at + RELAY_VALIDITY_MS
+        return True
 
     def _is_relay_behind(self, revision: int) -> bool:
         """Return whether relayed changes end before this copy.
--- a/src/geraniumlink/hosting/_relay.py
+++ b/src/geraniumlink/hosting/_relay.py
@@ -1,6 +1,8 @@
 """Relays changes in the store from the controller to other instances.
 
 The changes are part of the responses to the other instances' demand reports.
+Each copy begins with a whole list of its controller: a revision doesn't tell
+whether two copies are of one history of the store.
 Most instances lack the same changes, so these are encoded and compressed
 once.
 """
@@ -9,6 +11,7 @@
 
 import base64
 import typing
+import uuid
 import zlib
 
 import orjson
@@ -40,22 +43,45 @@
             kind: _ChangesEncoder(watcher)
             for kind, watcher in self._watchers.items()
         }
+        self._process = uuid.uuid4().hex
+        # By kind, the source of the whole list with which the copy began.
+        self._sources: dict[str, str] = {}
 
-    def known_revisions(self) -> dict[str, int]:
-        """Return the revision of each kind up to which all is known."""
+    def known_revisions(self) -> dict[str, typing.Any]:
+        """Return the revision of each kind up to which all is known.
+
+        Also returns, as "sources", where each copy came from.
+        """
         return {
-            kind: watcher.revision for kind, watcher in self._watchers.items()
+            **{kind: copy.revision for kind, copy in self._watchers.items()},
+            "sources": self._sources,
         }
 
-    def encode_changes(self, known: dict[str, int]) -> dict[str, str]:
+    def encode_changes(self, known: dict[str, typing.Any]) -> dict[str, str]:
         """Return the changes after the revisions that an instance knows.
 
         They are text, by kind of object; empty if that revision is the last.
+        They are whole lists, and their source is stated, unless its copy
+        came from here. Instances of older builds don't state sources.
         """
-        return {
-            kind: encoder.encode_since(int(known.get(kind, 0)))
-            for kind, encoder in self._encoders.items()
-        }
+        source = self._own_source()
+        sources = known.get("sources")
+        encoded = {}
+        for kind, encoder in self._encoders.items():
+            revision = int(known.get(kind, 0))
+            if isinstance(sources, dict) and sources.get(kind) != source:
+                revision = 0
+            encoded[kind] = encoder.encode_since(revision)
+        if isinstance(sources, dict):
+            encoded["source"] = source
+        return encoded
+
+    def _own_source(self) -> str:
+        """Return what stands for this process's copies of one history."""
+        histories = [
+            watcher.position.history for watcher in self._watchers.values()
+        ]
+        return f"{self._process}.{max(histories, default=0)}"
 
     def confirmed_ages_ms(self) -> dict[str, int | None]:
         """Return how old the changes are that are encoded now, by kind."""
@@ -90,9 +116,14 @@
             except (KeyError, TypeError, ValueError) as error:
                 _logs.event("bad_relay", error=repr(error))
                 continue
-            watcher.apply_relayed(
+            source = encoded.get("source")
+            if not changes.is_snapshot and source != self._sources.get(kind):
+                continue
+            is_applied = watcher.apply_relayed(
                 changes, _confirmed_as_of(kind, ages_ms, sent_at)
             )
+            if is_applied and isinstance(source, str):
+                self._sources[kind] = source
 
 
 class _ChangesEncoder:
--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -68,10 +68,12 @@
 class Relay(typing.Protocol):
     """Passes changes of the store from the controller to the instances."""
 
-    def known_revisions(self) -> dict[str, int]:
+    def known_revisions(self) -> dict[str, typing.Any]:
         """Return the store revision known here for each kind of object."""
 
-    def encode_changes(self, known: dict[str, int]) -> dict[str, typing.Any]:
+    def encode_changes(
+        self, known: dict[str, typing.Any]
+    ) -> dict[str, typing.Any]:
         """Return the changes since the revisions that an instance knows."""
 
     def confirmed_ages_ms(self) -> dict[str, int | None]:
