--- /dev/null
+++ b/soak/_faults.py
@@ -0,0 +1,172 @@
+"""Injects the faults of a schedule from outside the processes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import contextlib
+import json
+import time
+
+import anyio
+import httpcore
+
+from soak import _checks
+from soak import _schedule
+from soak import _site
+from standins import fleet as fleets
+
+_POLL_S = 0.05
+_LATE_EVERY = 2
+_WRITTEN_AGAIN_S = 0.5
+_GRACE_S = 8.0
+_UNREACHABLE = (httpcore.NetworkError, httpcore.ProtocolError, RuntimeError)
+
+# Switches of the stand-ins by kind of fault, with its parameter.
+_STORE: dict[str, Callable[[float], dict]] = {
+    "silent": lambda _: {"silent": True},
+    "slow": lambda value: {"slow_ms": value},
+    "unavailable": lambda value: {"outage": int(value)},
+    "too_many": lambda value: {"outage": int(value)},
+    "lost_answers": lambda value: {"lose_answers": round(value)},
+    "late_writes": lambda value: {
+        "late_writes_ms": value,
+        "late_every": _LATE_EVERY,
+    },
+    "old_reads": lambda value: {"old_reads_ms": value},
+}
+_LINK: dict[str, dict] = {
+    "cut": {"cut": True},
+    "stalled": {"stall": True},
+    "refused": {"cut": True, "refuse": True},
+}
+
+
+class Injector:
+    """Makes faults happen and records when they were in effect."""
+
+    def __init__(self, site: _site.Site) -> None:
+        self._site = site
+        self._fleet = site.fleet
+        self._store = site.hosts.store
+        # One thing at a time is done to a process.
+        self._locks = [anyio.Lock() for _ in site.hosts.instances]
+        self._store_lock = anyio.Lock()
+
+    async def run(self, faults: list[_schedule.Fault]) -> None:
+        """Return when the last fault is over."""
+        began = time.monotonic()
+        async with anyio.create_task_group() as group:
+            for fault in faults:
+                await anyio.sleep(began + fault.at_s - time.monotonic())
+                group.start_soon(self._inject, fault)
+
+    async def _inject(self, fault: _schedule.Fault) -> None:
+        if fault.instance is not None:
+            index = fault.instance
+            if index == _schedule.LEADER:
+                index = await self._leader()
+            if fault.kind in ("frozen", "killed", "terminated"):
+                async with self._locks[index]:
+                    await self._end_process(fault, index)
+            else:
+                await self._cut(fault, index)
+        elif fault.kind in ("down", "restore"):
+            async with self._store_lock:
+                await self._stop_store(fault)
+        elif fault.kind == "forgets":
+            await self._forget(fault)
+        else:
+            await self._switch_store(fault)
+
+    async def _leader(self) -> int:
+        """Return the index of the instance that sent the last order."""
+        orders = await self._site.orders()
+        names = [process.name for process in self._site.hosts.instances]
+        return names.index(orders[-1].holder) if orders else 0
+
+    async def _set(self, process: fleets.Process, switches: dict) -> None:
+        with contextlib.suppress(*_UNREACHABLE):
+            await self._fleet.faults(process, **switches)
+
+    async def _switch_store(self, fault: _schedule.Fault) -> None:
+        switches = _STORE[fault.kind](fault.parameter)
+        began = time.monotonic()
+        await self._set(self._store, switches)
+        await anyio.sleep(fault.lasts_s)
+        await self._set(self._store, dict.fromkeys(switches))
+        late = fault.kind == "late_writes"
+        follows_s = fault.parameter / 1000 if late else 0
+        self._site.note(_checks.STORE, fault.kind, began, follows_s)
+
+    async def _forget(self, fault: _schedule.Fault) -> None:
+        """Watches get 410, and those that wait hear nothing."""
+        began = time.monotonic()
+        with contextlib.suppress(*_UNREACHABLE):
+            revision = (await self._fleet.record(self._store))["revision"]
+            switches = {"forget_before": revision + 1, "deaf": True}
+            await self._set(self._store, switches)
+            await anyio.sleep(fault.lasts_s)
+            switches = {"forget_before": revision, "deaf": False}
+            await self._set(self._store, switches)
+        self._site.note(_checks.STORE, fault.kind, began)
+
+    async def _stop_store(self, fault: _schedule.Fault) -> None:
+        began = time.monotonic()
+        for link in self._site.links:
+            await self._set(link, _LINK["refused"])
+        self._store.kill()
+        if fault.kind == "restore":
+            self._restore(fault.parameter)
+        await anyio.sleep(fault.lasts_s)
+        self._store.start()
+        await self._fleet.answers(self._store.port, "/record")
+        for link in self._site.links:
+            await self._set(link, dict.fromkeys(_LINK["refused"]))
+        if fault.kind == "restore":
+            await anyio.sleep(_WRITTEN_AGAIN_S)
+            await self._site.configure()
+        self._site.note(_checks.STORE, fault.kind, began)
+
+    def _restore(self, age_s: float) -> None:
+        """Take what was written since the copy out of the store's file."""
+        state = self._site.state
+        until = time.monotonic() - age_s
+        kept = [
+            line
+            for line in state.read_text().splitlines(keepends=True)
+            if age_s != _schedule.EMPTY_COPY and json.loads(line)["at"] < until
+        ]
+        state.write_text("".join(kept))
+
+    async def _cut(self, fault: _schedule.Fault, index: int) -> None:
+        process = self._site.hosts.instances[index]
+        began = time.monotonic()
+        if fault.kind in _LINK:
+            target, switches = self._site.links[index], _LINK[fault.kind]
+        else:
+            host = self._site.relayed[index]
+            target = self._store
+            switches = {"refuse_hosts": {host: int(fault.parameter)}}
+        await self._set(target, switches)
+        await anyio.sleep(fault.lasts_s)
+        await self._set(target, dict.fromkeys(switches))
+        self._site.note(process.name, fault.kind, began)
+
+    async def _end_process(self, fault: _schedule.Fault, index: int) -> None:
+        process = self._site.hosts.instances[index]
+        began = time.monotonic()
+        if fault.kind == "frozen":
+            process.freeze()
+            await anyio.sleep(fault.lasts_s)
+            process.thaw()
+        else:
+            if fault.kind == "terminated":
+                process.terminate()
+                with anyio.move_on_after(_GRACE_S):
+                    while process.running:
+                        await anyio.sleep(_POLL_S)
+            process.kill()
+            await anyio.sleep(fault.lasts_s)
+            self._site.starts[process.name] += 1
+            process.start()
+        self._site.note(process.name, fault.kind, began)
--- a/standins/link.py
+++ b/standins/link.py
@@ -1,7 +1,8 @@
 """Stand-in for a network link: relays TCP to another address.
 
-Fault switches: ``cut`` (connections are closed, new ones too) and ``stall``
-(nothing passes in either direction until it is unset).
+Fault switches: ``cut`` (connections are closed, new ones too), ``stall``
+(nothing passes in either direction until it is unset) and ``refuse`` (new
+connections are refused).
 """
 
 from __future__ import annotations
@@ -10,6 +11,8 @@
 import contextlib
 import typing
 
+from starlette import requests
+from starlette import responses
 from starlette import routing
 
 from standins import _base
@@ -27,6 +30,7 @@
         self._host, _, port = to.rpartition(":")
         self._port = int(port)
         self._connections = 0
+        self._relaying: asyncio.Server | None = None
 
     def routes(self) -> list[routing.Route]:
         return []
@@ -35,11 +39,25 @@
         return {"connections": self._connections}
 
     async def serve(self, port: int) -> None:
-        relay = await asyncio.start_server(
-            self._relay, "127.0.0.1", self._relay_port
-        )
-        async with relay:
-            await super().serve(port)
+        await self._listen()
+        await super().serve(port)
+
+    async def _set_faults(
+        self, request: requests.Request
+    ) -> responses.Response:
+        answer = await super()._set_faults(request)
+        await self._listen()
+        return answer
+
+    async def _listen(self) -> None:
+        """Listen for connections to relay, unless these are refused."""
+        if self._relaying and self.faults.refuse:
+            self._relaying.close()
+            self._relaying = None
+        elif not self._relaying and not self.faults.refuse:
+            self._relaying = await asyncio.start_server(
+                self._relay, "127.0.0.1", self._relay_port
+            )
 
     async def _relay(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -48,7 +66,11 @@
         if self.faults.cut:
             writer.close()
             return
-        there, back = await asyncio.open_connection(self._host, self._port)
+        try:
+            there, back = await asyncio.open_connection(self._host, self._port)
+        except ConnectionError:
+            writer.close()
+            return
         await asyncio.gather(
             self._pump(reader, back), self._pump(there, writer)
         )
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -105,7 +105,7 @@
     }
 
 
-def check_out(commit, folder):
+def check_out(commit: str, folder: pathlib.Path) -> str:
     """Write a landing's source to a folder; return the path to run it with."""
     archive = subprocess.run(
         ["git", "archive", commit, "src"],
@@ -151,9 +151,9 @@
 class Site:
     """The store, replicas and instances that one test runs."""
 
-    def __init__(self, fleet: fleets.Fleet) -> None:
+    def __init__(self, fleet: fleets.Fleet, *store_arguments: str) -> None:
         self.fleet = fleet
-        self.store = fleet.stand_in("metadata_store")
+        self.store = fleet.stand_in("metadata_store", *store_arguments)
         self.replicas: dict[str, fleets.Process] = {}
         self.instances: list[fleets.Process] = []
         self._settings: list[dict] = []
