--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -8,7 +8,7 @@
 # Without a fault meanwhile, so that instances get in touch.
 _CALM_S = (4.0, 8.0)
 _CLOSE_S = (0.1, 1.5)
-_CALM_SHARE = 0.4
+_CALM_SHARE = 0.3
 _START_S = 3.0
 _END_S = 6.0
 # In place of an instance: the one that sent the last order.
@@ -30,12 +30,14 @@
     "forgets": ((1, 1), (0, 0)),
 }
 _RESTORE = {"restore": ((0.2, 2), (1, 10))}
-_INSTANCE = {
+_LINK = {
     "cut": ((0.5, 6), (0, 0)),
     "stalled": ((0.5, 6), (0, 0)),
     "refused": ((0.5, 6), (0, 0)),
     "turned_away": ((0.5, 6), (503, 503)),
     "limited": ((0.5, 6), (429, 429)),
+}
+_PROCESS = {
     "frozen": ((0.5, 6), (0, 0)),
     "killed": ((0.1, 2), (0, 0)),
     "terminated": ((0.1, 2), (0, 0)),
@@ -76,14 +78,15 @@
 def _draw_fault(
     source: random.Random, at_s: float, instances: int, restores: bool
 ) -> Fault:
-    kinds = _STORE | _INSTANCE | (_RESTORE if restores else {})
+    groups = [_STORE, _LINK, _PROCESS] + [_RESTORE] * restores
+    kinds = source.choice(groups)
     kind = source.choice(sorted(kinds))
     lasts, (low, high) = kinds[kind]
     parameter = round(source.uniform(low, high), 3)
     if kind == "restore" and source.random() < 0.2:
         parameter = EMPTY_COPY
     instance = None
-    if kind in _INSTANCE:
+    if kinds in (_LINK, _PROCESS):
         instance = source.randrange(instances)
         if source.random() < _LEADER_SHARE:
             instance = LEADER
