--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -1,18 +1,22 @@
 """Stand-in for the metadata store of the users' platform.
 
-Fault switches: ``outage`` (every call is answered 503), ``silent`` (no call
-is answered), ``forget_before`` (watches after an older revision are answered
+Fault switches: ``outage`` (every call is answered 503), ``silent`` (no call is
+answered), ``forget_before`` (watches after an older revision are answered
 410), ``lose_answers`` (this many next writes take effect and the connection
-closes without an answer), ``slow_ms`` (each answer is late), ``deaf`` (watches
-hear nothing until it is off), ``refuse_hosts`` (by the Host of a call, the
-status that answers it), ``old_reads_ms`` (``serializable`` reads are that
-old), ``late_writes_ms`` (writes get no answer and take effect that much later,
-if their condition still holds then; not those of ``config`` and ``servers``),
-``late_every`` (only every so many of them). ``outage`` may be the status
-itself. With ``--state`` the objects outlive the process, in a file of their
-changes. The operator and the replicas of a test write through the same
-calls. ``/raw-specs/KIND/NAME`` takes a ``spec`` in base64
-and keeps its bytes as they are, so that it needn't be valid JSON.
+closes without an answer), ``refuse_unknown`` (watches after a revision that
+the store doesn't have are answered 410; otherwise they wait), ``slow_ms`` (each
+answer is late), ``deaf`` (watches hear nothing until it is off),
+``refuse_hosts`` (by the Host of a call, the status that answers it),
+``old_reads_ms`` (``serializable`` reads are that old), ``late_writes_ms``
+(writes get no answer and take effect that much later, if their condition still
+holds then; not those of ``config`` and ``servers``), ``late_every`` (only every
+so many of them). ``outage`` may be the status itself. ``/restore`` takes the
+``revision`` to which the store goes back, and whether it ``counts_eras``: then
+its answers have the header Store-Era, which rises by one. With ``--state`` the
+changes are kept in a file, from which the store starts again; ``/restore``
+leaves it as it is. The operator and the replicas of a test write through the
+same calls. ``/raw-specs/KIND/NAME`` takes a ``spec`` in base64 and keeps its
+bytes as they are, so that it needn't be valid JSON.
 """
 
 from __future__ import annotations
@@ -52,6 +56,8 @@
         # Revision, kind, object and whether it was removed.
         self._history: list[tuple[int, str, dict, bool]] = []
         self._changed = asyncio.Condition()
+        # Rises with each restore; None while answers don't have it.
+        self._era: int | None = None
         self._calls: dict[str, int] = {}
         # By the text that stands for it in an object, as JSON.
         self._raw_specs: dict[bytes, bytes] = {}
@@ -99,6 +105,7 @@
             routing.Route(named, self._get),
             routing.Route(named, self._replace, methods=["PUT"]),
             routing.Route(named, self._delete, methods=["DELETE"]),
+            routing.Route("/restore", self._restore, methods=["POST"]),
             routing.Route(
                 "/raw-specs/{kind}/{name}", self._write_raw, methods=["POST"]
             ),
@@ -115,6 +122,20 @@
             ],
         }
 
+    async def _restore(self, request: requests.Request) -> responses.Response:
+        """Go back to the objects of an earlier revision."""
+        message = json.loads(await request.body())
+        self._revision = message["revision"]
+        if message.get("counts_eras"):
+            self._era = (self._era or 1) + 1
+        self._history = [
+            change for change in self._history if change[0] <= self._revision
+        ]
+        self._objects = self._objects_at(self._revision)
+        async with self._changed:
+            self._changed.notify_all()
+        return responses.JSONResponse({})
+
     async def _out(self, call: str, request: requests.Request) -> int:
         """Return the status with which a call is refused, or 0."""
         self._calls[call] = self._calls.get(call, 0) + 1
@@ -168,7 +189,8 @@
     ) -> responses.Response:
         query = request.query_params
         after = int(query["watch"])
-        if after < (self.faults.forget_before or 0):
+        is_unknown = after > self._revision and self.faults.refuse_unknown
+        if after < (self.faults.forget_before or 0) or is_unknown:
             return self._respond({}, 410)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query["wait_ms"]) / 1000):
@@ -256,7 +278,10 @@
         body = json.dumps(content).encode()
         for text, spec in self._raw_specs.items():
             body = body.replace(text, spec)
-        return responses.Response(body, status, media_type="application/json")
+        headers = {} if self._era is None else {"Store-Era": str(self._era)}
+        return responses.Response(
+            body, status, headers, media_type="application/json"
+        )
 
     async def _delete(self, request: requests.Request) -> responses.Response:
         if status := await self._out("write", request):
