--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -4,19 +4,19 @@
 answered), ``forget_before`` (watches after an older revision are answered
 410), ``lose_answers`` (this many next writes take effect and the connection
 closes without an answer), ``refuse_unknown`` (watches after a revision that
-the store doesn't have are answered 410; otherwise they wait), ``slow_ms`` (each
-answer is late), ``deaf`` (watches hear nothing until it is off),
+the store doesn't have are answered 410; otherwise they wait), ``slow_ms``
+(each answer is late), ``deaf`` (watches hear nothing until it is off),
 ``refuse_hosts`` (by the Host of a call, the status that answers it),
 ``old_reads_ms`` (``serializable`` reads are that old), ``late_writes_ms``
 (writes get no answer and take effect that much later, if their condition still
-holds then; not those of ``config`` and ``servers``), ``late_every`` (only every
-so many of them). ``outage`` may be the status itself. ``/restore`` takes the
-``revision`` to which the store goes back, and whether it ``counts_eras``: then
-its answers have the header Store-Era, which rises by one. With ``--state`` the
-changes are kept in a file, from which the store starts again; ``/restore``
-leaves it as it is. The operator and the replicas of a test write through the
-same calls. ``/raw-specs/KIND/NAME`` takes a ``spec`` in base64 and keeps its
-bytes as they are, so that it needn't be valid JSON.
+holds then; not those of ``config`` and ``servers``), ``late_every`` (only
+every so many of them). ``outage`` may be the status itself. ``/restore`` takes
+the ``revision`` to which the store goes back, and whether it ``counts_eras``:
+then its answers have the header Store-Era, which rises by one. With
+``--state`` the changes are kept in a file, from which the store starts again;
+``/restore`` leaves it as it is. The operator and the replicas of a test write
+through the same calls. ``/raw-specs/KIND/NAME`` takes a ``spec`` in base64 and
+keeps its bytes as they are, so that it needn't be valid JSON.
 """
 
 from __future__ import annotations
