--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -124,16 +124,18 @@
     first, _, last = options.seeds.partition("-")
     seeds = range(int(first), int(last or first) + 1)
     with futures.ThreadPoolExecutor(options.jobs) as pool:
-        ended = list(pool.map(lambda seed: _run_apart(options, seed), seeds))
-    broken = [
-        str(seed) for seed, status in zip(seeds, ended, strict=True) if status
-    ]
-    print(f"{len(broken)} of {len(seeds)} broken: {' '.join(broken) or '-'}")
-    return int(bool(broken))
-
-
-def _run_apart(options: argparse.Namespace, seed: int) -> int:
-    """Make a run in a process of its own; return its exit status."""
+        ended = pool.map(lambda seed: _run_apart(options, seed), seeds)
+        broken = dict(zip(seeds, ended, strict=True))
+    for rule in sorted(set().union(*broken.values())):
+        found = [str(seed) for seed in seeds if rule in broken[seed]]
+        print(f"{rule}: {len(found)} of {len(seeds)}: {' '.join(found)}")
+    count = sum(bool(rules) for rules in broken.values())
+    print(f"{count} of {len(seeds)} seeds broke a rule")
+    return int(count > 0)
+
+
+def _run_apart(options: argparse.Namespace, seed: int) -> set[str]:
+    """Make a run in a process of its own; return what it broke."""
     command = [sys.executable, "-m", "soak", "run", "--seed", str(seed)]
     command += ["--seconds", str(options.seconds)]
     if options.instances:
@@ -146,7 +148,8 @@
         command, capture_output=True, check=False, text=True
     )
     print(f"{ended.stderr}{ended.stdout}".rstrip(), flush=True)
-    return ended.returncode
+    broken = {line.partition(":")[0] for line in ended.stdout.splitlines()}
+    return broken or {"the run failed"} if ended.returncode else set()
 
 
 if __name__ == "__main__":
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -139,21 +139,32 @@
     versions: Iterable[Version],
     disruptions: list[Disruption],
 ) -> list[str]:
-    """Return a line for each request that was handled too late."""
-    lines = []
+    """Return a line for each version that an instance applied too late."""
+    versions = list(versions)
+    late: dict[tuple[str, int, int], list[Probe]] = {}
     for probe in probes:
         for version in versions:
             if probe.newest < version.number and _is_late(
                 probe, version, disruptions
             ):
-                lines.append(
-                    f"CONFIG late: {probe.instance} handled {probe.text}, sent"
-                    f" at {probe.sent:.3f}, as only versions up to"
-                    f" {probe.newest} allow; {version.number} was acknowledged"
-                    f" {probe.sent - version.acknowledged:.3f} s before"
-                )
+                key = (probe.instance, probe.start, version.number)
+                late.setdefault(key, []).append(probe)
                 break
-    return lines
+    at = {version.number: version.acknowledged for version in versions}
+    return [
+        f"CONFIG late: {name} handled {_span(found)} as only versions up to"
+        f" {found[0].newest} allow; {number} was acknowledged at"
+        f" {at[number]:.3f}"
+        for (name, _, number), found in late.items()
+    ]
+
+
+def _span(probes: list[Probe]) -> str:
+    first, last = probes[0], probes[-1]
+    return (
+        f"{len(probes)} requests, {first.text} sent at {first.sent:.3f} to"
+        f" {last.text} sent at {last.sent:.3f},"
+    )
 
 
 def _is_late(
@@ -184,26 +195,35 @@
 def find_older_configurations(
     probes: Iterable[Probe], disruptions: list[Disruption]
 ) -> list[str]:
-    """Return a line for each request after a newer version's effect."""
+    """Return a line for each process that went back to an older version."""
     probes = list(probes)
-    lines = []
+    older: dict[tuple[str, int], list[Probe]] = {}
+    shown: dict[tuple[str, int], Probe] = {}
     for probe in probes:
-        earlier = [
-            other
-            for other in probes
-            if other.instance == probe.instance
-            and other.start == probe.start
-            and other.oldest > probe.newest
-            and probe.sent - other.answered > _slack_s(probe, disruptions)
-        ]
-        if earlier:
-            shown = max(earlier, key=lambda other: other.oldest)
-            lines.append(
-                f"CONFIG older: {probe.instance} handled {probe.text}, sent at"
-                f" {probe.sent:.3f}, as only versions up to {probe.newest}"
-                f" allow, after {shown.oldest} at {shown.answered:.3f}"
-            )
-    return lines
+        for earlier in probes:
+            if _is_older(probe, earlier, disruptions):
+                key = (probe.instance, probe.start)
+                older.setdefault(key, []).append(probe)
+                shown.setdefault(key, earlier)
+                break
+    return [
+        f"CONFIG older: {name} handled {_span(found)} as only versions up to"
+        f" {found[0].newest} allow, after {shown[name, start].oldest} at"
+        f" {shown[name, start].answered:.3f}"
+        for (name, start), found in older.items()
+    ]
+
+
+def _is_older(
+    probe: Probe, earlier: Probe, disruptions: list[Disruption]
+) -> bool:
+    """Whether a request was handled as before what was shown earlier."""
+    return (
+        earlier.oldest > probe.newest
+        and earlier.instance == probe.instance
+        and earlier.start == probe.start
+        and probe.sent - earlier.answered > _slack_s(probe, disruptions)
+    )
 
 
 def _slack_s(probe: Probe, disruptions: list[Disruption]) -> float:
