--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -33,6 +33,8 @@
         "late_every": _LATE_EVERY,
     },
     "old_reads": lambda value: {"old_reads_ms": value},
+    # Also for watches after the last revision; others hear nothing.
+    "forgets": lambda value: {"forget_before": value + 1, "deaf": True},
 }
 _LINK: dict[str, dict] = {
     "cut": {"cut": True},
@@ -65,18 +67,33 @@
             index = fault.instance
             if index == _schedule.LEADER:
                 index = await self._leader()
-            if fault.kind in ("frozen", "killed", "terminated"):
-                async with self._locks[index]:
-                    await self._end_process(fault, index)
-            else:
-                await self._cut(fault, index)
+            await self._disrupt_instance(fault, index)
         elif fault.kind in ("down", "restore"):
             async with self._store_lock:
-                await self._stop_store(fault)
-        elif fault.kind == "forgets":
-            await self._forget(fault)
+                with self._site.disrupt(_checks.STORE, fault.kind):
+                    await self._stop_store(fault)
         else:
-            await self._switch_store(fault)
+            late = fault.kind == "late_writes"
+            follows_s = fault.parameter / 1000 if late else 0
+            with self._site.disrupt(_checks.STORE, fault.kind, follows_s):
+                await self._switch_store(fault)
+
+    async def _disrupt_instance(
+        self, fault: _schedule.Fault, index: int
+    ) -> None:
+        process = self._site.hosts.instances[index]
+        if fault.kind in _checks.LINK_FAULTS:
+            with self._site.disrupt(process.name, fault.kind):
+                await self._disrupt_link(fault, index)
+            return
+        async with self._locks[index]:
+            with self._site.disrupt(process.name, fault.kind):
+                if fault.kind == "frozen":
+                    process.freeze()
+                    await anyio.sleep(fault.lasts_s)
+                    process.thaw()
+                else:
+                    await self._end_process(fault, process)
 
     async def _leader(self) -> int:
         """Return the index of the instance that sent the last order."""
@@ -89,29 +106,16 @@
             await self._fleet.faults(process, **switches)
 
     async def _switch_store(self, fault: _schedule.Fault) -> None:
-        switches = _STORE[fault.kind](fault.parameter)
-        began = time.monotonic()
+        revision = 0
+        if fault.kind == "forgets":
+            with contextlib.suppress(*_UNREACHABLE):
+                revision = (await self._fleet.record(self._store))["revision"]
+        switches = _STORE[fault.kind](fault.parameter or revision)
         await self._set(self._store, switches)
         await anyio.sleep(fault.lasts_s)
         await self._set(self._store, dict.fromkeys(switches))
-        late = fault.kind == "late_writes"
-        follows_s = fault.parameter / 1000 if late else 0
-        self._site.note(_checks.STORE, fault.kind, began, follows_s)
-
-    async def _forget(self, fault: _schedule.Fault) -> None:
-        """Watches get 410, and those that wait hear nothing."""
-        began = time.monotonic()
-        with contextlib.suppress(*_UNREACHABLE):
-            revision = (await self._fleet.record(self._store))["revision"]
-            switches = {"forget_before": revision + 1, "deaf": True}
-            await self._set(self._store, switches)
-            await anyio.sleep(fault.lasts_s)
-            switches = {"forget_before": revision, "deaf": False}
-            await self._set(self._store, switches)
-        self._site.note(_checks.STORE, fault.kind, began)
 
     async def _stop_store(self, fault: _schedule.Fault) -> None:
-        began = time.monotonic()
         for link in self._site.links:
             await self._set(link, _LINK["refused"])
         self._store.kill()
@@ -125,7 +129,6 @@
         if fault.kind == "restore":
             await anyio.sleep(_WRITTEN_AGAIN_S)
             await self._site.configure()
-        self._site.note(_checks.STORE, fault.kind, began)
 
     def _restore(self, age_s: float) -> None:
         """Take what was written since the copy out of the store's file."""
@@ -138,9 +141,7 @@
         ]
         state.write_text("".join(kept))
 
-    async def _cut(self, fault: _schedule.Fault, index: int) -> None:
-        process = self._site.hosts.instances[index]
-        began = time.monotonic()
+    async def _disrupt_link(self, fault: _schedule.Fault, index: int) -> None:
         if fault.kind in _LINK:
             target, switches = self._site.links[index], _LINK[fault.kind]
         else:
@@ -150,23 +151,16 @@
         await self._set(target, switches)
         await anyio.sleep(fault.lasts_s)
         await self._set(target, dict.fromkeys(switches))
-        self._site.note(process.name, fault.kind, began)
 
-    async def _end_process(self, fault: _schedule.Fault, index: int) -> None:
-        process = self._site.hosts.instances[index]
-        began = time.monotonic()
-        if fault.kind == "frozen":
-            process.freeze()
-            await anyio.sleep(fault.lasts_s)
-            process.thaw()
-        else:
-            if fault.kind == "terminated":
-                process.terminate()
-                with anyio.move_on_after(_GRACE_S):
-                    while process.running:
-                        await anyio.sleep(_POLL_S)
-            process.kill()
-            await anyio.sleep(fault.lasts_s)
-            self._site.starts[process.name] += 1
-            process.start()
-        self._site.note(process.name, fault.kind, began)
+    async def _end_process(
+        self, fault: _schedule.Fault, process: fleets.Process
+    ) -> None:
+        if fault.kind == "terminated":
+            process.terminate()
+            with anyio.move_on_after(_GRACE_S):
+                while process.running:
+                    await anyio.sleep(_POLL_S)
+        process.kill()
+        await anyio.sleep(fault.lasts_s)
+        self._site.starts[process.name] += 1
+        process.start()
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import contextlib
 import json
 import math
@@ -78,17 +79,22 @@
             await self.fleet.answers(link.port, "/record")
             process = await self.hosts.add_instance(store_address=address)
             self.starts[process.name] = 1
-            self.note(process.name, "started", time.monotonic())
-
-    def note(
-        self, target: str, kind: str, began: float, follows_s: float = 0
-    ) -> None:
-        """Record a disruption that ends now."""
-        self.disruptions.append(
-            _checks.Disruption(
-                target, kind, began, time.monotonic() + follows_s
+            with self.disrupt(process.name, "started"):
+                pass
+
+    @contextlib.contextmanager
+    def disrupt(
+        self, target: str, kind: str, follows_s: float = 0
+    ) -> Iterator[None]:
+        """Record a disruption that lasts as long as the context."""
+        began = time.monotonic()
+        try:
+            yield
+        finally:
+            ended = time.monotonic() + follows_s
+            self.disruptions.append(
+                _checks.Disruption(target, kind, began, ended)
             )
-        )
 
     async def configure(self, number: int = 0) -> None:
         """Write a version, or the last one again, until it's acknowledged."""
