--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -197,9 +197,12 @@
     "version": _WHOLE,
     "version_in_force": _WHOLE,
     "versions": _TEXTS,
+    "wait": _TEXT,
     "wait_ms": _WHOLE,
     "why_final": _TEXT,
     "window_ms": _WHOLE,
+    # Null if the order wasn't written.
+    "written_after_ms": Field(Kind.WHOLE, nullable=True),
 }
 # Fields whose type in one message differs from that in ``FIELDS``, by message
 # and field.
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -406,8 +406,16 @@
     "lease_taken": Message(
         _STATE,
         "this instance acquired a lease; `found_epoch` and `found_holder` are"
-        " those of the stored one before",
-        ("deployment", "epoch", "found_epoch", "found_holder", "version"),
+        " those of the stored one before; `wait` is the time that it leaves"
+        " to former holders: none, guard (interval) or (its) duration",
+        (
+            "deployment",
+            "epoch",
+            "found_epoch",
+            "found_holder",
+            "version",
+            "wait",
+        ),
     ),
     "lease_unavailable": Message(
         _STATE, "the lease could not be read or renewed", ("error",)
@@ -484,7 +492,8 @@
     ),
     "order": Message(
         _STATE,
-        "an order was sent to a replica; `verdict` is its result",
+        "an order to a replica ended with `verdict`; `written_after_ms` is"
+        " null if it was not written, and one that is UNKNOWN was withdrawn",
         (
             "adapter",
             "address",
@@ -496,6 +505,7 @@
             "replica",
             "took_ms",
             "verdict",
+            "written_after_ms",
         ),
     ),
     "order_reply": _order_step(
