--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -94,7 +94,8 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(site.operate)
                 group.start_soon(site.register_replicas)
-                group.start_soon(site.ask_for_models)
+                group.start_soon(site.ask_for_models, _site.ADAPTERS)
+                group.start_soon(site.ask_for_models, _site.MODELS)
                 group.start_soon(site.ask_for_routes)
                 group.start_soon(_faults.Injector(site).run, faults)
         orders = await site.orders()
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -17,8 +17,9 @@
 from standins import fleet as fleets
 from tests import hosts
 
-_ADAPTERS = 4
-# One after the other: the controller keeps adapters that are all asked for.
+ADAPTERS = ("m1/a1", "m1/a2", "m1/a3", "m1/a4")
+MODELS = ("m2", "m3")
+# One after the other: the controller keeps those that are all asked for.
 _ASKED_IN_A_ROW = 8
 _ASK_EVERY_S = 0.25
 _MODEL_EVERY_S = 0.15
@@ -154,15 +155,15 @@
             entry["service"] = _SERVICES[min(index, 1)]
             await self._put("servers", name, entry)
 
-    async def ask_for_models(self) -> None:
-        """Ask for adapters in turn, more than fit, so that orders go on."""
+    async def ask_for_models(self, names: tuple[str, ...]) -> None:
+        """Ask for models in turn, more than fit, so that orders go on."""
         async with anyio.create_task_group() as group:
             while True:
-                for number in range(_ADAPTERS * _ASKED_IN_A_ROW):
-                    instance = self._source.choice(self.hosts.instances)
-                    model = f"m1/a{number // _ASKED_IN_A_ROW + 1}"
-                    group.start_soon(self._ask, instance, "stream", model)
-                    await anyio.sleep(_MODEL_EVERY_S)
+                for name in names:
+                    for _ in range(_ASKED_IN_A_ROW):
+                        instance = self._source.choice(self.hosts.instances)
+                        group.start_soon(self._ask, instance, "stream", name)
+                        await anyio.sleep(_MODEL_EVERY_S)
 
     async def ask_for_routes(self) -> None:
         """Ask every instance for routes of old and new versions."""
