--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -24,6 +24,7 @@
 from geraniumlink import _clock
 from geraniumlink import _logs
 from geraniumlink import _objects
+from geraniumlink.control import _fencing_tokens
 
 KIND = "leases"
 # Number of instances that read the lease of a shard; the others make no
@@ -33,11 +34,17 @@
 # so that candidates don't write together. All but the first write are
 # refused and cost a call each.
 TAKE_JITTER = 1 / 16
+# Writes of one renewal. All but the last meet a renewal that was sent before
+# and takes effect late.
+MAX_RENEWAL_WRITES = 3
 # A stored lease with a longer duration is invalid.
 _MAX_DURATION_MS = 600_000
-# A stored lease with a higher epoch, or more renewals, is invalid: the counts
-# must still fit in 64 bits as they rise.
-_MAX_COUNT = 2**53
+# A stored lease with more renewals is invalid: they must still fit in 64 bits
+# as they rise.
+_MAX_RENEWALS = 2**53
+# A stored lease with a higher epoch is invalid: later ones must still be valid
+# fencing tokens.
+_MAX_EPOCH = _fencing_tokens.MAX_TOKEN - 2**20
 
 
 class Lease(typing.NamedTuple):
@@ -47,7 +54,7 @@
     holder: str
     # Differs between two processes of the same instance name.
     incarnation: str
-    # Rises by one whenever the lease is taken.
+    # Rises whenever the lease is taken.
     epoch: int
     duration_ms: int
     # Rises with each renewal, so that each renewal changes the object.
@@ -115,12 +122,32 @@
         """Write the object if its version is ``if_version``."""
 
 
+class _Content(typing.NamedTuple):
+    """What tells two leases apart that have one version in two histories."""
+
+    epoch: int
+    renewals: int
+    holder: str
+
+
 class _Observation(typing.NamedTuple):
     """A version of a stored lease, and when it was first seen here."""
 
     version: int
     observed_at: int
     holder: str
+    # None if the lease is absent or unreadable, or if its holder, of an older
+    # build, reported its version alone.
+    content: _Content | None
+
+    def is_newer_than(self, known: _Observation) -> bool:
+        """Whether another lease was seen before this one was written.
+
+        A restored store gives versions again, but epochs rise.
+        """
+        if self.content is None or known.content is None:
+            return self.version > known.version
+        return self.content[:2] > known.content[:2]
 
 
 class Leases:
@@ -128,6 +155,8 @@
 
     :param take_delay_ms: how long to leave a free lease to candidates with a
         shorter delay.
+    :param tokens: makes the epochs; without it they count up from those that
+        are known, and may repeat if the store forgets a lease.
     """
 
     def __init__(
@@ -138,7 +167,9 @@
         clock: _clock.Clock,
         random_source: random.Random,
         take_delay_ms: int = 0,
+        tokens: _fencing_tokens.FencingTokens | None = None,
     ) -> None:
+        self._tokens = tokens
         self._take_delay_ms = take_delay_ms
         self._objects = objects
         self._holder = holder
@@ -147,6 +178,9 @@
         self._random = random_source
         self._incarnation = f"{random_source.getrandbits(64):016x}"
         self._observations: dict[str, _Observation] = {}
+        # The highest epoch seen of each lease, and the one proposed last.
+        self._highest_epochs: dict[str, int] = {}
+        self._proposed_epochs: dict[str, int] = {}
         # Leases that were proposed last, while it is unknown whether they
         # were written.
         self._proposals: dict[str, HeldLease] = {}
@@ -161,16 +195,30 @@
         return observation.holder if observation else ""
 
     def record_observation(
-        self, shard: str, version: int, holder: str
+        self,
+        shard: str,
+        version: int,
+        holder: str,
+        epoch: int | None = None,
+        renewals: int | None = None,
     ) -> None:
         """Record a lease version that its holder reported.
 
         It has the effect of reading the lease, without a call of the API.
+
+        :param epoch: None if the holder didn't report it, as in older
+            builds; the lease then counts as unseen when it is read.
+        :param renewals: as ``epoch``.
         """
+        content = None
+        if epoch is not None and renewals is not None and epoch <= _MAX_EPOCH:
+            content = _Content(epoch, renewals, holder)
+            self._note_epoch(shard, epoch)
+        now = self._clock.now()
+        reported = _Observation(version, now, holder, content)
         known = self._observations.get(shard)
-        if known is None or known.version < version:
-            now = self._clock.now()
-            self._observations[shard] = _Observation(version, now, holder)
+        if known is None or reported.is_newer_than(known):
+            self._observations[shard] = reported
 
     async def read_holder(self, shard: str) -> str:
         """Return the holder as stored; '' if there is none.
@@ -205,10 +253,17 @@
         max_delay_ms = self._duration_ms * TAKE_JITTER
         jitter_ms = self._random.uniform(0, max_delay_ms)
         await self._clock.sleep(self._take_delay_ms + jitter_ms)
-        epoch = current.epoch + 1 if current else _first_epoch(found)
         proposal = HeldLease(
             shard,
-            self._new_lease(epoch)._replace(wait_over=wait is Wait.NONE),
+            Lease(
+                self._holder,
+                self._incarnation,
+                # The version of an unreadable lease is at least the number of
+                # writes, and so of epochs, before.
+                self._next_epoch(shard, 0 if current else found.version),
+                self._duration_ms,
+                wait_over=wait is Wait.NONE,
+            ),
             found.version,
             wait,
             self._clock.since_boot(),
@@ -264,26 +319,45 @@
         :raises LeaseLostError: if another instance has taken it.
         :raises _objects.UnavailableError: if the outcome is unknown.
         """
-        renewed = held.lease._replace(
-            renewals=held.lease.renewals + 1,
-            wait_over=held.lease.wait_over or wait_over,
-        )
-        try:
-            written = await self._put(held, renewed)
-        except _objects.ConflictError as conflict:
-            current = parse(conflict.current)
-            if current is None or not self._is_same_term(current, held.lease):
-                raise LeaseLostError(held, conflict.current) from conflict
-            # An earlier renewal took effect, but its answer was lost.
-            return held._replace(
-                lease=current, version=conflict.current.version
+        latest = held
+        for _ in range(MAX_RENEWAL_WRITES):
+            renewed = held.lease._replace(
+                renewals=max(held.lease.renewals, latest.lease.renewals) + 1,
+                wait_over=wait_over or latest.lease.wait_over,
             )
-        return held._replace(lease=renewed, version=written.version)
+            try:
+                written = await self._put(latest, renewed)
+            except _objects.ConflictError as conflict:
+                # An earlier renewal may have taken effect without an answer.
+                # Others count the lease's duration from then, so it doesn't
+                # stand in for this one.
+                latest = self._find_latest(held, conflict)
+                continue
+            return held._replace(lease=renewed, version=written.version)
+        raise _objects.UnavailableError("earlier renewals still take effect")
+
+    def _find_latest(
+        self, held: HeldLease, conflict: _objects.ConflictError
+    ) -> HeldLease:
+        """Return a lease that is held as a refused renewal found it.
 
-    async def release(self, held: HeldLease) -> None:
-        """Let another instance take the lease at once; log a failure."""
+        :raises LeaseLostError: if another instance has taken it.
+        """
+        current = parse(conflict.current)
+        if current is None or not self._is_same_term(current, held.lease):
+            raise LeaseLostError(held, conflict.current) from conflict
+        return held._replace(lease=current, version=conflict.current.version)
+
+    async def release(self, held: HeldLease, wait_over: bool = False) -> None:
+        """Let another instance take the lease at once; log a failure.
+
+        :param wait_over: as for ``renew``.
+        """
+        released = held.lease._replace(
+            holder="", wait_over=held.lease.wait_over or wait_over
+        )
         try:
-            await self._write_released(held)
+            await self._write_released(held, released)
         except (_objects.ConflictError, _objects.UnavailableError) as error:
             _logs.event(
                 "lease_not_released", shard=held.shard, error=str(error)
@@ -304,7 +378,7 @@
         if current is not None and self._is_own(current):
             await self.release(HeldLease(shard, current, found.version))
 
-    async def _write_released(self, held: HeldLease) -> None:
+    async def _write_released(self, held: HeldLease, released: Lease) -> None:
         """Write that nobody holds the lease.
 
         A renewal that was given up, or whose answer was lost, may have
@@ -312,7 +386,6 @@
 
         :raises _objects.ConflictError: if another instance has taken it.
         """
-        released = held.lease._replace(holder="")
         try:
             await self._put(held, released)
         except _objects.ConflictError as conflict:
@@ -328,8 +401,16 @@
             KIND, held.shard, lease._asdict(), held.version
         )
 
-    def _new_lease(self, epoch: int) -> Lease:
-        return Lease(self._holder, self._incarnation, epoch, self._duration_ms)
+    def _next_epoch(self, shard: str, at_least: int) -> int:
+        """Return an epoch for this process to propose, above all known."""
+        highest = max(
+            self._highest_epochs.get(shard, 0),
+            self._proposed_epochs.get(shard, 0),
+            at_least,
+        )
+        epoch = self._tokens.make(highest) if self._tokens else highest + 1
+        self._proposed_epochs[shard] = epoch
+        return epoch
 
     def _is_own(self, lease: Lease) -> bool:
         """Whether this process is the holder of a stored lease."""
@@ -348,30 +429,49 @@
         """Return how the lease may be taken; None if another one holds it.
 
         It is expired if its object did not change for its duration. An
-        unreadable lease expires after this instance's own duration.
+        unreadable lease expires after this instance's own duration. Of an
+        absent or unreadable one nothing is known about former holders.
         """
-        now = self._clock.now()
-        observation = self._observations.get(found.name)
-        if observation is None or observation.version != found.version:
-            holder = lease.holder if lease else ""
-            observation = _Observation(found.version, now, holder)
-            self._observations[found.name] = observation
+        observed_at = self._observe(found, lease)
         if found.value is None:
-            return Wait.NONE
+            return Wait.DURATION
         if lease and lease.holder in ("", self._holder):
-            return self._wait_after(lease)
+            return self._wait_after(found.name, lease)
         duration_ms = lease.duration_ms if lease else self._duration_ms
-        if now - observation.observed_at >= duration_ms:
-            return Wait.NONE
-        return None
-
-    def _wait_after(self, lease: Lease) -> Wait:
+        if self._clock.now() - observed_at < duration_ms:
+            return None
+        return Wait.NONE if lease else Wait.DURATION
+
+    def _observe(self, found: _objects.Object, lease: Lease | None) -> int:
+        """Record the stored lease; return when it was first seen so."""
+        content, holder = None, ""
+        if lease is not None:
+            content = _Content(lease.epoch, lease.renewals, lease.holder)
+            holder = lease.holder
+            self._note_epoch(found.name, lease.epoch)
+        now = self._clock.now()
+        observation = _Observation(found.version, now, holder, content)
+        known = self._observations.get(found.name)
+        if known is not None and known == observation._replace(
+            observed_at=known.observed_at
+        ):
+            return known.observed_at
+        self._observations[found.name] = observation
+        return now
+
+    def _note_epoch(self, shard: str, epoch: int) -> None:
+        highest = self._highest_epochs.get(shard, 0)
+        self._highest_epochs[shard] = max(highest, epoch)
+
+    def _wait_after(self, shard: str, lease: Lease) -> Wait:
         """Return the wait for a lease that was released or held here.
 
-        Its holder may itself have waited for others. An earlier process of
-        this instance has ended.
+        Its holder may itself have waited for others, and a restored store
+        may have forgotten later holders. An earlier process of this instance
+        has ended.
         """
-        if self._is_own(lease) or not lease.wait_over:
+        is_last = lease.epoch >= self._highest_epochs.get(shard, 0)
+        if self._is_own(lease) or not lease.wait_over or not is_last:
             return Wait.DURATION
         return Wait.NONE if lease.holder else Wait.GUARD
 
@@ -416,8 +516,8 @@
         return None
     if not (
         0 < lease.duration_ms <= _MAX_DURATION_MS
-        and 0 <= lease.epoch <= _MAX_COUNT
-        and 0 <= lease.renewals <= _MAX_COUNT
+        and 0 <= lease.epoch <= _MAX_EPOCH
+        and 0 <= lease.renewals <= _MAX_RENEWALS
     ):
         _logs.event("lease_unreadable", shard=found.name, error=str(lease))
         return None
@@ -435,15 +535,6 @@
     return flag
 
 
-def _first_epoch(found: _objects.Object) -> int:
-    """Return the epoch for a lease that is absent or unreadable.
-
-    The object's version is at least the number of writes, and so of epochs,
-    before; epochs therefore keep rising.
-    """
-    return found.version + 1
-
-
 def candidates(shard: str, instances: Iterable[str]) -> list[str]:
     """Return the instances that contend for a shard's lease, best first.
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -1,9 +1,14 @@
 """No two machines order within the platform's minimum interval."""
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from geraniumlink import _clock
+from geraniumlink.control import _fencing_tokens
 from geraniumlink.control import _leases
+from geraniumlink import platform
+from geraniumlink.residency import _leadership
 from tests import leadership_builders as builders
 from tests import memory_api
 
@@ -108,3 +113,152 @@
     stored = builders.stored_lease(api)
     changed = stored._replace(value={**stored.value, "wait_over": flag})
     assert _leases.parse(changed) is None
+
+
+async def test_absent_lease_may_have_a_holder_that_the_store_forgot(
+    api, clock, machine
+):
+    first, second = machine("m1"), machine("m2")
+    await first.step_until_first_order()
+    builders.restore(api, None)
+    assert first.leadership.may_order()
+    last_order = clock.now()
+    first_order = await second.step_until_first_order()
+    assert first_order - last_order >= builders.DURATION_MS
+
+
+@pytest.mark.parametrize("release", (True, False))
+async def test_restored_lease_forgets_a_later_holder_that_was_seen(
+    api, clock, machine, release
+):
+    first, second = machine("m1"), machine("m2")
+    await first.step_until_first_order()
+    await first.step()
+    if release:
+        await first.leadership.release()
+    old = builders.stored_lease(api)
+    await second.step_until_first_order()
+    next_process = machine("m1", process=2)
+    await next_process.step()
+    builders.restore(api, old)
+    last_order = clock.now()
+    first_order = await next_process.step_until_first_order()
+    assert first_order - last_order >= builders.DURATION_MS
+
+
+@pytest.mark.parametrize("is_reported", (True, False))
+async def test_version_given_again_by_a_restored_store_is_another_lease(
+    api, clock, machine, is_reported
+):
+    first, second = machine("m1"), machine("m2")
+    await first.step_until_first_order()
+    old = builders.stored_lease(api)
+    await first.step()
+    leader = first.leadership
+    if is_reported:
+        second.leadership._leader = leader.leader
+        second.leadership.record_leader_renewal(
+            leader.lease_version, leader.epoch, leader.lease_renewals
+        )
+    else:
+        await second.step()
+    version = builders.stored_lease(api).version
+    clock.advance(builders.DURATION_MS)
+    builders.restore(api, old._replace(version=version))
+    assert not await second.step()
+    assert not second.leadership.is_leader
+
+
+async def test_lease_that_its_holder_reported_expires_without_a_read(
+    clock, machine
+):
+    first, second = machine("m1"), machine("m2")
+    await first.step_until_first_order()
+    leader = first.leadership
+    second.leadership._leader = leader.leader
+    second.leadership.record_leader_renewal(
+        leader.lease_version, leader.epoch, leader.lease_renewals
+    )
+    clock.advance(builders.DURATION_MS)
+    assert await second.step()
+
+
+async def test_tokens_rise_and_differ_when_the_store_forgets_the_lease(
+    api, machine
+):
+    tokens = []
+    for name in ("m1", "m2", "m3"):
+        taker = machine(name)
+        await taker.step_until_first_order()
+        tokens.append(taker.leadership.epoch)
+        builders.restore(api, None)
+    assert tokens == sorted(set(tokens))
+
+
+async def test_token_is_above_that_of_the_leaders_answer(api, machine):
+    taker = machine("m1")
+    reported = _fencing_tokens.MAX_TOKEN // 2
+    taker.leadership.record_leader_renewal(7, reported, 1)
+    await taker.step()
+    assert taker.leadership.epoch > reported
+
+
+async def test_token_is_above_a_proposal_that_may_arrive_late(api, machine):
+    taker = machine("m1")
+    api.lose_answers = 1
+    await taker.step()
+    late = builders.stored_lease(api)
+    builders.restore(api, None)
+    await taker.step()
+    assert taker.leadership.epoch > late.value["epoch"]
+
+
+@hypothesis.given(
+    st.integers(0, _leases._MAX_EPOCH),
+    st.integers(-(2**63), 2**63),
+    st.integers(0, 2**_fencing_tokens.PROCESS_BITS - 1),
+)
+def test_tokens_rise_whatever_the_time_of_day(highest, wall_ms, bits):
+    token = _fencing_tokens.next_token(highest, wall_ms, bits)
+    assert highest < token < _fencing_tokens.MAX_TOKEN
+    other = _fencing_tokens.next_token(highest, wall_ms, bits ^ 1)
+    assert token != other
+
+
+async def test_renewal_whose_answer_was_lost_does_not_extend_the_next(
+    api, clock, machine
+):
+    first, second = machine("m1"), machine("m2")
+    await first.step_until_first_order()
+    api.lose_answers = 1
+    await first.step()
+    await second.step()
+    clock.advance(1000)
+    assert await first.step()
+    last_order = clock.now() + _leadership.ORDERING_WINDOW_MS
+    first_order = await second.step_until_first_order()
+    assert first_order - last_order >= builders.LEASE_MS
+
+
+async def test_renewals_of_an_older_copy_go_on_from_the_larger_count(
+    api, machine
+):
+    leader = machine("m1")
+    await leader.step_until_first_order()
+    old = builders.stored_lease(api)
+    for _ in range(3):
+        await leader.step()
+    before = builders.stored_lease(api).value
+    builders.restore(api, old)
+    assert await leader.step()
+    after = builders.stored_lease(api).value
+    assert after["epoch"] == before["epoch"]
+    assert after["renewals"] > before["renewals"]
+
+
+async def test_margins_cover_an_order_that_arrives_as_it_times_out(machine):
+    late_ms = platform.ORDER_TIMEOUT_MS + _leadership.CLOCK_ERROR_MS
+    after_expiry = builders.DURATION_MS - _leadership.ORDERING_WINDOW_MS
+    after_release = machine("m1").leadership.guard_ms
+    for gap_ms in (after_expiry, after_release):
+        assert gap_ms - late_ms >= builders.LEASE_MS
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -35,11 +35,14 @@
 
 @contextlib.asynccontextmanager
 async def _orders_flow(site):
-    """Ask for adapters in turn at all instances, so that orders are sent."""
+    """Ask for an adapter at all instances, and each second for another one.
+
+    So each is out of use long enough to be replaced, and orders are sent.
+    """
 
     async def ask():
-        for number, adapter in enumerate(itertools.cycle(_ADAPTERS)):
-            instance = site.instances[number % len(site.instances)]
+        for instance in itertools.cycle(site.instances):
+            adapter = _ADAPTERS[int(anyio.current_time()) % len(_ADAPTERS)]
             with contextlib.suppress(OSError), anyio.move_on_after(0.3):
                 await hosts.send_request(
                     instance.port, "/safe/x", X_Model=f"m1/{adapter}"
@@ -156,9 +159,9 @@
     await add("first")
     await _seconds_until_in_force(fleet, site, "first")
     # Other writes take the store far beyond the copy's revision.
-    for _ in range(30):
-        await site.register("r-1", "draining")
-        await site.register("r-1")
+    for number in range(60):
+        entry = site.entry("r-1", "ready") | {"slots": 8 + number % 2}
+        await site.put("servers", "r-1", entry)
     await site.restore_store(revision, counts_eras=counts_eras)
     await site.register("r-1")
     await add("second")
