--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -170,3 +170,77 @@
     await add("third")
     took_s = await _seconds_until_in_force(fleet, site, "third")
     assert took_s < _CONFIG_APPLY_S
+
+
+async def test_frozen_controller_resumes_its_restored_lease(fleet):
+    site = await _start_site(fleet)
+    async with _orders_flow(site):
+        await fleet.until(site.orders, "orders are sent")
+        former = _controller(site)
+        former.freeze()
+        await anyio.sleep(0.3)
+        revision = await site.store_revision()
+        await _next_controller(fleet, site, former)
+        await anyio.sleep(1)
+        await site.restore_store(revision)
+        former.thaw()
+        await anyio.sleep(6)
+    assert not _find_broken_turns(await site.orders())
+
+
+async def test_controller_killed_and_started_after_a_restore(fleet):
+    site = await _start_site(fleet)
+    async with _orders_flow(site):
+        await fleet.until(site.orders, "orders are sent")
+        former = _controller(site)
+        await anyio.sleep(1.5)
+        former.kill()
+        await anyio.sleep(0.3)
+        revision = await site.store_revision()
+        await _next_controller(fleet, site, former)
+        await anyio.sleep(1)
+        await site.restore_store(revision)
+        former.start()
+        await anyio.sleep(8)
+    assert not _find_broken_turns(await site.orders())
+
+
+async def test_quick_restore_leaves_routes_old_for_long(fleet):
+    """The store is gone for so short that watches go on."""
+    site = await _start_site(fleet)
+    revision = await site.store_revision()
+    for number in range(60):
+        entry = site.entry("r-1", "ready") | {"slots": 8 + number % 2}
+        await site.put("servers", "r-1", entry)
+    routes = [hosts.route("first", "safe")]
+    await site.configure(hosts.configuration(2, *routes))
+    await _seconds_until_in_force(fleet, site, "first")
+    await anyio.sleep(1)
+    await fleet.post(site.store, "/restore", {"revision": revision})
+    await site.register("r-1")
+    routes.append(hosts.route("second", "safe"))
+    await site.configure(hosts.configuration(3, *routes))
+    took_s = await _seconds_until_in_force(fleet, site, "second")
+    assert took_s < _CONFIG_APPLY_S + _STABILITY_WINDOW_S
+
+
+@pytest.mark.parametrize("outage_s", (1.1, 1.5))
+async def test_controller_started_while_the_store_is_restored(fleet, outage_s):
+    """Its machine lost power with the store; another one held the lease."""
+    site = await _start_site(fleet)
+    async with _orders_flow(site):
+        await fleet.until(site.orders, "orders are sent")
+        former = _controller(site)
+        await anyio.sleep(1.5)
+        former.kill()
+        await anyio.sleep(0.3)
+        revision = await site.store_revision()
+        await _next_controller(fleet, site, former)
+        await anyio.sleep(2)
+        await fleet.faults(site.store, outage=True)
+        former.start()
+        await anyio.sleep(outage_s)
+        await fleet.post(site.store, "/restore", {"revision": revision})
+        await fleet.faults(site.store, outage=False)
+        await anyio.sleep(5)
+    assert not _find_broken_turns(await site.orders())
