--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -30,6 +30,13 @@
 # must be known within 5 s of such a failure. A shorter watch would cost more
 # calls to the store, which are billed.
 WATCH_TIMEOUT_MS = 4000
+# The shortest watch after a disturbance. The store may drop its history while
+# a watch waits, without an answer. So a watch lasts no longer than the time
+# since the disturbance, and what it misses is known after twice that time.
+SETTLING_WATCH_MS = 500
+# A store that gave no answer for this long may have been restored: its present
+# revision doesn't show it if it has passed the one known here.
+MIN_RESTORE_MS = 300
 # Delay before a failed call is repeated; it doubles up to the maximum.
 INITIAL_RETRY_MS = 100
 MAX_RETRY_MS = 800
@@ -142,6 +149,15 @@
         # time since boot; None before the first confirmation.
         self._confirmed_as_of: int | None = None
         self._watch_scope: anyio.CancelScope | None = None
+        # Whether the present changes must be read, without a wait for others.
+        self._must_confirm = False
+        # Whether the objects must be listed, as the store may have gone on
+        # from other contents and passed the revision of this copy.
+        self._must_list = False
+        # When the first of the calls in a row without an answer was sent.
+        self._lost_since: int | None = None
+        # Monotonic time of the last disturbance; None before the first.
+        self._disturbed_at: int | None = None
         # None when the objects must be listed, not watched.
         self._revision: int | None = None
         self._objects_by_name: dict[str, _objects.Object] = {}
@@ -205,7 +221,17 @@
         return self._clock.since_boot() - self._confirmed_as_of
 
     def restart_watch(self) -> None:
-        """Start a new watch, as the current connection may be dead."""
+        """Confirm the copy, as the current connection may be dead."""
+        self._note_disturbance()
+        self._end_wait()
+
+    def _note_disturbance(self) -> None:
+        """Read the present changes next, and watch for a short time then."""
+        self._must_confirm = True
+        self._disturbed_at = self._clock.now()
+
+    def _end_wait(self) -> None:
+        """Cancel the running watch, or the wait for the relay's end."""
         if self._watch_scope is not None:
             self._watch_scope.cancel()
 
@@ -246,7 +272,7 @@
         )
         if changes.revision > self.revision and changes.objects:
             # What a running watch has read may be older by now.
-            self.restart_watch()
+            self._end_wait()
             self._apply_changes(changes)
         return True
 
@@ -274,9 +300,11 @@
 
     def apply_relayed(
         self, changes: Changes, confirmed_as_of: int | None = None
-    ) -> None:
+    ) -> bool:
         """Apply the controller's changes, unless they end before this copy.
 
+        Returns whether they were applied.
+
         A running watch is cancelled, since the relay replaces it; but not
         while the copy is too old for that.
 
@@ -284,12 +312,12 @@
             complete; None if it isn't known.
         """
         if self.is_history_new or self._is_relay_behind(changes.revision):
-            return
+            return False
         if self._freshness is not None and any(
             item.value == {} for item in changes.objects
         ):
             # The controller left a value out. It must not count as known.
-            return
+            return False
         has_news = changes.revision > self.revision
         self._history.note_revision(changes.revision)
         listing = _objects.Listing(changes.revision, changes.objects)
@@ -302,12 +330,13 @@
         if self._is_too_old():
             if has_news:
                 # What a running watch has read may be older.
-                self.restart_watch()
-            return
+                self._end_wait()
+            return True
         if self._clock.now() >= self._relay_valid_until:
-            self.restart_watch()
+            self._end_wait()
         self._confirmed_at = self._clock.now()
         self._relay_valid_until = self._confirmed_at + RELAY_VALIDITY_MS
+        return True
 
     def _is_relay_behind(self, revision: int) -> bool:
         """Return whether relayed changes end before this copy.
@@ -320,6 +349,8 @@
         was_behind = self._relay_was_behind
         self._relay_was_behind = revision < self.revision
         if self._relay_was_behind and not was_behind:
+            self._must_list = True
+            self.restart_watch()
             _logs.event(
                 "relay_behind",
                 kind=self._kind,
@@ -335,15 +366,27 @@
             relay_left_ms = self._relay_valid_until - self._clock.now()
             if relay_left_ms > 0:
                 await self._wait(relay_left_ms)
+                if self._clock.now() >= self._relay_valid_until:
+                    self._note_disturbance()
                 continue
+            sent_at = self._clock.now()
+            if (
+                self._lost_since is not None
+                and sent_at - self._lost_since >= MIN_RESTORE_MS
+            ):
+                self._must_list = True
             try:
                 await self._list_or_watch()
             except _objects.UnavailableError as error:
+                self._note_disturbance()
+                if self._lost_since is None:
+                    self._lost_since = sent_at
                 self._set_reachable(False, str(error))
                 await self._clock.sleep(retry_ms)
                 retry_ms = min(2 * retry_ms, MAX_RETRY_MS)
             else:
                 self._confirmed_at = self._clock.now()
+                self._lost_since = None
                 self._set_reachable(True, "")
                 retry_ms = INITIAL_RETRY_MS
 
@@ -351,7 +394,8 @@
         """Make one call to the store and apply its result."""
         # The response may arrive much later, and says nothing of that time.
         sent_at = self._clock.since_boot()
-        if self._revision is None:
+        if self._revision is None or self._must_list:
+            self._must_list = False
             listing = await self._store.list(self._kind)
             if listing.revision >= self.revision:
                 self._apply_list(listing)
@@ -363,10 +407,12 @@
             changes = await self._watch(asked_after)
         except _objects.RevisionCompactedError:
             _logs.event("store_history_gone", kind=self._kind)
+            self._note_disturbance()
             self._revision = None
             return
         if changes is None:
             return
+        self._must_confirm = False
         if changes.revision < self.revision:
             # Newer relayed changes were applied as it arrived: older objects
             # must not replace them, such as an account with a removed key.
@@ -378,7 +424,7 @@
             await self._clock.sleep(self._batch_delay_ms)
 
     async def _watch(self, revision: int) -> _objects.Listing | None:
-        """Return the changes, or None if ``restart_watch`` cancelled it."""
+        """Return the changes, or None if ``_end_wait`` cancelled it."""
         self._watch_scope = anyio.CancelScope()
         with self._watch_scope:
             return await self._store.watch(
@@ -387,18 +433,22 @@
         return None
 
     async def _wait(self, milliseconds: int) -> None:
-        """Sleep, unless ``restart_watch`` ends it."""
+        """Sleep, unless ``_end_wait`` ends it."""
         self._watch_scope = anyio.CancelScope()
         with self._watch_scope:
             await self._clock.sleep(milliseconds)
 
     def _watch_wait_ms(self) -> int:
-        if self._freshness is None:
-            return WATCH_TIMEOUT_MS
-        if self._is_too_old() or not self._reachable:
+        if self._must_confirm or self._is_too_old():
             # The copy is confirmed at once, not only as a watch ends.
             return REFRESH_WAIT_MS
-        return self._freshness.watch_timeout_ms
+        longest_ms = WATCH_TIMEOUT_MS
+        if self._freshness is not None:
+            longest_ms = self._freshness.watch_timeout_ms
+        if self._disturbed_at is None:
+            return longest_ms
+        calm_ms = self._clock.now() - self._disturbed_at
+        return min(longest_ms, max(SETTLING_WATCH_MS, calm_ms))
 
     def _is_too_old(self) -> bool:
         """Whether the copy must be confirmed by this instance's own calls."""
