Take changes of a controller that states no source

During an upgrade the controller may be of an older build. Its changes have no source, and an instance whose copy began with a list of a newer controller passed them over, except whole lists; it then watched the store by itself. Found by reading again. test_changes_of_a_controller_of_an_older_build_are_passed_over failed before and passes.

--- a/src/geraniumlink/hosting/_relay.py
+++ b/src/geraniumlink/hosting/_relay.py
@@ -117,7 +117,12 @@
                 _logs.event("bad_relay", error=repr(error))
                 continue
             source = encoded.get("source")
-            if not changes.is_snapshot and source != self._sources.get(kind):
+            # Controllers of older builds state no source.
+            if source is None:
+                self._sources.pop(kind, None)
+            elif not (
+                changes.is_snapshot or source == self._sources.get(kind)
+            ):
                 continue
             is_applied = watcher.apply_relayed(
                 changes, _confirmed_as_of(kind, ages_ms, sent_at)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -213,3 +213,15 @@
     _apply(sender, 1, [_object("a", 1, {"tenants": accounts})])
     receiver.relay_from(sender)
     assert receiver.received.values_by_name == {"a": {"tenants": accounts}}
+
+
+def test_changes_of_a_controller_of_an_older_build_are_passed_over():
+    sender, older, receiver = _WatchedCopy(), _WatchedCopy(), _WatchedCopy()
+    for copy in (sender, older):
+        _apply(copy, 1, [_object("r-1", 1, {"slots": 1})])
+    receiver.relay_from(sender)
+    _apply(older, 2, [_object("r-1", 2, {"slots": 2})])
+    encoded = older.relay.encode_changes({"servers": 1})
+    assert "source" not in encoded
+    receiver.relay.apply_changes(encoded)
+    assert receiver.received.values_by_name == {"r-1": {"slots": 2}}
