--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -12,7 +12,7 @@
 from emulator import _policies
 from emulator import _sites
 from emulator import _virtual_time
-from geraniumlink.control import _fencing_tokens
+from geraniumlink.control import _epochs
 from geraniumlink.control import _leases
 from geraniumlink.hosting import _datagrams
 from geraniumlink.hosting import _instance
@@ -230,7 +230,7 @@
             _instance.MIN_LEASE_EXPIRY_MS + _HANDOVER_GAP_MS,
             self._environment.clock,
             self._random,
-            tokens=_fencing_tokens.FencingTokens(
+            tokens=_epochs.EpochSource(
                 self._environment.clock, self._random
             ),
         )
--- a/src/geraniumlink/control/_fencing_tokens.py
+++ b/src/geraniumlink/control/_epochs.py
@@ -21,7 +21,7 @@
 MAX_WALL_MS = 2**42
 
 
-class FencingTokens:
+class EpochSource:
     """Makes the fencing tokens of one process."""
 
     def __init__(
--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -24,7 +24,7 @@
 from geraniumlink import _clock
 from geraniumlink import _logs
 from geraniumlink import _objects
-from geraniumlink.control import _fencing_tokens
+from geraniumlink.control import _epochs
 
 KIND = "leases"
 # Number of instances that read the lease of a shard; the others make no
@@ -44,7 +44,7 @@
 _MAX_RENEWALS = 2**53
 # A stored lease with a higher epoch is invalid: later ones must still be valid
 # fencing tokens.
-_MAX_EPOCH = _fencing_tokens.MAX_TOKEN - 2**20
+_MAX_EPOCH = _epochs.MAX_TOKEN - 2**20
 
 
 class Lease(typing.NamedTuple):
@@ -167,7 +167,7 @@
         clock: _clock.Clock,
         random_source: random.Random,
         take_delay_ms: int = 0,
-        tokens: _fencing_tokens.FencingTokens | None = None,
+        tokens: _epochs.EpochSource | None = None,
     ) -> None:
         self._tokens = tokens
         self._take_delay_ms = take_delay_ms
--- a/src/geraniumlink/hosting/_gauges.py
+++ b/src/geraniumlink/hosting/_gauges.py
@@ -121,7 +121,7 @@
         lambda: sources.leadership.epoch,
     )
     add_gauge(
-        "geraniumlink_store_revision",
+        "geraniumlink_known_revision",
         "Lowest revision of the store up to which all changes are known",
         lambda: min(watcher.revision for watcher in sources.watchers),
     )
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -38,7 +38,7 @@
 from geraniumlink import _server
 from geraniumlink import _settings
 from geraniumlink import _supervisor
-from geraniumlink.control import _fencing_tokens
+from geraniumlink.control import _epochs
 from geraniumlink.control import _leases
 from geraniumlink.hosting import _application
 from geraniumlink.hosting import _datagrams
@@ -336,7 +336,7 @@
             self._clock,
             self._random,
             _take_delay_ms(self._settings.link_mbit_per_s),
-            _fencing_tokens.FencingTokens(self._clock, self._random),
+            _epochs.EpochSource(self._clock, self._random),
         )
         return _leadership.Leadership(
             leases, self._settings.handover_gap_ms, self._clock
--- a/tests/leadership_builders.py
+++ b/tests/leadership_builders.py
@@ -3,7 +3,7 @@
 import random
 
 from geraniumlink import _objects
-from geraniumlink.control import _fencing_tokens
+from geraniumlink.control import _epochs
 from geraniumlink.control import _leases
 from geraniumlink.hosting import _instance
 from geraniumlink.residency import _leadership
@@ -25,7 +25,7 @@
             DURATION_MS,
             clock,
             random_source,
-            tokens=_fencing_tokens.FencingTokens(clock, random_source),
+            tokens=_epochs.EpochSource(clock, random_source),
         )
         self.leadership = _leadership.Leadership(self.leases, LEASE_MS, clock)
 
--- a/tests/test_announced_leaving.py
+++ b/tests/test_announced_leaving.py
@@ -171,6 +171,7 @@
         lambda: hosts.find_log_lines(site.instances[0], "replica_seen"),
         "the replicas are seen",
     )
+    await site.wait_for_orders()
     await site.faults("r-1", leaving=1)
     answers = await _send_for(site, 3, ["/stream/x"], X_Model="m1")
     assert all(answer.status == 200 for answer, _ in answers[_PER_S:])
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -5,7 +5,7 @@
 import pytest
 
 from geraniumlink import _clock
-from geraniumlink.control import _fencing_tokens
+from geraniumlink.control import _epochs
 from geraniumlink.control import _leases
 from geraniumlink import platform
 from geraniumlink.residency import _leadership
@@ -197,7 +197,7 @@
 
 async def test_token_is_above_that_of_the_leaders_answer(api, machine):
     taker = machine("m1")
-    reported = _fencing_tokens.MAX_TOKEN // 2
+    reported = _epochs.MAX_TOKEN // 2
     taker.leadership.record_leader_renewal(7, reported, 1)
     await taker.step()
     assert taker.leadership.epoch > reported
@@ -216,12 +216,12 @@
 @hypothesis.given(
     st.integers(0, _leases._MAX_EPOCH),
     st.integers(-(2**63), 2**63),
-    st.integers(0, 2**_fencing_tokens.PROCESS_BITS - 1),
+    st.integers(0, 2**_epochs.PROCESS_BITS - 1),
 )
 def test_tokens_rise_whatever_the_time_of_day(highest, wall_ms, bits):
-    token = _fencing_tokens.next_token(highest, wall_ms, bits)
-    assert highest < token < _fencing_tokens.MAX_TOKEN
-    other = _fencing_tokens.next_token(highest, wall_ms, bits ^ 1)
+    token = _epochs.next_token(highest, wall_ms, bits)
+    assert highest < token < _epochs.MAX_TOKEN
+    other = _epochs.next_token(highest, wall_ms, bits ^ 1)
     assert token != other
 
 
