--- a/emulator/_emulated_instances.py
+++ b/emulator/_emulated_instances.py
@@ -230,9 +230,7 @@
             _instance.MIN_LEASE_EXPIRY_MS + _HANDOVER_GAP_MS,
             self._environment.clock,
             self._random,
-            tokens=_epochs.EpochSource(
-                self._environment.clock, self._random
-            ),
+            tokens=_epochs.EpochSource(self._environment.clock, self._random),
         )
         return _leadership.Leadership(
             leases, _HANDOVER_GAP_MS, self._environment.clock
