Let a process that didn't follow the lease wait for its duration

Cause: a process that had just started found the lease of its machine's earlier process, or a released one, with wait_over, and took it at once or after the guard interval. What it read may be a restored copy whose later holder the store has forgotten; that holder sends orders until its window ends, and this process can't know of it. wait_over says that the former holder had waited, not that it was the last one.

Change: a lease of this machine is always taken with a wait of its duration, which covers a forgotten holder's window and the guard interval; a released one with the guard interval only if this process knew the lease before. A lease that had expired as it was released says that the wait isn't over, as others may have held it since: a new test, which failed before.

The test of a lost answer now lets the second machine read the lease before it is released, as all but a starting one have; its bounds stay.

--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -60,8 +60,8 @@
     # Rises with each renewal, so that each renewal changes the object.
     # Watchers would not notice a write of equal content.
     renewals: int = 0
-    # The holder's wait for former holders has ended: a later process of its
-    # machine needn't wait for them. Older builds don't write it.
+    # The holder's wait for former holders has ended: once it has released the
+    # lease, the next one needn't wait for them. Older builds don't write it.
     wait_over: bool = False
 
 
@@ -351,11 +351,10 @@
     async def release(self, held: HeldLease, wait_over: bool = False) -> None:
         """Let another instance take the lease at once; log a failure.
 
-        :param wait_over: as for ``renew``.
+        :param wait_over: whether the wait of ``held`` has ended, and no other
+            instance can have held the lease since.
         """
-        released = held.lease._replace(
-            holder="", wait_over=held.lease.wait_over or wait_over
-        )
+        released = held.lease._replace(holder="", wait_over=wait_over)
         try:
             await self._write_released(held, released)
         except (_objects.ConflictError, _objects.UnavailableError) as error:
@@ -432,11 +431,16 @@
         unreadable lease expires after this instance's own duration. Of an
         absent or unreadable one nothing is known about former holders.
         """
+        was_followed = found.name in self._observations
         observed_at = self._observe(found, lease)
         if found.value is None:
             return Wait.DURATION
-        if lease and lease.holder in ("", self._holder):
-            return self._wait_after(found.name, lease)
+        if lease and lease.holder == self._holder:
+            # Whoever held it after that term, or after the process before
+            # this one, may have been forgotten by a restored store.
+            return Wait.DURATION
+        if lease and not lease.holder:
+            return self._wait_after_release(found.name, lease, was_followed)
         duration_ms = lease.duration_ms if lease else self._duration_ms
         if self._clock.now() - observed_at < duration_ms:
             return None
@@ -463,17 +467,20 @@
         highest = self._highest_epochs.get(shard, 0)
         self._highest_epochs[shard] = max(highest, epoch)
 
-    def _wait_after(self, shard: str, lease: Lease) -> Wait:
-        """Return the wait for a lease that was released or held here.
+    def _wait_after_release(
+        self, shard: str, lease: Lease, was_followed: bool
+    ) -> Wait:
+        """Return the wait for a released lease.
 
         Its holder may itself have waited for others, and a restored store
-        may have forgotten later holders. An earlier process of this instance
-        has ended.
+        may have forgotten later holders.
+
+        :param was_followed: whether this process knew the lease before.
         """
         is_last = lease.epoch >= self._highest_epochs.get(shard, 0)
-        if self._is_own(lease) or not lease.wait_over or not is_last:
-            return Wait.DURATION
-        return Wait.NONE if lease.holder else Wait.GUARD
+        if lease.wait_over and was_followed and is_last:
+            return Wait.GUARD
+        return Wait.DURATION
 
 
 def _log_taken(taken: HeldLease, found: Lease | None) -> None:
--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -180,13 +180,18 @@
         self._released = True
         held, self._held = self._held, None
         if held is not None:
-            await self._leases.release(held, self._is_wait_over())
+            await self._release(held)
+
+    async def _release(self, held: _leases.HeldLease) -> None:
+        """Release the lease; others may have held it if it has expired."""
+        is_wait_over = self._is_wait_over() and not self._has_expired()
+        await self._leases.release(held, is_wait_over)
 
     async def _yield(self) -> None:
         """Release the lease if it is held, and look who holds it."""
         held, self._held = self._held, None
         if held is not None:
-            await self._leases.release(held, self._is_wait_over())
+            await self._release(held)
         self._leader = await self._leases.read_holder(SHARD)
 
     async def _try_acquire(self) -> None:
@@ -207,6 +212,11 @@
         """Whether the lease acquired last was waited for long enough."""
         return self._clock.since_boot() >= self._may_order_from
 
+    def _has_expired(self) -> bool:
+        """Whether others may have taken the lease acquired last."""
+        age_ms = self._clock.since_boot() - self._renewed_at
+        return age_ms >= self._leases.duration_ms
+
     def _wait_ms(self, wait: _leases.Wait) -> int:
         """Return the time from taking the lease to the first order."""
         match wait:
@@ -219,7 +229,7 @@
 
     async def _renew(self, held: _leases.HeldLease) -> None:
         sent_at = self._clock.since_boot()
-        if sent_at - self._renewed_at >= self._leases.duration_ms:
+        if self._has_expired():
             # Others may have held it since. That the stored lease is
             # unchanged doesn't exclude it: the store may have been restored.
             _logs.event(
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -38,6 +38,7 @@
 ):
     first, second = machine("m1"), machine("m2")
     await first.step_until_first_order()
+    await second.step()
     last_order = clock.now()
     await first.leadership.release()
     api.lose_answers = 1
@@ -83,13 +84,37 @@
     assert first_order - last_order >= builders.LEASE_MS
 
 
-async def test_successor_of_a_process_that_waited_orders_at_once(
+async def test_successor_of_a_killed_process_waits_for_its_duration_only(
     clock, machine
 ):
     killed = machine("m1")
     await killed.step_until_first_order()
     await killed.step()
-    assert await machine("m1", process=2).step()
+    began = clock.now()
+    await machine("m1", process=2).step_until_first_order()
+    waited_ms = clock.now() - began
+    jitter_ms = builders.DURATION_MS * _leases.TAKE_JITTER
+    latest_ms = builders.DURATION_MS + jitter_ms + builders.STEP_MS
+    assert builders.DURATION_MS <= waited_ms <= latest_ms
+
+
+async def test_expired_lease_that_is_released_leaves_a_wait(
+    api, clock, machine
+):
+    frozen, taker = machine("m1"), machine("m3")
+    await frozen.step_until_first_order()
+    await frozen.step()
+    old = builders.stored_lease(api)
+    await taker.step()
+    second = machine("m2")
+    await second.step_until_first_order()
+    await second.step()
+    last_order = clock.now() + _leadership.ORDERING_WINDOW_MS
+    builders.restore(api, old)
+    await frozen.leadership.release()
+    assert (
+        await taker.step_until_first_order() - last_order >= builders.LEASE_MS
+    )
 
 
 async def test_lease_released_in_its_holders_wait_leaves_the_wait_to_the_next(
