Stop using removed replicas in time, wherever the removal is noticed late

The replica may end at any moment then, and what it runs is lost.

Cause: a replica with a missing entry is a last resort for the bound less 300 ms, counted from when this instance noticed it. It may notice it 1.6 s after the store: batch, answer, report and the controller's answer.

Change: the longest delay of a relayed change (hosting/_change_delays.py) is taken from the bound. Entries that may have expired in an outage of the store, that is, where a call to it failed up to 2.8 s ago, keep the longer time: they return within about 2 s, and the store's acknowledgements don't count for the rule then.

A unit test failed before.

--- a/src/geraniumlink/hosting/_change_delays.py
+++ b/src/geraniumlink/hosting/_change_delays.py
@@ -14,6 +14,19 @@
 STORE_ANSWER_MS = 240
 
 
+def relayed_delay_ms(batch_delay_ms: int) -> int:
+    """Return the longest delay of a change that the controller relays.
+
+    :param batch_delay_ms: that of the kind of object.
+    """
+    return (
+        batch_delay_ms
+        + STORE_ANSWER_MS
+        + _controller_protocol.REPORT_INTERVAL_MS
+        + _controller_link.CALL_TIMEOUT_MS
+    )
+
+
 def longest_delays_ms(batch_delay_ms: int) -> dict[str, int]:
     """Return the longest delay on each way that a change may take.
 
@@ -21,12 +34,7 @@
     """
     relay_lapsed_ms = _object_watcher.RELAY_VALIDITY_MS + STORE_ANSWER_MS
     return {
-        "relayed by the controller": (
-            batch_delay_ms
-            + STORE_ANSWER_MS
-            + _controller_protocol.REPORT_INTERVAL_MS
-            + _controller_link.CALL_TIMEOUT_MS
-        ),
+        "relayed by the controller": relayed_delay_ms(batch_delay_ms),
         "read as the relay lapses": relay_lapsed_ms,
         # The first read hears nothing, nor does a watch; then all objects are
         # listed.
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -41,6 +41,7 @@
 from geraniumlink.control import _epochs
 from geraniumlink.control import _leases
 from geraniumlink.hosting import _application
+from geraniumlink.hosting import _change_delays
 from geraniumlink.hosting import _datagrams
 from geraniumlink.hosting import _gauges
 from geraniumlink.hosting import _host_metrics
@@ -125,6 +126,9 @@
 # most this share of the bound.
 CONFIGURATION_BATCH_DELAY_MS = 250
 REPLICAS_BATCH_DELAY_SHARE = 0.25
+# Entries that expired in an outage of the store return within about this time
+# after it.
+ENTRIES_RETURN_MS = 2000
 
 # Whether requests to replicas that have just started or recovered are paced.
 # False serves for measurements without it; other services than those whose
@@ -183,7 +187,11 @@
             _active_configuration.ActiveConfiguration()
         )
         self._replicas = _replicas.Replicas(
-            self._clock, settings.leaving_bound_ms
+            self._clock,
+            settings.leaving_bound_ms,
+            _change_delays.relayed_delay_ms(
+                _replicas_batch_delay_ms(settings.leaving_bound_ms)
+            ),
         )
         self._warm_ups = (
             _warm_up.WarmUps(self._replicas, self._clock)
@@ -586,7 +594,7 @@
                 self._clock,
                 on_list=self._apply_replicas,
                 on_change=self._apply_replica,
-                batch_delay_ms=int(REPLICAS_BATCH_DELAY_SHARE * bound_ms),
+                batch_delay_ms=_replicas_batch_delay_ms(bound_ms),
                 history=self._store.history,
             ),
         ]
@@ -614,7 +622,10 @@
     def _apply_replicas(self, objects: list[_objects.Object]) -> None:
         """Replace all replica entries; invalid ones are left out."""
         entries = [self._decode_replica(item) for item in objects]
-        self._replicas.replace_all(entry for entry in entries if entry)
+        self._replicas.replace_all(
+            (entry for entry in entries if entry),
+            may_return=self._may_entries_return(),
+        )
 
     def _apply_replica(self, item: _objects.Object) -> None:
         """Update one replica's entry.
@@ -624,10 +635,19 @@
         """
         entry = None if item.value is None else self._decode_replica(item)
         if entry is None:
-            self._replicas.mark_missing(item.name)
+            self._replicas.mark_missing(
+                item.name, may_return=self._may_entries_return()
+            )
         else:
             self._replicas.update(entry)
 
+    def _may_entries_return(self) -> bool:
+        """Whether missing entries may have expired in an outage."""
+        failed_ms_ago = self._watchers[1].failed_ms_ago
+        return failed_ms_ago is not None and failed_ms_ago < (
+            _object_watcher.MAX_RETRY_MS + ENTRIES_RETURN_MS
+        )
+
     def _decode_replica(
         self, item: _objects.Object
     ) -> _types.ReplicaEntry | None:
@@ -653,6 +673,10 @@
             self._peer_connections.close_stale()
 
 
+def _replicas_batch_delay_ms(leaving_bound_ms: int) -> int:
+    return int(REPLICAS_BATCH_DELAY_SHARE * leaving_bound_ms)
+
+
 def _take_delay_ms(link_mbit_per_s: float | None) -> int:
     """Return how long to leave the controller's lease to others.
 
--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -156,6 +156,8 @@
         self._must_list = False
         # When the first of the calls in a row without an answer was sent.
         self._lost_since: int | None = None
+        # Monotonic time at which a call last failed; None before the first.
+        self._failed_at: int | None = None
         # Monotonic time of the last disturbance; None before the first.
         self._disturbed_at: int | None = None
         # None when the objects must be listed, not watched.
@@ -204,6 +206,13 @@
         """Whether the last call to the store was answered."""
         return self._reachable
 
+    @property
+    def failed_ms_ago(self) -> int | None:
+        """Time since a call to the store last failed; None if none did."""
+        if self._failed_at is None:
+            return None
+        return self._clock.now() - self._failed_at
+
     @property
     def unconfirmed_ms(self) -> int:
         """Time since the store or relayed changes confirmed the copy."""
@@ -379,6 +388,7 @@
                 await self._list_or_watch()
             except _objects.UnavailableError as error:
                 self._note_disturbance()
+                self._failed_at = self._clock.now()
                 if self._lost_since is None:
                     self._lost_since = sent_at
                 self._set_reachable(False, str(error))
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -25,7 +25,7 @@
 from geraniumlink.serving import _service_times
 from geraniumlink.serving import _types
 
-# A replica with a missing entry is used for this much less than the time in
+# A replica whose entry may return is used for this much less than the time in
 # which a leaving replica must have stopped receiving requests. Replicas write
 # their entries again within about 2 s after the store is back.
 MISSING_MARGIN_MS = 300
@@ -128,6 +128,8 @@
         self.denied_until = 0
         # Since when its entry is missing; None while it is there.
         self.missing_since: int | None = None
+        # How long it is a last resort from then on.
+        self.missing_limit_ms = 0
         # Whether its entry says that it leaves, or did: it doesn't come back.
         self._is_registered_as_leaving = entry.leaving
         # When it last announced with a response that it leaves; None if it
@@ -419,11 +421,23 @@
 
 
 class Replicas:
-    """All known replicas by name."""
+    """All known replicas by name.
 
-    def __init__(self, clock: _clock.Clock, leaving_bound_ms: int) -> None:
+    :param leaving_bound_ms: time from the store's acknowledgement that a
+        replica leaves to the last request that it may be sent.
+    :param news_delay_ms: how much of that time may have passed when a removed
+        entry is noticed.
+    """
+
+    def __init__(
+        self,
+        clock: _clock.Clock,
+        leaving_bound_ms: int,
+        news_delay_ms: int = MISSING_MARGIN_MS,
+    ) -> None:
         self._clock = clock
         self._missing_limit_ms = leaving_bound_ms - MISSING_MARGIN_MS
+        self._removed_limit_ms = leaving_bound_ms - news_delay_ms
         self._known: dict[str, Replica] = {}
         self._prefill_speeds: dict[str, _prefill_speed.PrefillSpeed] = {}
         self._call_times: dict[str, _call_times.CallTimes] = {}
@@ -673,13 +687,21 @@
         for replica in self._known.values():
             replica.end_pause()
 
-    def replace_all(self, entries: Iterable[_types.ReplicaEntry]) -> None:
-        """Apply the complete list of entries."""
+    def replace_all(
+        self,
+        entries: Iterable[_types.ReplicaEntry],
+        *,
+        may_return: bool = False,
+    ) -> None:
+        """Apply the complete list of entries.
+
+        :param may_return: as for ``mark_missing``.
+        """
         listed = {entry.name: entry for entry in entries}
         for entry in listed.values():
             self.update(entry)
         for name in self._known.keys() - listed.keys():
-            self.mark_missing(name)
+            self.mark_missing(name, may_return=may_return)
         if self._listed_at is None:
             self._listed_at = self._clock.now()
 
@@ -715,12 +737,19 @@
         if known.leaving and not was_leaving:
             _log_leaving(known)
 
-    def mark_missing(self, name: str) -> None:
-        """Record that a replica's entry is missing."""
+    def mark_missing(self, name: str, *, may_return: bool = False) -> None:
+        """Record that a replica's entry is missing.
+
+        :param may_return: whether the entry may have expired in an outage of
+            the store rather than been removed.
+        """
         known = self._known.get(name)
         if known is None or known.missing_since is not None:
             return
         known.missing_since = self._clock.now()
+        known.missing_limit_ms = (
+            self._missing_limit_ms if may_return else self._removed_limit_ms
+        )
         _logs.event("replica_vanished", replica=name, leaving=known.leaving)
 
     def _is_usable(self, replica: Replica) -> bool:
@@ -736,7 +765,7 @@
         now = self._clock.now()
         for name, replica in list(self._known.items()):
             since = replica.missing_since
-            if since is not None and now - since > self._missing_limit_ms:
+            if since is not None and now - since >= replica.missing_limit_ms:
                 self._note_version(replica)
                 del self._known[name]
                 _logs.event("replica_forgotten", replica=name)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -140,6 +140,21 @@
     assert not replicas.available("s")
 
 
+def test_removed_replica_gets_no_requests_after_its_time_to_leave():
+    clock = _clock.ManualClock()
+    replicas = _replicas.Replicas(clock, 2000, news_delay_ms=1590)
+    replicas.replace_all([_entry("r1"), _entry("r2")])
+    # The store may have removed them 1590 ms ago.
+    replicas.mark_missing("r1")
+    replicas.replace_all([], may_return=True)
+    clock.advance(409)
+    assert len(replicas.available("s")) == 2
+    clock.advance(1)
+    assert [r.entry.name for r in replicas.available("s")] == ["r2"]
+    clock.advance(2000 - 410 - _replicas.MISSING_MARGIN_MS)
+    assert not replicas.available("s")
+
+
 def test_a_replica_whose_entry_returns_stays_available():
     clock = _clock.ManualClock()
     replicas = _replicas.Replicas(clock, 2000)
