Notice a silent watch within the stability window

Cause: a watch asks for 4 s, and its connection is taken for lost 700 ms later; renewals of the lease succeed on another connection meanwhile, so the controller tells the others that there are no changes.

The new test of the delays' sum failed before: 6.64 s for entries of replicas.

Change: watches ask for 800 ms, and changes of both kinds are read in batches of 250 ms (500 ms before for replicas). With the margin, a retry, a slow answer of the store, the report and its answer that is 2.94 s (hosting/_change_delays.py). Only the controller watches, so it makes two reads a second more, of which each is a tenth of a write; it renews its lease by two writes a second. The test of the number of calls counted watches of 4 s; it derives their number from the watch's duration now, with the same 4 calls more.

--- a/src/geraniumlink/hosting/_change_delays.py
+++ b/src/geraniumlink/hosting/_change_delays.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from geraniumlink.hosting import _object_watcher
+from geraniumlink import platform
 from geraniumlink.residency import _controller_link
 from geraniumlink.residency import _controller_protocol
 
@@ -44,3 +45,18 @@
             + 2 * STORE_ANSWER_MS
         ),
     }
+
+
+def silent_watch_delay_ms(batch_delay_ms: int) -> int:
+    """Return the longest delay if a watch's connection goes silent.
+
+    Counted from the silence, which may begin before the watch does.
+
+    :param batch_delay_ms: that of the kind of object.
+    """
+    return (
+        _object_watcher.WATCH_TIMEOUT_MS
+        + platform.WATCH_TIMEOUT_MARGIN_MS
+        + _object_watcher.INITIAL_RETRY_MS
+        + relayed_delay_ms(batch_delay_ms)
+    )
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -120,12 +120,9 @@
 RELAYED_BODY_BYTES = 4 * 2**20
 # Interval at which idle connections to replicas are checked.
 CLOSE_STALE_INTERVAL_MS = 1000
-# Changes within this time are read by one call to the store. A configuration
-# must be in force within a few seconds. A replica that leaves must get no new
-# requests after the settings' leaving_bound_ms; a batch may delay that by at
-# most this share of the bound.
-CONFIGURATION_BATCH_DELAY_MS = 250
-REPLICAS_BATCH_DELAY_SHARE = 0.25
+# Changes within this time are read by one call to the store. It delays a
+# configuration, and the news that a replica leaves: see _change_delays.
+BATCH_DELAY_MS = 250
 # Entries that expired in an outage of the store return within about this time
 # after it.
 ENTRIES_RETURN_MS = 2000
@@ -189,9 +186,7 @@
         self._replicas = _replicas.Replicas(
             self._clock,
             settings.leaving_bound_ms,
-            _change_delays.relayed_delay_ms(
-                _replicas_batch_delay_ms(settings.leaving_bound_ms)
-            ),
+            _change_delays.relayed_delay_ms(BATCH_DELAY_MS),
         )
         self._warm_ups = (
             _warm_up.WarmUps(self._replicas, self._clock)
@@ -571,7 +566,6 @@
         _logs.event("drained", in_flight=self._application.in_flight)
 
     def _make_watchers(self) -> list[_object_watcher.ObjectWatcher]:
-        bound_ms = self._settings.leaving_bound_ms
         revocation_ms = self._settings.revocation_bound_ms
         return [
             _object_watcher.ObjectWatcher(
@@ -580,7 +574,7 @@
                 self._clock,
                 on_list=self._apply_configurations,
                 on_change=self._apply_configuration,
-                batch_delay_ms=CONFIGURATION_BATCH_DELAY_MS,
+                batch_delay_ms=BATCH_DELAY_MS,
                 freshness=(
                     None
                     if revocation_ms is None
@@ -594,7 +588,7 @@
                 self._clock,
                 on_list=self._apply_replicas,
                 on_change=self._apply_replica,
-                batch_delay_ms=_replicas_batch_delay_ms(bound_ms),
+                batch_delay_ms=BATCH_DELAY_MS,
                 history=self._store.history,
             ),
         ]
@@ -673,10 +667,6 @@
             self._peer_connections.close_stale()
 
 
-def _replicas_batch_delay_ms(leaving_bound_ms: int) -> int:
-    return int(REPLICAS_BATCH_DELAY_SHARE * leaving_bound_ms)
-
-
 def _take_delay_ms(link_mbit_per_s: float | None) -> int:
     """Return how long to leave the controller's lease to others.
 
--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -25,11 +25,9 @@
 from geraniumlink.residency import _controller_link
 from geraniumlink.residency import _leadership
 
-# How long the store may hold a watch without a change. A connection that
-# fails silently is noticed only when its watch times out, and every change
-# must be known within 5 s of such a failure. A shorter watch would cost more
-# calls to the store, which are billed.
-WATCH_TIMEOUT_MS = 4000
+# How long the store may hold a watch without a change. A connection that goes
+# silent is noticed only when its watch times out; see _change_delays.
+WATCH_TIMEOUT_MS = 800
 # The shortest watch after a disturbance. The store may drop its history while
 # a watch waits, without an answer. So a watch lasts no longer than the time
 # since the disturbance, and what it misses is known after twice that time.
--- a/src/geraniumlink/platform/__init__.py
+++ b/src/geraniumlink/platform/__init__.py
@@ -29,6 +29,7 @@
 from geraniumlink.platform._settings import read_settings
 from geraniumlink.platform._settings import SETTINGS_PATH_VARIABLE
 from geraniumlink.platform._store import StoreClient
+from geraniumlink.platform._store import WATCH_TIMEOUT_MARGIN_MS
 
 __all__ = [
     "FormatError",
@@ -40,6 +41,7 @@
     "ResponseHead",
     "SETTINGS_PATH_VARIABLE",
     "StoreClient",
+    "WATCH_TIMEOUT_MARGIN_MS",
     "decode_announcement",
     "decode_configuration",
     "decode_credential",
--- a/src/geraniumlink/platform/_store.py
+++ b/src/geraniumlink/platform/_store.py
@@ -33,9 +33,7 @@
 # in 4 ms, and in 240 ms when it is slow.
 CALL_TIMEOUT_MS = 1000
 # A watch responds after the wait that it asked for, even without a change; if
-# it is this much later, its connection is taken for lost. Together with
-# WATCH_TIMEOUT_MS of hosting/_object_watcher.py it must stay below 5 s, within
-# which a change must be known after a silent connection failure.
+# it is this much later, its connection is taken for lost.
 WATCH_TIMEOUT_MARGIN_MS = 700
 # Bounds a listing in case the store always announces one more page.
 MAX_PAGES = 1000
