Relay the store's changes only shortly after the last renewal

Cause: three delays add up. The leader hadn't read the change (0.5 s of batch); it told the others that there were no changes until the window for orders had ended (1.2 s after the last renewal was sent); they relied on it for 0.7 s and then asked a store that may take 0.24 s: 2.64 s.

Change: a leader relays for 800 ms after it sent its last successful renewal, which the next one renews also if the store is slow (500 + 240 ms); with batches of 250 ms the sum is 1.99 s. What orders depend on stays.

--- a/src/geraniumlink/hosting/_change_delays.py
+++ b/src/geraniumlink/hosting/_change_delays.py
@@ -1,7 +1,7 @@
 """How long a change in the store takes to reach every instance.
 
-Counted from the store's acknowledgement, while the store answers and messages
-between instances arrive.
+Counted from the store's acknowledgement, while the store answers all but one
+instance and messages between instances arrive.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 from geraniumlink import platform
 from geraniumlink.residency import _controller_link
 from geraniumlink.residency import _controller_protocol
+from geraniumlink.residency import _leadership
 
 # How long an answer of a slow store takes.
 STORE_ANSWER_MS = 240
@@ -34,9 +35,14 @@
     :param batch_delay_ms: that of the kind of object.
     """
     relay_lapsed_ms = _object_watcher.RELAY_VALIDITY_MS + STORE_ANSWER_MS
+    cut_off_ms = batch_delay_ms + _leadership.RELAY_WINDOW_MS
     return {
         "relayed by the controller": relayed_delay_ms(batch_delay_ms),
         "read as the relay lapses": relay_lapsed_ms,
+        # It was cut off before it read the change.
+        "relayed by a controller that is cut off": (
+            cut_off_ms + relay_lapsed_ms
+        ),
         # The first read hears nothing, nor does a watch; then all objects are
         # listed.
         "unheard, as the store drops its history": (
--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -367,7 +367,7 @@
         # A leader that renewed its lease recently has reached the store, so
         # what it knows of the store is up to date. Others must not pass it
         # on.
-        if sender != self._instance and self._leadership.may_order():
+        if sender != self._instance and self._leadership.may_relay():
             answer["lease_version"] = self._leadership.lease_version
             answer["lease_epoch"] = self._leadership.epoch
             answer["lease_renewals"] = self._leadership.lease_renewals
--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -28,6 +28,10 @@
 # How long a leader may send orders after it sent its last successful
 # renewal.
 ORDERING_WINDOW_MS = 1200
+# How long a leader relays what it knows of the store after it sent its last
+# successful renewal. The next one is answered before that, also if the store
+# is slow.
+RELAY_WINDOW_MS = 800
 # Two machines' monotonic clocks differ by this at most over the lease's
 # duration, with the rounding of times to whole milliseconds.
 CLOCK_ERROR_MS = 50
@@ -121,6 +125,11 @@
             self._may_order_from <= now < self._renewed_at + ORDERING_WINDOW_MS
         )
 
+    def may_relay(self) -> bool:
+        """Whether this leader reached the store so recently that it relays."""
+        age_ms = self._clock.since_boot() - self._renewed_at
+        return self.may_order() and age_ms < RELAY_WINDOW_MS
+
     def record_leader_renewal(
         self, lease_version: int, epoch: int | None, renewals: int | None
     ) -> None:
