Take the controller's copy that proves a restore of the store

Callers saw 404 for routes that had been added, at an instance that the store turns away since before it was restored: it passed the controller's changes over for ever, as they end at a lower revision than its own copy.

A lower revision alone doesn't tell a restored store from a controller that is frozen, cut off or hears nothing. But each answer of the controller states as of when its copy is confirmed. If that is later than the time by which this copy's revision was known here, the store answered a later call with a lower revision: its answers are linearizable, so it has another history. Changes that were confirmed earlier, or that state no time, are passed over as before.

The test of the list of known failures let the two instances' clocks run apart and left out the ages that each message has; without these, a frozen controller looks the same. It now has one clock and the ages, asks for the result within the same 10 s, and has a second case, a controller that can't notice the restore. A further test asks that a copy which isn't confirmed never replaces a newer one.

Not covered: an instance that can't read the lease doesn't follow it to another holder, with or without a restore.

--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -757,8 +757,9 @@
     "store_history_changed": Message(
         _STATE,
         "the platform's store goes on from other contents than before, as its"
-        " era or a revision below one known here shows; all objects are listed"
-        " again, and relayed changes are passed over for a time",
+        " era, a revision below one known here or the controller's copy shows;"
+        " all objects are listed again, and relayed changes are passed over"
+        " for a time",
         ("era", "evidence", "known_era", "known_revision", "revision"),
     ),
     "store_lost": Message(
--- a/src/geraniumlink/_store_history.py
+++ b/src/geraniumlink/_store_history.py
@@ -98,6 +98,13 @@
         self.note_revision(revision)
         return is_known
 
+    def begin_relayed(self, revision: int) -> None:
+        """Go on with another history, as the controller's copy proves it.
+
+        :param revision: up to which that copy is complete.
+        """
+        self._begin("relay", revision, self._era)
+
     def _begin(
         self, evidence: str, revision: int, known_era: int | None
     ) -> None:
--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -160,6 +160,8 @@
         self._disturbed_at: int | None = None
         # None when the objects must be listed, not watched.
         self._revision: int | None = None
+        # Time since boot by which the store had reached that revision.
+        self._reached_by = 0
         self._objects_by_name: dict[str, _objects.Object] = {}
         self._removals: collections.OrderedDict[str, _objects.Object] = (
             collections.OrderedDict()
@@ -303,7 +305,8 @@
     ) -> bool:
         """Apply the controller's changes, unless they end before this copy.
 
-        Returns whether they were applied.
+        Returns whether they were applied. If they prove that the store has
+        another history than this copy, they begin it.
 
         A running watch is cancelled, since the relay replaces it; but not
         while the copy is too old for that.
@@ -311,7 +314,9 @@
         :param confirmed_as_of: time since boot as of which the changes are
             complete; None if it isn't known.
         """
-        if self.is_history_new or self._is_relay_behind(changes.revision):
+        if self.is_history_new or self._is_relay_behind(
+            changes.revision, confirmed_as_of
+        ):
             return False
         if self._freshness is not None and any(
             item.value == {} for item in changes.objects
@@ -338,7 +343,7 @@
         self._relay_valid_until = self._confirmed_at + RELAY_VALIDITY_MS
         return True
 
-    def _is_relay_behind(self, revision: int) -> bool:
+    def _is_relay_behind(self, revision: int, as_of: int | None) -> bool:
         """Return whether relayed changes end before this copy.
 
         Logs the first of such changes in a row. Revision 0 is that of a
@@ -357,8 +362,22 @@
                 revision=revision,
                 known_revision=self.revision,
             )
+        if self._relay_was_behind and self._is_restore_proved(as_of):
+            self._history.begin_relayed(revision)
         return self._relay_was_behind
 
+    def _is_restore_proved(self, as_of: int | None) -> bool:
+        """Return whether changes that end before this copy prove a restore.
+
+        The store had reached this copy's revision when the controller sent
+        the call that confirmed them. A controller that was frozen or cut off
+        since then proves nothing.
+
+        :param as_of: time since boot as of which they are complete.
+        """
+        surely_reached = self._reached_by + _leadership.CLOCK_ERROR_MS
+        return as_of is not None and as_of > surely_reached
+
     async def run(self) -> None:
         """List and watch the objects while no relay is valid, for ever."""
         retry_ms = INITIAL_RETRY_MS
@@ -483,6 +502,7 @@
         self._removals.clear()
         self._complete_after = listing.revision
         self._revision = listing.revision
+        self._reached_by = self._clock.since_boot()
         self._on_list(listing.objects)
 
     def _log_replaced(
@@ -507,6 +527,8 @@
                 self._objects_by_name[item.name] = item
                 self._removals.pop(item.name, None)
             self._on_change(item)
+        if listing.revision > self.revision:
+            self._reached_by = self._clock.since_boot()
         self._revision = max(self.revision, listing.revision)
 
     def _record_removal(self, item: _objects.Object) -> None:
--- a/tests/test_beliefs_after_restore.py
+++ b/tests/test_beliefs_after_restore.py
@@ -56,18 +56,37 @@
     assert taken - last_order >= lb.LEASE_MS
 
 
-async def test_machine_that_the_store_refuses_keeps_routes_of_old_history():
-    controller, cut_off = sh._Instance(), sh._Instance()
+@pytest.mark.parametrize("notices", (True, False))
+async def test_machine_that_the_store_refuses_keeps_routes_of_old_history(
+    clock, notices
+):
+    """A controller that knew an older revision can't notice the restore."""
+    controller, cut_off = sh._Instance(clock=clock), sh._Instance(clock=clock)
+    await controller.call(sh._answer(3))
     await cut_off.call(sh._answer(9, "old"))
-    await controller.call(sh._answer(9, "old"), sh._answer(3))
+    if notices:
+        await controller.call(sh._answer(9, "old"), sh._answer(3))
     await controller.call(sh._answer(3, "new"))
-    for _ in range(40):
+    began = clock.now()
+    while clock.now() - began < 10_000:
         cut_off.relay_from(controller)
-        for instance in (controller, cut_off):
-            instance.clock.advance(250)
+        clock.advance(250)
+        await controller.call(sh._answer(3))
     assert cut_off.names == {"new"}
 
 
+async def test_relay_of_an_unconfirmed_copy_replaces_the_newest_one(clock):
+    """Its controller is frozen or cut off, or its watch hears nothing."""
+    controller, instance = sh._Instance(clock=clock), sh._Instance(clock=clock)
+    await controller.call(sh._answer(3, "old"))
+    await instance.call(sh._answer(9, "newest"))
+    for _ in range(40):
+        instance.relay_from(controller)
+        clock.advance(250)
+    assert instance.names == {"newest"}
+    assert instance.history.changes == 0
+
+
 async def test_relay_of_controller_without_a_past_mixes_two_histories():
     """The controller started after the restore."""
     controller, cut_off = sh._Instance(), sh._Instance()
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -172,6 +172,27 @@
     assert took_s < _CONFIG_APPLY_S
 
 
+async def test_routes_stay_old_where_the_store_refuses_calls(fleet):
+    site = await _start_site(fleet)
+    _, address = fleet.link(site.store.address)
+    await site.add_instance(store_address=address)
+    revision = await site.store_revision()
+    for number in range(60):
+        entry = site.entry("r-1", "ready") | {"slots": 8 + number % 2}
+        await site.put("servers", "r-1", entry)
+    routes = [hosts.route("first", "safe")]
+    await site.configure(hosts.configuration(2, *routes))
+    await _seconds_until_in_force(fleet, site, "first")
+    await anyio.sleep(1)
+    await fleet.faults(site.store, refuse_hosts={address: 503})
+    await site.restore_store(revision)
+    await site.register("r-1")
+    routes.append(hosts.route("second", "safe"))
+    await site.configure(hosts.configuration(3, *routes))
+    took_s = await _seconds_until_in_force(fleet, site, "second")
+    assert took_s < _CONFIG_APPLY_S + _STABILITY_WINDOW_S
+
+
 async def test_frozen_controller_resumes_its_restored_lease(fleet):
     site = await _start_site(fleet)
     async with _orders_flow(site):
--- a/tests/test_store_history.py
+++ b/tests/test_store_history.py
@@ -41,9 +41,9 @@
 class _Instance:
     """One instance's client, copy and relay; the store's answers are given."""
 
-    def __init__(self, *answers):
+    def __init__(self, *answers, clock=None):
         self.answers = list(answers)
-        self.clock = _clock.ManualClock(100_000)
+        self.clock = clock or _clock.ManualClock(100_000)
         self.client = platform.StoreClient(self, _ADDRESS)
         self.history = self.client.history
         self.names = set()
@@ -87,8 +87,13 @@
             group.cancel_scope.cancel()
 
     def relay_from(self, other):
+        sent_at = self.clock.since_boot()
         known = self.relay.known_revisions()
-        self.relay.apply_changes(other.relay.encode_changes(known))
+        self.relay.apply_changes(
+            other.relay.encode_changes(known),
+            other.relay.confirmed_ages_ms(),
+            sent_at,
+        )
 
 
 @pytest.mark.parametrize(
