Add the versions seen here to a record that a new term reads

Callers could get the rest of a stream from another version of the software: with the store's record of versions gone, the next controller began it as at the first start of the system, with the present version alone and complete from the beginning. After a restart of all, instances took that version for the only one.

The controller's process knows which versions it has seen, and a new term's first write now has them: those that the record lacks, or has as seen more than the clocks' difference earlier, so that a takeover doesn't write what is stored already. A record that this process has read or written before, and which is gone, is complete from then on, not since the first start.

The new test of the writes of a takeover fails without the allowance for the clocks.

Not covered: an instance that is started with the bootstrap flag after the loss and before the controller's write.

--- a/src/geraniumlink/residency/_version_history.py
+++ b/src/geraniumlink/residency/_version_history.py
@@ -6,10 +6,14 @@
 that if all instances were started again meanwhile. So the controller writes
 down each version that comes or goes, and an instance reads the record once at
 its start. There are few writes: a release changes the record twice.
+
+A restored store may have an earlier record, or none. So whoever reads it as
+the controller adds what it has seen itself.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import typing
 
 from geraniumlink import _clock
@@ -86,6 +90,8 @@
         # As last read or written, with its version in the store.
         self._record: Record | None = None
         self._stored_version = 0
+        # Whether there was one; it is gone if the store has none now.
+        self._was_stored = False
         # The term of the lease in which it was read last.
         self._epoch = 0
 
@@ -107,6 +113,7 @@
             return False
         self._stored_version = found.version
         self._record = _decode(found.value)
+        self._was_stored |= self._record is not None
         return True
 
     def _apply(self) -> None:
@@ -132,12 +139,13 @@
 
     async def _update(self) -> None:
         """Write the record if versions came or went."""
-        if self._epoch != self._leadership.epoch:
+        is_new_term = self._epoch != self._leadership.epoch
+        if is_new_term:
             # The controller before may have written it since it was read.
             if not await self._try_read():
                 return
             self._epoch = self._leadership.epoch
-        record = self._make_record()
+        record = self._make_record(self._seen_here() if is_new_term else {})
         if record == self._record:
             return
         try:
@@ -150,25 +158,60 @@
             self._epoch = 0
             return
         self._record, self._stored_version = record, written.version
+        self._was_stored = True
+
+    def _seen_here(self) -> dict[str, dict[str, int]]:
+        """Return when this process saw each version last, by service."""
+        wall = self._clock.wall()
+        return {
+            service: {v: max(0, wall - ms) for v, ms in ages_ms.items()}
+            for service, ages_ms in self._replicas.version_ages_ms().items()
+        }
+
+    def _make_record(self, seen_here: dict[str, dict[str, int]]) -> Record:
+        """Return the record as it should be now.
 
-    def _make_record(self) -> Record:
-        """Return the record as it should be now."""
+        :param seen_here: what the known record may lack.
+        """
         wall, known = self._clock.wall(), self._record
         if known is None:
-            since = None if self._is_first_start else wall
-            known = Record(since=since, services={})
+            is_first = self._is_first_start and not self._was_stored
+            known = Record(since=None if is_first else wall, services={})
         services: dict[str, dict[str, int | None]] = {}
-        for service, versions in known["services"].items():
-            for version, gone_at in versions.items():
-                seen_at = wall if gone_at is None else gone_at
-                if wall - seen_at < KEEP_MS:
-                    services.setdefault(service, {})[version] = seen_at
+        for service, seen in _merge(known["services"], seen_here, wall):
+            kept = {v: at for v, at in seen.items() if wall - at < KEEP_MS}
+            if kept:
+                services[service] = {**kept}
         for service, present in self._replicas.versions_in_service().items():
             for version in present:
                 services.setdefault(service, {})[version] = None
         return Record(since=known["since"], services=services)
 
 
+def _merge(
+    services: dict[str, dict[str, int | None]],
+    seen_here: dict[str, dict[str, int]],
+    wall: int,
+) -> Iterator[tuple[str, dict[str, int]]]:
+    """Yield when each service's versions were last seen, by either one.
+
+    What was seen here counts only where it is later by more than
+    ``CLOCK_SKEW_MS``: a new controller needn't write again what the one
+    before wrote by its own clock.
+
+    :param services: as in a ``Record``; None stands for ``wall``.
+    """
+    for service in services.keys() | seen_here.keys():
+        seen = {
+            version: wall if gone_at is None else gone_at
+            for version, gone_at in services.get(service, {}).items()
+        }
+        for version, at in seen_here.get(service, {}).items():
+            if version not in seen or at > seen[version] + CLOCK_SKEW_MS:
+                seen[version] = at
+        yield service, seen
+
+
 def _decode(value: typing.Any) -> Record | None:
     """Return the record; None if there is none, or it can't be read."""
     if value is None:
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -515,6 +515,15 @@
             )
         return versions
 
+    def version_ages_ms(self) -> dict[str, dict[str, int]]:
+        """Return how long ago each version of each service was last known."""
+        self._forget_missing()
+        now = self._clock.now()
+        return {
+            service: {version: now - at for version, at in seen.items()}
+            for service, seen in self._versions_seen.items()
+        }
+
     def learn_versions(
         self, known_ms: int | None, ages_ms: dict[str, dict[str, int]]
     ) -> None:
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -162,6 +162,35 @@
     assert store.found.value["services"]["s"].keys() == {"v1", "v2"}
 
 
+async def test_a_new_controller_writes_again_what_it_saw_too(store, clock):
+    first = _Instance(store, clock, ["v1"], is_first_start=True)
+    second = _Instance(store, clock, ["v1"], is_first_start=True)
+    for instance in (first, second):
+        await instance.start()
+    await first.check()
+    for instance in (first, second):
+        instance.list_versions("v2")
+    for _ in range(6):
+        await first.check()
+    # It notices later that v1 is gone.
+    second.replicas.versions_in_service()
+    written = store.writes
+    assert store.found.value["services"]["s"]["v1"] is not None
+    await second.check()
+    assert store.writes == written
+
+
+async def test_a_record_that_was_lost_is_complete_since_the_first_start(
+    store, clock
+):
+    instance = _Instance(store, clock, ["v1"], is_first_start=True)
+    await (await instance.start()).check()
+    store.found = _objects.Object("k", "n", 0, None)
+    instance.leadership.epoch = 2
+    await instance.check()
+    assert store.found.value["since"] == clock.wall()
+
+
 async def test_a_write_that_failed_is_tried_again(store, clock):
     instance = _Instance(store, clock, ["v1"], is_first_start=True)
     await instance.start()
