Write the versions again when the store is found restored

Callers could get the rest of a stream from another version of the software: a controller that holds its lease across a restore compared the versions with the record as it had written it last, and found nothing to write. The store kept the copy's record, and after a restart of all an instance took its present version for the only one.

The record is now read and written again, once, as any answer of the store shows another history. It is written even if it was read unchanged, since such a read may be seconds old; a conflict then leads to another read.

The test of the list of known failures put the copy into its stand-in behind the client's back; it now also reports the history, as each call of the real client does. A restore that no answer shows isn't noticed here either.

--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -268,6 +268,7 @@
             leadership=self._leadership,
             clock=clock,
             is_first_start=settings.is_first_start,
+            history=self._store.history,
         )
         self._request_metrics = _request_metrics.RequestMetrics(
             self._metrics.registry
--- a/src/geraniumlink/residency/_version_history.py
+++ b/src/geraniumlink/residency/_version_history.py
@@ -19,6 +19,7 @@
 from geraniumlink import _clock
 from geraniumlink import _logs
 from geraniumlink import _objects
+from geraniumlink import _store_history
 from geraniumlink.serving import _replicas
 
 # Name of the record in the store.
@@ -71,6 +72,7 @@
 
     :param is_first_start: whether the whole system starts for the first
         time, so that no version can have served before.
+    :param history: the store's, as its answers show it.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         leadership: Leadership,
         clock: _clock.Clock,
         is_first_start: bool,
+        history: _store_history.StoreHistory,
     ) -> None:
         self._store = store
         self._replicas = replicas
@@ -90,6 +93,10 @@
         # As last read or written, with its version in the store.
         self._record: Record | None = None
         self._stored_version = 0
+        # Whether it must be written although it was read unchanged: reads may
+        # be older than a restore of the store.
+        self._must_write = False
+        history.call_on_change(self._read_and_write)
         # Whether there was one; it is gone if the store has none now.
         self._was_stored = False
         # The term of the lease in which it was read last.
@@ -146,8 +153,9 @@
                 return
             self._epoch = self._leadership.epoch
         record = self._make_record(self._seen_here() if is_new_term else {})
-        if record == self._record:
+        if record == self._record and not self._must_write:
             return
+        must_write, self._must_write = self._must_write, False
         try:
             written = await self._store.put(
                 KIND, NAME, record, self._stored_version
@@ -156,10 +164,16 @@
             _logs.event("version_history_not_written", error=str(error))
             # It may have been written: it is read again before the next try.
             self._epoch = 0
+            self._must_write |= must_write
             return
         self._record, self._stored_version = record, written.version
         self._was_stored = True
 
+    def _read_and_write(self) -> None:
+        """Write what the stored record lacks, as after a takeover."""
+        self._epoch = 0
+        self._must_write = True
+
     def _seen_here(self) -> dict[str, dict[str, int]]:
         """Return when this process saw each version last, by service."""
         wall = self._clock.wall()
--- a/tests/test_beliefs_after_restore.py
+++ b/tests/test_beliefs_after_restore.py
@@ -139,7 +139,7 @@
     await first.check()
     first.list_versions("v2")
     await first.check()
-    store.found = copy
+    store.restore(copy)
     for _ in range(3):
         await first.check()
     second = await vh._Instance(store, clock, ["v2"]).start()
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -4,6 +4,7 @@
 
 from geraniumlink import _clock
 from geraniumlink import _objects
+from geraniumlink import _store_history
 from geraniumlink.residency import _version_history
 from geraniumlink.serving import _replicas
 from tests import builders
@@ -18,11 +19,19 @@
         self.found = _objects.Object("k", "n", 0, None)
         self.unavailable = False
         self.writes = 0
+        # Records that the next reads return, from before a restore.
+        self.late_reads = []
+        self.history = _store_history.StoreHistory()
+
+    def restore(self, copy):
+        """Go back to a copy, as the next answer to any call shows."""
+        self.found = copy
+        self.history.begin_relayed(copy.version)
 
     async def get(self, _kind, _name):
         if self.unavailable:
             raise _objects.UnavailableError("out")
-        return self.found
+        return self.late_reads.pop() if self.late_reads else self.found
 
     async def put(self, kind, name, value, if_version):
         if self.unavailable:
@@ -55,6 +64,7 @@
             leadership=self.leadership,
             clock=clock,
             is_first_start=is_first_start,
+            history=store.history,
         )
 
     def list_versions(self, *versions):
@@ -191,6 +201,25 @@
     assert store.found.value["since"] == clock.wall()
 
 
+async def test_a_read_from_before_a_restore_hides_what_was_lost(store, clock):
+    instance = _Instance(store, clock, ["v1"], is_first_start=True)
+    await (await instance.start()).check()
+    copy = store.found
+    instance.list_versions("v2")
+    for _ in range(6):
+        await instance.check()
+    store.late_reads = [store.found]
+    store.restore(copy)
+    for _ in range(3):
+        await instance.check()
+    services = store.found.value["services"]["s"]
+    assert services["v1"] is not None
+    assert services["v2"] is None
+    written = store.writes
+    await instance.check()
+    assert store.writes == written
+
+
 async def test_a_write_that_failed_is_tried_again(store, clock):
     instance = _Instance(store, clock, ["v1"], is_first_start=True)
     await instance.start()
