Write the versions down before the controller may order

Callers got the rest of a stream from another version of the software after a restart of all instances: 200, where 503 is expected. The controller wrote down the versions in service only once it may send orders. Since the taker of an absent lease waits for its duration, that is 4.5 s after the first start, or after a takeover. If all instances were killed within that time, the record was missing, and a start with the flag of the first start took its present version for the only one ever.

Orders must wait for former holders, as replicas don't check who sends them. A write of the record is conditional on the version that was read, and follows a conflict with another read that adds to what is stored, so the holder of the lease writes at once.

--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -45,9 +45,7 @@
 
 class _Leadership:
     epoch = 1
-
-    def may_order(self):
-        return True
+    is_leader = True
 
 
 class _Instance:
