--- a/tests/test_beliefs_after_restore.py
+++ b/tests/test_beliefs_after_restore.py
@@ -56,6 +56,81 @@
     assert taken - last_order >= lb.LEASE_MS
 
 
+async def test_renewal_that_a_restore_hides_ends_before_the_next_controller(
+    api, clock, machine
+):
+    first, second = machine("m1"), machine("m2")
+    await first.step_until_first_order()
+    await second.step()
+    old = lb.stored_lease(api)
+    # m1 was frozen or cut off until here.
+    clock.advance(lb.DURATION_MS - 1)
+    assert await first.step()
+    lb.restore(api, old)
+    last_order = clock.now()
+    assert await second.step_until_first_order() - last_order >= lb.LEASE_MS
+
+
+@pytest.mark.parametrize("release", (True, False))
+async def test_machine_that_missed_a_term_follows_its_forgotten_holder(
+    api, clock, machine, release
+):
+    first, second, cut_off = machine("m1"), machine("m2"), machine("m3")
+    await first.step_until_first_order()
+    await first.step()
+    await second.step()
+    await cut_off.step()
+    if release:
+        await first.leadership.release()
+    old = lb.stored_lease(api)
+    await second.step_until_first_order()
+    await second.step()
+    lb.restore(api, old)
+    # m2 may order until its window ends, as if cut off from the store.
+    last_order = clock.now() + _leadership.ORDERING_WINDOW_MS
+    assert await cut_off.step_until_first_order() - last_order >= lb.LEASE_MS
+
+
+async def test_renewal_does_not_overwrite_a_lease_that_has_its_version(
+    api, clock, machine
+):
+    first, second = machine("m1"), machine("m2")
+    await first.step()
+    await first.step()
+    renewed_at = clock.now()
+    api.revision = 0
+    lb.restore(api, None)
+    await second.step()
+    # m1 was frozen or cut off until here.
+    clock.advance(renewed_at + lb.DURATION_MS - 1 - clock.now())
+    await second.step()
+    await first.step()
+    clock.advance(lb.DURATION_MS // 10)
+    both = (first.leadership.may_order(), second.leadership.may_order())
+    assert both != (True, True)
+
+
+async def test_late_proposal_follows_a_holder_that_the_store_forgot(
+    api, clock, machine
+):
+    first, second, third = machine("m1"), machine("m2"), machine("m3")
+    await first.step_until_first_order()
+    await first.step()
+    await second.step()
+    await third.step()
+    old = lb.stored_lease(api)
+    clock.advance(lb.DURATION_MS)
+    # m3's write is carried out after the restore.
+    api.lose_answers = 1
+    await third.step()
+    late = lb.stored_lease(api)
+    lb.restore(api, old)
+    await second.step()
+    last_order = clock.now() + _leadership.ORDERING_WINDOW_MS
+    lb.restore(api, late)
+    assert await third.step_until_first_order() - last_order >= lb.LEASE_MS
+
+
 async def test_machine_that_the_store_refuses_keeps_routes_of_old_history():
     controller, cut_off = sh._Instance(), sh._Instance()
     await cut_off.call(sh._answer(9, "old"))
