Forget what was observed of the lease in an earlier history of the store

What callers saw: nothing reported; found by specs/controller_lease.py. After a restore, a machine that missed a renewal or a term of another counts the lease as unchanged for its duration, takes it and orders at once, beside a holder that the store forgot: rule ONE.

Cause: an observation was kept although this process had noticed that the store goes on from other contents. The tokens and the copies used that notice, the lease didn't.

Change: a noticed change of history drops the observations and proposals; the lease then has to be unchanged for its duration anew, or is taken with a wait of its duration. If the answer to the write that takes it is what shows the restore, that wait applies too. Without a change of history nothing differs, so a store that was away and came back whole delays no takeover.

Evidence: both cases of test_noticed_restore_ends_what_was_observed_before fail with forget_observations doing nothing (the next order may be sent 1 s before the holder's window ends; 3 s after it required), and pass with it. tests/test_restored_store.py with the tests of leases, of the store's history and of the specification passed once. No test shows that an instance connects the two; the restores that nobody notices stay in KNOWN-RED.txt.

--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -184,6 +184,8 @@
         # Leases that were proposed last, while it is unknown whether they
         # were written.
         self._proposals: dict[str, HeldLease] = {}
+        # Number of calls of forget_observations.
+        self._forgotten = 0
 
     @property
     def duration_ms(self) -> int:
@@ -194,6 +196,16 @@
         observation = self._observations.get(shard)
         return observation.holder if observation else ""
 
+    def forget_observations(self) -> None:
+        """Note that the store goes on from other contents than before.
+
+        That a lease is as it was observed then no longer shows that nobody
+        held it in between.
+        """
+        self._observations.clear()
+        self._proposals.clear()
+        self._forgotten += 1
+
     def record_observation(
         self,
         shard: str,
@@ -239,6 +251,7 @@
             the lease was taken and only the answer was lost, the next call
             continues what was proposed.
         """
+        forgotten = self._forgotten
         found = await self._objects.get(KIND, shard)
         current = parse(found)
         proposal = self._proposals.pop(shard, None)
@@ -273,9 +286,14 @@
         except _objects.ConflictError:
             return None
         except _objects.UnavailableError:
-            self._proposals[shard] = proposal
+            if forgotten == self._forgotten:
+                self._proposals[shard] = proposal
             raise
         taken = proposal._replace(version=written.version)
+        if forgotten != self._forgotten:
+            # The answer to the write showed the restore.
+            lease = proposal.lease._replace(wait_over=False)
+            taken = taken._replace(lease=lease, wait=Wait.DURATION)
         _log_taken(taken, current)
         return taken
 
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -338,6 +338,7 @@
             _take_delay_ms(self._settings.link_mbit_per_s),
             _epochs.EpochSource(self._clock, self._random),
         )
+        self._store.history.call_on_change(leases.forget_observations)
         return _leadership.Leadership(
             leases, self._settings.handover_gap_ms, self._clock
         )
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -194,6 +194,33 @@
     assert not second.leadership.is_leader
 
 
+@pytest.mark.parametrize("noticed_by", ("another call", "the write"))
+async def test_noticed_restore_ends_what_was_observed_before(
+    api, clock, machine, monkeypatch, noticed_by
+):
+    first, second = machine("m1"), machine("m2")
+    await first.step_until_first_order()
+    await first.step()
+    await second.step()
+    old = builders.stored_lease(api)
+    clock.advance(builders.DURATION_MS - 1)
+    assert await first.step()
+    last_order = clock.now() + _leadership.ORDERING_WINDOW_MS
+    builders.restore(api, old)
+    if noticed_by == "another call":
+        second.leases.forget_observations()
+    else:
+        put = api.put
+
+        async def put_and_notice(*arguments):
+            second.leases.forget_observations()
+            return await put(*arguments)
+
+        monkeypatch.setattr(api, "put", put_and_notice)
+    first_order = await second.step_until_first_order()
+    assert first_order - last_order >= builders.LEASE_MS
+
+
 async def test_lease_that_its_holder_reported_expires_without_a_read(
     clock, machine
 ):
