Order at once after a restart within the lease's duration

What callers saw: after a controller whose process was killed and started again ordered nothing for 4.5 s.

Cause: a process that starts can't know whether a restored store has forgotten a later holder, so it always waited.

Change: a write of the lease says when it was sent, by the time since which boot. Whoever else takes the lease has seen it unchanged for its duration after that write. So a process of the same machine and boot that finds it younger than its duration knows that there was no later holder, whatever the store has forgotten, and orders at once; it checks that again before it writes. A clock that was set has no part in it. After another boot, later, or if the boot isn't known, it waits as before. Older builds ignore the fields, and write none.

Evidence: test_successor_of_a_process_that_waited_orders_at_once stands again, with test_successor_that_may_have_missed_a_term_waits_for_its_duration for both other cases; the tests of restores pass, those of real instances too. The specification leaves the boot out, so this way isn't searched by it; its mutant overrides the new method.

--- a/src/geraniumlink/_clock.py
+++ b/src/geraniumlink/_clock.py
@@ -8,10 +8,14 @@
 
 from __future__ import annotations
 
+import pathlib
 import time
 
 import anyio
 
+# Source: random(4) of Linux.
+_BOOT_ID = pathlib.Path("/proc/sys/kernel/random/boot_id")
+
 
 class Clock:
     """The system's clocks, in milliseconds."""
@@ -24,6 +28,13 @@
         """Return the time since boot, including time spent suspended."""
         return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
+    def boot_id(self) -> str:
+        """Return what identifies the present boot; "" if it isn't known."""
+        try:
+            return _BOOT_ID.read_text().strip()
+        except (OSError, ValueError):
+            return ""
+
     def wall(self) -> int:
         """Return wall-clock time since 1970-01-01T00:00Z."""
         return time.time_ns() // 1_000_000
@@ -46,6 +57,9 @@
     def since_boot(self) -> int:
         return self._now
 
+    def boot_id(self) -> str:
+        return "boot"
+
     def wall(self) -> int:
         return self._now + self._wall_offset
 
--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -63,6 +63,10 @@
     # The holder's wait for former holders has ended: once it has released the
     # lease, the next one needn't wait for them. Older builds don't write it.
     wait_over: bool = False
+    # When its holder sent this write, since that boot of its machine; "" if
+    # the boot isn't known.
+    sent_at: int = 0
+    boot_id: str = ""
 
 
 class Wait(enum.Enum):
@@ -155,6 +159,7 @@
 
     :param take_delay_ms: how long to leave a free lease to candidates with a
         shorter delay.
+    :param boot_id: identifies this boot of the machine; "" if it isn't known.
     :param tokens: makes the epochs; without it they count up from those that
         are known, and may repeat if the store forgets a lease.
     """
@@ -168,8 +173,10 @@
         random_source: random.Random,
         take_delay_ms: int = 0,
         tokens: _epochs.EpochSource | None = None,
+        boot_id: str = "",
     ) -> None:
         self._tokens = tokens
+        self._boot_id = boot_id
         self._take_delay_ms = take_delay_ms
         self._objects = objects
         self._holder = holder
@@ -266,6 +273,8 @@
         max_delay_ms = self._duration_ms * TAKE_JITTER
         jitter_ms = self._random.uniform(0, max_delay_ms)
         await self._clock.sleep(self._take_delay_ms + jitter_ms)
+        if current and current.holder == self._holder:
+            wait = self._wait_after_own(shard, current)
         proposal = HeldLease(
             shard,
             Lease(
@@ -414,6 +423,10 @@
 
     async def _put(self, held: HeldLease, lease: Lease) -> _objects.Object:
         """Write a lease, if it is stored as it was held."""
+        if self._boot_id:
+            lease = lease._replace(
+                sent_at=self._clock.since_boot(), boot_id=self._boot_id
+            )
         return await self._objects.put(
             KIND, held.shard, lease._asdict(), held.version
         )
@@ -454,9 +467,7 @@
         if found.value is None:
             return Wait.DURATION
         if lease and lease.holder == self._holder:
-            # Whoever held it after that term, or after the process before
-            # this one, may have been forgotten by a restored store.
-            return Wait.DURATION
+            return self._wait_after_own(found.name, lease)
         if lease and not lease.holder:
             return self._wait_after_release(found.name, lease, was_followed)
         duration_ms = lease.duration_ms if lease else self._duration_ms
@@ -485,6 +496,23 @@
         highest = self._highest_epochs.get(shard, 0)
         self._highest_epochs[shard] = max(highest, epoch)
 
+    def _wait_after_own(self, shard: str, lease: Lease) -> Wait:
+        """Return the wait for a lease that was held here.
+
+        Whoever held it later may have been forgotten by a restored store.
+        But nobody could take it within its duration.
+        """
+        age_ms = self._clock.since_boot() - lease.sent_at
+        if (
+            not self._is_own(lease)
+            and lease.wait_over
+            and lease.epoch >= self._highest_epochs.get(shard, 0)
+            and lease.boot_id == self._boot_id != ""
+            and 0 <= age_ms < lease.duration_ms
+        ):
+            return Wait.NONE
+        return Wait.DURATION
+
     def _wait_after_release(
         self, shard: str, lease: Lease, was_followed: bool
     ) -> Wait:
@@ -529,6 +557,8 @@
             int(found.value["duration_ms"]),
             int(found.value.get("renewals", 0)),
             _read_flag(found.value, "wait_over"),
+            int(found.value.get("sent_at", 0)),
+            str(found.value.get("boot_id", "")),
         )
     except (
         AttributeError,
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -341,6 +341,7 @@
             self._random,
             _take_delay_ms(self._settings.link_mbit_per_s),
             _epochs.EpochSource(self._clock, self._random),
+            self._clock.boot_id(),
         )
         self._store.history.call_on_change(leases.forget_observations)
         return _leadership.Leadership(
