Drop the body of a refused request while its connection lingers

Cause: a request that is refused, or answered before its body was read, no longer counts as held, but uvicorn's cycle kept what had been received of its body, up to 72 KiB. A refused connection lingers for 2 s, and a client that connects again meanwhile has one more.

Evidence: tests/test_request_framing.py a_body_that_nobody_reads failed before, in both cases.

Change: the body is dropped as the request is refused or its response is complete. Nothing reads it afterwards: receive() returns a disconnect.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -339,6 +339,9 @@
         self._stop_header_timer()
         self._unparsed.clear()
         self._request_bytes = 0
+        if self._receives_request and self._head_complete:
+            # It isn't read any more, and would be kept while this lingers.
+            self.cycle.body = bytearray()
         # The parser and these keep the parts of a head. An application that
         # reads the request has them, too.
         self.url = b""
@@ -712,6 +715,8 @@
         else:
             # The rest of the body is dropped.
             self._request_bytes = 0
+        if self._current is not None:
+            self._current.body = bytearray()
         self._note_held()
         self.timeout_keep_alive = self._idle_s  # type: ignore[assignment]
         super().on_response_complete()
--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -196,3 +196,21 @@
     assert len(exchange.served) == 10_000
     assert not exchange.protocol.flow.read_paused
     exchange.protocol.connection_lost(None)
+
+
+@pytest.mark.parametrize("answer", ("of the application", "for want of room"))
+async def test_a_body_that_nobody_reads_is_kept_with_its_connection(answer):
+    async def application(_scope, _receive, send) -> None:
+        start = {"type": "http.response.start", "status": 200}
+        await send({**start, "headers": [(b"content-length", b"0")]})
+        await send({"type": "http.response.body", "body": b""})
+
+    exchange = _Exchange(_http_protocol.HttpProtocol)
+    exchange.protocol.app = application
+    head = b"PUT /a HTTP/1.1\r\nHost: a\r\nContent-Length: 90000\r\n\r\n"
+    exchange.protocol.data_received(head + 50_000 * b"x")
+    if answer == "for want of room":
+        exchange.protocol.refuse_incomplete()
+    await exchange.until_responses(1)
+    assert not exchange.protocol.cycle.body
+    exchange.protocol.connection_lost(None)
