Drop the head of an answered request while its connection stays open

What callers saw: nothing so far.

Cause: as for bodies, the cycle and the protocol kept the head, which no longer counts as held: about 330 KB for the most fields that are allowed, for as long as a refused connection lingers, or an idle one stays open.

Change: the references to the head are dropped together with the body. A refused request is released a turn of the event loop later, as its task may not have started. uvicorn reads neither after a response is complete or the request is marked disconnected.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -340,7 +340,8 @@
         self._unparsed.clear()
         self._request_bytes = 0
         if self._receives_request and self._head_complete:
-            # It isn't read any more, and would be kept while this lingers.
+            # A task that is due still starts with the head.
+            self.loop.call_soon(self._release, self.cycle)
             self.cycle.body = bytearray()
         # The parser and these keep the parts of a head. An application that
         # reads the request has them, too.
@@ -350,6 +351,18 @@
         self._make_parser()
         self._note_held()
 
+    def _release(self, cycle: httptools_impl.RequestResponseCycle) -> None:
+        """Forget a request that was answered or refused.
+
+        Its connection may stay open for long.
+        """
+        if self.scope is cycle.scope:
+            self.url = b""
+            self.headers = []
+            self.scope = typing.cast(typing.Any, {})
+        cycle.scope = typing.cast(typing.Any, {})
+        cycle.body = bytearray()
+
     def _start_idle_timer(self) -> None:
         """Close a new connection on which no request begins in time."""
         self.timeout_keep_alive = self._idle_s  # type: ignore[assignment]
@@ -716,7 +729,7 @@
             # The rest of the body is dropped.
             self._request_bytes = 0
         if self._current is not None:
-            self._current.body = bytearray()
+            self._release(self._current)
         self._note_held()
         self.timeout_keep_alive = self._idle_s  # type: ignore[assignment]
         super().on_response_complete()
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -51,6 +51,10 @@
     "body above its limit": Shape(
         b"HEADContent-Length: 99999999999\r\n\r\n", b"x"
     ),
+    "fields and a body above its limit": Shape(
+        b"HEAD%bContent-Length: 99999999999\r\n\r\n" % (b"a:\r\n" * 2600),
+        b"x",
+    ),
     "chunks": Shape(b"HEADTransfer-Encoding: chunked\r\n\r\n", b"1\r\na\r\n"),
     "chunk size": Shape(b"HEADTransfer-Encoding: chunked\r\n\r\n", b"0"),
     "chunk extension": Shape(
--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -199,8 +199,11 @@
 
 
 @pytest.mark.parametrize("answer", ("of the application", "for want of room"))
-async def test_a_body_that_nobody_reads_is_kept_with_its_connection(answer):
-    async def application(_scope, _receive, send) -> None:
+async def test_a_refused_request_is_kept_with_its_connection(answer):
+    heads = []
+
+    async def application(scope, _receive, send) -> None:
+        heads.append(scope["headers"])
         start = {"type": "http.response.start", "status": 200}
         await send({**start, "headers": [(b"content-length", b"0")]})
         await send({"type": "http.response.body", "body": b""})
@@ -212,5 +215,9 @@
     if answer == "for want of room":
         exchange.protocol.refuse_incomplete()
     await exchange.until_responses(1)
+    await asyncio.sleep(0)
+    assert [len(head) for head in heads] == [2]
     assert not exchange.protocol.cycle.body
+    assert not exchange.protocol.cycle.scope
+    assert not exchange.protocol.headers
     exchange.protocol.connection_lost(None)
