Reset no connection whose call was answered whole

What callers saw: a call whose response has "Connection: close" ended with a reset, though it was answered whole.

Cause: httpcore closes the connection of a last response as the response is closed, before the pool noted that the call was complete, so that the connection still counted as one of a call that is given up.

Evidence: tests/test_beliefs_after_restore.py answered_whole, True, failed before; it now has the opposite case besides, a response of which a part is missing, which is reset before and after.

Change: the end of the body is noted as it is received, and decides alone whether a call is complete. It was the case before that a connection can be reused only if this end was received, so that kept connections don't change.

--- a/src/geraniumlink/_http.py
+++ b/src/geraniumlink/_http.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterable
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
@@ -145,6 +146,26 @@
             yield
 
 
+class _CallBody:
+    """The body of a response that notes when it was received to its end.
+
+    httpcore closes the connection of a last response before the call ends.
+    """
+
+    def __init__(self, body: AsyncIterable[bytes], call: _Call) -> None:
+        self._body = body
+        self._call = call
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        async for part in self._body:
+            yield part
+        self._call.is_complete = True
+
+    async def aclose(self) -> None:
+        if hasattr(self._body, "aclose"):
+            await self._body.aclose()
+
+
 class _CallStream(httpcore.AsyncNetworkStream):
     """A network stream that applies what is set for a call."""
 
@@ -233,11 +254,10 @@
         self, request: httpcore.Request
     ) -> httpcore.Response:
         with self._call.begun(request.extensions.get("permission")):
-            return await super().handle_async_request(request)
-
-    def note_end(self) -> None:
-        """Record whether the call was completed or given up."""
-        self._call.is_complete = self.is_available()
+            response = await super().handle_async_request(request)
+        body = typing.cast(AsyncIterable[bytes], response.stream)
+        response.stream = _CallBody(body, self._call)
+        return response
 
 
 class _ConnectionPool:
@@ -277,7 +297,6 @@
         return _Connection(self._origin)
 
     async def _release(self, connection: _Connection) -> None:
-        connection.note_end()
         # Reusable only if its response has been read to the end.
         if self._keeps_alive and connection.is_available():
             self._idle.append(connection)
--- a/tests/test_beliefs_after_restore.py
+++ b/tests/test_beliefs_after_restore.py
@@ -144,13 +144,16 @@
     assert second.sole_version is None
 
 
-async def test_a_call_that_was_answered_whole_is_reset():
+@pytest.mark.parametrize("is_whole", (True, False))
+async def test_a_call_that_was_answered_whole_is_reset(is_whole):
+    """Only one that is given up is."""
     ends = asyncio.get_running_loop().create_future()
 
     async def serve(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
         writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n")
-        writer.write(b"Content-Length: 2\r\n\r\nok")
+        writer.write(b"Content-Length: 2\r\n\r\n")
+        writer.write(b"ok" if is_whole else b"o")
         try:
             ends.set_result(await reader.read())
         except OSError as error:
@@ -160,9 +163,15 @@
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     address = _settings.parse_address(f"127.0.0.1:{port}")
-    answer = await _http.Client().request("GET", address, "/")
-    assert answer.body == b"ok"
-    assert await asyncio.wait_for(ends, 2) == b""
+    call = _http.Client().request("GET", address, "/", read_ms=200)
+    if is_whole:
+        assert (await call).body == b"ok"
+        assert await asyncio.wait_for(ends, 2) == b""
+    else:
+        with pytest.raises(_http.BrokenError):
+            await call
+        end = await asyncio.wait_for(ends, 2)
+        assert isinstance(end, ConnectionResetError)
     server.close()
 
 
