Write the version history while the controller waits for its first order

Cause: the controller wrote which versions are in service only when it may send orders. Since a lease that was absent is taken with a wait of its duration, that was 4 s after the first start. If all instances are killed before, there is no record, and those that are started again, with bootstrap still set, take it for the first start: no other version can have served.

Evidence: tests/test_version_history.py versions_before_the_first_order failed before (no write while orders aren't allowed).

Change: the record is written by the holder of the lease, whether or not it may send orders yet. The writes are conditional and need no wait. Not covered: a kill within the 500 ms between two checks.

--- a/src/geraniumlink/residency/_version_history.py
+++ b/src/geraniumlink/residency/_version_history.py
@@ -49,7 +49,8 @@
     @property
     def epoch(self) -> int: ...
 
-    def may_order(self) -> bool: ...
+    @property
+    def is_leader(self) -> bool: ...
 
 
 class Record(typing.TypedDict):
@@ -96,7 +97,9 @@
         self._apply()
         while True:
             await self._clock.sleep(CHECK_INTERVAL_MS)
-            if self._leadership.may_order() and self._replicas.has_full_list:
+            # Not only while orders are allowed: the writes are conditional,
+            # and all instances may restart before that.
+            if self._leadership.is_leader and self._replicas.has_full_list:
                 await self._update()
 
     async def _try_read(self) -> bool:
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -1,5 +1,6 @@
 """What instances know after a restart of the versions that served before."""
 
+import anyio
 import pytest
 
 from geraniumlink import _clock
@@ -36,9 +37,7 @@
 
 class _Leadership:
     epoch = 1
-
-    def may_order(self):
-        return True
+    is_leader = True
 
 
 class _Instance:
@@ -162,6 +161,20 @@
     assert store.found.value["services"]["s"].keys() == {"v1", "v2"}
 
 
+async def test_versions_before_the_first_order_are_forgotten(store, clock):
+    """All instances may restart while the controller waits."""
+    first = _Instance(store, clock, ["v1"], is_first_start=True)
+    first.leadership.may_order = lambda: False
+    async with anyio.create_task_group() as group:
+        group.start_soon(first.history.run)
+        with anyio.fail_after(2):
+            while not store.writes:
+                await anyio.sleep(0)
+        group.cancel_scope.cancel()
+    second = await _Instance(store, clock, ["v2"], is_first_start=True).start()
+    assert second.sole_version is None
+
+
 async def test_a_write_that_failed_is_tried_again(store, clock):
     instance = _Instance(store, clock, ["v1"], is_first_start=True)
     await instance.start()
