Wait for accounts in a test without a request that may run

What was seen: test_the_first_accounts_apply_to_a_request_without_its_body [unknown] failed once beside load: a request ran that should not have.

Cause: the test itself. It waits for the version by asking for /safe/x without a key until that is answered by 401, and then demands that nothing ran. A request that asks before the version is in force is run, rightly.

Change: the test waits for the instance's log line that the version is in force. What it demands stays: 401, and no run at all.

--- a/tests/test_hosted_accounts.py
+++ b/tests/test_hosted_accounts.py
@@ -165,9 +165,16 @@
     """Otherwise its key would be forwarded, or a claimed account."""
     site = await hosts.Site(fleet).start(replicas=1)
 
+    def is_in_force():
+        lines = hosts.find_log_lines(
+            site.instances[0], "configuration_in_force"
+        )
+        return lines[-1]["version"] == 2
+
     async def configure():
         await site.configure(_configuration(2))
-        await _until_status(site, 401, "/safe/x")
+        # A request that asks for it might be run before.
+        await fleet.until(is_in_force, "the accounts are in force")
 
     data = hosts.request_bytes(
         "/safe/x", b"a body", **_token(key), X_Tenant="other"
