--- a/src/geraniumlink/residency/_version_history.py
+++ b/src/geraniumlink/residency/_version_history.py
@@ -110,8 +110,8 @@
         self._apply()
         while True:
             await self._clock.sleep(CHECK_INTERVAL_MS)
-            # A write is conditional, so it needn't wait for former holders of
-            # the lease as orders do.
+            # Not only while orders are allowed: the writes are conditional,
+            # and all instances may restart before that.
             if self._leadership.is_leader and self._replicas.has_full_list:
                 await self._update()
 
