List a takeover beside a holder that was missed and forgotten

What callers saw: a replica got orders of two instances 1.96 s apart, 3 s required (rule ONE).

That a lease didn't change between two reads isn't shown by both being equal if the store was restored in between. Revisions didn't show the restore either, as only two were lost.

No fix: waiting whenever a read was missed would stop loads for 4.5 s after outages, which is to be weighed (docs/design/store-restore.md, "Which taker waits", says that such a taker needs no wait).

--- a/tests/test_beliefs_after_restore.py
+++ b/tests/test_beliefs_after_restore.py
@@ -56,6 +56,26 @@
     assert taken - last_order >= lb.LEASE_MS
 
 
+async def test_machine_that_missed_a_forgotten_holder_orders_beside_it(
+    api, clock, machine
+):
+    killed, second, third = machine("m1"), machine("m2"), machine("m3")
+    await killed.step_until_first_order()
+    old = lb.stored_lease(api)
+    for follower in (second, third):
+        await follower.step()
+    clock.advance(lb.DURATION_MS - lb.STEP_MS)
+    assert not await third.step()
+    clock.advance(lb.STEP_MS)
+    assert await second.step()
+    last_order = clock.now()
+    # The third machine doesn't read the lease before the restore.
+    lb.restore(api, old)
+    clock.advance(_leadership.CHECK_INTERVAL_MS)
+    first_order = await third.step_until_first_order()
+    assert first_order - last_order >= lb.LEASE_MS
+
+
 async def test_machine_that_the_store_refuses_keeps_routes_of_old_history():
     controller, cut_off = sh._Instance(), sh._Instance()
     await cut_off.call(sh._answer(9, "old"))
