Soak: inject faults that are due at once

Cause: the time until the next fault was passed to a sleep that refuses negative ones; the event loop may be later than a fault that is due shortly after the one before. Change: wait zero then.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -59,7 +59,8 @@
         began = time.monotonic()
         async with anyio.create_task_group() as group:
             for fault in faults:
-                await anyio.sleep(began + fault.at_s - time.monotonic())
+                remaining_s = began + fault.at_s - time.monotonic()
+                await anyio.sleep(max(0, remaining_s))
                 group.start_soon(self._inject, fault)
 
     async def _inject(self, fault: _schedule.Fault) -> None:
