Soak: restart instances in series, beside a restored store

Change: three in ten draws are restarts in series of one to all instances within 0.3 s, up to three rounds; a terminated instance gets one to four signals. In half of the series the controller is away until another instance has taken over, and the store comes back from an older copy as it starts, in less time than a process takes to start. Other faults overlap them. An instance that is away isn't ended at its start for a fault that was due before: queued ends kept instances from running at all in drafts.

Evidence: test_schedules_restart_instances_together_and_beside_restores failed on the schedule before.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -19,6 +19,7 @@
 _LATE_EVERY = 2
 _WRITTEN_AGAIN_S = 0.5
 _GRACE_S = 8.0
+_SIGNAL_EVERY_S = 0.2
 _UNREACHABLE = (httpcore.NetworkError, httpcore.ProtocolError, RuntimeError)
 
 # Switches of the stand-ins by kind of fault, with its parameter.
@@ -87,7 +88,11 @@
             with self._site.disrupt(process.name, fault.kind):
                 await self._disrupt_link(fault, index)
             return
-        async with self._locks[index]:
+        lock = self._locks[index]
+        if lock.locked() and not process.running:
+            # It is about to be started again.
+            return
+        async with lock:
             with self._site.disrupt(process.name, fault.kind):
                 if fault.kind == "frozen":
                     process.freeze()
@@ -157,8 +162,10 @@
         self, fault: _schedule.Fault, process: fleets.Process
     ) -> None:
         if fault.kind == "terminated":
-            process.terminate()
             with anyio.move_on_after(_GRACE_S):
+                for _ in range(round(fault.parameter)):
+                    process.terminate()
+                    await anyio.sleep(_SIGNAL_EVERY_S)
                 while process.running:
                     await anyio.sleep(_POLL_S)
         process.kill()
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -16,6 +16,21 @@
 _LEADER_SHARE = 0.5
 # The age in s of a copy that has nothing.
 EMPTY_COPY = -1.0
+_EMPTY_SHARE = 0.2
+# Restarts in series, of one instance or several at once.
+_SERIES_SHARE = 0.3
+_ROUNDS = (1, 3)
+_AT_ONCE_S = 0.3
+_ABSENT_S = (0.1, 7.0)
+# Long enough for another instance to take over, and to send orders.
+_TAKEOVER_S = (5.0, 8.0)
+# From the end of a round's absence to the next round.
+_ROUND_PAUSE_S = (0.0, 2.0)
+_RESTORE_SHARE = 0.5
+# From a restore to the start of a process that was ended.
+_RESTORE_BEFORE_START_S = (-0.5, 0.7)
+# Shorter than a process takes to start.
+_SHORT_OUTAGE_S = (0.1, 0.8)
 
 # By kind of fault: how long it lasts in s, and its parameter.
 _STORE = {
@@ -40,8 +55,9 @@
 _PROCESS = {
     "frozen": ((0.5, 6), (0, 0)),
     "killed": ((0.1, 6), (0, 0)),
-    "terminated": ((0.1, 6), (0, 0)),
+    "terminated": ((0.1, 6), (1, 4)),
 }
+_KINDS = _STORE | _RESTORE | _LINK | _PROCESS
 
 
 class Fault(typing.NamedTuple):
@@ -49,7 +65,8 @@
 
     ``instance`` is the index of one, ``LEADER``, or None for the store.
     ``parameter`` is a status, a number or a time in ms, for a restored store
-    the age of its copy in s.
+    the age of its copy in s, for an instance that is terminated the number of
+    signals.
     """
 
     at_s: float
@@ -63,15 +80,55 @@
     source: random.Random, seconds: float, instances: int, *, restores: bool
 ) -> list[Fault]:
     """Return the faults of a run of that length, the first one first."""
-    faults = []
-    at_s = _START_S
-    while at_s < seconds - _END_S:
-        fault = _draw_fault(source, at_s, instances, restores)
-        faults.append(fault)
+    faults: list[Fault] = []
+    at_s, end_s = _START_S, seconds - _END_S
+    while at_s < end_s:
+        if source.random() < _SERIES_SHARE:
+            drawn = _draw_restarts(source, at_s, instances, restores)
+        else:
+            drawn = [_draw_fault(source, at_s, instances, restores)]
+        faults += drawn
         pause_s = source.uniform(*_CLOSE_S)
+        over_s = max(fault.at_s + fault.lasts_s for fault in drawn)
         if source.random() < _CALM_SHARE:
-            pause_s = fault.lasts_s + source.uniform(*_CALM_S)
+            pause_s = over_s - at_s + source.uniform(*_CALM_S)
+        elif len(drawn) > 1:
+            pause_s += source.uniform(0, over_s - at_s)
         at_s = round(at_s + pause_s, 3)
+    return sorted(
+        (fault for fault in faults if fault.at_s < end_s),
+        key=lambda fault: fault.at_s,
+    )
+
+
+def _draw_restarts(
+    source: random.Random, at_s: float, instances: int, restores: bool
+) -> list[Fault]:
+    """Return rounds of restarts, perhaps with a restore beside the first.
+
+    Then another instance has taken over from the controller before.
+    """
+    is_restored = restores and source.random() < _RESTORE_SHARE
+    count = source.randint(1, instances - is_restored)
+    targets = source.sample(range(instances), count)
+    if is_restored or (count < instances and source.random() < _LEADER_SHARE):
+        targets[0] = LEADER
+    faults: list[Fault] = []
+    round_s = at_s
+    for _ in range(source.randint(*_ROUNDS)):
+        kind = source.choice(("killed", "terminated"))
+        is_first = not faults
+        absences = _TAKEOVER_S if is_first and is_restored else _ABSENT_S
+        absent_s = source.uniform(*absences)
+        for target in targets:
+            began_s = round_s + source.uniform(0, _AT_ONCE_S)
+            faults.append(_fault(source, began_s, kind, target, absent_s))
+        round_s += absent_s + source.uniform(*_ROUND_PAUSE_S)
+    if is_restored:
+        before_s = source.uniform(*_RESTORE_BEFORE_START_S)
+        restored_s = faults[0].at_s + faults[0].lasts_s - before_s
+        outage_s = source.uniform(*_SHORT_OUTAGE_S)
+        faults.append(_fault(source, restored_s, "restore", None, outage_s))
     return faults
 
 
@@ -81,15 +138,25 @@
     groups = [_STORE, _LINK, _PROCESS] + [_RESTORE] * restores
     kinds = source.choice(groups)
     kind = source.choice(sorted(kinds))
-    lasts, (low, high) = kinds[kind]
-    parameter = round(source.uniform(low, high), 3)
-    if kind == "restore" and source.random() < 0.2:
-        parameter = EMPTY_COPY
     instance = None
     if kinds in (_LINK, _PROCESS):
         instance = source.randrange(instances)
         if source.random() < _LEADER_SHARE:
             instance = LEADER
-    return Fault(
-        at_s, kind, instance, round(source.uniform(*lasts), 3), parameter
-    )
+    return _fault(source, at_s, kind, instance)
+
+
+def _fault(
+    source: random.Random,
+    at_s: float,
+    kind: str,
+    instance: int | None = None,
+    lasts_s: float | None = None,
+) -> Fault:
+    lasts, (low, high) = _KINDS[kind]
+    parameter = round(source.uniform(low, high), 3)
+    if kind == "restore" and source.random() < _EMPTY_SHARE:
+        parameter = EMPTY_COPY
+    if lasts_s is None:
+        lasts_s = source.uniform(*lasts)
+    return Fault(round(at_s, 3), kind, instance, round(lasts_s, 3), parameter)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -106,3 +106,37 @@
     )
     assert first == second
     assert len(first) > 3
+
+
+def _is_restart(fault):
+    return fault.kind in ("killed", "terminated")
+
+
+def _restart_all_at_once(faults, instances):
+    """Return whether each instance is ended within half a second."""
+    restarts = [fault for fault in faults if _is_restart(fault)]
+    return any(
+        {f.instance for f in restarts if 0 <= f.at_s - first.at_s < 0.5}
+        >= set(range(instances))
+        for first in restarts
+    )
+
+
+def _restart_beside_a_restore(faults):
+    """Return whether the controller starts as the store is restored."""
+    return any(
+        abs(ended.at_s + ended.lasts_s - restore.at_s) < 1
+        for ended in faults
+        for restore in faults
+        if _is_restart(ended) and restore.kind == "restore"
+        if ended.instance == _schedule.LEADER
+    )
+
+
+def test_schedules_restart_instances_together_and_beside_restores():
+    drawn = [
+        _schedule.draw(random.Random(seed), 40, 4, restores=True)
+        for seed in range(50)
+    ]
+    assert any(_restart_all_at_once(faults, 4) for faults in drawn)
+    assert any(_restart_beside_a_restore(faults) for faults in drawn)
