Watch with strict revocation no longer than without

What callers saw: nothing yet; found while the documentation of the shorter watches was brought up to date. With revoke_ms set, the configuration's watch lasted up to 1 s, longer than others, so that the delays after a silent watch added up to 3.14 s, where the stability window is 3 s.

Change: the bound of such a watch is that of all watches, 0.8 s. The assertion added to the test of that sum failed before.

--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -62,7 +62,7 @@
 # so the age reaches twice the wait. Relayed changes stand in for the watch
 # while what they confirm isn't older than the last share; above it the present
 # changes are read at once.
-MAX_BOUNDED_WATCH_MS = 1000
+MAX_BOUNDED_WATCH_MS = WATCH_TIMEOUT_MS
 _WATCH_SHARE = 0.2
 _RELAYED_AGE_SHARE = 0.6
 # Bounds that are too low to be kept must not cause calls without a pause.
--- a/tests/test_store_history.py
+++ b/tests/test_store_history.py
@@ -249,3 +249,5 @@
 def test_silent_watch_delays_changes_for_longer_than_the_stability_window():
     delay_ms = _change_delays.silent_watch_delay_ms(_instance.BATCH_DELAY_MS)
     assert delay_ms <= _STABILITY_WINDOW_MS
+    freshness = _object_watcher.freshness_for(60_000)
+    assert freshness.watch_timeout_ms <= _object_watcher.WATCH_TIMEOUT_MS
