Order at once after a restart only where no later holder can have ordered

A releases the lease 0.1 s after a renewal, as on SIGTERM; B takes it with the guard interval and orders 3.4 s later. The store is restored to A's renewal, and A's next process finds its lease younger than its duration (4.5 s): it orders at once beside B, rule ONE. A rolling restart of a controller falls into that second.

Cause: "nobody could take it within its duration" leaves out a release, after which the next one waits for the guard interval only (3.3 s).

Change: the lease must be younger than the guard interval less the window in which a forgotten holder goes on (2.1 s with a gap of 3 s): whoever took it after a release has no time left to order.

Still open, with a restore: a renewal of the process before that is carried out seconds late. Also here: the comment of RELAY_WINDOW_MS says what happens when the store is slow.

--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -60,8 +60,9 @@
     # Rises with each renewal, so that each renewal changes the object.
     # Watchers would not notice a write of equal content.
     renewals: int = 0
-    # The holder's wait for former holders has ended: once it has released the
-    # lease, the next one needn't wait for them. Older builds don't write it.
+    # The holder's wait for former holders has ended: a later process of its
+    # machine, or the next holder after a release, needn't wait for them.
+    # Older builds don't write it.
     wait_over: bool = False
     # When its holder sent this write, since that boot of its machine; "" if
     # the boot isn't known.
@@ -160,6 +161,8 @@
     :param take_delay_ms: how long to leave a free lease to candidates with a
         shorter delay.
     :param boot_id: identifies this boot of the machine; "" if it isn't known.
+    :param restart_ms: age of a lease of this machine up to which whoever took
+        it since can't have acted yet.
     :param tokens: makes the epochs; without it they count up from those that
         are known, and may repeat if the store forgets a lease.
     """
@@ -174,9 +177,11 @@
         take_delay_ms: int = 0,
         tokens: _epochs.EpochSource | None = None,
         boot_id: str = "",
+        restart_ms: int = 0,
     ) -> None:
         self._tokens = tokens
         self._boot_id = boot_id
+        self._restart_ms = restart_ms
         self._take_delay_ms = take_delay_ms
         self._objects = objects
         self._holder = holder
@@ -499,8 +504,9 @@
     def _wait_after_own(self, shard: str, lease: Lease) -> Wait:
         """Return the wait for a lease that was held here.
 
-        Whoever held it later may have been forgotten by a restored store.
-        But nobody could take it within its duration.
+        Whoever held it later may have been forgotten by a restored store, but
+        waited first: for its duration, or for the guard interval if the
+        process before this one released it.
         """
         age_ms = self._clock.since_boot() - lease.sent_at
         if (
@@ -508,7 +514,7 @@
             and lease.wait_over
             and lease.epoch >= self._highest_epochs.get(shard, 0)
             and lease.boot_id == self._boot_id != ""
-            and 0 <= age_ms < lease.duration_ms
+            and 0 <= age_ms < self._restart_ms
         ):
             return Wait.NONE
         return Wait.DURATION
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -333,20 +333,20 @@
         )
 
     def _make_leadership(self) -> _leadership.Leadership:
+        gap_ms = self._settings.handover_gap_ms
         leases = _leases.Leases(
             self._store,
             str(self._settings.peer_address),
-            MIN_LEASE_EXPIRY_MS + self._settings.handover_gap_ms,
+            MIN_LEASE_EXPIRY_MS + gap_ms,
             self._clock,
             self._random,
             _take_delay_ms(self._settings.link_mbit_per_s),
             _epochs.EpochSource(self._clock, self._random),
             self._clock.boot_id(),
+            _leadership.restart_ms(gap_ms),
         )
         self._store.history.call_on_change(leases.forget_observations)
-        return _leadership.Leadership(
-            leases, self._settings.handover_gap_ms, self._clock
-        )
+        return _leadership.Leadership(leases, gap_ms, self._clock)
 
     def _make_quotas(
         self,
--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -29,8 +29,8 @@
 # renewal.
 ORDERING_WINDOW_MS = 1200
 # How long a leader relays what it knows of the store after it sent its last
-# successful renewal. The next one is answered before that, also if the store
-# is slow.
+# successful renewal. If the store is slow, the next one is answered later, and
+# relaying pauses for less than others rely on it.
 RELAY_WINDOW_MS = 800
 # Two machines' monotonic clocks differ by this at most over the lease's
 # duration, with the rounding of times to whole milliseconds.
@@ -47,6 +47,17 @@
 CHECK_INTERVAL_MS = 500
 
 
+def restart_ms(gap_ms: int) -> int:
+    """Return the age of a lease up to which a later holder can't have ordered.
+
+    It takes a lease that was released with a wait of the guard interval. Once
+    the store has forgotten it, it may order for its window at most.
+
+    :param gap_ms: as ``guard_ms`` of ``Leadership``.
+    """
+    return gap_ms + GUARD_MARGIN_MS - ORDERING_WINDOW_MS
+
+
 class Leadership:
     """Acquires and renews the controller's lease for this instance.
 
--- a/tests/leadership_builders.py
+++ b/tests/leadership_builders.py
@@ -27,6 +27,7 @@
             random_source,
             tokens=_epochs.EpochSource(clock, random_source),
             boot_id=boot_id or f"boot of {name}",
+            restart_ms=_leadership.restart_ms(LEASE_MS),
         )
         self.leadership = _leadership.Leadership(self.leases, LEASE_MS, clock)
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -101,7 +101,7 @@
     await killed.step_until_first_order()
     await killed.step()
     if reason == "later":
-        clock.advance(builders.DURATION_MS)
+        clock.advance(_leadership.restart_ms(builders.LEASE_MS))
     began = clock.now()
     boot_id = "other" if reason == "after a boot" else ""
     successor = machine("m1", process=2, boot_id=boot_id)
@@ -112,6 +112,22 @@
     assert builders.DURATION_MS <= waited_ms <= latest_ms
 
 
+async def test_restore_hides_that_the_process_before_released_the_lease(
+    api, clock, machine
+):
+    first, second = machine("m1"), machine("m2")
+    await first.step_until_first_order()
+    await first.step()
+    await second.step()
+    old = builders.stored_lease(api)
+    await first.leadership.release()
+    last_order = await second.step_until_first_order()
+    assert clock.now() < old.value["sent_at"] + builders.DURATION_MS
+    builders.restore(api, old)
+    first_order = await machine("m1", process=2).step_until_first_order()
+    assert first_order - last_order >= builders.LEASE_MS
+
+
 async def test_expired_lease_that_is_released_leaves_a_wait(
     api, clock, machine
 ):
