Count a released lease as followed only if its term was seen before

What callers saw: nothing; found by a review and reproduced. A process that starts and reads a released lease must wait for the lease's duration, as it can't know of a holder that a restored store has forgotten. If its write got a quick 503, the next try half a second later waited for the guard interval alone: 1.2 s too short.

Cause: any observation counted as having followed the lease, also the one of the released lease itself.

Change: an observation says whether its term was seen before the release; only then the guard interval is enough.

Evidence: test_failed_take_of_a_released_lease_counts_as_having_followed_it failed before and passes; the specification holds as before. Its mutant that doesn't read wait_over needed a process that takes its own released lease, which now waits in any case; it starts from a state with a third machine now, where it is found.

--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -144,6 +144,16 @@
     # None if the lease is absent or unreadable, or if its holder, of an older
     # build, reported its version alone.
     content: _Content | None
+    # Whether this term was seen before it was released.
+    was_held: bool = False
+
+    def is_same_term(self, content: _Content | None) -> bool:
+        """Whether the lease wasn't taken between this and another one."""
+        return (
+            self.content is not None
+            and content is not None
+            and self.content.epoch == content.epoch
+        )
 
     def is_newer_than(self, known: _Observation) -> bool:
         """Whether another lease was seen before this one was written.
@@ -239,7 +249,7 @@
             content = _Content(epoch, renewals, holder)
             self._note_epoch(shard, epoch)
         now = self._clock.now()
-        reported = _Observation(version, now, holder, content)
+        reported = _Observation(version, now, holder, content, bool(holder))
         known = self._observations.get(shard)
         if known is None or reported.is_newer_than(known):
             self._observations[shard] = reported
@@ -467,14 +477,14 @@
         unreadable lease expires after this instance's own duration. Of an
         absent or unreadable one nothing is known about former holders.
         """
-        was_followed = found.name in self._observations
         observed_at = self._observe(found, lease)
         if found.value is None:
             return Wait.DURATION
         if lease and lease.holder == self._holder:
             return self._wait_after_own(found.name, lease)
         if lease and not lease.holder:
-            return self._wait_after_release(found.name, lease, was_followed)
+            was_held = self._observations[found.name].was_held
+            return self._wait_after_release(found.name, lease, was_held)
         duration_ms = lease.duration_ms if lease else self._duration_ms
         if self._clock.now() - observed_at < duration_ms:
             return None
@@ -488,8 +498,15 @@
             holder = lease.holder
             self._note_epoch(found.name, lease.epoch)
         now = self._clock.now()
-        observation = _Observation(found.version, now, holder, content)
         known = self._observations.get(found.name)
+        was_held = bool(holder) or (
+            known is not None
+            and known.was_held
+            and known.is_same_term(content)
+        )
+        observation = _Observation(
+            found.version, now, holder, content, was_held
+        )
         if known is not None and known == observation._replace(
             observed_at=known.observed_at
         ):
@@ -520,17 +537,17 @@
         return Wait.DURATION
 
     def _wait_after_release(
-        self, shard: str, lease: Lease, was_followed: bool
+        self, shard: str, lease: Lease, was_held: bool
     ) -> Wait:
         """Return the wait for a released lease.
 
         Its holder may itself have waited for others, and a restored store
         may have forgotten later holders.
 
-        :param was_followed: whether this process knew the lease before.
+        :param was_held: whether this process saw the term before the release.
         """
         is_last = lease.epoch >= self._highest_epochs.get(shard, 0)
-        if lease.wait_over and was_followed and is_last:
+        if lease.wait_over and was_held and is_last:
             return Wait.GUARD
         return Wait.DURATION
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -5,6 +5,7 @@
 import pytest
 
 from geraniumlink import _clock
+from geraniumlink import _objects
 from geraniumlink.control import _epochs
 from geraniumlink.control import _leases
 from geraniumlink import platform
@@ -128,6 +129,25 @@
     assert first_order - last_order >= builders.LEASE_MS
 
 
+async def test_failed_take_of_a_released_lease_counts_as_having_followed_it(
+    api, clock, machine, monkeypatch
+):
+    first = machine("m1")
+    await first.step_until_first_order()
+    await first.leadership.release()
+    began = clock.now()
+    starting = machine("m2")
+
+    async def refuse(*_arguments):
+        raise _objects.UnavailableError("503")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(api, "put", refuse)
+        await starting.step()
+    first_order = await starting.step_until_first_order()
+    assert first_order - began >= builders.DURATION_MS
+
+
 async def test_expired_lease_that_is_released_leaves_a_wait(
     api, clock, machine
 ):
--- a/tests/test_specs_controller_lease.py
+++ b/tests/test_specs_controller_lease.py
@@ -76,7 +76,7 @@
 
 
 class _GuardForAnyProcess(_leases.Leases):
-    def _wait_after_release(self, shard, lease, was_followed):
+    def _wait_after_release(self, shard, lease, was_held):
         return super()._wait_after_release(shard, lease, True)
 
 
@@ -88,9 +88,9 @@
 
 
 class _NoWaitOver(_leases.Leases):
-    def _wait_after_release(self, shard, lease, was_followed):
+    def _wait_after_release(self, shard, lease, was_held):
         lease = lease._replace(wait_over=True)
-        return super()._wait_after_release(shard, lease, was_followed)
+        return super()._wait_after_release(shard, lease, was_held)
 
 
 class _ContinuesOldProposals(_leases.Leases):
@@ -140,7 +140,11 @@
         Bounds(kills=1),
         HELD,
     ),
-    "wait_over not read": ({"leases": _NoWaitOver}, Bounds(releases=1), HELD),
+    "wait_over not read": (
+        {"leases": _NoWaitOver},
+        Bounds(machines=3, releases=1),
+        (*HELD, "restore", "round(1)", "round(2)", "release(1)"),
+    ),
     "expired lease renewed": ({"leadership": _RenewsExpired}, Bounds(), HELD),
     "proposal continued after its duration": (
         {"leases": _ContinuesOldProposals},
