Tests of the lease: let the taker see the term, and state the boot

In the first, the second machine now reads the lease before it is released; in the second, the boot is known, as at real instances. What they demand stays.

--- a/tests/test_residency_state.py
+++ b/tests/test_residency_state.py
@@ -232,7 +232,13 @@
 
 def _leadership_of(store, clock, holder):
     leases = _leases.Leases(
-        store, holder, _DURATION_MS, clock, random.Random(holder)
+        store,
+        holder,
+        _DURATION_MS,
+        clock,
+        random.Random(holder),
+        boot_id=f"boot of {holder}",
+        restart_ms=_leadership.restart_ms(3000),
     )
     return _leadership.Leadership(leases, 3000, clock)
 
@@ -383,6 +389,7 @@
     first = _leadership_of(store, clock, "10.0.0.1:1")
     second = _leadership_of(store, clock, "10.0.0.2:1")
     await _wait_for_orders(first, clock)
+    await _step(second)
     await first.release()
     assert not first.may_order()
     await _step(second)
