--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -341,7 +341,7 @@
         self._request_bytes = 0
         if self._receives_request and self._head_complete:
             # A task that is due still starts with the head.
-            self.loop.call_soon(self._release, self.cycle)
+            self.loop.call_soon(self._forget, self.cycle)
             self.cycle.body = bytearray()
         # The parser and these keep the parts of a head. An application that
         # reads the request has them, too.
@@ -351,7 +351,7 @@
         self._make_parser()
         self._note_held()
 
-    def _release(self, cycle: httptools_impl.RequestResponseCycle) -> None:
+    def _forget(self, cycle: httptools_impl.RequestResponseCycle) -> None:
         """Forget a request that was answered or refused.
 
         Its connection may stay open for long.
@@ -729,7 +729,7 @@
             # The rest of the body is dropped.
             self._request_bytes = 0
         if self._current is not None:
-            self._release(self._current)
+            self._forget(self._current)
         self._note_held()
         self.timeout_keep_alive = self._idle_s  # type: ignore[assignment]
         super().on_response_complete()
--- a/src/geraniumlink/hosting/_change_delays.py
+++ b/src/geraniumlink/hosting/_change_delays.py
@@ -39,7 +39,8 @@
     return {
         "relayed by the controller": relayed_delay_ms(batch_delay_ms),
         "read as the relay lapses": relay_lapsed_ms,
-        # It was cut off before it read the change.
+        # It was cut off before it read the change. The time that its last
+        # message takes isn't counted.
         "relayed by a controller that is cut off": (
             cut_off_ms + relay_lapsed_ms
         ),
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -640,7 +640,8 @@
 
     def _may_entries_return(self) -> bool:
         """Whether missing entries may have expired in an outage."""
-        failed_ms_ago = self._watchers[1].failed_ms_ago
+        _, replicas_watcher = self._watchers
+        failed_ms_ago = replicas_watcher.failed_ms_ago
         return failed_ms_ago is not None and failed_ms_ago < (
             _object_watcher.MAX_RETRY_MS + ENTRIES_RETURN_MS
         )
--- a/src/geraniumlink/serving/_accounts.py
+++ b/src/geraniumlink/serving/_accounts.py
@@ -25,8 +25,8 @@
 _MAX_AGE_SHARE = 0.9
 # Without such a bound 401 is sent only if the configuration was confirmed this
 # recently, in ms; an older one may lack a key that has been added. In normal
-# operation the age is at most twice the longest watch of the store (4 s), and
-# some round trips.
+# operation the age is at most twice the longest watch of the store (0.8 s),
+# and some round trips.
 MAX_DENYING_AGE_MS = 10_000
 # Priorities of routes that are told apart among requests of one account's
 # priority. Replicas know 10 levels in all, which leaves three of accounts.
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -426,7 +426,7 @@
     :param leaving_bound_ms: time from the store's acknowledgement that a
         replica leaves to the last request that it may be sent.
     :param news_delay_ms: how much of that time may have passed when a removed
-        entry is noticed.
+        entry is noticed; if all, its replica isn't used any more.
     """
 
     def __init__(
