--- a/tests/emulated_controller.py
+++ b/tests/emulated_controller.py
@@ -26,8 +26,11 @@
         return True
 
 
-def make_controller(site, engines, orders, clock):
-    """Return a controller that may order the engines, and its replicas."""
+def make_controller(site, engines, orders, clock, leadership=None):
+    """Return a controller that may order the engines, and its replicas.
+
+    :param leadership: its lease; held all the time if None.
+    """
     replicas = _replicas.Replicas(clock, 2000)
     for engine in engines:
         replicas.update(engine.registry_entry())
@@ -36,7 +39,7 @@
     controller = _controller.Controller(
         active_configuration=active,
         replicas=replicas,
-        leadership=Leadership(),
+        leadership=leadership or Leadership(),
         orders=orders,
         call_limits=CallLimits(),
         clock=clock,
--- a/tests/test_starving_models.py
+++ b/tests/test_starving_models.py
@@ -1,18 +1,13 @@
 """Models that are asked for all day are served, whatever the others need."""
 
-import collections
 import random
 
-import anyio
 import pytest
 
-from emulator import _control_plane
 from emulator import _engines
 from emulator import _sites
 from emulator import _virtual_time
-from geraniumlink.residency import _demand
-from geraniumlink.residency import _requirements
-from tests import emulated_controller
+from tests import placement_day
 
 _SITE = _sites.Site(
     instances=1,
@@ -64,71 +59,29 @@
     ]
 
 
-class _Day:
-    """Sends requests to a controller; records when each was served."""
-
-    def __init__(self, clock):
-        self._clock = clock
-        self._random = random.Random(1)
-        self._engines = _make_engines(self._random)
-        self._controller, _ = emulated_controller.make_controller(
-            _SITE,
-            self._engines,
-            _control_plane.EngineOrderClient(self._engines, clock),
-            clock,
-        )
-        self.asked_at = collections.defaultdict(list)
-        self.served_at = collections.defaultdict(list)
-
-    async def play(self):
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._controller.run)
-            await self._clock.sleep(1000)
-            models = self._random.choices(
-                _SITE.models, _weights(), k=_REQUESTS_PER_S * _DAY_MS // 1000
-            )
-            for model in models:
-                group.start_soon(self._send, model)
-                await self._clock.sleep(1000 / _REQUESTS_PER_S)
-            group.cancel_scope.cancel()
-        return self
-
-    async def _send(self, model):
-        self.asked_at[model].append(self._clock.now())
-        sample = _demand.DemandSample(
-            _sites.SERVICE, model, "", _PROMPT_TOKENS
-        )
-        self._controller.record_demand(sample)
-        requirement = _requirements.Requirement(_sites.SERVICE, model, "")
-        deadline = self._clock.now() + _WAIT_MS
-        while (left_ms := deadline - self._clock.now()) > 0:
-            answer = await self._controller.ensure_resident(
-                requirement, set(), left_ms
-            )
-            match answer:
-                case _requirements.Resident():
-                    self.served_at[model].append(self._clock.now())
-                    return
-                case _requirements.RetryLater():
-                    return
+async def _play(clock):
+    random_source = random.Random(1)
+    engines = _make_engines(random_source)
+    models = random_source.choices(
+        _SITE.models, _weights(), k=_REQUESTS_PER_S * _DAY_MS // 1000
+    )
+    arrivals = [
+        placement_day.Arrival(model, _PROMPT_TOKENS, _WAIT_MS)
+        for model in models
+    ]
+    day = placement_day.Day(clock, _SITE, engines)
+    return await day.play(arrivals, _REQUESTS_PER_S)
 
 
 @pytest.fixture(scope="module")
 def day():
-    async def play(clock):
-        return await _Day(clock).play()
-
-    return _virtual_time.run(play)
+    return _virtual_time.run(_play)
 
 
 @pytest.fixture(scope="module")
 def counted(day):
     """The models that are asked for through the day."""
-    models = [
-        model
-        for model, times in day.asked_at.items()
-        if len(times) >= _MIN_REQUESTS and times[-1] - times[0] >= _MIN_SPAN_MS
-    ]
+    models = day.asked_through_the_day(_MIN_REQUESTS, _MIN_SPAN_MS)
     assert len(models) > 200
     return models
 
