Say why a model or an adapter can't be resident in time

Refusals said that the adapter or the model isn't loaded, whatever the reason: no controller, holders that carry out other orders, full slots or no holder. The controller's answer has the cause now, and the refusal states it; answers of builds without it count as not stated.

--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -174,7 +174,9 @@
                 names = tuple(state.name for state in serving)
                 return _requirements.Resident(names)
             if not self._leadership.may_order():
-                return _requirements.RetryLater(RETRY_AFTER_MS)
+                return _requirements.RetryLater(
+                    RETRY_AFTER_MS, _requirements.Cause.NO_CONTROLLER
+                )
             retry_later = await self._advance(
                 requirement, avoid, began + wait_ms
             )
@@ -195,7 +197,9 @@
         """
         engine = self._engine_of(requirement.service)
         if engine is None or requirement.model not in engine.models:
-            return _requirements.RetryLater(RETRY_AFTER_MS)
+            return _requirements.RetryLater(
+                RETRY_AFTER_MS, _requirements.Cause.NOT_DECLARED
+            )
         if not requirement.adapter:
             return await self._wait_for_model(requirement, engine, deadline)
         serving_model = self._directory.find_serving(
@@ -211,12 +215,19 @@
         ]
         if not candidates:
             return await self._wait_for(
-                self._move_ended, deadline, PLAN_INTERVAL_MS
+                self._move_ended,
+                deadline,
+                PLAN_INTERVAL_MS,
+                _requirements.Cause.HOLDERS_BUSY,
             )
         loaded = await self._adapters.ensure_loaded(
             *requirement, candidates=candidates, slots=engine.adapter_slots
         )
-        return None if loaded else _requirements.RetryLater(NO_SLOT_RETRY_MS)
+        if loaded:
+            return None
+        return _requirements.RetryLater(
+            NO_SLOT_RETRY_MS, _requirements.Cause.NO_SLOT
+        )
 
     async def _wait_for_model(
         self,
@@ -239,30 +250,38 @@
         self._waiting[key] = _Waiting(since, now)
         expected_at = self._expected_ready_at.get(key)
         wait_ms = ANSWER_TIMEOUT_MS
+        cause = _requirements.Cause.LOADING
         if expected_at is None:
+            cause = _requirements.Cause.ABSENT
             expected_at = now + self._estimated_load_ms(requirement, engine)
             # After this a load that is decided then would end too late.
             wait_ms = min(wait_ms, deadline - expected_at + 1)
         if expected_at > deadline:
             return _requirements.RetryLater(
-                max(RETRY_AFTER_MS, expected_at - now)
+                max(RETRY_AFTER_MS, expected_at - now), cause
             )
         # Not for the end of any move: with many models waited for, each end
         # would wake all calls.
         changed = self._move_changed.setdefault(key, anyio.Event())
-        return await self._wait_for(changed, deadline, wait_ms)
+        return await self._wait_for(changed, deadline, wait_ms, cause)
 
     async def _wait_for(
-        self, changed: anyio.Event, deadline: int, wait_ms: int
+        self,
+        changed: anyio.Event,
+        deadline: int,
+        wait_ms: int,
+        cause: _requirements.Cause,
     ) -> _requirements.RetryLater | None:
         """Wait for an event, for a limited time.
 
         Returns None unless the deadline has passed.
+
+        :param cause: of the wait.
         """
         with anyio.move_on_after(wait_ms / 1000):
             await changed.wait()
         if self._clock.now() >= deadline:
-            return _requirements.RetryLater(RETRY_AFTER_MS)
+            return _requirements.RetryLater(RETRY_AFTER_MS, cause)
         return None
 
     def _estimated_load_ms(
--- a/src/geraniumlink/residency/_controller_protocol.py
+++ b/src/geraniumlink/residency/_controller_protocol.py
@@ -187,16 +187,18 @@
             service, request.model, request.adapter
         )
         answer: _requirements.Resident | _requirements.RetryLater | None = (
-            _requirements.RetryLater(NO_CONTROLLER_RETRY_MS)
+            _requirements.RetryLater(
+                NO_CONTROLLER_RETRY_MS, _requirements.Cause.CONTROLLER_SILENT
+            )
         )
         limit_ms = max(0, wait_ms) + REFUSAL_MARGIN_MS
         with anyio.move_on_after(limit_ms / 1000):
             answer = await self._ask_or_join(requirement, avoid, wait_ms)
         match answer:
-            case _requirements.RetryLater(retry_ms):
+            case _requirements.RetryLater(retry_ms, cause):
                 missing = "adapter" if request.adapter else "model"
                 return _outcomes.Refusal(
-                    f"the {missing} isn't loaded", retry_ms
+                    f"the {missing} isn't loaded: {cause.value}", retry_ms
                 )
             case _requirements.Resident(names):
                 self._record_resident(requirement, names)
@@ -513,8 +515,8 @@
                 return {"replicas": list(names)}
             case _requirements.Pending():
                 return {"pending": True}
-            case _requirements.RetryLater(retry_ms):
-                return {"retry_ms": retry_ms}
+            case _requirements.RetryLater(retry_ms, cause):
+                return {"retry_ms": retry_ms, "cause": cause.name}
 
     async def _ask_until_answered(
         self,
@@ -535,7 +537,10 @@
                 case None if left_ms > TAKEOVER_MS:
                     await self._clock.sleep(REPORT_INTERVAL_MS)
                 case None:
-                    return _requirements.RetryLater(NO_CONTROLLER_RETRY_MS)
+                    return _requirements.RetryLater(
+                        NO_CONTROLLER_RETRY_MS,
+                        _requirements.Cause.NO_CONTROLLER,
+                    )
                 case _requirements.Pending():
                     pass
                 case _:
@@ -572,7 +577,9 @@
             if "pending" in answer:
                 return _requirements.Pending()
             if "retry_ms" in answer:
-                return _requirements.RetryLater(int(answer["retry_ms"]))
+                return _requirements.RetryLater(
+                    int(answer["retry_ms"]), _decode_cause(answer)
+                )
             names = tuple(str(name) for name in answer["replicas"])
             return _requirements.Resident(names)
         except (KeyError, TypeError, ValueError) as error:
@@ -603,6 +610,14 @@
                 )
 
 
+def _decode_cause(answer: dict[str, typing.Any]) -> _requirements.Cause:
+    """Return the cause of a refusal, which other builds may not know."""
+    try:
+        return _requirements.Cause[answer.get("cause", "")]
+    except KeyError:
+        return _requirements.Cause.UNKNOWN
+
+
 def _decode_optional(count: typing.Any) -> int | None:
     """Return a count that instances of older versions don't send."""
     return None if count is None else int(count)
--- a/src/geraniumlink/residency/_requirements.py
+++ b/src/geraniumlink/residency/_requirements.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import typing
 
 
@@ -27,10 +28,25 @@
     """It is being loaded; ask again at once."""
 
 
+class Cause(enum.Enum):
+    """Why something can't be resident in time. Values are logged."""
+
+    NO_CONTROLLER = "no controller may order now"
+    CONTROLLER_SILENT = "the controller didn't answer in time"
+    NOT_DECLARED = "the model isn't declared"
+    ABSENT = "no replica holds the model"
+    LOADING = "the load ends too late"
+    HOLDERS_BUSY = "its replicas carry out other orders"
+    NO_SLOT = "all adapter slots are in use"
+    # From instances of older builds.
+    UNKNOWN = "not stated"
+
+
 class RetryLater(typing.NamedTuple):
     """It can't be resident in time; when the client may retry."""
 
     retry_ms: int
+    cause: Cause
 
 
 Answer = Resident | Pending | RetryLater
