Leave an expired lease to others, which needn't wait

Cause: as the store returns, whoever reads the lease first takes it. Another instance that saw it unchanged for its duration orders at once.

The former holder leaves the lease to others for 1.5 s. No way of taking it without a wait is added: others take it as they did. A process that has no others around it orders 1.5 s later than before.

--- a/src/geraniumlink/control/_leases.py
+++ b/src/geraniumlink/control/_leases.py
@@ -34,6 +34,10 @@
 # so that candidates don't write together. All but the first write are
 # refused and cost a call each.
 TAKE_JITTER = 1 / 16
+# How long the holder of a lease that expired leaves it to others. Those that
+# saw it unchanged for its duration may act at once, and a holder that wasn't
+# heard of for so long has to wait. It is longer than others take to notice.
+STAND_BACK_MS = 1500
 # Writes of one renewal. All but the last meet a renewal that was sent before
 # and takes effect late.
 MAX_RENEWAL_WRITES = 3
@@ -481,6 +485,9 @@
         if found.value is None:
             return Wait.DURATION
         if lease and lease.holder == self._holder:
+            seen_ms = self._clock.now() - observed_at
+            if self._is_own(lease) and seen_ms < STAND_BACK_MS:
+                return None
             return self._wait_after_own(found.name, lease)
         if lease and not lease.holder:
             was_held = self._observations[found.name].was_held
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -364,3 +364,29 @@
     after_release = machine("m1").leadership.guard_ms
     for gap_ms in (after_expiry, after_release):
         assert gap_ms - late_ms >= builders.LEASE_MS
+
+
+async def test_expired_holder_delays_orders_by_taking_its_lease_back(
+    api, clock, machine
+):
+    first, second = machine("m1"), machine("m2")
+    await first.step_until_first_order()
+    await second.step()
+    api.outage = True
+    clock.advance(builders.DURATION_MS)
+    assert not await first.step()
+    api.outage = False
+    returned_at = clock.now()
+    while not (await first.step() or await second.step()):
+        clock.advance(_leadership.CHECK_INTERVAL_MS)
+    assert clock.now() - returned_at < _leases.STAND_BACK_MS
+
+
+async def test_expired_lease_that_nobody_else_takes_stays_free(clock, machine):
+    first = machine("m1")
+    await first.step_until_first_order()
+    clock.advance(builders.DURATION_MS)
+    began = clock.now()
+    assert await first.step_until_first_order() - began < (
+        _leases.STAND_BACK_MS + builders.DURATION_MS + builders.DURATION_MS / 4
+    )
