Relay the store's changes while a leader waits to order

Operators pay for each call to the store. Cause: a leader that has to wait for former holders before it orders didn't relay in that time either; since leases of unknown past wait for their duration, that is at every start.

What a leader relays is as recent as its last renewal, whoever ordered before, so it relays as soon as it holds the lease. The test fails without the change.

--- a/src/geraniumlink/residency/_leadership.py
+++ b/src/geraniumlink/residency/_leadership.py
@@ -137,9 +137,13 @@
         )
 
     def may_relay(self) -> bool:
-        """Whether this leader reached the store so recently that it relays."""
+        """Whether this leader reached the store so recently that it relays.
+
+        It needn't wait for former holders' orders: what it relays is as
+        recent as its last renewal, whoever relays beside it.
+        """
         age_ms = self._clock.since_boot() - self._renewed_at
-        return self.may_order() and age_ms < RELAY_WINDOW_MS
+        return self.is_leader and age_ms < RELAY_WINDOW_MS
 
     def record_leader_renewal(
         self, lease_version: int, epoch: int | None, renewals: int | None
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -390,3 +390,20 @@
     assert await first.step_until_first_order() - began < (
         _leases.STAND_BACK_MS + builders.DURATION_MS + builders.DURATION_MS / 4
     )
+
+
+async def test_all_instances_watch_the_store_while_the_leader_waits_to_order(
+    clock, machine
+):
+    """It relays as soon as it holds the lease, and only while it does."""
+    leader = machine("m1").leadership
+    await leader._renew_or_acquire()
+    assert not leader.may_order()
+    await leader._renew_or_acquire()
+    assert leader.may_relay()
+    clock.advance(_leadership.RELAY_WINDOW_MS)
+    assert not leader.may_relay()
+    await leader._renew_or_acquire()
+    assert leader.may_relay()
+    await leader.release()
+    assert not leader.may_relay()
