Let changes gather for longer where each instance reads them

Operators pay for each call to the store. Cause: heartbeats change an entry all the time, so each watch returns at once, and 0.25 s later the next one is sent. That delay is short since a controller's relay adds others to it; an instance that reads for itself alone has none of these.

Such an instance lets changes of replicas gather for 0.8 s. Configurations are read as before.

--- a/src/geraniumlink/hosting/_change_delays.py
+++ b/src/geraniumlink/hosting/_change_delays.py
@@ -29,16 +29,24 @@
     )
 
 
-def longest_delays_ms(batch_delay_ms: int) -> dict[str, int]:
+def longest_delays_ms(
+    batch_delay_ms: int, alone_batch_delay_ms: int
+) -> dict[str, int]:
     """Return the longest delay on each way that a change may take.
 
-    :param batch_delay_ms: that of the kind of object.
+    :param batch_delay_ms: that of the kind of object, on the controller.
+    :param alone_batch_delay_ms: the same on an instance without a relay.
     """
     relay_lapsed_ms = _object_watcher.RELAY_VALIDITY_MS + STORE_ANSWER_MS
     cut_off_ms = batch_delay_ms + _leadership.RELAY_WINDOW_MS
     return {
         "relayed by the controller": relayed_delay_ms(batch_delay_ms),
         "read as the relay lapses": relay_lapsed_ms,
+        # The store drops its history as changes gather, and all objects are
+        # listed.
+        "read by an instance without a relay": (
+            alone_batch_delay_ms + 2 * STORE_ANSWER_MS
+        ),
         # It was cut off before it read the change. The time that its last
         # message takes isn't counted.
         "relayed by a controller that is cut off": (
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -123,6 +123,9 @@
 # Changes within this time are read by one call to the store. It delays a
 # configuration, and the news that a replica leaves: see _change_delays.
 BATCH_DELAY_MS = 250
+# The same for the list of replicas on an instance that reads it for itself
+# alone. Then all instances make such calls, and each heartbeat is a change.
+ALONE_BATCH_DELAY_MS = 800
 # Entries that expired in an outage of the store return within about this time
 # after it.
 ENTRIES_RETURN_MS = 2000
@@ -592,6 +595,8 @@
                 on_list=self._apply_replicas,
                 on_change=self._apply_replica,
                 batch_delay_ms=BATCH_DELAY_MS,
+                alone_batch_delay_ms=ALONE_BATCH_DELAY_MS,
+                relays=lambda: self._leadership.is_leader,
                 history=self._store.history,
             ),
         ]
--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -112,6 +112,11 @@
     """Calls ``on_list`` with each whole list and ``on_change`` per change.
 
     A removed object has the value None.
+
+    :param batch_delay_ms: how long changes may gather before they are read.
+    :param alone_batch_delay_ms: the same while other instances get nothing
+        from this one; None if it is the same.
+    :param relays: whether others get the changes from this instance.
     """
 
     def __init__(
@@ -123,6 +128,8 @@
         on_list: Callable[[list[_objects.Object]], None],
         on_change: Callable[[_objects.Object], None],
         batch_delay_ms: int,
+        alone_batch_delay_ms: int | None = None,
+        relays: Callable[[], bool] = lambda: True,
         freshness: Freshness | None = None,
         history: _store_history.StoreHistory | None = None,
     ) -> None:
@@ -139,8 +146,11 @@
         self._on_list = on_list
         self._on_change = on_change
         # Delay after changes were read, before the next watch: all changes
-        # within it are read by one call.
+        # within it are read by one call. Longer where each instance makes
+        # calls of its own.
         self._batch_delay_ms = batch_delay_ms
+        self._alone_batch_delay_ms = alone_batch_delay_ms or batch_delay_ms
+        self._relays = relays
         # None if the copy may be of any age.
         self._freshness = freshness
         # The copy has all changes that the store acknowledged before this
@@ -443,12 +453,19 @@
         if changes.revision < self.revision:
             # Newer relayed changes were applied as it arrived: older objects
             # must not replace them, such as an account with a removed key.
-            await self._clock.sleep(self._batch_delay_ms)
+            await self._wait_for_batch()
             return
         self._apply_changes(changes)
         self._note_confirmed(sent_at)
         if changes.objects:
+            await self._wait_for_batch()
+
+    async def _wait_for_batch(self) -> None:
+        """Let changes gather, so that one call reads them."""
+        if self._relays():
             await self._clock.sleep(self._batch_delay_ms)
+        else:
+            await self._clock.sleep(self._alone_batch_delay_ms)
 
     async def _watch(self, revision: int) -> _objects.Listing | None:
         """Return the changes, or None if ``_end_wait`` cancelled it."""
--- a/tests/test_store_history.py
+++ b/tests/test_store_history.py
@@ -242,7 +242,9 @@
 
 
 def test_the_delays_of_a_configuration_add_up_to_more_than_its_bound():
-    delays_ms = _change_delays.longest_delays_ms(_instance.BATCH_DELAY_MS)
+    delays_ms = _change_delays.longest_delays_ms(
+        _instance.BATCH_DELAY_MS, _instance.ALONE_BATCH_DELAY_MS
+    )
     assert max(delays_ms.values()) <= _CONFIG_APPLY_MS
 
 
