Load a busy model that is resident nowhere without a wait

Cause: where loads take over 7 s, a model that is resident nowhere ranks before all others only after the time of a load, whatever its demand. So a model that becomes busy waits for 9 s behind rare ones that are asked for once in ten seconds, and then for its load; by then demand has moved on. Class: what waits longest goes first, however many wait for each.

A model that is resident nowhere and in demand of LARGE_GAIN or more counts as urgent at once. The new test fails without the change.

--- a/src/geraniumlink/residency/_planner.py
+++ b/src/geraniumlink/residency/_planner.py
@@ -136,13 +136,18 @@
         """Return the sort key by which models are loaded; the least first.
 
         Gains alone would let the copies of a few busy models take all idle
-        replicas for as long as they are busy.
+        replicas for as long as they are busy. A model that is resident nowhere
+        and in much demand needn't starve first: its requests outnumber those
+        for models that do.
         """
+        if self._packing.holders(model):
+            return True, -gains[model]
         waited_ms = self._demand.waiting_ms.get(model, 0)
-        is_starving = waited_ms >= self._starving_ms(
-            model
-        ) and not self._packing.holders(model)
-        return not is_starving, -gains[model]
+        is_urgent = (
+            waited_ms >= self._starving_ms(model)
+            or self._demand.rates.get(model, 0.0) >= LARGE_GAIN
+        )
+        return not is_urgent, -gains[model]
 
     def _starving_ms(self, model: str) -> float:
         """Return after which wait a model is loaded before all others."""
--- a/tests/test_residency_planner.py
+++ b/tests/test_residency_planner.py
@@ -17,9 +17,9 @@
 _MODELS = ("hot", "warm", "rare", "idle", "other")
 
 
-def _engine(slots=2):
+def _engine(slots=2, load_ms=4000):
     models = {
-        name: _types.Model(name, 70.0, 4000, 800, 1.0) for name in _MODELS
+        name: _types.Model(name, 70.0, load_ms, 800, 1.0) for name in _MODELS
     }
     return _types.Engine(64, 100_000, 71.0 * slots, 1, 2.0, models)
 
@@ -34,8 +34,9 @@
     return _packing.Demand(rates or {}, idle_ms or {}, waiting_ms or {})
 
 
-def _plan(views, demand, store_loads=10, slots=2):
-    return _planner.plan(_engine(slots), views, demand, store_loads)
+def _plan(views, demand, store_loads=10, slots=2, load_ms=4000):
+    engine = _engine(slots, load_ms)
+    return _planner.plan(engine, views, demand, store_loads)
 
 
 def test_model_is_loaded_where_it_has_a_near_copy():
@@ -121,6 +122,15 @@
     assert move.model == "rare"
 
 
+def test_model_that_becomes_busy_waits_behind_rare_ones():
+    """Where loads take long, a rare model starves for as long before."""
+    waits = {"hot": 300, "rare": 12_000}
+    demand = _demand({"hot": 2 * _planner.LARGE_GAIN}, waiting_ms=waits)
+    views = [_view("r1", "idle"), _view("r2", "idle", busy=True)]
+    (move,) = _plan(views, demand, slots=1, load_ms=9000)
+    assert move.model == "hot"
+
+
 _rates = st.dictionaries(
     st.sampled_from(_MODELS), st.floats(0, 60_000), max_size=5
 )
