Wait for a replica with a local copy where its load ends first

A load from the store takes 9.6 s of a replica's time, one from its own disk 2.7 s.

Cause: the planner sees idle replicas alone, so it never waits for a better one. A load from the store now begins only if no busy replica with a local copy is expected to be idle so early that the load there ends first. Among equally urgent models, those with a local copy on an idle replica come first, since they occupy it for a fraction of the time.

The two new tests fail without the change.

--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -360,7 +360,8 @@
         budget = self._budget_of(service, engine)
         load_ms = max((m.load_ms for m in engine.models.values()), default=0)
         store_loads = budget.available(engine.loads_per_s, load_ms)
-        views = [_replica_view(state) for state in available]
+        now = self._clock.now()
+        views = [_replica_view(state, now) for state in available]
         for move in _planner.plan(engine, views, demand, store_loads):
             self._charge_move(move)
             started_at = None if move.near else budget.start_load()
@@ -509,6 +510,7 @@
         key = (service, move.model)
         model = engine.models[move.model]
         load_ms = model.local_load_ms if move.near else model.load_ms
+        state.move_ends_at = self._clock.now() + int(ORDER_DELAY_MS + load_ms)
         expected_ms = ORDER_DELAY_MS + LOAD_TIME_FACTOR * load_ms
         self._expected_ready_at[key] = self._clock.now() + int(expected_ms)
         self._wake_waiting_calls(key)
@@ -528,6 +530,7 @@
                 resident=sorted(state.models),
             )
             state.task_running = False
+            state.move_ends_at = 0
             if move.evicted is not None:
                 state.unloading.discard((move.evicted, ""))
             if started_at is not None:
@@ -584,7 +587,10 @@
         return found.engine if found else None
 
 
-def _replica_view(state: _replica_states.ReplicaState) -> _packing.ReplicaView:
+def _replica_view(
+    state: _replica_states.ReplicaState, now: int
+) -> _packing.ReplicaView:
+    left_ms = state.move_ends_at - now
     return _packing.ReplicaView(
         state.name,
         state.models_after_unloads() - state.unconfirmed_models(),
@@ -592,6 +598,7 @@
         state.local_models,
         not state.is_idle,
         state.unconfirmed_models(),
+        left_ms if left_ms > 0 else None,
     )
 
 
--- a/src/geraniumlink/residency/_packing.py
+++ b/src/geraniumlink/residency/_packing.py
@@ -46,6 +46,9 @@
     # Models that an order without an answer may still load. They take up
     # memory but don't count as copies.
     unconfirmed: frozenset[str] = frozenset()
+    # Time until a busy replica is expected to take an order again, in ms;
+    # None if that isn't known.
+    free_in_ms: float | None = None
 
 
 class Demand(typing.NamedTuple):
--- a/src/geraniumlink/residency/_planner.py
+++ b/src/geraniumlink/residency/_planner.py
@@ -102,6 +102,12 @@
         self._local_models = {view.name: view.local_models for view in views}
         self._demand = demand
         self._packing = _packing.Packing(engine, views, demand)
+        # For each model, when the first of the busy replicas with a local copy
+        # is expected to be idle, in ms.
+        self._near_copy_free_in_ms: dict[str, float] = {}
+        for view in views:
+            if view.busy and view.free_in_ms is not None:
+                self._note_local_models(view, view.free_in_ms)
         # By name, so that a plan depends on its inputs alone.
         self._idle_replicas = sorted(
             view.name for view in views if not view.busy
@@ -116,6 +122,13 @@
             len(views) - len(self._idle_replicas)
         )
 
+    def _note_local_models(
+        self, view: _packing.ReplicaView, free_in_ms: float
+    ) -> None:
+        for model in view.local_models - view.models:
+            known = self._near_copy_free_in_ms.get(model, free_in_ms)
+            self._near_copy_free_in_ms[model] = min(known, free_in_ms)
+
     def next_move(self) -> Move | None:
         """Choose the feasible move of most gain, and apply it."""
         if not self._idle_replicas:
@@ -132,22 +145,32 @@
                 return move
         return None
 
-    def _rank(self, model: str, gains: dict[str, float]) -> tuple[bool, float]:
+    def _rank(
+        self, model: str, gains: dict[str, float]
+    ) -> tuple[bool, bool, float]:
         """Return the sort key by which models are loaded; the least first.
 
         Gains alone would let the copies of a few busy models take all idle
         replicas for as long as they are busy. A model that is resident nowhere
         and in much demand needn't starve first: its requests outnumber those
-        for models that do.
+        for models that do. Loads from a local copy come first, since they
+        occupy a replica for a fraction of the time.
         """
+        is_far = not any(
+            model in self._local_models[replica]
+            for replica in self._idle_replicas
+        )
+        return not self._is_urgent(model), is_far, -gains[model]
+
+    def _is_urgent(self, model: str) -> bool:
+        """Whether a model is loaded before others get another copy."""
         if self._packing.holders(model):
-            return True, -gains[model]
+            return False
         waited_ms = self._demand.waiting_ms.get(model, 0)
-        is_urgent = (
+        return (
             waited_ms >= self._starving_ms(model)
             or self._demand.rates.get(model, 0.0) >= LARGE_GAIN
         )
-        return not is_urgent, -gains[model]
 
     def _starving_ms(self, model: str) -> float:
         """Return after which wait a model is loaded before all others."""
@@ -265,13 +288,25 @@
     def _candidate_replicas(self, model: str) -> list[str]:
         """Return the idle replicas that may load a model now, by name."""
         holders = self._packing.holders(model)
+        allows_far = self._store_loads > 0 and not self._is_near_soon(model)
         return [
             replica
             for replica in self._idle_replicas
             if replica not in holders
-            and (self._store_loads > 0 or model in self._local_models[replica])
+            and (allows_far or model in self._local_models[replica])
         ]
 
+    def _is_near_soon(self, model: str) -> bool:
+        """Whether a load from a local copy ends first if it is waited for.
+
+        It also leaves the replicas that are idle now to other models.
+        """
+        declared = self._engine.models.get(model)
+        free_in_ms = self._near_copy_free_in_ms.get(model)
+        if declared is None or free_in_ms is None:
+            return False
+        return free_in_ms + declared.local_load_ms < declared.load_ms
+
     def _source_cost(self, replica: str, model: str) -> float:
         if model in self._local_models[replica]:
             return 0.0
--- a/src/geraniumlink/residency/_replica_states.py
+++ b/src/geraniumlink/residency/_replica_states.py
@@ -54,6 +54,9 @@
         # Whether a task of the controller moves a model here or fetches the
         # replica's report; no other is started meanwhile.
         self.task_running = False
+        # Monotonic time in ms at which the present move is expected to end;
+        # 0 without one.
+        self.move_ends_at = 0
         # Whether adapters are being loaded ahead of requests; no move begins
         # meanwhile.
         self.loads_adapters_ahead = False
--- a/tests/test_residency_planner.py
+++ b/tests/test_residency_planner.py
@@ -131,6 +131,24 @@
     assert move.model == "hot"
 
 
+def test_load_from_the_store_begins_though_a_near_one_would_end_first():
+    """The replica with a local copy is about to end another load."""
+    busy = _view("r2", "idle", near=["rare"], busy=True)
+    demand = _demand(waiting_ms={"rare": 3000})
+    saved_ms = 9000 - 800
+    for free_in_ms, loads in ((saved_ms - 1, 0), (saved_ms, 1), (None, 1)):
+        views = [_view("r1"), busy._replace(free_in_ms=free_in_ms)]
+        assert len(_plan(views, demand, load_ms=9000)) == loads
+
+
+def test_replica_with_a_local_copy_goes_to_a_longer_load():
+    views = [_view("r1", "idle", near=["rare"])]
+    waits = {"rare": 9000, "other": 20_000}
+    demand = _demand({"other": 900.0}, waiting_ms=waits)
+    (move,) = _plan(views, demand, slots=1, load_ms=9000)
+    assert move == _planner.Move("r1", "rare", "idle", near=True)
+
+
 _rates = st.dictionaries(
     st.sampled_from(_MODELS), st.floats(0, 60_000), max_size=5
 )
