Count the rest of a replica's load in the estimate of the next

Callers were told to wait for a model, or to come back, as if a replica with a local copy could load it at once, although it was loading another model for seconds.

The estimate is the earliest end of a load from a local copy, after what its replica still loads, and at most that of a load from the weight store. The test fails without the change: 1,200 ms, 4,000 wanted.

--- a/src/geraniumlink/residency/_controller.py
+++ b/src/geraniumlink/residency/_controller.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import anyio
@@ -297,14 +298,15 @@
     ) -> int:
         """Return the time until a load that is decided now would end."""
         model = engine.models[requirement.model]
-        near = any(
-            self._directory.is_available(state, requirement.service)
+        now = self._clock.now()
+        until_idle_ms = (
+            max(0, state.move_ends_at - now)
             for state in self._directory.states()
             if requirement.model in state.local_models
+            and self._directory.is_available(state, requirement.service)
         )
-        return ORDER_DELAY_MS + int(
-            model.local_load_ms if near else model.load_ms
-        )
+        near_ms = min(until_idle_ms, default=math.inf) + model.local_load_ms
+        return ORDER_DELAY_MS + int(min(model.load_ms, near_ms))
 
     def _fetch_missing_reports(self, group: anyio.abc.TaskGroup) -> None:
         """Fetch the reports that are needed before orders can be sent."""
--- a/tests/test_refusal_causes.py
+++ b/tests/test_refusal_causes.py
@@ -28,7 +28,7 @@
     """Return the last answer; before it, each is asked for at once."""
 
     async def play(clock):
-        engines = [_engines.Engine(0, _SITE.engine, _SITE, ["m0"], [])]
+        engines = [_engines.Engine(0, _SITE.engine, _SITE, ["m0"], ["m2"])]
         orders = _control_plane.EngineOrderClient(engines, clock)
         controller, _ = emulated_controller.make_controller(
             _SITE, engines, orders, clock, leadership
@@ -68,6 +68,15 @@
     assert _ask(*requirements).cause is cause
 
 
+def test_client_comes_back_before_a_busy_replica_can_load_its_local_copy():
+    """The only replica has 3.6 s of another load before it."""
+    answer = _ask("m1", "m2")
+    other_load_ms = _SITE.load_ms - 400
+    assert answer.retry_ms >= min(
+        _SITE.load_ms, other_load_ms + _SITE.local_load_ms
+    )
+
+
 def test_refusal_without_a_lease_states_it():
     answer = _ask("m1", leadership=_NoLease())
     assert answer.cause is _requirements.Cause.NO_CONTROLLER
