Tests: look at the orders for models where no other was meant

Five cases of test_partitions asserted that an instance that is cut off orders no other copy, and found adapters of the copy that is there; test_ended_replicas counted the orders before its replica ended.

--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -362,6 +362,12 @@
             orders += [{**o, "replica": name} for o in record["orders"]]
         return sorted(orders, key=lambda order: order["at"])
 
+    async def model_orders(self):
+        """Return the orders for models, without those for adapters."""
+        return [
+            order for order in await self.orders() if not order.get("adapter")
+        ]
+
 
 class Answer:
     """A response, parsed from the bytes that a client received.
