Adapter plan and its tests: fewer tricks, one builder of engines

The nested comprehension of the plan is a loop now, and both tests of starving share the builder that places models on engines.

--- a/src/geraniumlink/residency/_adapter_plan.py
+++ b/src/geraniumlink/residency/_adapter_plan.py
@@ -71,14 +71,16 @@
     for place in places.values():
         for model in place.view.ready:
             holders.setdefault(model, []).append(place)
-    missing = [
-        (_urgency(declared, index, rates, ago), model, name, ago)
-        for model in holders
-        if (declared := engine.models.get(model)) is not None
-        for index, name in enumerate(declared.adapters)
-        if (model, name) not in held
-        for ago in (asked_ms_ago(model, name),)
-    ]
+    missing = []
+    for model in holders:
+        declared = engine.models.get(model)
+        adapters = declared.adapters if declared else ()
+        expected = rates.get(model, 0.0) / max(1, len(adapters))
+        for index, name in enumerate(adapters):
+            if (model, name) not in held:
+                ago = asked_ms_ago(model, name)
+                key = _urgency(ago, expected, index)
+                missing.append((key, model, name, ago))
     for _, model, name, ago in sorted(missing):
         best = max(holders[model], key=lambda place: place.rank())
         best.add(model, name, ago)
@@ -86,7 +88,7 @@
 
 
 def _urgency(
-    model: _types.Model, index: int, rates: dict[str, float], ago: float
+    ago: float, expected: float, index: int
 ) -> tuple[float, float, int]:
     """Return the sort key of an adapter's load; the least comes first.
 
@@ -95,7 +97,6 @@
     """
     if ago < ASKED_FOR_MS:
         return ago, 0.0, index
-    expected = rates.get(model.name, 0.0) / len(model.adapters)
     return ASKED_FOR_MS, -expected, index
 
 
@@ -111,7 +112,7 @@
         self.view = view
         self.loads: list[Load] = []
         self._free = slots - len(view.adapters)
-        # Since when each adapter that may go is unused, the longest first.
+        # For how long each adapter that may go is unused, the longest first.
         # Adapters of a model that is being unloaded go with it.
         self._unused_ms = sorted(
             (
--- a/tests/placement_day.py
+++ b/tests/placement_day.py
@@ -9,6 +9,7 @@
 import anyio
 
 from emulator import _control_plane
+from emulator import _engines
 from emulator import _sites
 from geraniumlink.residency import _demand
 from geraniumlink.residency import _requirements
@@ -30,6 +31,25 @@
 Wanted = tuple[str, str]
 
 
+def make_engines(site, models, random_source):
+    """Return engines with up to three models each, placed at random.
+
+    :param models: the models to place, one entry for each copy; those that
+        find no room are left out.
+    """
+    places = [[] for _ in range(site.engines)]
+    for model in models:
+        options = [
+            place for place in places if len(place) < 3 and model not in place
+        ]
+        if options:
+            random_source.choice(options).append(model)
+    return [
+        _engines.Engine(number, site.engine, site, held, held)
+        for number, held in enumerate(places)
+    ]
+
+
 class Day:
     """Sends requests at a steady rate; records when each was served.
 
--- a/tests/test_starving_adapters.py
+++ b/tests/test_starving_adapters.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from emulator import _engines
 from emulator import _sites
 from emulator import _virtual_time
 from tests import emulated_controller
@@ -60,19 +59,10 @@
 
 def _make_engines(random_source):
     """Return engines with the busiest models on many, others on one each."""
-    places = [[] for _ in range(_SITE.engines)]
     busy, rare = _BUSY_MODELS[:_BUSY_COUNT], list(_RARE_MODELS)
     random_source.shuffle(rare)
-    for model in [*busy[:15] * 2, *busy, *rare]:
-        options = [
-            place for place in places if len(place) < 3 and model not in place
-        ]
-        if options:
-            random_source.choice(options).append(model)
-    return [
-        _engines.Engine(number, _SITE.engine, _SITE, models, models)
-        for number, models in enumerate(places)
-    ]
+    models = [*busy[:15] * 2, *busy, *rare]
+    return placement_day.make_engines(_SITE, models, random_source)
 
 
 def _busy_at(played_ms):
--- a/tests/test_starving_models.py
+++ b/tests/test_starving_models.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from emulator import _engines
 from emulator import _sites
 from emulator import _virtual_time
 from tests import placement_day
@@ -46,17 +45,8 @@
 
 def _make_engines(random_source):
     """Return engines with the busiest models on many, others on one each."""
-    places = [[] for _ in range(_SITE.engines)]
-    for model in [*_SITE.models[:12] * 4, *_SITE.models[12:174]]:
-        options = [
-            place for place in places if len(place) < 3 and model not in place
-        ]
-        if options:
-            random_source.choice(options).append(model)
-    return [
-        _engines.Engine(number, _SITE.engine, _SITE, models, models)
-        for number, models in enumerate(places)
-    ]
+    models = [*_SITE.models[:12] * 4, *_SITE.models[12:174]]
+    return placement_day.make_engines(_SITE, models, random_source)
 
 
 async def _play(clock):
