Bound what entries in the store make an instance hold

Cause: an instance kept each object of a watched kind as the store returned it, with what its reader never uses or refuses, and held all pages of a list decoded at once.

Now each page is reduced to the fields that are read before the next one is read; entries that name no replica aren't kept, nor are their removals; an entry's names are limited, and all entries together to an eighth of the machine's memory, those of no configured service and the largest being left out first, with a log line and gauges. Changes that are too large for one response are listed; such a watch failed for ever. Versions and services that entries name are forgotten in the end.

--- a/src/geraniumlink/_http.py
+++ b/src/geraniumlink/_http.py
@@ -53,6 +53,10 @@
     """The request may have been sent, but no complete response arrived."""
 
 
+class TooLargeError(BrokenError):
+    """The body of a response is larger than its reader accepts."""
+
+
 class Response(typing.NamedTuple):
     """A complete response."""
 
@@ -414,8 +418,8 @@
 
         :raises NotSentError: if no connection was established, or the request
             may not be written.
-        :raises BrokenError: on any later failure, or if the body is larger
-            than ``max_body_bytes``.
+        :raises TooLargeError: if the body is larger than ``max_body_bytes``.
+        :raises BrokenError: on any other later failure.
         """
         async with self.stream(
             method,
@@ -431,7 +435,7 @@
             async for chunk in response.aiter_stream():
                 data += chunk
                 if len(data) > max_body_bytes:
-                    raise BrokenError(
+                    raise TooLargeError(
                         f"the body has more than {max_body_bytes} bytes"
                     )
         return Response(response.status, response.headers, bytes(data))
--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -63,6 +63,7 @@
     "connections": _WHOLE,
     "controller": _TEXT,
     "cost": Field(Kind.NUMBER),
+    "count": _WHOLE,
     "counts": Field(Kind.COUNTS),
     "crashes": _WHOLE,
     "cursor": _WHOLE,
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -341,6 +341,12 @@
         " logged once for each revision",
         ("error", "replica"),
     ),
+    "changes_too_large": Message(
+        _STATE,
+        "changes in the platform's store are too large for one response; all"
+        " objects are listed again",
+        ("error", "kind"),
+    ),
     "foreign_answer": Message(
         _REQUEST,
         "a replica's response to another request was discarded",
@@ -489,6 +495,13 @@
         " once for each revision",
         ("error", "kind", "name", "revision"),
     ),
+    "objects_left_out": Message(
+        _STATE,
+        "objects in the platform's store are not used, as all that are kept"
+        " of their kind would need too much memory; those of no configured"
+        " service and the largest are left out first",
+        ("count", "held_bytes", "kind", "objects"),
+    ),
     "observed": _reconciliation_step("an engine reported the state of a copy"),
     "objects_not_refreshed": Message(
         _STATE,
--- a/src/geraniumlink/_objects.py
+++ b/src/geraniumlink/_objects.py
@@ -42,6 +42,8 @@
 
     revision: int
     objects: list[Object]
+    # How many objects were left out for want of room.
+    left_out: int = 0
 
 
 class UnavailableError(Exception):
--- a/src/geraniumlink/hosting/_gauges.py
+++ b/src/geraniumlink/hosting/_gauges.py
@@ -73,6 +73,16 @@
         "Objects in the store that this instance couldn't read, each revision",
         lambda: sources.store.unreadable_objects,
     )
+    add_gauge(
+        "geraniumlink_store_objects_held_bytes",
+        "Memory that the kept entries of replicas are counted with",
+        lambda: sum(watcher.held_bytes for watcher in sources.watchers),
+    )
+    add_gauge(
+        "geraniumlink_store_objects_left_out",
+        "Objects in the store that aren't used, for want of room",
+        lambda: sum(watcher.left_out for watcher in sources.watchers),
+    )
     add_gauge(
         "geraniumlink_store_knowledge_age_seconds",
         "Since what the store holds was last confirmed, the older kind",
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -26,6 +26,7 @@
 import random
 import signal
 import sys
+import typing
 
 import anyio
 
@@ -34,6 +35,7 @@
 from geraniumlink import _http
 from geraniumlink import _log_buffer
 from geraniumlink import _logs
+from geraniumlink import _object_filter
 from geraniumlink import _objects
 from geraniumlink import _server
 from geraniumlink import _settings
@@ -180,12 +182,15 @@
         self._random = random.Random()
         self._draining = False
         self._client = _http.Client()
-        self._store = platform.StoreClient(
-            self._client, settings.store_address
-        )
         self._active_configuration = (
             _active_configuration.ActiveConfiguration()
         )
+        # The version at which each invalid entry of a replica was logged.
+        self._logged_entries: dict[str, int] = {}
+        self._object_filters = self._make_object_filters()
+        self._store = platform.StoreClient(
+            self._client, settings.store_address, self._object_filters
+        )
         self._replicas = _replicas.Replicas(
             self._clock,
             settings.leaving_bound_ms,
@@ -209,8 +214,6 @@
             self._clock,
         )
         self._leadership = self._make_leadership()
-        # The version at which each invalid entry of a replica was logged.
-        self._logged_entries: dict[str, int] = {}
         self._watchers = self._make_watchers()
         self._leadership.call_on_store_recovery(self._restart_watches)
         self._directory = _instance_directory.InstanceDirectory(
@@ -317,6 +320,25 @@
             ),
         )
 
+    def _make_object_filters(
+        self,
+    ) -> dict[str, _object_filter.ObjectFilter]:
+        """Return what is kept of the watched objects, by kind."""
+        return {
+            _configuration.KIND: _object_filter.ObjectFilter(
+                lambda item: (
+                    item.value if item.name == _configuration.NAME else None
+                )
+            ),
+            _replica_entries.KIND: _object_filter.ObjectFilter(
+                self._reduce_replica,
+                is_wanted=self._is_of_a_service,
+                max_bytes=_object_filter.max_bytes_for(
+                    self._settings.memory_mb
+                ),
+            ),
+        }
+
     def _make_connection_tables(self) -> _http_protocol.Tables:
         settings = self._settings
         limits = _connection_limits.derive_limits(
@@ -587,6 +609,7 @@
                     else _object_watcher.freshness_for(revocation_ms)
                 ),
                 history=self._store.history,
+                object_filter=self._object_filters[_configuration.KIND],
             ),
             _object_watcher.ObjectWatcher(
                 self._store,
@@ -598,6 +621,7 @@
                 alone_batch_delay_ms=ALONE_BATCH_DELAY_MS,
                 relays=lambda: self._leadership.is_leader,
                 history=self._store.history,
+                object_filter=self._object_filters[_replica_entries.KIND],
             ),
         ]
 
@@ -651,6 +675,21 @@
             _object_watcher.MAX_RETRY_MS + ENTRIES_RETURN_MS
         )
 
+    def _reduce_replica(
+        self, item: _objects.Object
+    ) -> dict[str, typing.Any] | None:
+        """Return the fields of a replica's entry that are read here.
+
+        None if it is invalid.
+        """
+        entry = self._decode_replica(item)
+        return None if entry is None else platform.encode_replica_entry(entry)
+
+    def _is_of_a_service(self, item: _objects.Object) -> bool:
+        """Whether a reduced entry is of a service of the configuration."""
+        service = item.value["service"]
+        return self._active_configuration.find_service(service) is not None
+
     def _decode_replica(
         self, item: _objects.Object
     ) -> _types.ReplicaEntry | None:
@@ -658,11 +697,12 @@
         try:
             return platform.decode_replica_entry(item.name, item.value)
         except platform.FormatError as error:
-            if self._logged_entries.get(item.name) != item.version:
-                self._logged_entries[item.name] = item.version
+            name = item.name[:MAX_LOGGED_NAME]
+            if self._logged_entries.get(name) != item.version:
+                self._logged_entries[name] = item.version
                 _logs.event(
                     "entry_unreadable",
-                    replica=item.name[:MAX_LOGGED_NAME],
+                    replica=name,
                     error=str(error),
                 )
             if len(self._logged_entries) > MAX_LOGGED_ENTRIES:
--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -20,6 +20,7 @@
 
 from geraniumlink import _clock
 from geraniumlink import _logs
+from geraniumlink import _object_filter
 from geraniumlink import _objects
 from geraniumlink import _store_history
 from geraniumlink.residency import _controller_link
@@ -47,6 +48,9 @@
 # How long after relayed changes an instance doesn't watch the store itself.
 # Several demand reports are answered in that time, each with the changes.
 RELAY_VALIDITY_MS = 700
+# Interval at which the objects are listed anew while some are left out for
+# want of room: there may be room for them by now.
+LEFT_OUT_LIST_INTERVAL_MS = 10_000
 # Number of removed objects that ``changes_since`` can report. An instance
 # that lacks an older removal gets the whole list.
 MAX_REMEMBERED_REMOVALS = 512
@@ -111,12 +115,13 @@
 class ObjectWatcher:
     """Calls ``on_list`` with each whole list and ``on_change`` per change.
 
-    A removed object has the value None.
+    A removed object has the value None, as one of which nothing is kept.
 
     :param batch_delay_ms: how long changes may gather before they are read.
     :param alone_batch_delay_ms: the same while other instances get nothing
         from this one; None if it is the same.
     :param relays: whether others get the changes from this instance.
+    :param object_filter: what is kept of the objects.
     """
 
     def __init__(
@@ -132,6 +137,7 @@
         relays: Callable[[], bool] = lambda: True,
         freshness: Freshness | None = None,
         history: _store_history.StoreHistory | None = None,
+        object_filter: _object_filter.ObjectFilter = _object_filter.KEEP_ALL,
     ) -> None:
         self._history = history or _store_history.StoreHistory()
         self._history.call_on_change(self._drop_copy)
@@ -172,7 +178,15 @@
         self._revision: int | None = None
         # Time since boot by which the store had reached that revision.
         self._reached_by = 0
+        self._filter = object_filter
         self._objects_by_name: dict[str, _objects.Object] = {}
+        # Memory that the kept objects are counted with, by name.
+        self._sizes: dict[str, int] = {}
+        self._held_bytes = 0
+        # How many objects were left out since the last list, and when they
+        # are listed again.
+        self._left_out = 0
+        self._list_left_out_at = 0
         self._removals: collections.OrderedDict[str, _objects.Object] = (
             collections.OrderedDict()
         )
@@ -223,6 +237,16 @@
             return None
         return self._clock.now() - self._failed_at
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the kept objects are counted with."""
+        return self._held_bytes
+
+    @property
+    def left_out(self) -> int:
+        """Number of objects that were left out for want of room."""
+        return self._left_out
+
     @property
     def unconfirmed_ms(self) -> int:
         """Time since the store or relayed changes confirmed the copy."""
@@ -399,11 +423,7 @@
         """List and watch the objects while no relay is valid, for ever."""
         retry_ms = INITIAL_RETRY_MS
         while True:
-            relay_left_ms = self._relay_valid_until - self._clock.now()
-            if relay_left_ms > 0:
-                await self._wait(relay_left_ms)
-                if self._clock.now() >= self._relay_valid_until:
-                    self._note_disturbance()
+            if await self._wait_while_relayed():
                 continue
             sent_at = self._clock.now()
             if (
@@ -427,11 +447,29 @@
                 self._set_reachable(True, "")
                 retry_ms = INITIAL_RETRY_MS
 
+    async def _wait_while_relayed(self) -> bool:
+        """Wait while relayed changes stand in for the watch.
+
+        :returns: whether they did. They don't for objects that were left out.
+        """
+        left_ms = self._relay_valid_until - self._clock.now()
+        if left_ms <= 0 or self._is_list_due():
+            return False
+        await self._wait(left_ms)
+        if self._clock.now() >= self._relay_valid_until:
+            self._note_disturbance()
+        return True
+
+    def _is_list_due(self) -> bool:
+        """Whether there may be room for objects that were left out."""
+        now = self._clock.now()
+        return bool(self._left_out) and now >= self._list_left_out_at
+
     async def _list_or_watch(self) -> None:
         """Make one call to the store and apply its result."""
         # The response may arrive much later, and says nothing of that time.
         sent_at = self._clock.since_boot()
-        if self._revision is None or self._must_list:
+        if self._revision is None or self._must_list or self._is_list_due():
             self._must_list = False
             listing = await self._store.list(self._kind)
             if listing.revision >= self.revision:
@@ -523,12 +561,38 @@
         if self._former_revision is not None:
             self._log_replaced(listing, self._former_revision)
             self._former_revision = None
-        self._objects_by_name = {item.name: item for item in listing.objects}
+        selection = self._filter.select(self._reduce(listing.objects))
+        self._objects_by_name = {item.name: item for item in selection.kept}
+        self._sizes = {
+            item.name: self._filter.measure(item) for item in selection.kept
+        }
+        self._held_bytes = sum(self._sizes.values())
+        self._left_out = 0
+        self._note_left_out(listing.left_out + len(selection.left_out))
+        self._list_left_out_at = self._clock.now() + LEFT_OUT_LIST_INTERVAL_MS
         self._removals.clear()
         self._complete_after = listing.revision
         self._revision = listing.revision
         self._reached_by = self._clock.since_boot()
-        self._on_list(listing.objects)
+        self._on_list(selection.kept)
+
+    def _reduce(self, objects: list[_objects.Object]) -> list[_objects.Object]:
+        """Return what is kept of objects; some have nothing kept."""
+        reduced = map(self._filter.reduce, objects)
+        return [item for item in reduced if item.value is not None]
+
+    def _note_left_out(self, count: int) -> None:
+        """Count objects that are left out for want of room, and log it."""
+        if not count:
+            return
+        self._left_out += count
+        _logs.event(
+            "objects_left_out",
+            kind=self._kind,
+            count=self._left_out,
+            objects=len(self._objects_by_name),
+            held_bytes=self._held_bytes,
+        )
 
     def _log_replaced(
         self, listing: _objects.Listing, former_revision: int
@@ -544,18 +608,50 @@
         )
 
     def _apply_changes(self, listing: _objects.Listing) -> None:
-        for item in listing.objects:
+        for item in map(self._filter.reduce, listing.objects):
             if item.value is None:
-                self._objects_by_name.pop(item.name, None)
-                self._record_removal(item._replace(version=listing.revision))
+                self._remove(item, listing.revision)
             else:
-                self._objects_by_name[item.name] = item
-                self._removals.pop(item.name, None)
-            self._on_change(item)
+                self._keep(item)
+        if self._filter.is_over_limit(self._held_bytes):
+            self._leave_out(listing.revision)
         if listing.revision > self.revision:
             self._reached_by = self._clock.since_boot()
         self._revision = max(self.revision, listing.revision)
 
+    def _keep(self, item: _objects.Object) -> None:
+        """Keep an object, in the place of the one of its name."""
+        self._objects_by_name[item.name] = item
+        size = self._filter.measure(item)
+        self._held_bytes += size - self._sizes.get(item.name, 0)
+        self._sizes[item.name] = size
+        self._removals.pop(item.name, None)
+        self._on_change(item)
+
+    def _remove(self, item: _objects.Object, revision: int) -> None:
+        """Drop an object of which nothing is kept any more.
+
+        :param revision: up to which the changes with its removal go.
+        """
+        if self._objects_by_name.pop(item.name, None) is not None:
+            self._held_bytes -= self._sizes.pop(item.name)
+            self._record_removal(item._replace(version=revision))
+        self._on_change(item)
+
+    def _leave_out(self, revision: int) -> None:
+        """Drop objects for want of room.
+
+        :param revision: up to which the changes go that need the room.
+        """
+        selection = self._filter.select([*self._objects_by_name.values()])
+        for item in selection.left_out:
+            self._remove(item._replace(value=None), revision)
+        if not self._left_out:
+            self._list_left_out_at = (
+                self._clock.now() + LEFT_OUT_LIST_INTERVAL_MS
+            )
+        self._note_left_out(len(selection.left_out))
+
     def _record_removal(self, item: _objects.Object) -> None:
         """Keep a removal for ``changes_since``.
 
--- a/src/geraniumlink/hosting/_relay.py
+++ b/src/geraniumlink/hosting/_relay.py
@@ -32,6 +32,7 @@
 _COMPRESSION_LEVEL = 6
 # Encoded changes that are kept for reuse, for each kind.
 _MAX_ENCODED = 32
+_MAX_ENCODED_BYTES = 4 * 2**20
 
 
 class Relay:
@@ -151,6 +152,7 @@
         if (
             self._position != self._watcher.position
             or len(self._encoded) >= _MAX_ENCODED
+            or sum(map(len, self._encoded.values())) > _MAX_ENCODED_BYTES
         ):
             self._encoded.clear()
             self._position = self._watcher.position
--- a/src/geraniumlink/platform/__init__.py
+++ b/src/geraniumlink/platform/__init__.py
@@ -25,6 +25,7 @@
 from geraniumlink.platform._orders import OrderClient
 from geraniumlink.platform._orders import OrderResult
 from geraniumlink.platform._replicas import decode_replica_entry
+from geraniumlink.platform._replicas import encode_replica_entry
 from geraniumlink.platform._settings import NodeSettings
 from geraniumlink.platform._settings import read_settings
 from geraniumlink.platform._settings import SETTINGS_PATH_VARIABLE
@@ -51,6 +52,7 @@
     "decode_request_head",
     "decode_response_head",
     "encode_relayed_head",
+    "encode_replica_entry",
     "encode_request_head",
     "read_settings",
     "refusal_headers",
--- a/src/geraniumlink/platform/_replicas.py
+++ b/src/geraniumlink/platform/_replicas.py
@@ -21,6 +21,9 @@
 # and its share of the requests is in proportion to its slots.
 MAX_NAME_LENGTH = 256
 MAX_SLOTS = 1_000_000
+# Characters of the names of all models and adapters that a replica states to
+# be resident. It has memory for a few models and adapters.
+MAX_RESIDENT_CHARACTERS = 2**14
 
 
 def decode_replica_entry(name: str, spec: typing.Any) -> _types.ReplicaEntry:
@@ -56,6 +59,26 @@
     )
 
 
+def encode_replica_entry(entry: _types.ReplicaEntry) -> dict[str, typing.Any]:
+    """Return what ``decode_replica_entry`` needs of a replica's entry."""
+    spec = {
+        "service": entry.service,
+        "address": str(entry.address),
+        "zone": entry.data_centre,
+        "version": entry.software_version,
+        "slots": entry.slots,
+        "state": "draining" if entry.leaving else "ready",
+        "born": entry.started_at,
+    }
+    if not entry.residents:
+        return spec
+    models = [
+        {"name": model, "adapters": sorted(adapters)}
+        for model, adapters in entry.residents.items()
+    ]
+    return {**spec, "models": models}
+
+
 def _address(spec: dict[str, typing.Any]) -> _settings.Address:
     """Return the address of a replica, which must name one machine."""
     address = _fields.address(spec, "address")
@@ -89,10 +112,19 @@
     """
     if "models" not in spec:
         return {}
-    return {
-        _name(model, "name"): frozenset(_strings(model, "adapters"))
-        for model in _fields.array(spec, "models")
-    }
+    residents = {}
+    left = MAX_RESIDENT_CHARACTERS
+    for model in _fields.array(spec, "models"):
+        name, adapters = _name(model, "name"), _strings(model, "adapters")
+        # One more for each, as a name may be empty.
+        left -= len(name) + 1 + sum(map(len, adapters)) + len(adapters)
+        if left < 0:
+            raise _fields.FormatError(
+                "models has names of more than"
+                f" {MAX_RESIDENT_CHARACTERS} characters"
+            )
+        residents[name] = frozenset(adapters)
+    return residents
 
 
 def _strings(message: dict[str, typing.Any], field: str) -> list[str]:
--- a/src/geraniumlink/platform/_store.py
+++ b/src/geraniumlink/platform/_store.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Mapping
 from collections.abc import Sequence
 import reprlib
 import typing
@@ -24,6 +25,7 @@
 
 from geraniumlink import _http
 from geraniumlink import _logs
+from geraniumlink import _object_filter
 from geraniumlink import _objects
 from geraniumlink import _settings
 from geraniumlink import _store_history
@@ -35,6 +37,10 @@
 # A watch responds after the wait that it asked for, even without a change; if
 # it is this much later, its connection is taken for lost.
 WATCH_TIMEOUT_MARGIN_MS = 700
+# Limit of the changes in one response, which take up to 25 times as much once
+# they are decoded. It has room for two objects of the largest size; the pages
+# of a list have about 1 MB.
+MAX_CHANGES_BYTES = 5 * 2**19
 # Bounds a listing in case the store always announces one more page.
 MAX_PAGES = 1000
 # How many arrays and objects lead to the fields of an object in a response to
@@ -53,14 +59,35 @@
     """An object has no usable name or revision."""
 
 
+class _ResponseTooLargeError(_objects.UnavailableError):
+    """A response has a larger body than its reader accepts."""
+
+
+class _Page(typing.NamedTuple):
+    """One page of a list."""
+
+    kept: list[_objects.Object]
+    revision: int
+    # Name of its last object that has one, kept or not; empty if none has.
+    last_name: str
+    is_last: bool
+
+
 class StoreClient:
-    """Calls the store and counts the calls, since each has a price."""
+    """Calls the store and counts the calls, since each has a price.
+
+    :param filters: by kind, what is kept of listed and watched objects.
+    """
 
     def __init__(
-        self, client: _http.Client, address: _settings.Address
+        self,
+        client: _http.Client,
+        address: _settings.Address,
+        filters: Mapping[str, _object_filter.ObjectFilter] | None = None,
     ) -> None:
         self._client = client
         self._address = address
+        self._filters = filters or {}
         self._calls = 0
         # The revision at which each object that can't be read was logged, by
         # kind and name.
@@ -108,64 +135,88 @@
     async def list(self, kind: str) -> _objects.Listing:
         """Return all objects of a kind, and the revision to watch from.
 
+        Each page is filtered before the next one is read, so that a long
+        list needs no more memory than what is kept of it.
+
         :raises _objects.UnavailableError: if the store does not answer.
         """
-        objects: list[_objects.Object] = []
+        kept: list[_objects.Object] = []
         revision, query, last_name = None, "", ""
-        history = 0
+        history = left_out = 0
         for _ in range(MAX_PAGES):
-            sent = self._history.known
-            _, body = await self._call(
-                "GET", _path(kind) + query, levels=_LIST_LEVELS
-            )
-            if sent.history != self._history.changes:
-                raise _objects.UnavailableError(
-                    f"the store's history changed as {kind} were listed"
-                )
-            page = self._decode_items(kind, body, "items")
-            objects += page
-            page_revision = _store_revision(body)
-            self._history.check_revision(page_revision, sent, sent.revision)
+            page = await self._read_page(kind, query)
             if revision is None:
                 # The first page's revision: a watch from there reports the
                 # changes that were made while later pages were read.
-                revision = page_revision
+                revision = page.revision
                 history = self._history.changes
             if history != self._history.changes:
                 raise _objects.UnavailableError(
                     f"the pages of the list of {kind} are of two histories"
                 )
-            if not body.get("more") or not body["items"]:
-                return _objects.Listing(revision, objects)
-            if not page or page[-1].name == last_name:
+            selection = self._filter_for(kind).select([*kept, *page.kept])
+            kept = selection.kept
+            left_out += len(selection.left_out)
+            if page.is_last:
+                return _objects.Listing(revision, kept, left_out)
+            if not page.last_name or page.last_name == last_name:
                 # Reading on would return the same objects again.
                 raise _objects.UnavailableError(
                     f"a page of the list of {kind} has no readable name"
                 )
-            last_name = page[-1].name
+            last_name = page.last_name
             query = f"?after={urllib.parse.quote(last_name, safe='')}"
         raise _objects.UnavailableError(f"the list of {kind} has no last page")
 
+    async def _read_page(self, kind: str, query: str) -> _Page:
+        """Return a page of a list, of which only what is kept is in memory.
+
+        :param query: of its path; empty for the first page.
+        """
+        sent = self._history.known
+        _, body = await self._call(
+            "GET", _path(kind) + query, levels=_LIST_LEVELS
+        )
+        if sent.history != self._history.changes:
+            raise _objects.UnavailableError(
+                f"the store's history changed as {kind} were listed"
+            )
+        objects = self._decode_items(kind, body, "items")
+        revision = _store_revision(body)
+        self._history.check_revision(revision, sent, sent.revision)
+        return _Page(
+            kept=[item for item in objects if item.value is not None],
+            revision=revision,
+            last_name=objects[-1].name if objects else "",
+            is_last=not body.get("more") or not body["items"],
+        )
+
     async def watch(
         self, kind: str, after: int, wait_ms: int
     ) -> _objects.Listing:
         """Wait for changes after a revision and return them.
 
         Without a change, the list is empty after ``wait_ms``. A deleted
-        object has value None.
+        object has value None, as one of which nothing is kept.
 
         :raises _objects.RevisionCompactedError: if the store no longer has
-            the changes since that revision, or never had it.
+            the changes since that revision, or never had it, or they are too
+            large for one response. The objects have to be listed.
         :raises _objects.UnavailableError: if the store does not answer.
         """
         sent = self._history.known
-        status, body = await self._call(
-            "GET",
-            f"{_path(kind)}?watch={after}&wait_ms={wait_ms}",
-            accepted=(200, 410),
-            levels=_WATCH_LEVELS,
-            timeout_ms=wait_ms + WATCH_TIMEOUT_MARGIN_MS,
-        )
+        try:
+            status, body = await self._call(
+                "GET",
+                f"{_path(kind)}?watch={after}&wait_ms={wait_ms}",
+                accepted=(200, 410),
+                levels=_WATCH_LEVELS,
+                timeout_ms=wait_ms + WATCH_TIMEOUT_MARGIN_MS,
+                max_body_bytes=MAX_CHANGES_BYTES,
+            )
+        except _ResponseTooLargeError as error:
+            _logs.event("changes_too_large", kind=kind, error=str(error))
+            raise _objects.RevisionCompactedError from error
         if status == 410:
             raise _objects.RevisionCompactedError
         events = self._decode_items(kind, body, "events")
@@ -235,6 +286,7 @@
         timeout_ms: int = CALL_TIMEOUT_MS,
         levels: int = _GET_LEVELS,
         may_be_stale: bool = False,
+        max_body_bytes: int = _http.MAX_BODY_BYTES,
     ) -> tuple[int, typing.Any]:
         """Return the status and decoded body of a response.
 
@@ -255,6 +307,7 @@
                     body=message,
                     connect_ms=CALL_TIMEOUT_MS,
                     read_ms=timeout_ms,
+                    max_body_bytes=max_body_bytes,
                 )
             self._history.check_era(
                 _store_history.parse_era(response.headers),
@@ -265,6 +318,8 @@
                 raise _objects.UnavailableError(
                     f"the store responded with status {response.status}"
                 )
+        except _http.TooLargeError as error:
+            raise _ResponseTooLargeError(str(error)) from error
         except (
             _http.NotSentError,
             _http.BrokenError,
@@ -283,8 +338,10 @@
     ) -> Sequence[_objects.Object]:
         """Decode the objects or events in a field of a response.
 
-        Those without a usable name or revision are left out.
+        Of each, what is to be kept of its kind. Those without a usable name
+        or revision are left out.
         """
+        keep = self._filter_for(kind).reduce
         items = body.get(field) if isinstance(body, dict) else None
         if not isinstance(items, list):
             raise _objects.UnavailableError(
@@ -293,11 +350,14 @@
         objects = []
         for item in items:
             try:
-                objects.append(self._decode_item(kind, item))
+                objects.append(keep(self._decode_item(kind, item)))
             except _UnreadableObjectError as error:
                 self._log_unreadable(kind, "", _objects.ABSENT, str(error))
         return objects
 
+    def _filter_for(self, kind: str) -> _object_filter.ObjectFilter:
+        return self._filters.get(kind, _object_filter.KEEP_ALL)
+
     def _decode_item(self, kind: str, entry: typing.Any) -> _objects.Object:
         """Decode an object of a list, or the object of a watch event."""
         if not isinstance(entry, dict) or "object" not in entry:
@@ -334,6 +394,7 @@
         self, kind: str, name: str, revision: int, error: str
     ) -> None:
         """Log an object that can't be read, once for each revision."""
+        name = name[:_MAX_LOGGED_NAME]
         if self._logged.get((kind, name)) == revision:
             return
         self._logged[kind, name] = revision
@@ -344,7 +405,7 @@
         _logs.event(
             "object_unreadable",
             kind=kind,
-            name=name[:_MAX_LOGGED_NAME],
+            name=name,
             revision=revision,
             error=error,
         )
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -47,6 +47,9 @@
 # The load that other instances reported is ignored after this time, within
 # which it changes.
 PEER_LOAD_STALE_MS = 1500
+# Software versions of services that are remembered though no replica has them
+# any more. Any process may register entries, with new names each time.
+MAX_FORMER_VERSIONS = 512
 # How long it is reused which services have brittle replicas.
 LEAST_REJECTIONS_REUSE_MS = 100
 
@@ -449,6 +452,8 @@
         self._least_rejections_until = 0
         # When a replica of each service and software version was last known.
         self._versions_seen: dict[str, dict[str, int]] = {}
+        # Up to this time some of these were dropped.
+        self._versions_dropped_at = -math.inf
         # For how long before the first list these are known, too.
         self._versions_known_before_ms: float = 0.0
 
@@ -511,6 +516,8 @@
         """
         for replica in self.registered(service):
             self._note_version(replica)
+        if self._versions_dropped_at >= self._clock.now() - window_ms:
+            return None
         now, seen = self._clock.now(), self._versions_seen.get(service, {})
         if self._listed_at is None or (
             now - self._listed_at + self._versions_known_before_ms < window_ms
@@ -777,8 +784,30 @@
             if since is not None and now - since >= replica.missing_limit_ms:
                 self._note_version(replica)
                 del self._known[name]
+                self._forget_former_versions()
                 _logs.event("replica_forgotten", replica=name)
 
+    def _forget_former_versions(self) -> None:
+        """Drop what is known of those that had no replica for longest."""
+        present = {
+            (replica.entry.service, replica.entry.software_version)
+            for replica in self._known.values()
+        }
+        former = sorted(
+            (seen_at, service, version)
+            for service, seen in self._versions_seen.items()
+            for version, seen_at in seen.items()
+            if (service, version) not in present
+        )
+        for seen_at, service, version in former[:-MAX_FORMER_VERSIONS]:
+            self._versions_dropped_at = max(self._versions_dropped_at, seen_at)
+            seen = self._versions_seen[service]
+            del seen[version]
+            if not seen:
+                del self._versions_seen[service]
+                self._prefill_speeds.pop(service, None)
+                self._call_times.pop(service, None)
+
     def _note_version(self, replica: Replica) -> None:
         """Record that a replica's version serves, or did until now."""
         seen = self._versions_seen.setdefault(replica.entry.service, {})
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -37,6 +37,8 @@
 from standins import _base
 
 PAGE = 3
+# A page ends with the object with which it has more than this.
+_PAGE_BYTES = 1_000_000
 # How long an answer that is lost is held; clients give up sooner.
 _HELD_S = 30
 _OUTSIDE_KINDS = ("config", "servers")
@@ -176,10 +178,11 @@
         )
         after = query.get("after", "")
         rest = [o for o in found if o["metadata"]["name"] > after]
+        page = _first_page(rest)
         return self._respond(
             {
-                "items": rest[:PAGE],
-                "more": len(rest) > PAGE,
+                "items": page,
+                "more": len(rest) > len(page),
                 "store_revision": store_revision,
             }
         )
@@ -352,6 +355,17 @@
     await write()
 
 
+def _first_page(objects: list[dict]) -> list[dict]:
+    """Return the first objects of a list that fit into one page."""
+    page, page_bytes = [], 0
+    for found in objects[:PAGE]:
+        page.append(found)
+        page_bytes += len(json.dumps(found))
+        if page_bytes > _PAGE_BYTES:
+            break
+    return page
+
+
 def _key(request: requests.Request) -> tuple[str, str]:
     return request.path_params["kind"], request.path_params["name"]
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -49,6 +49,15 @@
         )
 
 
+@pytest.fixture
+def log_lines():
+    """The log lines that are written during a test."""
+    lines = []
+    eliot.add_destinations(lines.append)
+    yield lines
+    eliot.remove_destination(lines.append)
+
+
 @pytest.fixture(autouse=True)
 def _collect_garbage():
     """Report what a test left open as that test's failure.
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,7 +5,6 @@
 import random
 import zlib
 
-import eliot
 import hypothesis
 from hypothesis import strategies as st
 import orjson
@@ -85,14 +84,6 @@
 _ODD = _UNREADABLE | _UNUSABLE
 
 
-@pytest.fixture
-def log_lines():
-    lines = []
-    eliot.add_destinations(lines.append)
-    yield lines
-    eliot.remove_destination(lines.append)
-
-
 class _HttpClient:
     """Answers each request with the next of the bodies."""
 
--- a/tests/test_state_change_logs.py
+++ b/tests/test_state_change_logs.py
@@ -1,6 +1,5 @@
 """Each change of an instance's view of others is logged exactly once."""
 
-import eliot
 import pytest
 
 from geraniumlink import _clock
@@ -16,16 +15,6 @@
 _OTHER_CRASH = _suspicions.ServerProcess("127.0.0.1:2", "boot")
 
 
-@pytest.fixture
-def log_lines():
-    """The log lines, in order."""
-    lines = []
-    destination = lines.append
-    eliot.add_destinations(destination)
-    yield lines
-    eliot.remove_destination(destination)
-
-
 def _message_types(log_lines):
     return [line["message_type"] for line in log_lines]
 
