Derive the waits of a change from one budget, and relay its age

Cause: three waits, each bounded and none aware of the others: what the controller gathers, how long it relays after it last reached the store, and how long others rely on that. They were added up for a message that takes no time and a fast store.

Now hosting/_change_delays.py derives the waits of the replicas' entries and of the configuration from the bound in the settings. Relayed changes stand in for an instance's own watch no longer than until what they confirm is as old as the budget allows, whatever made it old. A replica whose entry was removed is a last resort by the age of the list as well. Attempts log the list's age, and there is a gauge of it.

The test that added the delays up left the message out; it takes several bounds now and includes a silent watch, which had a bound of its own (3,000 ms).

--- a/src/geraniumlink/_log_fields.py
+++ b/src/geraniumlink/_log_fields.py
@@ -121,6 +121,8 @@
     "limit_per_s": Field(Kind.NUMBER, nullable=True),
     # Requests running, requests waiting, and capacity, as last stated by the
     # replica.
+    # Null if it never was complete.
+    "list_age_ms": Field(Kind.WHOLE, nullable=True),
     "load": Field(Kind.WHOLES, nullable=True),
     "load_age_ms": Field(Kind.WHOLE, nullable=True),
     "lost_ms": _WHOLE,
--- a/src/geraniumlink/_log_messages.py
+++ b/src/geraniumlink/_log_messages.py
@@ -119,6 +119,7 @@
             "last_event_id",
             "left_ms",
             "limit_per_s",
+            "list_age_ms",
             "load",
             "load_age_ms",
             "replica",
--- a/src/geraniumlink/hosting/_gauges.py
+++ b/src/geraniumlink/hosting/_gauges.py
@@ -105,6 +105,11 @@
         "1 while requests with a key are refused until a confirmation",
         lambda: sources.account_check.is_stale,
     )
+    add_gauge(
+        "geraniumlink_replicas_confirmed_age_seconds",
+        "Since the list of replicas was the store's for certain; -1 if never",
+        lambda: _seconds(sources.replicas.list_age_ms),
+    )
     add_gauge(
         "geraniumlink_replicas",
         "Replicas that are known and not leaving",
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -122,12 +122,6 @@
 RELAYED_BODY_BYTES = 4 * 2**20
 # Interval at which idle connections to replicas are checked.
 CLOSE_STALE_INTERVAL_MS = 1000
-# Changes within this time are read by one call to the store. It delays a
-# configuration, and the news that a replica leaves: see _change_delays.
-BATCH_DELAY_MS = 250
-# The same for the list of replicas on an instance that reads it for itself
-# alone. Then all instances make such calls, and each heartbeat is a change.
-ALONE_BATCH_DELAY_MS = 800
 # Entries that expired in an outage of the store return within about this time
 # after it.
 ENTRIES_RETURN_MS = 2000
@@ -191,10 +185,15 @@
         self._store = platform.StoreClient(
             self._client, settings.store_address, self._object_filters
         )
+        self._replica_waits = _change_delays.waits_within(
+            settings.leaving_bound_ms, needs_all_values=False
+        )
         self._replicas = _replicas.Replicas(
             self._clock,
             settings.leaving_bound_ms,
-            _change_delays.relayed_delay_ms(BATCH_DELAY_MS),
+            _change_delays.relayed_delay_ms(
+                self._replica_waits.batch_delay_ms
+            ),
         )
         self._warm_ups = (
             _warm_up.WarmUps(self._replicas, self._clock)
@@ -215,6 +214,7 @@
         )
         self._leadership = self._make_leadership()
         self._watchers = self._make_watchers()
+        self._replicas.set_list_age(lambda: self._watchers[1].confirmed_age_ms)
         self._leadership.call_on_store_recovery(self._restart_watches)
         self._directory = _instance_directory.InstanceDirectory(
             str(settings.peer_address), clock
@@ -593,8 +593,21 @@
             await self._listener.stopped()
         _logs.event("drained", in_flight=self._application.in_flight)
 
-    def _make_watchers(self) -> list[_object_watcher.ObjectWatcher]:
+    def _configuration_waits(self) -> _change_delays.Waits:
+        """Return how the configuration is followed."""
+        waits = _change_delays.waits_within(
+            self._settings.configuration_bound_ms
+        )
         revocation_ms = self._settings.revocation_bound_ms
+        if revocation_ms is None:
+            return waits
+        freshness = _object_watcher.freshness_for(revocation_ms)
+        return waits._replace(
+            freshness=freshness.combined_with(waits.freshness)
+        )
+
+    def _make_watchers(self) -> list[_object_watcher.ObjectWatcher]:
+        configuration_waits = self._configuration_waits()
         return [
             _object_watcher.ObjectWatcher(
                 self._store,
@@ -602,12 +615,8 @@
                 self._clock,
                 on_list=self._apply_configurations,
                 on_change=self._apply_configuration,
-                batch_delay_ms=BATCH_DELAY_MS,
-                freshness=(
-                    None
-                    if revocation_ms is None
-                    else _object_watcher.freshness_for(revocation_ms)
-                ),
+                batch_delay_ms=configuration_waits.batch_delay_ms,
+                freshness=configuration_waits.freshness,
                 history=self._store.history,
                 object_filter=self._object_filters[_configuration.KIND],
             ),
@@ -617,9 +626,10 @@
                 self._clock,
                 on_list=self._apply_replicas,
                 on_change=self._apply_replica,
-                batch_delay_ms=BATCH_DELAY_MS,
-                alone_batch_delay_ms=ALONE_BATCH_DELAY_MS,
+                batch_delay_ms=self._replica_waits.batch_delay_ms,
+                alone_batch_delay_ms=self._replica_waits.alone_batch_delay_ms,
                 relays=lambda: self._leadership.is_leader,
+                freshness=self._replica_waits.freshness,
                 history=self._store.history,
                 object_filter=self._object_filters[_replica_entries.KIND],
             ),
--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -81,6 +81,18 @@
     watch_timeout_ms: int
     # Age above which relayed changes don't replace the watch.
     max_relayed_age_ms: int
+    # Whether relayed changes with a value left out confirm nothing.
+    needs_all_values: bool = True
+
+    def combined_with(self, other: Freshness | None) -> Freshness:
+        """Return what satisfies both."""
+        if other is None:
+            return self
+        return Freshness(
+            min(self.watch_timeout_ms, other.watch_timeout_ms),
+            min(self.max_relayed_age_ms, other.max_relayed_age_ms),
+            self.needs_all_values or other.needs_all_values,
+        )
 
 
 def freshness_for(bound_ms: int) -> Freshness:
@@ -359,8 +371,10 @@
             changes.revision, confirmed_as_of
         ):
             return False
-        if self._freshness is not None and any(
-            item.value == {} for item in changes.objects
+        if (
+            self._freshness is not None
+            and self._freshness.needs_all_values
+            and any(item.value == {} for item in changes.objects)
         ):
             # The controller left a value out. It must not count as known.
             return False
@@ -381,9 +395,21 @@
         if self._clock.now() >= self._relay_valid_until:
             self._end_wait()
         self._confirmed_at = self._clock.now()
-        self._relay_valid_until = self._confirmed_at + RELAY_VALIDITY_MS
+        self._relay_valid_until = self._confirmed_at + self._relay_lasts_ms()
         return True
 
+    def _relay_lasts_ms(self) -> int:
+        """Return for how long the relayed changes stand in for the watch.
+
+        No longer than until the copy is too old: the sender may hear nothing
+        of the store, and say each time that nothing has changed.
+        """
+        age_ms = self.confirmed_age_ms
+        if self._freshness is None or age_ms is None:
+            return RELAY_VALIDITY_MS
+        left_ms = self._freshness.max_relayed_age_ms - age_ms
+        return min(RELAY_VALIDITY_MS, left_ms)
+
     def _is_relay_behind(self, revision: int, as_of: int | None) -> bool:
         """Return whether relayed changes end before this copy.
 
--- a/src/geraniumlink/platform/_settings.py
+++ b/src/geraniumlink/platform/_settings.py
@@ -59,6 +59,9 @@
     # No request runs that was sent longer than this after its key was removed;
     # None if that isn't asked for.
     revocation_bound_ms: int | None
+    # Time from the store's acknowledgement of a configuration until no request
+    # is handled by an older one; None if it isn't stated.
+    configuration_bound_ms: int | None
     # Memory of this machine in MiB, and descriptors that this process may
     # have; None if they aren't stated.
     memory_mb: int | None
@@ -106,6 +109,7 @@
         retry_constant=reader.read("bounds", "retry_slack", _fields.floor),
         link_mbit_per_s=reader.read("", "limits", _link_rate),
         revocation_bound_ms=reader.read("", "bounds", _revocation_bound),
+        configuration_bound_ms=reader.read("", "bounds", _configuration_bound),
         memory_mb=reader.read("", "limits", _memory_mb),
         max_descriptors=reader.read("", "limits", _max_descriptors),
         is_first_start=reader.read("", "bootstrap", _flag),
@@ -216,6 +220,14 @@
     return _fields.floor(bounds, "revoke_ms", DEFAULT_REVOCATION_BOUND_MS)
 
 
+def _configuration_bound(message: typing.Any, name: str) -> int | None:
+    """Return the bound on the use of older configurations, if stated."""
+    bounds = _fields.mapping(message, name)
+    if bounds.get("config_apply_ms") is None:
+        return None
+    return _fields.floor(bounds, "config_apply_ms")
+
+
 def _link_rate(message: typing.Any, name: str) -> float | None:
     """Return the link's rate in the limits of the machine, if stated."""
     if name not in message:
--- a/src/geraniumlink/serving/_decision_log.py
+++ b/src/geraniumlink/serving/_decision_log.py
@@ -144,9 +144,15 @@
 
 
 def attempt(
-    state: _request_state.RequestState, choice: _balance.Choice, now: int
+    state: _request_state.RequestState,
+    choice: _balance.Choice,
+    now: int,
+    list_age_ms: int | None,
 ) -> None:
-    """Log the replica chosen and the estimates for it."""
+    """Log the replica chosen and the estimates for it.
+
+    :param list_age_ms: since when the list of replicas was surely complete.
+    """
     replica = choice.replica
     load = replica.load
     peer_load = replica.recent_peer_load(now)
@@ -167,6 +173,7 @@
         limit_per_s=replica.rate_limit.per_s,
         left_ms=state.deadline - now,
         last_event_id=state.last_event_id.decode("latin-1"),
+        list_age_ms=list_age_ms,
     )
 
 
--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -700,7 +700,9 @@
             _decision_log.passed_on(state, target.name, now)
         else:
             state.last_replica = target.replica.entry.name
-            _decision_log.attempt(state, target, now)
+            _decision_log.attempt(
+                state, target, now, self._replicas.list_age_ms
+            )
 
     async def _connect(
         self, state: _request_state.RequestState, target: _failover.Target
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 import math
 import typing
@@ -441,6 +442,8 @@
         self._clock = clock
         self._missing_limit_ms = leaving_bound_ms - MISSING_MARGIN_MS
         self._removed_limit_ms = leaving_bound_ms - news_delay_ms
+        self._leaving_bound_ms = leaving_bound_ms
+        self._find_list_age: Callable[[], int | None] | None = None
         self._known: dict[str, Replica] = {}
         self._prefill_speeds: dict[str, _prefill_speed.PrefillSpeed] = {}
         self._call_times: dict[str, _call_times.CallTimes] = {}
@@ -462,6 +465,19 @@
         """Whether the complete list of entries has been read."""
         return self._listed_at is not None
 
+    def set_list_age(self, find: Callable[[], int | None]) -> None:
+        """Set how the age of the list of entries is found.
+
+        It is the time since the list was surely complete, in ms; None if it
+        never was.
+        """
+        self._find_list_age = find
+
+    @property
+    def list_age_ms(self) -> int | None:
+        """Time since the list was surely complete; None if not known."""
+        return self._find_list_age() if self._find_list_age else None
+
     def get(self, name: str) -> Replica | None:
         return self._known.get(name)
 
@@ -764,10 +780,23 @@
             return
         known.missing_since = self._clock.now()
         known.missing_limit_ms = (
-            self._missing_limit_ms if may_return else self._removed_limit_ms
+            self._missing_limit_ms if may_return else self._limit_removed_ms()
         )
         _logs.event("replica_vanished", replica=name, leaving=known.leaving)
 
+    def _limit_removed_ms(self) -> int:
+        """Return for how long a replica is used whose entry was removed.
+
+        It may have been removed just after the list was last complete.
+        """
+        if self._find_list_age is None:
+            return self._removed_limit_ms
+        age_ms = self.list_age_ms
+        if age_ms is None:
+            return 0
+        left_ms = self._leaving_bound_ms - MISSING_MARGIN_MS - age_ms
+        return max(0, min(self._removed_limit_ms, left_ms))
+
     def _is_usable(self, replica: Replica) -> bool:
         """Whether it takes requests, as far as is known here."""
         now = self._clock.now()
--- a/tests/test_confirmed_copies.py
+++ b/tests/test_confirmed_copies.py
@@ -305,7 +305,7 @@
     until this instance's own watch has ended.
     """
     # A bound that can't be kept causes few calls all the same.
-    assert min(_object_watcher.freshness_for(0)) >= 100
+    assert min(_object_watcher.freshness_for(0)[:2]) >= 100
     for bound_ms in (2000, 5000, 60_000):
         freshness = _object_watcher.freshness_for(bound_ms)
         oldest_ms = (
--- a/tests/test_store_history.py
+++ b/tests/test_store_history.py
@@ -9,17 +9,15 @@
 from geraniumlink import _objects
 from geraniumlink import _settings
 from geraniumlink.hosting import _change_delays
-from geraniumlink.hosting import _instance
 from geraniumlink.hosting import _object_watcher
 from geraniumlink.hosting import _relay
 from geraniumlink import platform
 
 pytestmark = pytest.mark.anyio
 
-# Time in which a configuration must be in force: config_apply_ms.
-_CONFIG_APPLY_MS = 2000
-# Time after a disturbance in which changes may be late: stability_window_ms.
-_STABILITY_WINDOW_MS = 3000
+# Times in which a configuration must be in force, or a leaving replica must
+# get no more requests: config_apply_ms and drain_ms, and others.
+_BOUNDS_MS = (1960, 2000, 3000, 10_000)
 _ADDRESS = _settings.parse_address("10.0.0.1:80")
 
 
@@ -241,15 +239,14 @@
     assert waits[5] == _object_watcher.WATCH_TIMEOUT_MS
 
 
-def test_the_delays_of_a_configuration_add_up_to_more_than_its_bound():
-    delays_ms = _change_delays.longest_delays_ms(
-        _instance.BATCH_DELAY_MS, _instance.ALONE_BATCH_DELAY_MS
-    )
-    assert max(delays_ms.values()) <= _CONFIG_APPLY_MS
+@pytest.mark.parametrize("bound_ms", _BOUNDS_MS)
+def test_the_delays_of_a_change_add_up_to_more_than_its_bound(bound_ms):
+    """Each was bounded, and they added up to 2.4 s of 2.0 s."""
+    waits = _change_delays.waits_within(bound_ms)
+    delays_ms = _change_delays.longest_delays_ms(waits, waits.freshness)
+    assert max(delays_ms.values()) + _change_delays.SEND_MS <= bound_ms
 
 
-def test_silent_watch_delays_changes_for_longer_than_the_stability_window():
-    delay_ms = _change_delays.silent_watch_delay_ms(_instance.BATCH_DELAY_MS)
-    assert delay_ms <= _STABILITY_WINDOW_MS
+def test_a_silent_watch_is_waited_for_longer_than_by_default():
     freshness = _object_watcher.freshness_for(60_000)
     assert freshness.watch_timeout_ms <= _object_watcher.WATCH_TIMEOUT_MS
--- a/tests/test_watch_batches.py
+++ b/tests/test_watch_batches.py
@@ -5,7 +5,7 @@
 
 from emulator import _virtual_time
 from geraniumlink import _objects
-from geraniumlink.hosting import _instance
+from geraniumlink.hosting import _change_delays
 from geraniumlink.hosting import _object_watcher
 
 _CHANGE_INTERVAL_MS = 20
@@ -36,8 +36,8 @@
 @pytest.mark.parametrize(
     ("relays", "batch_delay_ms"),
     [
-        (True, _instance.BATCH_DELAY_MS),
-        (False, _instance.ALONE_BATCH_DELAY_MS),
+        (True, _change_delays.MAX_BATCH_DELAY_MS),
+        (False, _change_delays.MAX_ALONE_BATCH_DELAY_MS),
     ],
 )
 def test_instance_calls_the_store_for_each_change(relays, batch_delay_ms):
@@ -49,8 +49,8 @@
             clock,
             on_list=lambda _objects: None,
             on_change=lambda _object: None,
-            batch_delay_ms=_instance.BATCH_DELAY_MS,
-            alone_batch_delay_ms=_instance.ALONE_BATCH_DELAY_MS,
+            batch_delay_ms=_change_delays.MAX_BATCH_DELAY_MS,
+            alone_batch_delay_ms=_change_delays.MAX_ALONE_BATCH_DELAY_MS,
             relays=lambda: relays,
         )
         async with anyio.create_task_group() as group:
