Look again whether a replica left before a request is sent to it

A request that was chosen for a replica was sent to it even if the replica's leaving became known while the connection was opened, which takes up to a second over a link that loses packets, or while it waited for a permit. That wait was in no budget.

Cause: the choice was final. Now it is looked at once more before the first byte; such a request is unsent, and another replica is chosen.

tests/test_change_delays.py (six cases in virtual time, with connections that take 1 s) fails before and passes now. Found by reading, not seen in a run of a case.

--- a/src/geraniumlink/serving/_forward.py
+++ b/src/geraniumlink/serving/_forward.py
@@ -834,6 +834,10 @@
         """Send the request to a replica and relay its response."""
         replica = choice.replica
         entry = replica.entry
+        if not self._replicas.may_still_send(replica):
+            self._connections.release(entry.name, connection)
+            self._chooser.note_end(replica, None)
+            return _outcomes.Unsent("the replica has left meanwhile")
         state.tried_replicas.add(entry.name)
         state.attempts += 1
         sent_at = self._clock.now()
--- a/src/geraniumlink/serving/_replicas.py
+++ b/src/geraniumlink/serving/_replicas.py
@@ -481,6 +481,16 @@
     def get(self, name: str) -> Replica | None:
         return self._known.get(name)
 
+    def may_still_send(self, replica: Replica) -> bool:
+        """Whether a replica may be sent a request that was chosen for it.
+
+        It may have left since, as a connection can take a second to open.
+        """
+        name = replica.entry.name
+        if self._known.get(name) is not replica or replica.leaving:
+            return False
+        return replica.missing_since is None or self.is_available(name)
+
     def all(self) -> list[Replica]:
         return list(self._known.values())
 
--- a/tests/scripted_replicas.py
+++ b/tests/scripted_replicas.py
@@ -195,6 +195,8 @@
     ) -> None:
         self.clock = clock
         self.log = []
+        # How long a connection to a replica takes to open.
+        self.dial_s = _LATENCY_S
         self.replicas = _replicas.Replicas(clock, 2000)
         entries = [builders.replica_entry(f"r{n}") for n in range(replicas)]
         self.replicas.replace_all(
@@ -217,7 +219,7 @@
 
     def _make_forwarder(self, max_attempts, priority) -> _forward.Forwarder:
         async def dial(address):
-            await asyncio.sleep(_LATENCY_S)
+            await asyncio.sleep(self.dial_s)
             return self._by_port[address.port].connect(address)
 
         active = _active_configuration.ActiveConfiguration()
--- a/tests/test_change_delays.py
+++ b/tests/test_change_delays.py
@@ -18,7 +18,9 @@
 from geraniumlink.residency import _controller_protocol
 from geraniumlink.residency import _leadership
 from geraniumlink.serving import _replicas
+from geraniumlink.serving import _retry_budgets
 from tests import builders
+from tests import scripted_replicas
 
 _BOUND_MS = 2000
 _CHANGED_AT = 4000
@@ -271,3 +273,37 @@
         used_ms += 10
     assert used_ms <= max(0, _BOUND_MS - (age_ms or 0))
     assert bool(used_ms) is (age_ms is not None and age_ms < 1700)
+
+
+@pytest.mark.parametrize("kind", scripted_replicas.ROUTE_KINDS)
+@pytest.mark.parametrize("is_removed", (True, False))
+def test_a_request_goes_to_a_replica_that_left_as_it_connected(
+    kind, is_removed
+):
+    """Over a link that loses packets a connection takes seconds to open."""
+
+    async def play(clock):
+        limit = _retry_budgets.RetryLimit(0.2, 56, 10_000)
+        site = scripted_replicas.Site(clock, [], 3, 2, limit)
+        site.dial_s = 1.0
+        statuses = []
+
+        async def send():
+            statuses.append(await site.send(b"q-1", kind))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(send)
+            await clock.sleep(500)
+            for name in ("r0", "r1"):
+                if is_removed:
+                    site.replicas.mark_missing(name)
+                else:
+                    entry = site.replicas.get(name).entry
+                    site.replicas.update(entry._replace(leaving=True))
+            # Those that were removed are no last resort for so long.
+            await clock.sleep(2000)
+        return site, statuses[0][0]
+
+    site, status = _virtual_time.run(play)
+    assert status == 200
+    assert [name for _, name, _ in site.log] == ["r2"]
