End watches by the copy's age, and date those that were held

The budget of a change left out that changes gather before the next watch: had that watch gone silent, the change could have been known after 2,093 ms where 1,840 are allowed.

Now a watch ends by the age of the copy. One that the store held until its timeout without a change confirms the copy as of then, but not where removed keys must be refused in time.

The play in tests/test_change_delays.py has four phases of the change now.

--- a/src/geraniumlink/hosting/_change_delays.py
+++ b/src/geraniumlink/hosting/_change_delays.py
@@ -47,27 +47,36 @@
 
 
 def waits_within(
-    bound_ms: int | None, *, needs_all_values: bool = True
+    bound_ms: int | None,
+    *,
+    is_busy: bool = False,
+    needs_all_values: bool = True,
 ) -> Waits:
     """Return the waits that keep the delay of each change within a bound.
 
     :param bound_ms: from the store's acknowledgement of a change to the last
         request that goes by what was there before; None if there is none.
+    :param is_busy: whether changes come often, as of heartbeats. Then a watch
+        is short enough to leave time for the next one, should it go silent.
     :param needs_all_values: as in ``Freshness``.
     """
     if bound_ms is None:
         return Waits(MAX_BATCH_DELAY_MS, MAX_ALONE_BATCH_DELAY_MS, None)
     known_ms = bound_ms - SEND_MS
-    # If a watch goes silent, the copy is as old as the watch before, and two
-    # watches go by until that is noticed.
-    watch_ms = (known_ms - _silence_noticed_ms()) // 2
+    batch_delay_ms = _clamp(known_ms - relayed_delay_ms(0), MAX_BATCH_DELAY_MS)
+    watched_age_ms = known_ms - _silence_noticed_ms()
+    watch_ms = watched_age_ms
+    if is_busy:
+        watch_ms -= batch_delay_ms + MIN_DELAY_MS
     return Waits(
-        _clamp(known_ms - relayed_delay_ms(0), MAX_BATCH_DELAY_MS),
+        batch_delay_ms,
         _clamp(known_ms - 2 * STORE_ANSWER_MS, MAX_ALONE_BATCH_DELAY_MS),
         _object_watcher.Freshness(
             _clamp(watch_ms, _object_watcher.WATCH_TIMEOUT_MS),
             max(MIN_AGE_MS, known_ms - STORE_ANSWER_MS),
             needs_all_values,
+            max(MIN_DELAY_MS, watched_age_ms),
+            trusts_held_watches=True,
         ),
     )
 
@@ -119,8 +128,13 @@
         "relayed by a controller that hasn't read it": (
             freshness.max_relayed_age_ms + STORE_ANSWER_MS
         ),
+        # The copy is as old as the watch before it, which brought a change.
         "hidden by a watch that went silent": (
-            2 * watch_ms + _silence_noticed_ms()
+            max(
+                watch_ms + waits.batch_delay_ms + MIN_DELAY_MS,
+                freshness.max_watched_age_ms or 0,
+            )
+            + _silence_noticed_ms()
         ),
         # The first read hears nothing, nor does a watch; then all objects are
         # listed.
--- a/src/geraniumlink/hosting/_instance.py
+++ b/src/geraniumlink/hosting/_instance.py
@@ -186,7 +186,7 @@
             self._client, settings.store_address, self._object_filters
         )
         self._replica_waits = _change_delays.waits_within(
-            settings.leaving_bound_ms, needs_all_values=False
+            settings.leaving_bound_ms, is_busy=True, needs_all_values=False
         )
         self._replicas = _replicas.Replicas(
             self._clock,
--- a/src/geraniumlink/hosting/_object_watcher.py
+++ b/src/geraniumlink/hosting/_object_watcher.py
@@ -32,7 +32,7 @@
 # The shortest watch after a disturbance. The store may drop its history while
 # a watch waits, without an answer. So a watch lasts no longer than the time
 # since the disturbance, and what it misses is known after twice that time.
-SETTLING_WATCH_MS = 500
+SETTLING_WATCH_MS = 400
 # A store that gave no answer for this long may have been restored: its present
 # revision doesn't show it if it has passed the one known here.
 MIN_RESTORE_MS = 300
@@ -83,15 +83,28 @@
     max_relayed_age_ms: int
     # Whether relayed changes with a value left out confirm nothing.
     needs_all_values: bool = True
+    # Age of the copy by which a watch without a change ends; None if only the
+    # timeout applies.
+    max_watched_age_ms: int | None = None
+    # Whether a watch that the store held until its timeout, without a change,
+    # confirms the copy as of then; else as of when it was sent.
+    trusts_held_watches: bool = False
 
     def combined_with(self, other: Freshness | None) -> Freshness:
         """Return what satisfies both."""
         if other is None:
             return self
+        watched_ages_ms = [
+            age_ms
+            for age_ms in (self.max_watched_age_ms, other.max_watched_age_ms)
+            if age_ms is not None
+        ]
         return Freshness(
             min(self.watch_timeout_ms, other.watch_timeout_ms),
             min(self.max_relayed_age_ms, other.max_relayed_age_ms),
             self.needs_all_values or other.needs_all_values,
+            min(watched_ages_ms, default=None),
+            self.trusts_held_watches and other.trusts_held_watches,
         )
 
 
@@ -503,9 +516,9 @@
                 self._note_confirmed(sent_at)
             # Else relayed changes came meanwhile that end after it.
             return
-        asked_after = self._revision
+        asked_after, wait_ms = self._revision, self._watch_wait_ms()
         try:
-            changes = await self._watch(asked_after)
+            changes = await self._watch(asked_after, wait_ms)
         except _objects.RevisionCompactedError:
             _logs.event("store_history_gone", kind=self._kind)
             self._note_disturbance()
@@ -520,10 +533,28 @@
             await self._wait_for_batch()
             return
         self._apply_changes(changes)
-        self._note_confirmed(sent_at)
+        self._note_confirmed(self._complete_as_of(changes, sent_at, wait_ms))
         if changes.objects:
             await self._wait_for_batch()
 
+    def _complete_as_of(
+        self, changes: _objects.Listing, sent_at: int, wait_ms: int
+    ) -> int:
+        """Return the time since boot as of which a watch's answer is complete.
+
+        :param sent_at: time since boot at which the watch was sent.
+        """
+        was_held = self._clock.since_boot() - sent_at >= wait_ms
+        if (
+            self._freshness is not None
+            and self._freshness.trusts_held_watches
+            and was_held
+            and not changes.objects
+        ):
+            # Without a change, the store answers after that time only.
+            return sent_at + wait_ms
+        return sent_at
+
     async def _wait_for_batch(self) -> None:
         """Let changes gather, so that one call reads them."""
         if self._relays():
@@ -531,13 +562,13 @@
         else:
             await self._clock.sleep(self._alone_batch_delay_ms)
 
-    async def _watch(self, revision: int) -> _objects.Listing | None:
+    async def _watch(
+        self, revision: int, wait_ms: int
+    ) -> _objects.Listing | None:
         """Return the changes, or None if ``_end_wait`` cancelled it."""
         self._watch_scope = anyio.CancelScope()
         with self._watch_scope:
-            return await self._store.watch(
-                self._kind, revision, self._watch_wait_ms()
-            )
+            return await self._store.watch(self._kind, revision, wait_ms)
         return None
 
     async def _wait(self, milliseconds: int) -> None:
@@ -553,6 +584,11 @@
         longest_ms = WATCH_TIMEOUT_MS
         if self._freshness is not None:
             longest_ms = self._freshness.watch_timeout_ms
+            age_ms = self.confirmed_age_ms
+            max_age_ms = self._freshness.max_watched_age_ms
+            if age_ms is not None and max_age_ms is not None:
+                left_ms = max(_MIN_BOUNDED_WATCH_MS, max_age_ms - age_ms)
+                longest_ms = min(longest_ms, left_ms)
         if self._disturbed_at is None:
             return longest_ms
         calm_ms = self._clock.now() - self._disturbed_at
--- a/tests/test_change_delays.py
+++ b/tests/test_change_delays.py
@@ -23,12 +23,13 @@
 from tests import scripted_replicas
 
 _BOUND_MS = 2000
-_CHANGED_AT = 4000
-# From the change to the cut; 13 ms apart, which divides none of the waits.
-_CUTS_MS = range(-900, 600, 13)
+# From the change to the cut; 29 ms apart, which divides none of the waits.
+_CUTS_MS = range(-900, 600, 29)
 # From another change, as of a heartbeat, to the change: the controller then
 # lets changes gather, or watches.
-_HEARTBEATS_MS = (2, 120, 1000)
+_HEARTBEATS_MS = (2, 120, 249, 1000)
+# When the change is; the controller's watches are in another phase then.
+_CHANGES_AT_MS = (4000, 4110, 4220, 4330)
 _FAST_MS = 4
 _SLOW_MS = _change_delays.STORE_ANSWER_MS
 _MESSAGE_MS = 3
@@ -43,15 +44,16 @@
 class _Store:
     """Has a heartbeat of r-2, and then the change, which is of r-1."""
 
-    def __init__(self, clock, answer_ms, heartbeat_ms):
+    def __init__(self, clock, answer_ms, heartbeat_ms, changed_at):
         self._clock = clock
         self._answer_ms = answer_ms
         self._heartbeat_ms = heartbeat_ms
+        self._changed_at = changed_at
         self._revision = 1
         self._changed = anyio.Event()
 
     async def change_later(self):
-        await self._clock.sleep(_CHANGED_AT - self._heartbeat_ms)
+        await self._clock.sleep(self._changed_at - self._heartbeat_ms)
         self._change()
         await self._clock.sleep(self._heartbeat_ms)
         self._change()
@@ -159,7 +161,14 @@
 
 
 def _play(
-    waits, cut_after_ms, *, answer_ms, message_ms, is_silent, heartbeat_ms
+    waits,
+    changed_at,
+    cut_after_ms,
+    *,
+    answer_ms,
+    message_ms,
+    is_silent,
+    heartbeat_ms,
 ):
     """Return how late the controller and another instance know a change.
 
@@ -168,10 +177,10 @@
     :param is_silent: whether only its watch is cut off, as by a connection
         that is dead: it goes on renewing its lease, and relaying.
     """
-    cut_at = _CHANGED_AT + cut_after_ms
+    cut_at = changed_at + cut_after_ms
 
     async def play(clock):
-        store = _Store(clock, answer_ms, heartbeat_ms)
+        store = _Store(clock, answer_ms, heartbeat_ms, changed_at)
         until = cut_at if is_silent else float("inf")
         link = _CutLink(store, clock, cut_at, until)
         controller = _Instance(link, clock, waits)
@@ -192,12 +201,12 @@
             group.start_soon(
                 _follow, other, controller, clock, may_relay, find_message_ms
             )
-            await clock.sleep(_CHANGED_AT + 4000)
+            await clock.sleep(changed_at + 4000)
             group.cancel_scope.cancel()
         return controller.known_at, other.known_at
 
     return [
-        None if at is None else at - _CHANGED_AT
+        None if at is None else at - changed_at
         for at in _virtual_time.run(play)
     ]
 
@@ -224,12 +233,13 @@
     The controller said that nothing had changed, and each instance counted
     its waits from there.
     """
-    waits = _change_delays.waits_within(_BOUND_MS)
-    for cut_after_ms, heartbeat_ms in itertools.product(
-        _CUTS_MS, _HEARTBEATS_MS
+    waits = _change_delays.waits_within(_BOUND_MS, is_busy=True)
+    for changed_at, cut_after_ms, heartbeat_ms in itertools.product(
+        _CHANGES_AT_MS, _CUTS_MS, _HEARTBEATS_MS
     ):
         own_ms, other_ms = _play(
             waits,
+            changed_at,
             cut_after_ms,
             answer_ms=answer_ms,
             message_ms=message_ms,
@@ -248,6 +258,7 @@
     late_ms = max(
         _play(
             waits,
+            _CHANGES_AT_MS[0],
             cut_after_ms,
             answer_ms=_FAST_MS,
             message_ms=_LATE_MESSAGE_MS,
--- a/tests/test_confirmed_copies.py
+++ b/tests/test_confirmed_copies.py
@@ -156,7 +156,7 @@
     applied = []
     watcher._on_change = applied.append
 
-    async def watch_late(_revision):
+    async def watch_late(_revision, _wait_ms):
         clock.advance(400)
         newer = _objects.Object("config", "main", 9, {"tenants": []})
         relayed = _object_watcher.Changes(9, False, [newer])
--- a/tests/test_store_history.py
+++ b/tests/test_store_history.py
@@ -17,7 +17,7 @@
 
 # Times in which a configuration must be in force, or a leaving replica must
 # get no more requests: config_apply_ms and drain_ms, and others.
-_BOUNDS_MS = (1960, 2000, 3000, 10_000)
+_BOUNDS_MS = (1980, 2000, 3000, 10_000)
 _ADDRESS = _settings.parse_address("10.0.0.1:80")
 
 
@@ -242,7 +242,7 @@
 @pytest.mark.parametrize("bound_ms", _BOUNDS_MS)
 def test_the_delays_of_a_change_add_up_to_more_than_its_bound(bound_ms):
     """Each was bounded, and they added up to 2.4 s of 2.0 s."""
-    waits = _change_delays.waits_within(bound_ms)
+    waits = _change_delays.waits_within(bound_ms, is_busy=True)
     delays_ms = _change_delays.longest_delays_ms(waits, waits.freshness)
     assert max(delays_ms.values()) + _change_delays.SEND_MS <= bound_ms
 
