--- a/src/geraniumlink/hosting/_change_delays.py
+++ b/src/geraniumlink/hosting/_change_delays.py
@@ -113,6 +113,8 @@
     """Return the longest delay on each way that a change may take.
 
     Each ends when the change is known, ``SEND_MS`` before the last request.
+
+    :param freshness: that of the waits, of a kind that has a bound.
     """
     watch_ms = freshness.watch_timeout_ms
     relay_lapsed_ms = _object_watcher.RELAY_VALIDITY_MS + STORE_ANSWER_MS
