Notice that a client which asked to close has left

Cause: nothing is read once a response is the last one, unless the client asked for that; but _asks_to_close was never set.

Evidence: a stream with 1.5 s between events, whose client leaves after the first: not cancelled after 0.7 s with the header, cancelled without it. Now it is set as the response begins, from the request; the test passes both ways.

--- a/src/geraniumlink/_http_protocol.py
+++ b/src/geraniumlink/_http_protocol.py
@@ -204,7 +204,7 @@
     # When a part of a response was written, or the client had read enough for
     # a further one, in seconds of the event loop.
     _last_written = 0.0
-    # The client has asked to close the connection.
+    # The client has asked to close the connection after the current response.
     _asks_to_close = False
 
     @property
@@ -749,6 +749,8 @@
         self, cycle: httptools_impl.RequestResponseCycle, app: typing.Any
     ) -> None:
         self._current = cycle
+        # Not yet changed by a response.
+        self._asks_to_close = not cycle.keep_alive
         # It has been running if the head began before the last response ended.
         self._unset_keepalive_if_required()
         super()._start_asgi_task(cycle, app)
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -289,6 +289,27 @@
     assert await has_ended() == "cancelled"
 
 
+@pytest.mark.parametrize("connection", ("close", ""))
+async def test_a_replica_works_on_for_a_client_that_asked_to_close(
+    fleet, connection
+):
+    """Its end wasn't noticed until two more events had been written."""
+    site, port = await _start_site(fleet)
+    # No second event is written in the time that is measured.
+    await site.faults("r-1", event_ms=1500)
+    client = await anyio.connect_tcp("127.0.0.1", port)
+    await client.send(
+        hosts.request_bytes("/stream-once/x", Connection=connection)
+    )
+    received = b""
+    while b"token 1" not in received:
+        received += await client.receive()
+    await client.aclose()
+
+    await anyio.sleep(0.7)
+    assert (await site.runs())["r-1"][0]["ended"] == "cancelled"
+
+
 async def test_a_bad_target_gets_no_answer(fleet):
     _, port = await _start_site(fleet)
     async with await anyio.connect_tcp("127.0.0.1", port) as connection:
