Tests: take bounds from the targets, not from what the code reached

The lowest bound in the sum of delays (1,980 ms) had been moved to what the sum allows, and the peak of a list was 25 times a page, a measured factor. The bounds are now those of deployments and two fifths of the smallest machine's memory, which is less than before (67 of 71 MB).

--- a/tests/test_store_history.py
+++ b/tests/test_store_history.py
@@ -17,7 +17,7 @@
 
 # Times in which a configuration must be in force, or a leaving replica must
 # get no more requests: config_apply_ms and drain_ms, and others.
-_BOUNDS_MS = (1980, 2000, 3000, 10_000)
+_BOUNDS_MS = (2000, 3000, 10_000)
 _ADDRESS = _settings.parse_address("10.0.0.1:80")
 
 
--- a/tests/test_store_memory.py
+++ b/tests/test_store_memory.py
@@ -27,10 +27,9 @@
 # Limits of the smallest machines that are planned for, and of an object.
 _MEMORY_MB = 160
 _VALUE_BYTES = 1_000_000
-# A page of a list has about so much; decoded it takes up to 25 times as much,
-# and what is kept has a share of the memory.
-_PAGE_BYTES = 1_000_000
-_PEAK_BYTES = 2 * 25 * _PAGE_BYTES + 0.125 * _MEMORY_MB * 2**20
+# A list may take two fifths of the memory: clients' requests have a quarter,
+# and the process itself has the rest.
+_PEAK_BYTES = 0.4 * _MEMORY_MB * 2**20
 
 
 def _units(text_bytes):
